Add design page, repository tasks and the wire layer

Cause: the repository was empty. The design page states requirements, roles, interfaces and failure handling, so that the parts can be built side by side. Result: ./build.sh test passes (formatter, linter, strict types, 1 test). Nothing is measured yet.

--- /dev/null
+++ b/build.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Tasks of the repository. Each sets up the pinned environment by itself.
+set -euo pipefail
+cd "$(dirname "$0")"
+VENV="${CICADATRAY_VENV:-$PWD/.venv}"
+export PYTHONPATH="$PWD/src"
+export PYTHONDONTWRITEBYTECODE=1
+
+setup() {
+  if [ ! -x "$VENV/bin/python" ]; then
+    python3 -m venv "$VENV"
+  fi
+  if ! cmp -s requirements.txt "$VENV/requirements.txt"; then
+    "$VENV/bin/pip" install --quiet --disable-pip-version-check -r requirements.txt
+    cp requirements.txt "$VENV/requirements.txt"
+  fi
+}
+
+run() { "$VENV/bin/python" "$@"; }
+
+lint() {
+  "$VENV/bin/black" --check --quiet src tests
+  "$VENV/bin/ruff" check --quiet --no-cache src tests
+  "$VENV/bin/mypy" --cache-dir "$VENV/mypy_cache" --no-error-summary
+}
+
+task="${1:-help}"
+[ $# -gt 0 ] && shift
+case "$task" in
+  setup) setup ;;
+  format) setup; "$VENV/bin/black" --quiet src tests; "$VENV/bin/ruff" check --quiet --no-cache --fix src tests ;;
+  lint) setup; lint ;;
+  cover) setup; run -m pytest tests/cover "$@" ;;
+  nocover) setup; run -m pytest tests/nocover "$@" ;;
+  test) setup; lint; run -m pytest -n 6 tests "$@"; run -m cicadatray.internal.bench.known_red ;;
+  model) setup; run -m cicadatray.internal.models.main "$@" ;;
+  quickstart) setup; run -m cicadatray.internal.bench.quickstart "$@" ;;
+  measure) setup; run -m cicadatray.internal.bench.measure "$@" ;;
+  capacity) setup; run -m cicadatray.internal.bench.capacity "$@" ;;
+  faults) setup; run -m cicadatray.internal.bench.faults "$@" ;;
+  reference) setup; run -m cicadatray.internal.settings.reference > docs/settings.md ;;
+  *) echo "usage: ./build.sh setup|format|lint|cover|nocover|test|model|quickstart|measure|capacity|faults|reference" ;;
+esac
--- /dev/null
+++ b/src/cicadatray/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for multi-accelerator jobs under client account guarantees."""
--- /dev/null
+++ b/src/cicadatray/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that are not a public interface and may change in any release."""
--- /dev/null
+++ b/src/cicadatray/internal/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Runs that measure or prove the product on one machine."""
--- /dev/null
+++ b/src/cicadatray/internal/wire/codec.py
@@ -0,0 +1,44 @@
+"""Encoding of messages and of the envelope that pairs requests with replies."""
+
+from typing import Any
+
+import msgspec
+
+from cicadatray.internal.wire.errors import FrameError
+from cicadatray.internal.wire.message import Message
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """One direction of one call: `call_id` is chosen by the caller and echoed in the reply."""
+
+    call_id: int
+    body: msgspec.Raw
+
+
+class Codec:
+    """Encodes and decodes the messages of one protocol."""
+
+    __slots__ = ("body_decoder", "encoder", "envelope_decoder")
+
+    def __init__(self, message_types: Any) -> None:
+        """Takes the union of the message types that the protocol knows."""
+        self.encoder = msgspec.msgpack.Encoder()
+        self.envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+        self.body_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(message_types)
+
+    def encode(self, call_id: int, message: Message) -> bytes:
+        """Returns the bytes of one envelope."""
+        body = msgspec.Raw(self.encoder.encode(message))
+        return self.encoder.encode(Envelope(call_id, body))
+
+    def decode(self, data: bytes) -> tuple[int, Message]:
+        """Returns the call identifier and the message.
+
+        Raises:
+            FrameError: the bytes are not an envelope with a known message.
+        """
+        try:
+            envelope = self.envelope_decoder.decode(data)
+            return envelope.call_id, self.body_decoder.decode(envelope.body)
+        except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+            raise FrameError(f"undecodable message: {error}") from error
--- /dev/null
+++ b/src/cicadatray/internal/wire/frame.py
@@ -0,0 +1,41 @@
+"""Length-prefixed frames over asyncio streams."""
+
+import asyncio
+
+from cicadatray.internal.wire.errors import FrameError
+
+FRAME_LIMIT_BYTES = 1024 * 1024
+LENGTH_BYTES = 4
+
+
+def pack_frame(body: bytes) -> bytes:
+    """Returns the frame for a message body.
+
+    Raises:
+        FrameError: the body is longer than `FRAME_LIMIT_BYTES`.
+    """
+    if len(body) > FRAME_LIMIT_BYTES:
+        raise FrameError(f"message of {len(body)} bytes, at most {FRAME_LIMIT_BYTES} are allowed")
+    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+
+
+async def read_frame(reader: asyncio.StreamReader) -> bytes:
+    """Reads one message body.
+
+    Raises:
+        EOFError: the other side closed the connection between two frames.
+        FrameError: the announced length exceeds the limit, or the frame is cut short.
+    """
+    try:
+        head = await reader.readexactly(LENGTH_BYTES)
+    except asyncio.IncompleteReadError as error:
+        if not error.partial:
+            raise EOFError("connection closed") from error
+        raise FrameError("frame length cut short") from error
+    length = int.from_bytes(head, "big")
+    if length > FRAME_LIMIT_BYTES:
+        raise FrameError(f"frame of {length} bytes announced, at most {FRAME_LIMIT_BYTES}")
+    try:
+        return await reader.readexactly(length)
+    except asyncio.IncompleteReadError as error:
+        raise FrameError(f"frame cut short at {len(error.partial)} of {length} bytes") from error
--- /dev/null
+++ b/src/cicadatray/internal/wire/rpc_server.py
@@ -0,0 +1,106 @@
+"""Listener that answers calls of other processes."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import structlog
+
+from cicadatray.internal.wire.codec import Codec
+from cicadatray.internal.wire.errors import FrameError, HandshakeError
+from cicadatray.internal.wire.frame import pack_frame, read_frame
+from cicadatray.internal.wire.handshake import authenticate
+from cicadatray.internal.wire.message import Failure, Message
+
+Handler = Callable[[Message], Awaitable[Message]]
+CONNECTION_LIMIT = 1024
+CALLS_PER_CONNECTION_LIMIT = 256
+INTERNAL_ERROR_CODE = "internal_error"
+BUSY_CODE = "too_many_calls"
+BUSY_RETRY_AFTER_S = 1.0
+
+log = structlog.get_logger(__name__)
+
+
+class RpcServer:
+    """Runs one task for each connection, and one for each call in progress on it."""
+
+    __slots__ = ("codec", "connections", "handler", "host", "port", "secret", "server")
+
+    def __init__(self, host: str, port: int, codec: Codec, handler: Handler, secret: bytes) -> None:
+        """`port` 0 lets the system choose; `port` holds the real one after `start`."""
+        self.host = host
+        self.port = port
+        self.codec = codec
+        self.handler = handler
+        self.secret = secret
+        self.server: asyncio.Server | None = None
+        self.connections: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        self.server = await asyncio.start_server(self._accept, self.host, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Closes the listener and every connection; calls in progress are cancelled."""
+        if self.server is None:
+            return
+        self.server.close()
+        for task in list(self.connections):
+            task.cancel()
+        await asyncio.gather(*self.connections, return_exceptions=True)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        if len(self.connections) >= CONNECTION_LIMIT:
+            writer.close()
+            return
+        self.connections.add(task)
+        try:
+            await self._serve(reader, writer)
+        except asyncio.CancelledError:
+            pass  # asyncio logs a cancelled connection callback as an error
+        finally:
+            self.connections.discard(task)
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        calls: set[asyncio.Task[None]] = set()
+        try:
+            await authenticate(reader, writer, self.secret, dialer=False)
+            while True:
+                call_id, message = self.codec.decode(await read_frame(reader))
+                if len(calls) >= CALLS_PER_CONNECTION_LIMIT:
+                    busy = Failure(
+                        code=BUSY_CODE,
+                        detail="too many calls on one connection",
+                        retry_after_s=BUSY_RETRY_AFTER_S,
+                    )
+                    await self._reply(writer, call_id, busy)
+                    continue
+                call = asyncio.create_task(self._answer(writer, call_id, message))
+                calls.add(call)
+                call.add_done_callback(calls.discard)
+        except (HandshakeError, FrameError) as error:
+            log.warning("connection refused", reason=str(error))
+        except (EOFError, OSError):
+            pass
+        finally:
+            for call in calls:
+                call.cancel()
+
+    async def _answer(self, writer: asyncio.StreamWriter, call_id: int, message: Message) -> None:
+        try:
+            reply = await self.handler(message)
+        except Exception as error:
+            log.exception("call failed", message_type=type(message).__name__)
+            reply = Failure(code=INTERNAL_ERROR_CODE, detail=type(error).__name__)
+        await self._reply(writer, call_id, reply)
+
+    async def _reply(self, writer: asyncio.StreamWriter, call_id: int, reply: Message) -> None:
+        try:
+            writer.write(pack_frame(self.codec.encode(call_id, reply)))
+            await writer.drain()
+        except OSError:
+            pass  # the caller is gone; it repeats the call on another connection
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,25 @@
+"""Settings of the whole test suite."""
+
+import pytest
+from hypothesis import HealthCheck, settings
+
+from cicadatray.internal.bench.known_red import read_known_red_tests
+
+# CI must give the same verdict every run: no random seeds, no deadlines on slow machines.
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+settings.load_profile("ci")
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    """Deselects exactly the tests that KNOWN-RED.txt lists."""
+    known_red = set(read_known_red_tests(config.rootpath / "KNOWN-RED.txt"))
+    deselected = [item for item in items if item.nodeid in known_red]
+    if deselected:
+        config.hook.pytest_deselected(items=deselected)
+        items[:] = [item for item in items if item.nodeid not in known_red]
--- /dev/null
+++ b/tests/cover/test_import.py
@@ -0,0 +1,8 @@
+"""Tests of the repository layout."""
+
+
+def test_package_imports() -> None:
+    """Guards against a package that cannot be imported after installation."""
+    import cicadatray
+
+    assert cicadatray.__doc__
