--- a/build.sh
+++ b/build.sh
@@ -21,7 +21,7 @@
 lint() {
   "$VENV/bin/black" --check --quiet src tests
   "$VENV/bin/ruff" check --quiet --no-cache src tests
-  "$VENV/bin/mypy" --cache-dir "$VENV/mypy_cache" --no-error-summary
+  "$VENV/bin/mypy" --cache-dir .mypy_cache --no-error-summary
 }
 
 task="${1:-help}"
--- a/src/cicadatray/internal/wire/codec.py
+++ b/src/cicadatray/internal/wire/codec.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cicadatray.internal.wire.errors import FrameError
-from cicadatray.internal.wire.message import Message
+from cicadatray.internal.wire.message import MessageStruct
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -24,14 +24,16 @@
         """Takes the union of the message types that the protocol knows."""
         self.encoder = msgspec.msgpack.Encoder()
         self.envelope_decoder = msgspec.msgpack.Decoder(Envelope)
-        self.body_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(message_types)
+        self.body_decoder: msgspec.msgpack.Decoder[MessageStruct] = msgspec.msgpack.Decoder(
+            message_types
+        )
 
-    def encode(self, call_id: int, message: Message) -> bytes:
+    def encode(self, call_id: int, message: MessageStruct) -> bytes:
         """Returns the bytes of one envelope."""
         body = msgspec.Raw(self.encoder.encode(message))
         return self.encoder.encode(Envelope(call_id, body))
 
-    def decode(self, data: bytes) -> tuple[int, Message]:
+    def decode(self, data: bytes) -> tuple[int, MessageStruct]:
         """Returns the call identifier and the message.
 
         Raises:
--- a/src/cicadatray/internal/wire/message.py
+++ b/src/cicadatray/internal/wire/message.py
@@ -3,11 +3,11 @@
 import msgspec
 
 
-class Message(msgspec.Struct, frozen=True, tag=True, kw_only=True, omit_defaults=True):
+class MessageStruct(msgspec.Struct, frozen=True, tag=True, kw_only=True, omit_defaults=True):
     """A message on the wire; the class name is its tag."""
 
 
-class Failure(Message, frozen=True):
+class Failure(MessageStruct, frozen=True):
     """The other side refused a call.
 
     `code` is stable and machine-readable; `retry_after_s` is zero when coming back cannot help.
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -12,7 +12,7 @@
 )
 from cicadatray.internal.wire.frame import pack_frame, read_frame
 from cicadatray.internal.wire.handshake import authenticate
-from cicadatray.internal.wire.message import Message
+from cicadatray.internal.wire.message import MessageStruct
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -46,12 +46,12 @@
         self.backoff = Backoff()
         self.connect_lock = asyncio.Lock()
         self.next_call_id = 1
-        self.pending: dict[int, asyncio.Future[Message]] = {}
+        self.pending: dict[int, asyncio.Future[MessageStruct]] = {}
         self.reading: asyncio.Task[None] | None = None
         self.retry_at_s = 0.0
         self.writer: asyncio.StreamWriter | None = None
 
-    async def call(self, message: Message, timeout_s: float) -> Message:
+    async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
         """Sends a request and returns its reply, which may be a `Failure`.
 
         Raises:
@@ -64,7 +64,7 @@
         call_id = self.next_call_id
         self.next_call_id += 1
         frame = pack_frame(self.codec.encode(call_id, message))
-        reply: asyncio.Future[Message] = loop.create_future()
+        reply: asyncio.Future[MessageStruct] = loop.create_future()
         self.pending[call_id] = reply
         try:
             async with asyncio.timeout_at(deadline_s):
--- a/src/cicadatray/internal/wire/rpc_server.py
+++ b/src/cicadatray/internal/wire/rpc_server.py
@@ -9,9 +9,9 @@
 from cicadatray.internal.wire.errors import FrameError, HandshakeError
 from cicadatray.internal.wire.frame import pack_frame, read_frame
 from cicadatray.internal.wire.handshake import authenticate
-from cicadatray.internal.wire.message import Failure, Message
+from cicadatray.internal.wire.message import Failure, MessageStruct
 
-Handler = Callable[[Message], Awaitable[Message]]
+Handler = Callable[[MessageStruct], Awaitable[MessageStruct]]
 CONNECTION_LIMIT = 1024
 CALLS_PER_CONNECTION_LIMIT = 256
 INTERNAL_ERROR_CODE = "internal_error"
@@ -90,7 +90,9 @@
             for call in calls:
                 call.cancel()
 
-    async def _answer(self, writer: asyncio.StreamWriter, call_id: int, message: Message) -> None:
+    async def _answer(
+        self, writer: asyncio.StreamWriter, call_id: int, message: MessageStruct
+    ) -> None:
         try:
             reply = await self.handler(message)
         except Exception as error:
@@ -98,7 +100,9 @@
             reply = Failure(code=INTERNAL_ERROR_CODE, detail=type(error).__name__)
         await self._reply(writer, call_id, reply)
 
-    async def _reply(self, writer: asyncio.StreamWriter, call_id: int, reply: Message) -> None:
+    async def _reply(
+        self, writer: asyncio.StreamWriter, call_id: int, reply: MessageStruct
+    ) -> None:
         try:
             writer.write(pack_frame(self.codec.encode(call_id, reply)))
             await writer.drain()
--- /dev/null
+++ b/src/cicadatray/replication/__init__.py
@@ -0,0 +1,1 @@
+"""A replicated log with elections, snapshots and membership changes."""
--- /dev/null
+++ b/src/cicadatray/scheduling/inventory.py
@@ -0,0 +1,21 @@
+"""The instances that the members contribute."""
+
+import msgspec
+
+
+class WorkerRecord(msgspec.Struct, frozen=True):
+    """One worker; `rack` is unique only inside its data centre."""
+
+    worker_id: str
+    data_centre: str
+    rack: str
+    accelerators: int
+    cores: int
+    memory_gb: int
+    member: str
+
+
+class Inventory(msgspec.Struct, frozen=True):
+    """All workers, in the order of the asset register."""
+
+    workers: tuple[WorkerRecord, ...]
