--- /dev/null
+++ b/src/cicadatray/internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemon: one JSON file for each process."""
--- /dev/null
+++ b/src/cicadatray/internal/settings/errors.py
@@ -0,0 +1,5 @@
+"""Errors of the settings layer."""
+
+
+class SettingsError(Exception):
+    """The settings cannot be used; the text lists every fault."""
--- a/src/cicadatray/scheduling/job_request.py
+++ b/src/cicadatray/scheduling/job_request.py
@@ -8,8 +8,8 @@
 class JobRequest(msgspec.Struct, frozen=True):
     """A gang job.
 
-    `declared_run_s` is the caller's estimate and often far off. `urgent` claims the guarantee of the
-    client account. `submitted_s` orders jobs of equal standing.
+    `declared_run_s` is the caller's estimate and often far off. `urgent` claims the account's
+    guarantee. `submitted_s` orders jobs of equal standing.
     """
 
     job_id: str
