Check settings completely and add logging, metrics and state dumps

Cause: a settings file was reported with its first fault only, and the daemons had no common logging, metrics or dumps.

Change: load_settings collects every fault of structure and meaning with path, value and correction; docs/settings.md is generated from the types and their field comments; examples for each role of both deployments. Structured logging with a trace identifier and redaction of secrets, a metrics registry with bounded label sets and histograms, and bounded state dumps written on SIGUSR1.

--- /dev/null
+++ b/src/cicadatray/internal/observability/gauge.py
@@ -0,0 +1,46 @@
+"""Gauges."""
+
+from collections.abc import Callable
+
+from cicadatray.internal.observability.label_sets import LabelSets
+from cicadatray.internal.observability.text_format import render_sample
+
+
+class Gauge:
+    """A value that rises and falls, by label set; set, or read when the text is rendered."""
+
+    __slots__ = ("help_text", "name", "sets", "sources")
+
+    kind = "gauge"
+
+    def __init__(self, name: str, help_text: str, label_names: tuple[str, ...]) -> None:
+        self.name = name
+        self.help_text = help_text
+        self.sets: LabelSets[float] = LabelSets(name, label_names)
+        self.sources: dict[tuple[str, ...], Callable[[], float]] = {}
+
+    def set(self, value: float, **labels: str) -> None:
+        """Replaces the value of the label set."""
+        self.sets.cells[self.sets.key(labels)] = value
+
+    def read_from(self, source: Callable[[], float], **labels: str) -> None:
+        """Makes rendering call `source` for the value of the label set."""
+        key = self.sets.key(labels)
+        self.sources[key] = source
+        self.sets.cells[key] = 0.0
+
+    def remove(self, **labels: str) -> None:
+        """Forgets a label set, for example of an agent that has left."""
+        key = self.sets.key(labels)
+        self.sets.cells.pop(key, None)
+        self.sources.pop(key, None)
+
+    def render(self) -> list[str]:
+        """Returns the sample lines."""
+        for key, source in self.sources.items():
+            self.sets.cells[key] = source()
+        names = self.sets.label_names
+        return [
+            render_sample(self.name, zip(names, key, strict=True), value)
+            for key, value in sorted(self.sets.cells.items())
+        ]
--- /dev/null
+++ b/src/cicadatray/internal/observability/label_sets.py
@@ -0,0 +1,46 @@
+"""The bounded label sets of one metric."""
+
+from typing import Generic, TypeVar
+
+from cicadatray.internal.observability.errors import MetricError
+
+LABEL_SET_LIMIT = 512  # 410 client accounts at design size, and room for outcomes
+OVERFLOW_VALUE = "other"
+
+Cell = TypeVar("Cell")
+LabelValues = tuple[str, ...]
+
+
+class LabelSets(Generic[Cell]):
+    """Values by label set; beyond the limit, new sets share one whose labels are all `other`."""
+
+    __slots__ = ("cells", "label_names", "limit", "metric_name")
+
+    def __init__(
+        self, metric_name: str, label_names: tuple[str, ...], limit: int = LABEL_SET_LIMIT
+    ) -> None:
+        self.metric_name = metric_name
+        self.label_names = label_names
+        self.limit = limit
+        self.cells: dict[LabelValues, Cell] = {}
+
+    def key(self, labels: dict[str, str]) -> LabelValues:
+        """Returns the key to store the labels' value under.
+
+        Raises:
+            MetricError: the labels are not those of the metric.
+        """
+        try:
+            values = tuple([labels[name] for name in self.label_names])
+        except KeyError:
+            raise self._mismatch(labels) from None
+        if len(values) != len(labels):
+            raise self._mismatch(labels)
+        if values in self.cells or len(self.cells) < self.limit:
+            return values
+        return (OVERFLOW_VALUE,) * len(self.label_names)
+
+    def _mismatch(self, labels: dict[str, str]) -> MetricError:
+        wanted = ", ".join(self.label_names) or "no labels"
+        given = ", ".join(labels) or "no labels"
+        return MetricError(f"metric {self.metric_name} has {wanted}, not {given}")
--- /dev/null
+++ b/src/cicadatray/internal/observability/logging.py
@@ -0,0 +1,77 @@
+"""Configuration of structured logging."""
+
+import logging
+import sys
+from collections.abc import MutableMapping
+from typing import Any, TextIO
+
+import msgspec
+import structlog
+
+from cicadatray.internal.observability.redaction import redact_event
+from cicadatray.internal.settings.common import LoggingSettings
+
+JSON_FORMAT = "json"
+
+
+def configure_logging(
+    settings: LoggingSettings, role: str, name: str, stream: TextIO | None = None
+) -> None:
+    """Makes every structlog logger of the process write to `stream` (standard error by default).
+
+    `role` and `name` are part of each line, as is the `trace_id` bound in the current task.
+    Records of the standard library's logging take the same way. A repeated call replaces the
+    configuration.
+    """
+    output = stream or sys.stderr
+    level = logging.getLevelNamesMapping()[settings.level.upper()]
+
+    def add_process(
+        logger: Any, method_name: str, event_dict: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        return {"role": role, "name": name, **event_dict}
+
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            add_process,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            redact_event,
+            _renderer(settings, output),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(file=output),
+        cache_logger_on_first_use=False,
+    )
+    _route_standard_logging(level)
+
+
+def _renderer(settings: LoggingSettings, output: TextIO) -> Any:
+    if settings.format == JSON_FORMAT:
+        return structlog.processors.JSONRenderer(serializer=_encode)
+    return structlog.dev.ConsoleRenderer(colors=output.isatty())
+
+
+def _encode(event: Any, **_: Any) -> str:
+    return msgspec.json.encode(event).decode()
+
+
+class _StructlogHandler(logging.Handler):
+    """Forwards records of libraries that use the standard library's logging."""
+
+    __slots__ = ()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        logger = structlog.get_logger()
+        fields: dict[str, Any] = {"logger": record.name}
+        if record.exc_info:
+            fields["exc_info"] = record.exc_info
+        logger.log(record.levelno, record.getMessage(), **fields)
+
+
+def _route_standard_logging(level: int) -> None:
+    root = logging.getLogger()
+    root.handlers = [_StructlogHandler()]
+    root.setLevel(level)
--- /dev/null
+++ b/src/cicadatray/internal/observability/standard_metrics.py
@@ -0,0 +1,63 @@
+"""The metrics that docs/operations.md documents."""
+
+from cicadatray.internal.observability.counter import Counter
+from cicadatray.internal.observability.gauge import Gauge
+from cicadatray.internal.observability.latency_histogram import LatencyHistogram
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+
+
+def request_seconds(registry: MetricsRegistry) -> LatencyHistogram:
+    """Time from receiving a request to answering it; labels `client_account`, `outcome`."""
+    return registry.histogram(
+        "cicadatray_request_seconds",
+        "Time from receiving a request to answering it.",
+        ("client_account", "outcome"),
+    )
+
+
+def queue_seconds(registry: MetricsRegistry) -> LatencyHistogram:
+    """Time that an admitted request waits in the entry's queue; label `client_account`."""
+    return registry.histogram(
+        "cicadatray_queue_seconds",
+        "Time that an admitted request waits in the queue of the entry.",
+        ("client_account",),
+    )
+
+
+def reclaim_seconds(registry: MetricsRegistry) -> LatencyHistogram:
+    """Time from submitting an urgent job to the start of its gang."""
+    return registry.histogram(
+        "cicadatray_reclaim_seconds",
+        "Time from submitting an urgent job within its guarantee to the start of its gang.",
+    )
+
+
+def fragmentation_ratio(registry: MetricsRegistry) -> Gauge:
+    """Share of idle accelerators that cannot serve the large job, at this moment."""
+    return registry.gauge(
+        "cicadatray_fragmentation_ratio",
+        "Share of idle accelerators that cannot serve the large job.",
+    )
+
+
+def retries_total(registry: MetricsRegistry) -> Counter:
+    """Attempts after the first; label `client_account`."""
+    return registry.counter(
+        "cicadatray_retries_total", "Attempts after the first.", ("client_account",)
+    )
+
+
+def ejections_total(registry: MetricsRegistry) -> Counter:
+    """Endpoints ejected after consecutive failures; label `agent`."""
+    return registry.counter(
+        "cicadatray_ejections_total", "Endpoints ejected after consecutive failures.", ("agent",)
+    )
+
+
+def refusals_total(registry: MetricsRegistry) -> Counter:
+    """Requests and jobs refused before they ran; labels `client_account`, `code`."""
+    return registry.counter(
+        "cicadatray_refusals_total",
+        "Requests and jobs that were refused before they ran.",
+        ("client_account", "code"),
+    )
--- a/src/cicadatray/internal/settings/common.py
+++ b/src/cicadatray/internal/settings/common.py
@@ -1,43 +1,69 @@
 """Settings that every role has."""
 
+from typing import Annotated, Literal
+
 import msgspec
 
+from cicadatray.internal.settings.value_formats import formatted
+
+PORT_LIMIT = 65535
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=PORT_LIMIT)]
+IpNumber = Annotated[str, formatted("ip_number")]
+Name = Annotated[str, formatted("name")]
+PathText = Annotated[str, formatted("path")]
+OptionalSha256 = Annotated[str, formatted("optional_sha256")]
+PositiveInteger = Annotated[int, msgspec.Meta(ge=1)]
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
+
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An IP address and a TCP port."""
 
-    host: str
-    port: int
+    host: IpNumber
+    """IP number; host names are not resolved."""
+    port: Port
+    """TCP port."""
 
 
 class ControlMember(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A control instance as other processes know it."""
 
-    name: str
-    host: str
-    port: int
+    name: Name
+    """The `name` in that instance's own settings."""
+    host: IpNumber
+    """IP number; host names are not resolved."""
+    port: Port
+    """TCP port of its `listen` address."""
 
 
 class LoggingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """`format` is `json` or `console`; `level` a standard level name in lower case."""
+    """What a process logs, to its standard error."""
 
-    level: str = "info"
-    format: str = "json"
+    level: Literal["debug", "info", "warning", "error", "critical"] = "info"
+    """The least severe level that is logged."""
+    format: Literal["json", "console"] = "json"
+    """`json` writes one object per line; `console` is for reading at a terminal."""
 
 
 class SettingsStruct(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, tag_field="role"
 ):
-    """`name` is unique in the deployment; `listen` is where other processes reach this one.
-
-    `secret_file` holds the cluster secret. `dump_folder` receives the dump asked for by signal.
-    """
+    """What every role has."""
 
-    name: str
-    data_centre: str
+    name: Name
+    """Unique in the deployment; appears in logs, dumps and the directory."""
+    data_centre: Name
+    """The data centre (site) that the process runs in, as named in the inventory."""
     listen: Address
-    secret_file: str
+    """Where other processes of the deployment reach this one."""
+    secret_file: PathText
+    """File with the cluster secret, the same in every process; surrounding blanks are ignored."""
     control: tuple[ControlMember, ...]
+    """All control instances: one, three or five."""
     logging: LoggingSettings = LoggingSettings()
-    dump_folder: str = "."
-    drain_timeout_s: float = 30.0
+    """What the process logs."""
+    dump_folder: PathText = "."
+    """Folder that receives the state dump asked for by signal."""
+    drain_timeout_s: PositiveNumber = 30.0
+    """Longest wait in seconds for work in progress after the first stop signal."""
--- a/src/cicadatray/internal/settings/entry_settings.py
+++ b/src/cicadatray/internal/settings/entry_settings.py
@@ -1,11 +1,19 @@
 """Settings of an entry."""
 
-from cicadatray.internal.settings.common import Address, SettingsStruct
+from cicadatray.internal.settings.common import (
+    Address,
+    PositiveInteger,
+    PositiveNumber,
+    SettingsStruct,
+)
 
 
 class EntrySettings(SettingsStruct, frozen=True, kw_only=True, tag="entry"):
-    """`http` is the callers' address; `queue_limit` bounds waiting requests of all accounts."""
+    """An entry serves HTTP to callers and operators and keeps nothing on disk."""
 
     http: Address
-    queue_limit: int = 256
-    default_deadline_s: float = 30.0
+    """The callers' address; differs from `listen`."""
+    queue_limit: PositiveInteger = 256
+    """Waiting requests of all client accounts together."""
+    default_deadline_s: PositiveNumber = 30.0
+    """Deadline in seconds of a request that states none."""
--- a/src/cicadatray/internal/settings/load.py
+++ b/src/cicadatray/internal/settings/load.py
@@ -1,36 +1,95 @@
 """Reading a settings file."""
 
 from pathlib import Path
+from typing import Any
 
 import msgspec
+from returns.result import Failure, Result, Success
 
 from cicadatray.internal.settings.agent_settings import AgentSettings
+from cicadatray.internal.settings.comments import remove_comments
 from cicadatray.internal.settings.control_settings import ControlSettings
+from cicadatray.internal.settings.document_fault import DocumentFault
 from cicadatray.internal.settings.entry_settings import EntrySettings
-from cicadatray.internal.settings.errors import SettingsError
+from cicadatray.internal.settings.errors import SettingsError, describe_faults
+from cicadatray.internal.settings.semantic import check_semantics
+from cicadatray.internal.settings.structure import (
+    Checked,
+    check_structure,
+    fault,
+    merge_checks,
+)
+
+SETTINGS_LIMIT_BYTES = 1024 * 1024  # far above any real file; stops a mistaken path to a big file
 
 DaemonSettings = ControlSettings | EntrySettings | AgentSettings
+Loaded = Result[DaemonSettings, tuple[DocumentFault, ...]]
+
+settings_types: dict[str, type[DaemonSettings]] = {
+    "control": ControlSettings,
+    "entry": EntrySettings,
+    "agent": AgentSettings,
+}
 
 
 def load_settings(path: Path) -> DaemonSettings:
     """Reads and checks the settings of one process.
 
     Raises:
-        SettingsError: the file cannot be read or is faulty.
+        SettingsError: the file cannot be read or is faulty; lists all faults.
     """
+    result = parse_settings(_read(path))
+    if isinstance(result, Success):
+        settings: DaemonSettings = result.unwrap()
+        return settings
+    faults = result.failure()
+    raise SettingsError(describe_faults(str(path), faults), faults)
+
+
+def parse_settings(data: bytes) -> Loaded:
+    """Returns the settings, or every fault of the document."""
+    try:
+        document = remove_comments(msgspec.json.decode(data))
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return Failure((DocumentFault("(document)", str(error), "a JSON document"),))
+    checked = check_document(document)
+    if isinstance(checked, Failure):
+        return Failure(tuple(sorted(set(checked.failure()))))
+    return Success(msgspec.convert(document, DaemonSettings))
+
+
+def check_document(document: Any) -> Checked:
+    """Checks structure and meaning of a decoded settings document."""
+    if not isinstance(document, dict):
+        return fault("", document, "an object")
+    role = document.get("role")
+    if role not in settings_types:
+        return fault("role", role, f"one of {', '.join(settings_types)}")
+    type_info = msgspec.inspect.type_info(settings_types[role])
+    return merge_checks([check_structure(document, type_info), check_semantics(document, role)])
+
+
+def _read(path: Path) -> bytes:
     try:
-        return msgspec.json.decode(path.read_bytes(), type=DaemonSettings)
-    except (OSError, msgspec.MsgspecError) as error:
-        raise SettingsError(f"{path}: {error}") from error
+        with path.open("rb") as file:
+            data = file.read(SETTINGS_LIMIT_BYTES + 1)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    if len(data) > SETTINGS_LIMIT_BYTES:
+        raise SettingsError(f"{path}: larger than {SETTINGS_LIMIT_BYTES} bytes")
+    return data
 
 
 def read_secret(settings: DaemonSettings) -> bytes:
     """Reads the cluster secret.
 
     Raises:
-        SettingsError: the file cannot be read.
+        SettingsError: the file cannot be read or holds no secret.
     """
     try:
-        return Path(settings.secret_file).read_bytes().strip()
+        secret = Path(settings.secret_file).read_bytes().strip()
     except OSError as error:
         raise SettingsError(f"secret_file {settings.secret_file}: {error.strerror}") from error
+    if not secret:
+        raise SettingsError(f"secret_file {settings.secret_file}: empty; expected the secret")
+    return secret
--- /dev/null
+++ b/src/cicadatray/internal/settings/semantic.py
@@ -0,0 +1,140 @@
+"""Checks that involve several values of a settings document.
+
+They work on the decoded document, before it is converted, so that they also report their faults
+when other values are faulty; they pass over parts whose structure is wrong.
+"""
+
+import ipaddress
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Success
+
+from cicadatray.internal.settings.structure import Checked, fault, merge_checks
+
+CONTROL_COUNTS = (1, 3, 5)
+EVERY_ROLE = ("control", "entry", "agent")
+DEFAULT_SLOTS = 8
+DEFAULT_CONNECTIONS = 60
+
+SemanticCheck = Callable[[dict[str, Any]], Checked]
+
+semantic_checks: dict[str, list[SemanticCheck]] = {role: [] for role in EVERY_ROLE}
+
+
+def semantic_check(*roles: str) -> Callable[[SemanticCheck], SemanticCheck]:
+    """Registers the decorated check for the documents of some roles."""
+
+    def register(check: SemanticCheck) -> SemanticCheck:
+        for role in roles:
+            semantic_checks[role].append(check)
+        return check
+
+    return register
+
+
+def check_semantics(document: dict[str, Any], role: str) -> Checked:
+    """Runs every check of the role."""
+    return merge_checks(check(document) for check in semantic_checks[role])
+
+
+def _members(document: dict[str, Any]) -> list[dict[str, Any]]:
+    control = document.get("control")
+    if not isinstance(control, list):
+        return []
+    return [member if isinstance(member, dict) else {} for member in control]
+
+
+@semantic_check(*EVERY_ROLE)
+def check_control_count(document: dict[str, Any]) -> Checked:
+    """An even number of instances tolerates no more losses than one instance less."""
+    control = document.get("control")
+    if not isinstance(control, list) or len(control) in CONTROL_COUNTS:
+        return Success(None)
+    return fault("control", f"{len(control)} instances", "1, 3 or 5 control instances")
+
+
+@semantic_check(*EVERY_ROLE)
+def check_control_names(document: dict[str, Any]) -> Checked:
+    """Two members of one name would count as one voter."""
+    return _check_distinct(_members(document), ("name",), "a name that no other member has")
+
+
+@semantic_check(*EVERY_ROLE)
+def check_control_addresses(document: dict[str, Any]) -> Checked:
+    """Two members at one address would give one process two votes."""
+    return _check_distinct(
+        _members(document), ("host", "port"), "an address that no other member has"
+    )
+
+
+def _check_distinct(members: list[dict[str, Any]], keys: tuple[str, ...], expected: str) -> Checked:
+    seen: set[str] = set()
+    checks: list[Checked] = []
+    for index, member in enumerate(members):
+        if any(key not in member for key in keys):
+            continue
+        value = ":".join(str(member[key]) for key in keys)
+        if value in seen:
+            checks.append(fault(f"control[{index}].{keys[0]}", value, expected))
+        seen.add(value)
+    return merge_checks(checks)
+
+
+@semantic_check(*EVERY_ROLE)
+def check_reachable_addresses(document: dict[str, Any]) -> Checked:
+    """Other processes connect to `listen` as it is announced, so it must name one instance."""
+    named = [("listen", document.get("listen"))]
+    named += [(f"control[{index}]", item) for index, item in enumerate(_members(document))]
+    expected = "the number of one instance, not the unspecified address"
+    return merge_checks(
+        fault(f"{path}.host", address["host"], expected)
+        for path, address in named
+        if isinstance(address, dict) and _is_unspecified(address.get("host"))
+    )
+
+
+def _is_unspecified(host: Any) -> bool:
+    try:
+        return isinstance(host, str) and ipaddress.ip_address(host).is_unspecified
+    except ValueError:
+        return False
+
+
+@semantic_check("agent")
+def check_agent_has_work(document: dict[str, Any]) -> Checked:
+    """An agent without endpoint and worker would announce itself and do nothing."""
+    if document.get("endpoint") is not None or document.get("worker") is not None:
+        return Success(None)
+    return fault("endpoint", None, 'an "endpoint", a "worker" or both')
+
+
+@semantic_check("agent")
+def check_endpoint_connections(document: dict[str, Any]) -> Checked:
+    """Each running request takes a connection, so fewer connections leave slots unusable."""
+    endpoint = document.get("endpoint")
+    if not isinstance(endpoint, dict):
+        return Success(None)
+    slots = endpoint.get("slots", DEFAULT_SLOTS)
+    connections = endpoint.get("connections", DEFAULT_CONNECTIONS)
+    if not isinstance(slots, int) or not isinstance(connections, int) or connections >= slots:
+        return Success(None)
+    return fault("endpoint.connections", connections, f'at least the {slots} of "slots"')
+
+
+@semantic_check("entry")
+def check_entry_addresses(document: dict[str, Any]) -> Checked:
+    """One address cannot serve two listeners."""
+    http = document.get("http")
+    if not isinstance(http, dict) or http != document.get("listen"):
+        return Success(None)
+    return fault("http", http, 'an address that differs from "listen"')
+
+
+@semantic_check("control")
+def check_bootstrap_member(document: dict[str, Any]) -> Checked:
+    """An instance that forms a group without belonging to it could never be elected."""
+    names = [member.get("name") for member in _members(document)]
+    if document.get("bootstrap") is not True or document.get("name") in names:
+        return Success(None)
+    return fault("name", document.get("name"), 'a name listed under "control" when bootstrapping')
