Add the tool cicadatray and the import of asset registers, rules and accounts

Cause: operators and callers had no tool, and inventories could not be taken from asset registers.

Change: commands for requests, jobs, configuration, directory, dumps, metrics, settings checks and completion. The tool tries several entries in turn, resends after a lost answer with the same idempotency key or operation ID, honours Retry-After up to a bound and distinguishes "not run" from "outcome unknown" in its exit codes, also when only the resend was refused. Registers come as CSV or JSON; a report names every fault with row or path, value and correction.

The commands were run against a scripted entry on loopback, not yet against the daemons.

--- /dev/null
+++ b/src/cicadatray/internal/asset_register/import_accounts.py
@@ -0,0 +1,66 @@
+"""Import of an accounts document."""
+
+from typing import Annotated, Any
+
+import msgspec
+from returns.result import Success
+
+from cicadatray.internal.asset_register.json_document import import_document
+from cicadatray.internal.settings.common import Name
+from cicadatray.internal.settings.structure import Checked, fault, merge_checks
+from cicadatray.internal.settings.value_formats import formatted
+
+
+class AccountFields(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One client account; the digest is that of its credential."""
+
+    client_account: Name
+    credential_sha256: Annotated[str, formatted("sha256")]
+    operator: bool = False
+
+
+class AccountsFields(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All client accounts of a deployment."""
+
+    accounts: tuple[AccountFields, ...]
+
+
+def import_accounts(data: bytes, source: str) -> AccountsFields:
+    """Returns the accounts.
+
+    Raises:
+        ImportRefusedError: the document is too large or faulty; lists all faults.
+    """
+    return import_document(data, source, AccountsFields, _check_meaning)
+
+
+def _check_meaning(document: dict[str, Any]) -> Checked:
+    listed = document.get("accounts")
+    accounts = listed if isinstance(listed, list) else []
+    known = [account if isinstance(account, dict) else {} for account in accounts]
+    return merge_checks(
+        [
+            _check_distinct(known, "client_account", "a name that no other account has"),
+            _check_distinct(known, "credential_sha256", "a credential of this account alone"),
+            _check_operator(known),
+        ]
+    )
+
+
+def _check_distinct(accounts: list[dict[str, Any]], key: str, expected: str) -> Checked:
+    seen: set[Any] = set()
+    checks: list[Checked] = []
+    for index, account in enumerate(accounts):
+        value = account.get(key)
+        if isinstance(value, str) and value in seen:
+            checks.append(fault(f"accounts[{index}].{key}", value, expected))
+        if isinstance(value, str):
+            seen.add(value)
+    return merge_checks(checks)
+
+
+def _check_operator(accounts: list[dict[str, Any]]) -> Checked:
+    """Without an operator nobody could change the configuration any more."""
+    if any(account.get("operator") is True for account in accounts):
+        return Success(None)
+    return fault("accounts", f"{len(accounts)} accounts", 'at least one with "operator": true')
--- /dev/null
+++ b/src/cicadatray/internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The tool `cicadatray` for callers and operators."""
--- /dev/null
+++ b/src/cicadatray/internal/cli/http_transport.py
@@ -0,0 +1,82 @@
+"""One attempt of one request over HTTP."""
+
+import asyncio
+import socket
+
+from aiosonic import HTTPClient, HttpResponse
+from aiosonic.exceptions import AiosonicError, ConnectTimeout
+from aiosonic.timeout import Timeouts
+
+from cicadatray.internal.cli.entry_request import EntryRequest
+from cicadatray.internal.cli.entry_response import EntryResponse
+from cicadatray.internal.cli.errors import AnswerLostError, EntryUnreachableError
+
+CONNECT_TIMEOUT_S = 3.0
+RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
+NOT_SENT = (ConnectTimeout, ConnectionRefusedError, socket.gaierror)
+
+
+class HttpTransport:
+    """Sends requests with the credential; each attempt has its own bound on time."""
+
+    __slots__ = ("client", "credential")
+
+    def __init__(self, credential: str) -> None:
+        self.credential = credential
+        self.client = HTTPClient()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.client.aclose()
+
+    async def send(self, address: str, request: EntryRequest) -> EntryResponse:
+        """Sends the request once.
+
+        Raises:
+            EntryUnreachableError: nothing was sent.
+            AnswerLostError: no complete answer came.
+        """
+        try:
+            async with asyncio.timeout(request.timeout_s):
+                return await self._exchange(address, request)
+        except NOT_SENT as error:
+            raise EntryUnreachableError(describe(error)) from error
+        except (AiosonicError, OSError, EOFError, ValueError) as error:
+            raise AnswerLostError(describe(error)) from error
+
+    async def _exchange(self, address: str, request: EntryRequest) -> EntryResponse:
+        response = await self.client.request(
+            address + request.path,
+            request.method,
+            headers={**request.headers, "Authorization": f"Bearer {self.credential}"},
+            data=request.body or None,
+            timeouts=Timeouts(
+                sock_connect=CONNECT_TIMEOUT_S,
+                sock_read=request.timeout_s,
+                request_timeout=request.timeout_s,
+            ),
+            stream=True,
+        )
+        try:
+            body = await self._read(response)
+        finally:
+            await response.aclose()
+        headers = {name.lower(): value for name, value in response.headers.items()}
+        return EntryResponse(response.status_code, headers, body)
+
+    async def _read(self, response: HttpResponse) -> bytes:
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in response.iter_bytes():
+            size += len(chunk)
+            if size > RESPONSE_LIMIT_BYTES:
+                raise ValueError(f"answer longer than {RESPONSE_LIMIT_BYTES} bytes")
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+
+def describe(error: Exception) -> str:
+    """Returns what happened in a few words; some errors of the library have no text."""
+    if isinstance(error, OSError) and error.strerror:
+        return error.strerror
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/cicadatray/internal/cli/operator_commands.py
@@ -0,0 +1,63 @@
+"""Commands on processes of the deployment (operators)."""
+
+from typing import Annotated
+from urllib.parse import quote
+
+from cyclopts import Parameter
+
+from cicadatray.internal.cli.application import application, examples
+from cicadatray.internal.cli.entry_options import DEFAULT_OPTIONS, EntryOptions
+from cicadatray.internal.cli.entry_request import EntryRequest
+from cicadatray.internal.cli.exit_code import ExitCode
+from cicadatray.internal.cli.metrics_text import parse_metrics_text
+from cicadatray.internal.cli.session import open_session
+
+AGENT_COLUMNS = ("AGENT", "DATA CENTRE", "SERVICE", "SLOTS", "WORKER", "DRAINING")
+AGENT_FIELDS = ("agent_id", "data_centre", "service", "slots", "worker_id", "draining")
+
+
+@application.command(
+    name="directory", help_epilogue=examples("directory", "directory --draining --json")
+)
+async def show_directory(
+    *,
+    draining: Annotated[bool, Parameter(help="Only agents that leave.")] = False,
+    options: EntryOptions = DEFAULT_OPTIONS,
+) -> ExitCode:
+    """Lists the agents that the entry knows (operators)."""
+    async with open_session(options) as session:
+        answer = await session.read("/v1/directory")
+        agents = [a for a in answer.get("agents", []) if a.get("draining") or not draining]
+        if session.output.json_wanted:
+            session.output.document({**answer, "agents": agents})
+        else:
+            rows = [[agent.get(field) for field in AGENT_FIELDS] for agent in agents]
+            session.output.table(AGENT_COLUMNS, rows)
+    return ExitCode.OK
+
+
+@application.command(name="dump", help_epilogue=examples("dump control-paraiso"))
+async def dump_process(
+    name: Annotated[str, Parameter(help="`name` in the settings of the process.")],
+    /,
+    *,
+    options: EntryOptions = DEFAULT_OPTIONS,
+) -> ExitCode:
+    """Prints the state of a process as JSON (operators)."""
+    async with open_session(options) as session:
+        path = f"/v1/processes/{quote(name, safe='')}/dump"
+        session.output.document(await session.read(path))
+    return ExitCode.OK
+
+
+@application.command(name="metrics", help_epilogue=examples("metrics", "metrics --json"))
+async def show_metrics(*, options: EntryOptions = DEFAULT_OPTIONS) -> ExitCode:
+    """Prints the metrics of the first entry that answers."""
+    async with open_session(options) as session:
+        response = await session.call(EntryRequest("GET", "/metrics"))
+        text = response.body.decode("utf-8", "replace")
+        if session.output.json_wanted:
+            session.output.document({"samples": parse_metrics_text(text)})
+        else:
+            session.output.text(session.output.clean(text))
+    return ExitCode.OK
--- a/src/cicadatray/internal/observability/trace.py
+++ b/src/cicadatray/internal/observability/trace.py
@@ -7,7 +7,7 @@
 
 from structlog.contextvars import bind_contextvars, bound_contextvars, get_contextvars
 
-TRACE_HEADER = "Cicadatray-Trace-Id"
+TRACE_HEADER = "Trace-Id"
 TRACE_KEY = "trace_id"
 TRACE_ID_BYTES = 8
 TRACE_ID_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,64}")
--- a/src/cicadatray/internal/settings/value_formats.py
+++ b/src/cicadatray/internal/settings/value_formats.py
@@ -64,3 +64,15 @@
 def is_optional_sha256(text: str) -> bool:
     """Accepts the digest of a credential, or none."""
     return not text or SHA256_PATTERN.fullmatch(text) is not None
+
+
+@value_format("sha256", "64 lower-case hexadecimal digits")
+def is_sha256(text: str) -> bool:
+    """Accepts the digest of a credential."""
+    return SHA256_PATTERN.fullmatch(text) is not None
+
+
+@value_format("text", "a text that is not empty and has no control characters")
+def is_text(text: str) -> bool:
+    """Accepts what can be shown on one line."""
+    return bool(text.strip()) and text.isprintable()
--- /dev/null
+++ b/tests/cover/cli/scripted_entry.py
@@ -0,0 +1,85 @@
+"""An entry on loopback that plays scripted answers."""
+
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+import msgspec
+
+CREDENTIAL = "unmistakable-credential-4711"
+
+
+class ReceivedRequest(msgspec.Struct):
+    """What the entry has received."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    def document(self) -> Any:
+        return msgspec.json.decode(self.body)
+
+
+class ScriptedAnswer(msgspec.Struct):
+    """`dropped` closes the connection without an answer."""
+
+    status_code: int = 200
+    body: bytes = b"{}"
+    headers: dict[str, str] = {}
+    dropped: bool = False
+
+
+class ScriptedEntry:
+    """Answers by method and path; several answers of one path are given in turn."""
+
+    __slots__ = ("answers", "received", "server")
+
+    def __init__(self) -> None:
+        self.answers: dict[tuple[str, str], list[ScriptedAnswer]] = {}
+        self.received: list[ReceivedRequest] = []
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), _handler_type(self))
+        threading.Thread(target=self.server.serve_forever, args=(0.01,), daemon=True).start()
+
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server.server_address[1]}"
+
+    def answer(self, method: str, path: str, document: Any, status_code: int = 200) -> None:
+        self.add(method, path, ScriptedAnswer(status_code, msgspec.json.encode(document)))
+
+    def add(self, method: str, path: str, answer: ScriptedAnswer) -> None:
+        self.answers.setdefault((method, path), []).append(answer)
+
+    def next_answer(self, method: str, path: str) -> ScriptedAnswer:
+        answers = self.answers.get((method, path), [])
+        if not answers:
+            return ScriptedAnswer(404, b'{"code": "path_unknown", "detail": "no such path"}')
+        return answers.pop(0) if len(answers) > 1 else answers[0]
+
+
+def _handler_type(entry: ScriptedEntry) -> type[BaseHTTPRequestHandler]:
+    class Handler(BaseHTTPRequestHandler):
+        __slots__ = ()
+        protocol_version = "HTTP/1.1"
+
+        def _serve(self) -> None:
+            body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+            headers = {name.lower(): value for name, value in self.headers.items()}
+            entry.received.append(ReceivedRequest(self.command, self.path, headers, body))
+            answer = entry.next_answer(self.command, self.path.split("?")[0])
+            if answer.dropped:
+                self.close_connection = True
+                return
+            self.send_response(answer.status_code)
+            for name, value in answer.headers.items():
+                self.send_header(name, value)
+            self.send_header("Content-Length", str(len(answer.body)))
+            self.end_headers()
+            self.wfile.write(answer.body)
+
+        do_GET = do_POST = do_PUT = do_DELETE = _serve  # noqa: N815 - the library's names
+
+        def log_message(self, format: str, *args: Any) -> None:
+            pass
+
+    return Handler
--- /dev/null
+++ b/tests/cover/cli/test_entry_client.py
@@ -0,0 +1,145 @@
+"""Tests of resending and of the bounds on it, on a virtual clock."""
+
+import asyncio
+
+import pytest
+
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.cli.entry_client import EntryClient
+from cicadatray.internal.cli.entry_request import EntryRequest
+from cicadatray.internal.cli.entry_response import EntryResponse
+from cicadatray.internal.cli.error_mapping import find_exit_code
+from cicadatray.internal.cli.errors import AnswerLostError, EntryUnreachableError, ToolError
+from cicadatray.internal.cli.exit_code import ExitCode
+
+CHANGE = EntryRequest("PUT", "/x", b"{}", {"Idempotency-Key": "k"}, changes=True)
+READ = EntryRequest("GET", "/x")
+OK = EntryResponse(200, {}, b"{}")
+BUSY = EntryResponse(503, {"retry-after": "7"}, b'{"code": "overloaded"}')
+BUSY_LONG = EntryResponse(503, {"retry-after": "900"}, b"{}")
+BUSY_BODY = EntryResponse(429, {}, b'{"code": "overloaded", "retry_after_s": 1.5}')
+BROKEN = EntryResponse(500, {}, b"no json")
+REFUSED = EntryResponse(422, {}, b'{"code": "job_impossible"}')
+LOST = AnswerLostError("connection reset")
+DOWN = EntryUnreachableError("connection refused")
+Event = EntryResponse | Exception
+
+
+class ScriptedTransport:
+    """Plays events and records when which address was asked for what."""
+
+    __slots__ = ("events", "sent")
+
+    def __init__(self, events: list[Event]) -> None:
+        self.events = events
+        self.sent: list[tuple[float, str, EntryRequest]] = []
+
+    async def send(self, address: str, request: EntryRequest) -> EntryResponse:
+        self.sent.append((asyncio.get_running_loop().time(), address, request))
+        event = self.events.pop(0) if len(self.events) > 1 else self.events[0]
+        if isinstance(event, Exception):
+            raise event
+        return event
+
+
+def play(events: list[Event], request: EntryRequest) -> tuple[ScriptedTransport, Event]:
+    transport = ScriptedTransport(list(events))
+    client = EntryClient(("a", "b", "c"), transport, 30.0, lambda line: None)
+    try:
+        return transport, run_virtual(client.call(request))
+    except ToolError as error:
+        return transport, error
+
+
+@pytest.mark.parametrize(
+    ("events", "attempts", "status_code"),
+    [
+        ([OK], 1, 200),
+        ([REFUSED], 1, 422),
+        ([BROKEN], 1, 500),
+        ([LOST, OK], 2, 200),
+        ([DOWN, DOWN, OK], 3, 200),
+        ([DOWN, LOST, DOWN, OK], 4, 200),
+        ([BUSY, OK], 2, 200),
+        ([BUSY_BODY, BUSY, OK], 3, 200),
+        ([BUSY_LONG], 1, 503),
+    ],
+)
+def test_attempts_until_an_answer(events: list[Event], attempts: int, status_code: int) -> None:
+    """Guards against giving up after one lost entry, and against resending a final refusal."""
+    transport, result = play(events, CHANGE)
+    assert isinstance(result, EntryResponse)
+    assert (len(transport.sent), result.status_code) == (attempts, status_code)
+    assert {id(request) for _, _, request in transport.sent} == {id(CHANGE)}
+
+
+def test_entries_are_tried_in_turn_before_any_wait() -> None:
+    """Guards against waiting for one dead entry while another is up."""
+    transport, _ = play([DOWN, LOST, OK], CHANGE)
+    assert [(at_s, address) for at_s, address, _ in transport.sent] == [
+        (0.0, "a"),
+        (0.0, "b"),
+        (0.0, "c"),
+    ]
+
+
+def test_retry_after_is_honoured_at_the_same_entry() -> None:
+    """Guards against a caller that comes back before an overloaded entry asked it to."""
+    transport, _ = play([BUSY, BUSY_BODY, OK], CHANGE)
+    assert [(at_s, address) for at_s, address, _ in transport.sent] == [
+        (0.0, "a"),
+        (7.0, "a"),
+        (8.5, "a"),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("events", "request_", "exit_code"),
+    [
+        ([DOWN], CHANGE, ExitCode.UNREACHABLE),
+        ([LOST], CHANGE, ExitCode.OUTCOME_UNKNOWN),
+        ([LOST], READ, ExitCode.UNREACHABLE),
+        ([LOST, DOWN], CHANGE, ExitCode.OUTCOME_UNKNOWN),
+        ([DOWN, LOST, DOWN], CHANGE, ExitCode.OUTCOME_UNKNOWN),
+    ],
+)
+def test_no_answer(events: list[Event], request_: EntryRequest, exit_code: ExitCode) -> None:
+    """Guards against "not run" for something that may have run, and against endless resending."""
+    transport, result = play(events, request_)
+    assert isinstance(result, ToolError) and result.exit_code is exit_code
+    assert 3 < len(transport.sent) < 100
+    assert transport.sent[-1][0] <= 30.0
+
+
+def test_refusals_end_with_the_last_answer() -> None:
+    """Guards against waiting beyond the bound on an entry that stays overloaded."""
+    transport, result = play([BUSY], CHANGE)
+    assert isinstance(result, EntryResponse) and result.status_code == 503
+    assert [at_s for at_s, _, _ in transport.sent] == [0.0, 7.0, 14.0, 21.0, 28.0]
+
+
+@pytest.mark.parametrize(
+    ("status_code", "headers", "body", "lost", "exit_code"),
+    [
+        (400, {}, b"{}", False, ExitCode.REFUSED),
+        (401, {}, b"{}", False, ExitCode.UNAUTHORIZED),
+        (403, {}, b"{}", False, ExitCode.UNAUTHORIZED),
+        (404, {}, b"{}", False, ExitCode.NOT_FOUND),
+        (409, {}, b'{"code": "version_conflict"}', False, ExitCode.CONFLICT),
+        (422, {}, b'{"code": "key_reused"}', False, ExitCode.CONFLICT),
+        (422, {}, b'{"code": "job_impossible"}', False, ExitCode.REFUSED),
+        (429, {}, b"{}", False, ExitCode.NOT_RUN),
+        (503, {"cicadatray-outcome": "not_run"}, b"{}", False, ExitCode.NOT_RUN),
+        (502, {"cicadatray-outcome": "outcome_unknown"}, b"{}", False, ExitCode.OUTCOME_UNKNOWN),
+        (503, {"cicadatray-outcome": "not_run"}, b"{}", True, ExitCode.OUTCOME_UNKNOWN),
+        (401, {}, b"{}", True, ExitCode.OUTCOME_UNKNOWN),
+        (409, {}, b'{"code": "version_conflict"}', True, ExitCode.CONFLICT),
+        (422, {}, b'{"code": "job_impossible"}', True, ExitCode.REFUSED),
+    ],
+)
+def test_exit_code_of_an_error(
+    status_code: int, headers: dict[str, str], body: bytes, lost: bool, exit_code: ExitCode
+) -> None:
+    """Guards against a refusal of a resend that hides what an earlier attempt may have done."""
+    response = EntryResponse(status_code, headers, body, answer_lost_before=lost)
+    assert find_exit_code(response, changes=True) is exit_code
