--- /dev/null
+++ b/src/cicadatray/replication/elections.py
@@ -0,0 +1,114 @@
+"""Campaigns of a voter that has not heard from a leader."""
+
+import asyncio
+
+import msgspec
+import structlog
+
+from cicadatray.replication.core import ReplicaCore
+from cicadatray.replication.errors import PeerRefusedError, ReplicaTransportError
+from cicadatray.replication.leadership import Leadership
+from cicadatray.replication.membership import MemberRecord
+from cicadatray.replication.message import VoteReply, VoteRequest
+from cicadatray.replication.role import Role
+
+log = structlog.get_logger(__name__)
+
+
+class Elections:
+    """One task that waits for the election timeout or for a leader that hands over."""
+
+    __slots__ = ("core", "hand_over")
+
+    def __init__(self, core: ReplicaCore) -> None:
+        self.core = core
+        self.hand_over = asyncio.Event()
+
+    async def run(self) -> None:
+        """Campaigns whenever the election timeout has passed."""
+        while True:
+            await self._wait_until_due()
+            is_hand_over = self.hand_over.is_set()
+            self.hand_over.clear()
+            self.core.reset_election_deadline()
+            if self.core.role is Role.FOLLOWER:
+                await self._campaign(is_hand_over)
+
+    async def _wait_until_due(self) -> None:
+        while not self.hand_over.is_set():
+            if self.core.now_s() >= self.core.election_deadline_s:
+                return
+            try:
+                async with asyncio.timeout_at(self.core.election_deadline_s):
+                    await self.hand_over.wait()
+            except TimeoutError:
+                pass
+
+    async def _campaign(self, is_hand_over: bool) -> None:
+        term = self.core.term + 1
+        if not is_hand_over:
+            self.core.lifecycle.change("ask")
+            is_electable = await self._collect(self._request(term, is_pre_vote=True))
+            if self.core.role is not Role.PRE_CANDIDATE:
+                return
+            if not is_electable or self.core.term != term - 1:
+                self.core.step_down(None, "no majority would vote for this member")
+                return
+        self.core.lifecycle.change("campaign")
+        self.core.leader_id = None
+        self.core.storage.state_file.save_vote(term, self.core.identity)
+        is_elected = await self._collect(self._request(term, is_hand_over=is_hand_over))
+        if self.core.role is not Role.CANDIDATE or self.core.term != term:
+            return
+        if is_elected:
+            self._lead()
+        else:
+            self.core.step_down(None, "election without a majority")
+
+    def _lead(self) -> None:
+        core = self.core
+        log.info("leadership began", member=core.settings.member_id, term=core.term)
+        core.lifecycle.change("lead")
+        core.leader_id = core.settings.member_id
+        core.leadership = Leadership(core)
+        core.leadership.start()
+
+    def _request(
+        self, term: int, is_pre_vote: bool = False, is_hand_over: bool = False
+    ) -> VoteRequest:
+        return VoteRequest(
+            identity=self.core.identity,
+            term=term,
+            group_id=self.core.storage.state.group_id,
+            sender_id=self.core.settings.member_id,
+            target_identity="",
+            last_index=self.core.storage.log.last_index,
+            last_term=self.core.storage.log.last_term,
+            is_pre_vote=is_pre_vote,
+            is_hand_over=is_hand_over,
+        )
+
+    async def _collect(self, request: VoteRequest) -> bool:
+        """Returns whether a majority, with this member, grants the request."""
+        membership = self.core.membership
+        others = [r for r in membership.voters() if r.identity != self.core.identity]
+        missing = membership.quorum() - 1
+        calls = {asyncio.create_task(self._ask(record, request)) for record in others}
+        try:
+            while calls and missing > 0:
+                done, calls = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+                missing -= sum(call.result() for call in done)
+        finally:
+            for call in calls:
+                call.cancel()
+        return missing <= 0
+
+    async def _ask(self, record: MemberRecord, request: VoteRequest) -> int:
+        """Returns 1 when the member grants the request, otherwise 0."""
+        try:
+            reply = await self.core.call(
+                record, msgspec.structs.replace(request, target_identity=record.identity)
+            )
+        except (ReplicaTransportError, PeerRefusedError):
+            return 0
+        return int(isinstance(reply, VoteReply) and reply.is_granted)
--- /dev/null
+++ b/src/cicadatray/replication/membership_changes.py
@@ -0,0 +1,137 @@
+"""Changes of the membership by the leader, one at a time."""
+
+import asyncio
+
+from cicadatray.replication.core import ReplicaCore
+from cicadatray.replication.errors import (
+    MembershipChangeError,
+    NotLeaderError,
+    ReplicationError,
+    ReplicaTransportError,
+)
+from cicadatray.replication.leadership import Leadership
+from cicadatray.replication.log_entry import encode_membership
+from cicadatray.replication.member import Member
+from cicadatray.replication.membership import MemberRecord, Membership
+from cicadatray.replication.message import FormationReply, FormationRequest
+from cicadatray.replication.proposal import Proposal
+
+CATCH_UP_POLL_S = 0.05
+
+
+class MembershipChanges:
+    """Each change adds or removes at most one voter, so that old and new majorities overlap."""
+
+    __slots__ = ("core",)
+
+    def __init__(self, core: ReplicaCore) -> None:
+        self.core = core
+
+    async def add_learner(self, member: Member) -> None:
+        """Adds a member with the identity of its present data folder.
+
+        A record of the same member with another identity, whose disk was lost, is removed by the
+        same change. A known identity with another address keeps its role.
+
+        Raises:
+            NotLeaderError: nothing was changed.
+            MembershipChangeError: not possible now, or not known to be committed.
+        """
+        self._require_leadership()
+        identity = await self._ask_identity(member)
+        known = self.core.membership.find(member.member_id)
+        is_voter = known is not None and known.identity == identity and known.voter
+        record = MemberRecord(member, identity, is_voter)
+        if known == record:
+            return
+        if known is not None and known.identity == self.core.identity != identity:
+            raise MembershipChangeError("the leader cannot replace itself; hand over first")
+        await self._commit(self.core.membership.replaced(record))
+
+    async def promote(self, member_id: str) -> None:
+        """Makes a learner a voter as soon as it has every entry committed at the call.
+
+        Raises:
+            NotLeaderError: nothing was changed.
+            MembershipChangeError: unknown member, not caught up in time, or not known to be
+                committed.
+        """
+        leadership = self._require_leadership()
+        record = self._require_record(member_id)
+        if record.voter:
+            return
+        await self._wait_for_catch_up(leadership, record)
+        if self._require_record(member_id) != record:
+            raise MembershipChangeError(f"{member_id} was changed meanwhile")
+        promoted = MemberRecord(record.member, record.identity, True)
+        await self._commit(self.core.membership.replaced(promoted))
+
+    async def remove(self, member_id: str) -> None:
+        """Removes a voter or learner.
+
+        Raises:
+            NotLeaderError: nothing was changed.
+            MembershipChangeError: unknown member, the leader itself, or not known to be committed.
+        """
+        self._require_leadership()
+        record = self._require_record(member_id)
+        if record.identity == self.core.identity:
+            raise MembershipChangeError("the leader cannot remove itself; hand over first")
+        await self._commit(self.core.membership.without(member_id))
+
+    def _require_leadership(self) -> Leadership:
+        leadership = self.core.leadership
+        if leadership is None or leadership.is_handing_over:
+            raise NotLeaderError(self.core.leader_id)
+        return leadership
+
+    def _require_record(self, member_id: str) -> MemberRecord:
+        record = self.core.membership.find(member_id)
+        if record is None:
+            raise MembershipChangeError(f"{member_id} is not a member")
+        return record
+
+    async def _ask_identity(self, member: Member) -> str:
+        request = FormationRequest(identity=self.core.identity, term=self.core.term)
+        try:
+            reply = await self.core.call_address(member, request)
+        except ReplicaTransportError as error:
+            raise MembershipChangeError(f"{member.member_id} cannot be reached: {error}") from error
+        if not isinstance(reply, FormationReply):
+            raise MembershipChangeError(f"{member.member_id} did not tell its identity")
+        if reply.group_id not in ("", self.core.storage.state.group_id):
+            raise MembershipChangeError(f"{member.member_id} belongs to group {reply.group_id}")
+        return reply.identity
+
+    async def _wait_for_catch_up(self, leadership: Leadership, record: MemberRecord) -> None:
+        target_index = self.core.applier.commit_index
+        deadline_s = self.core.now_s() + self.core.settings.membership_timeout_s
+        while not leadership.is_closed:
+            peer = leadership.peers.get(record.identity)
+            if peer is not None and peer.match_index >= target_index:
+                return
+            if self.core.now_s() >= deadline_s:
+                raise MembershipChangeError(f"{record.member.member_id} has not caught up")
+            await asyncio.sleep(CATCH_UP_POLL_S)
+        raise NotLeaderError(self.core.leader_id)
+
+    async def _commit(self, membership: Membership) -> None:
+        leadership = self._require_leadership()
+        if self._is_change_in_progress(leadership):
+            raise MembershipChangeError("another change is in progress")
+        proposal = Proposal(encode_membership(membership), is_membership=True)
+        leadership.enqueue(proposal)
+        try:
+            async with asyncio.timeout(self.core.settings.membership_timeout_s):
+                await proposal.result
+        except TimeoutError as error:
+            raise MembershipChangeError("not known to be committed: timeout") from error
+        except NotLeaderError:
+            raise
+        except ReplicationError as error:
+            raise MembershipChangeError(f"not known to be committed: {error}") from error
+
+    def _is_change_in_progress(self, leadership: Leadership) -> bool:
+        """Counts a change that still waits in the queue, and the first entry of the term."""
+        is_queued = any(proposal.is_membership for proposal in leadership.queue)
+        return is_queued or self.core.history.last_index > self.core.applier.commit_index
--- /dev/null
+++ b/src/cicadatray/replication/message_handler.py
@@ -0,0 +1,193 @@
+"""Answers the messages of other members."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cicadatray.replication.core import ReplicaCore
+from cicadatray.replication.elections import Elections
+from cicadatray.replication.formation import Formation
+from cicadatray.replication.log_entry import EntryDecodeError, LogEntry, decode_entries
+from cicadatray.replication.message import (
+    AppendReply,
+    AppendRequest,
+    CampaignReply,
+    CampaignRequest,
+    FormationRequest,
+    GroupRequestStruct,
+    Refusal,
+    ReplicaMessage,
+    SnapshotReply,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from cicadatray.replication.role import Role
+from cicadatray.replication.snapshot_receiver import SnapshotReceiver, SnapshotTransferError
+
+Handler = Callable[["MessageHandler", Any], ReplicaMessage]
+_handlers: dict[type, Handler] = {}
+
+
+def _handles(message_type: type) -> Callable[[Handler], Handler]:
+    def register(handler: Handler) -> Handler:
+        _handlers[message_type] = handler
+        return handler
+
+    return register
+
+
+class MessageHandler:
+    """Handles one message without waiting; what must be durable is synced before the reply."""
+
+    __slots__ = ("core", "elections", "formation", "receiver")
+
+    def __init__(self, core: ReplicaCore, elections: Elections, formation: Formation) -> None:
+        self.core = core
+        self.elections = elections
+        self.formation = formation
+        self.receiver = SnapshotReceiver()
+
+    def handle(self, message: ReplicaMessage) -> ReplicaMessage:
+        """Returns the reply to a request."""
+        if self.core.role is Role.STOPPED:
+            return self._refuse("stopped")
+        handler = _handlers.get(type(message))
+        if handler is None:
+            return self._refuse(f"{type(message).__name__} is not a request")
+        if isinstance(message, GroupRequestStruct):
+            reason = self._reason_to_refuse(message)
+            if reason:
+                return self._refuse(reason)
+        return handler(self, message)
+
+    def _reason_to_refuse(self, request: GroupRequestStruct) -> str:
+        state = self.core.storage.state
+        if self.core.role is Role.LEADER and request.term == state.term:
+            return f"this member leads term {state.term} itself"
+        if request.target_identity != state.identity:
+            return f"this data folder is {state.identity}, not {request.target_identity}"
+        if not state.group_id:
+            self.formation.adopt(request.group_id)
+        elif request.group_id != state.group_id:
+            return f"this member belongs to group {state.group_id}, not {request.group_id}"
+        return ""
+
+    def _refuse(self, reason: str) -> Refusal:
+        return Refusal(identity=self.core.identity, term=self.core.term, reason=reason)
+
+    @_handles(FormationRequest)
+    def _handle_formation(self, request: FormationRequest) -> ReplicaMessage:
+        return self.formation.answer(request)
+
+    @_handles(VoteRequest)
+    def _handle_vote(self, request: VoteRequest) -> ReplicaMessage:
+        """A learner votes too: the candidate may know of its promotion before it does."""
+        core = self.core
+        is_recent = (request.last_term, request.last_index) >= (
+            core.storage.log.last_term,
+            core.storage.log.last_index,
+        )
+        is_bound = core.has_recent_leader() and not request.is_hand_over
+        if request.is_pre_vote:
+            return self._vote_reply(request.term > core.term and is_recent and not is_bound)
+        # A bound member ignores the term too, so that the candidate cannot depose the leader.
+        if request.term < core.term or is_bound:
+            return self._vote_reply(False)
+        core.adopt_term(request.term)
+        voted_for = core.storage.state.voted_for
+        if not is_recent or voted_for not in ("", request.identity):
+            return self._vote_reply(False)
+        if not voted_for:
+            core.storage.state_file.save_vote(request.term, request.identity)
+        core.reset_election_deadline()
+        return self._vote_reply(True)
+
+    @_handles(AppendRequest)
+    def _handle_append(self, request: AppendRequest) -> ReplicaMessage:
+        core = self.core
+        if request.term < core.term:
+            return self._append_reply(False, 0)
+        try:
+            entries = decode_entries(request.records)
+        except EntryDecodeError as error:
+            return self._refuse(str(error))
+        expected = range(request.prev_index + 1, request.prev_index + 1 + len(entries))
+        if [entry.index for entry in entries] != list(expected):
+            return self._refuse("entries are not consecutive")
+        core.follow_leader(request.term, request.sender_id)
+        log = core.storage.log
+        if request.prev_index > log.last_index:
+            return self._append_reply(False, log.last_index)
+        is_compacted = request.prev_index < log.base_index
+        if not is_compacted and log.term_at(request.prev_index) != request.prev_term:
+            return self._append_reply(False, self._last_index_before_conflict(request.prev_index))
+        self._store(entries)
+        match_index = request.prev_index + len(entries)
+        core.applier.advance(min(request.commit_index, match_index))
+        return self._append_reply(True, match_index)
+
+    @_handles(SnapshotRequest)
+    def _handle_snapshot(self, request: SnapshotRequest) -> ReplicaMessage:
+        core = self.core
+        if request.term < core.term:
+            return self._snapshot_reply(0, False)
+        core.follow_leader(request.term, request.sender_id)
+        if request.position.last_index <= core.applier.commit_index:
+            self.receiver.clear()
+            return self._snapshot_reply(0, True)
+        try:
+            snapshot = self.receiver.receive(request)
+        except SnapshotTransferError as error:
+            return self._refuse(str(error))
+        if snapshot is None:
+            return self._snapshot_reply(len(self.receiver.data), False)
+        core.install(snapshot)
+        return self._snapshot_reply(0, True)
+
+    @_handles(CampaignRequest)
+    def _handle_campaign(self, request: CampaignRequest) -> ReplicaMessage:
+        core = self.core
+        is_accepted = core.role is Role.FOLLOWER and request.term == core.term
+        if is_accepted:
+            self.elections.hand_over.set()
+        return CampaignReply(identity=core.identity, term=core.term, is_accepted=is_accepted)
+
+    def _store(self, entries: list[LogEntry]) -> None:
+        """Appends what is missing, after removing entries that conflict."""
+        log = self.core.storage.log
+        for position, entry in enumerate(entries):
+            if entry.index <= log.base_index:
+                continue
+            if entry.index <= log.last_index:
+                if log.term_at(entry.index) == entry.term:
+                    continue
+                self.core.truncate_after(entry.index - 1)
+            self.core.append(entries[position:])
+            return
+
+    def _last_index_before_conflict(self, index: int) -> int:
+        """Skips all entries of the conflicting term at once."""
+        log = self.core.storage.log
+        term = log.term_at(index)
+        while index > self.core.applier.commit_index and log.term_at(index) == term:
+            index -= 1
+        return index
+
+    def _vote_reply(self, is_granted: bool) -> VoteReply:
+        return VoteReply(identity=self.core.identity, term=self.core.term, is_granted=is_granted)
+
+    def _append_reply(self, is_accepted: bool, match_index: int) -> AppendReply:
+        return AppendReply(
+            identity=self.core.identity,
+            term=self.core.term,
+            is_accepted=is_accepted,
+            match_index=match_index,
+        )
+
+    def _snapshot_reply(self, next_offset: int, is_installed: bool) -> SnapshotReply:
+        return SnapshotReply(
+            identity=self.core.identity,
+            term=self.core.term,
+            next_offset=next_offset,
+            is_installed=is_installed,
+        )
--- /dev/null
+++ b/src/cicadatray/replication/peer_replicator.py
@@ -0,0 +1,151 @@
+"""Sends the log to one other member."""
+
+import asyncio
+import math
+from typing import TYPE_CHECKING
+
+from cicadatray.replication.errors import PeerRefusedError, ReplicaTransportError
+from cicadatray.replication.log_entry import encode_entries
+from cicadatray.replication.membership import MemberRecord
+from cicadatray.replication.message import (
+    AppendReply,
+    AppendRequest,
+    SnapshotReply,
+    SnapshotRequest,
+)
+from cicadatray.replication.snapshot import Snapshot
+
+if TYPE_CHECKING:
+    from cicadatray.replication.leadership import Leadership
+
+
+class PeerReplicator:
+    """One task with one message in flight, which is also the heartbeat.
+
+    `acked_sent_s` is when the latest answered message was sent, not when the answer came: only
+    from that moment on is the peer known to have followed this leader.
+    """
+
+    __slots__ = (
+        "acked_sent_s",
+        "core",
+        "leadership",
+        "match_index",
+        "next_index",
+        "offset",
+        "record",
+        "refusal",
+        "snapshot",
+        "task",
+        "wake",
+    )
+
+    def __init__(self, leadership: "Leadership", record: MemberRecord) -> None:
+        self.leadership = leadership
+        self.core = leadership.core
+        self.record = record
+        self.acked_sent_s = -math.inf
+        self.match_index = 0
+        self.next_index = leadership.first_index
+        self.refusal = ""
+        self.snapshot: Snapshot | None = None
+        self.offset = 0
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begins to send."""
+        self.task = self.core.spawn(self._run())
+
+    def stop(self) -> None:
+        """Ends the task."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def _run(self) -> None:
+        while not self.leadership.is_closed:
+            sent_s = self.core.now_s()
+            try:
+                has_more = await self._exchange(sent_s)
+            except (ReplicaTransportError, PeerRefusedError) as error:
+                self.refusal = str(error)
+                if isinstance(error, PeerRefusedError):
+                    self.snapshot = None
+                await asyncio.sleep(sent_s + self.core.settings.heartbeat_s - self.core.now_s())
+                continue
+            self.refusal = ""
+            if not has_more:
+                await self._wait_until(sent_s + self.core.settings.heartbeat_s)
+
+    async def _wait_until(self, deadline_s: float) -> None:
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                await self.wake.wait()
+        except TimeoutError:
+            pass
+
+    async def _exchange(self, sent_s: float) -> bool:
+        """Sends one message and returns whether there is more to send at once."""
+        self.wake.clear()
+        if self.snapshot is None and self.next_index <= self.core.storage.log.base_index:
+            self.snapshot = self.core.storage.snapshots.read()
+            self.offset = 0
+        if self.snapshot is not None:
+            return await self._send_chunk(sent_s, self.snapshot)
+        return await self._send_entries(sent_s)
+
+    async def _send_entries(self, sent_s: float) -> bool:
+        log = self.core.storage.log
+        batch = log.batch(self.next_index, self.core.settings.append_batch_bytes)
+        request = AppendRequest(
+            identity=self.core.identity,
+            term=self.leadership.term,
+            group_id=self.core.storage.state.group_id,
+            sender_id=self.core.settings.member_id,
+            target_identity=self.record.identity,
+            prev_index=self.next_index - 1,
+            prev_term=log.term_at(self.next_index - 1),
+            commit_index=self.core.applier.commit_index,
+            records=encode_entries(batch),
+        )
+        reply = await self.core.call(self.record, request)
+        if self.leadership.is_closed or not isinstance(reply, AppendReply):
+            return False
+        self.acked_sent_s = sent_s
+        if reply.is_accepted:
+            self.match_index = max(self.match_index, reply.match_index)
+            self.next_index = self.match_index + 1
+        else:
+            self._go_back(reply.match_index)
+        self.leadership.peer_acknowledged()
+        return self.next_index <= log.last_index
+
+    def _go_back(self, hint_index: int) -> None:
+        lower_index = min(self.next_index - 1, hint_index + 1)
+        if lower_index <= self.match_index:
+            raise PeerRefusedError(f"entry {self.match_index} was acknowledged but is missing")
+        self.next_index = lower_index
+
+    async def _send_chunk(self, sent_s: float, snapshot: Snapshot) -> bool:
+        chunk_end = self.offset + self.core.settings.snapshot_chunk_bytes
+        request = SnapshotRequest(
+            identity=self.core.identity,
+            term=self.leadership.term,
+            group_id=self.core.storage.state.group_id,
+            sender_id=self.core.settings.member_id,
+            target_identity=self.record.identity,
+            position=snapshot.position,
+            offset=self.offset,
+            chunk=snapshot.data[self.offset : chunk_end],
+        )
+        reply = await self.core.call(self.record, request)
+        if self.leadership.is_closed or not isinstance(reply, SnapshotReply):
+            return False
+        self.acked_sent_s = sent_s
+        self.offset = reply.next_offset
+        if reply.is_installed:
+            self.match_index = max(self.match_index, snapshot.position.last_index)
+            self.next_index = self.match_index + 1
+            self.snapshot = None
+        self.leadership.peer_acknowledged()
+        return True
--- /dev/null
+++ b/src/cicadatray/replication/replica.py
@@ -0,0 +1,219 @@
+"""One member of a replication group."""
+
+import asyncio
+import random
+
+from cicadatray.replication.core import ReplicaCore
+from cicadatray.replication.data_folder import DataFolder
+from cicadatray.replication.describe import describe_replica
+from cicadatray.replication.description import ReplicaDescription
+from cicadatray.replication.elections import Elections
+from cicadatray.replication.errors import (
+    NotLeaderError,
+    ProposalRefusedError,
+    ProposalUnknownError,
+    ReplicaStoppedError,
+)
+from cicadatray.replication.formation import Formation
+from cicadatray.replication.hand_over import hand_over
+from cicadatray.replication.limits import COMMAND_LIMIT_BYTES
+from cicadatray.replication.local_data_folder import LocalDataFolder
+from cicadatray.replication.member import Member
+from cicadatray.replication.membership_changes import MembershipChanges
+from cicadatray.replication.message import ReplicaMessage
+from cicadatray.replication.message_handler import MessageHandler
+from cicadatray.replication.proposal import Proposal
+from cicadatray.replication.replica_settings import ReplicaSettings
+from cicadatray.replication.role import Role
+from cicadatray.replication.state_machine import ReplicatedStateMachine
+from cicadatray.replication.storage import ReplicaStorage
+from cicadatray.replication.transport import ReplicaTransport
+
+
+class Replica:
+    """Keeps a state machine equal to those of the other members.
+
+    After a failure of the disk or the state machine the replica stops itself; `failure` tells why,
+    and `wait_stopped` returns.
+    """
+
+    __slots__ = (
+        "core_or_none",
+        "data_folder",
+        "handler",
+        "random",
+        "settings",
+        "state_machine",
+        "stopped",
+        "transport",
+    )
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        state_machine: ReplicatedStateMachine,
+        transport: ReplicaTransport,
+        data_folder: DataFolder | None = None,
+        random_source: random.Random | None = None,
+    ) -> None:
+        """`data_folder` and `random_source` replace the disk and the randomness in tests."""
+        self.settings = settings
+        self.state_machine = state_machine
+        self.transport = transport
+        self.data_folder = data_folder
+        self.random = random_source or random.SystemRandom()
+        self.core_or_none: ReplicaCore | None = None
+        self.handler: MessageHandler | None = None
+        self.stopped = asyncio.Event()
+
+    @property
+    def core(self) -> ReplicaCore:
+        """The running parts; raises `ReplicaStoppedError` before the start."""
+        if self.core_or_none is None:
+            raise ReplicaStoppedError("the replica was not started")
+        return self.core_or_none
+
+    @property
+    def role(self) -> Role:
+        """The present role."""
+        return self.core.role
+
+    @property
+    def term(self) -> int:
+        """The present term."""
+        return self.core.term
+
+    @property
+    def leader_id(self) -> str | None:
+        """The leader as far as it is known."""
+        return self.core.leader_id
+
+    @property
+    def commit_index(self) -> int:
+        """The last entry known to be committed."""
+        return self.core.applier.commit_index
+
+    @property
+    def applied_index(self) -> int:
+        """The last entry that the state machine contains."""
+        return self.core.applier.applied_index
+
+    @property
+    def failure(self) -> Exception | None:
+        """What ended the replica, if it was not `stop`."""
+        return self.core.failure
+
+    async def start(self) -> None:
+        """Loads the data folder and begins to take part in the group.
+
+        Raises:
+            StorageDamagedError: acknowledged data is damaged or missing.
+            StorageError: the data folder cannot be used.
+        """
+        folder = self.data_folder or LocalDataFolder(self.settings.data_folder)
+        try:
+            storage = ReplicaStorage(folder, self.settings.segment_bytes, self.random)
+            core = ReplicaCore(
+                self.settings, storage, self.state_machine, self.transport, self.random
+            )
+        except BaseException:
+            folder.close()
+            raise
+        core.stopped = self.stopped
+        elections = Elections(core)
+        formation = Formation(core)
+        self.handler = MessageHandler(core, elections, formation)
+        self.core_or_none = core
+        core.spawn(formation.run())
+        core.spawn(elections.run())
+
+    async def stop(self) -> None:
+        """Hands over leadership if possible, then ends; callers still waiting get an error."""
+        if self.core.leadership is not None:
+            await hand_over(self.core, self.settings.election_timeout_min_s)
+        self.abort()
+        await asyncio.gather(*self.core.tasks, return_exceptions=True)
+
+    def abort(self) -> None:
+        """Ends without handing over."""
+        self.core.shut_down()
+
+    async def wait_stopped(self) -> None:
+        """Returns when the replica has ended, by `stop` or by a failure."""
+        await self.stopped.wait()
+
+    async def hand_over(self) -> bool:
+        """Passes leadership to another voter; returns whether this member no longer leads."""
+        return await hand_over(self.core, self.settings.election_timeout_max_s)
+
+    async def propose(self, command: bytes, timeout_s: float) -> bytes:
+        """Appends a command and returns its result once it is committed and applied here.
+
+        Raises:
+            NotLeaderError: nothing was appended.
+            ProposalRefusedError: too large or too many in progress; nothing was appended.
+            ProposalUnknownError: the command may still be committed.
+        """
+        self.core.require_running()
+        leadership = self.core.leadership
+        if leadership is None or leadership.is_handing_over or not leadership.has_quorum_contact():
+            raise NotLeaderError(None if leadership else self.core.leader_id)
+        if len(command) > COMMAND_LIMIT_BYTES:
+            raise ProposalRefusedError(f"{len(command)} bytes, at most {COMMAND_LIMIT_BYTES}")
+        if leadership.held_bytes + len(command) > self.settings.pending_limit_bytes:
+            raise ProposalRefusedError("too many commands are in progress")
+        proposal = Proposal(command, is_membership=False)
+        leadership.enqueue(proposal)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await proposal.result
+        except TimeoutError as error:
+            if proposal.index == 0:
+                raise NotLeaderError(self.core.leader_id, "not appended in time") from error
+            raise ProposalUnknownError("not committed in time") from error
+
+    async def confirm_leadership(self, timeout_s: float) -> None:
+        """Returns when the state machine may be read as the latest, without a further wait.
+
+        Raises:
+            NotLeaderError: not the leader, or not confirmed in time.
+        """
+        self.core.require_running()
+        leadership = self.core.leadership
+        if leadership is None:
+            raise NotLeaderError(self.core.leader_id)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await leadership.confirm()
+        except TimeoutError as error:
+            raise NotLeaderError(None, "leadership not confirmed in time") from error
+
+    async def add_learner(self, member: Member) -> None:
+        """Adds a member, or the new data folder of one; see `MembershipChanges.add_learner`."""
+        await MembershipChanges(self.core).add_learner(member)
+
+    async def promote(self, member_id: str) -> None:
+        """Makes a learner a voter; see `MembershipChanges.promote`."""
+        await MembershipChanges(self.core).promote(member_id)
+
+    async def remove(self, member_id: str) -> None:
+        """Removes a member; see `MembershipChanges.remove`."""
+        await MembershipChanges(self.core).remove(member_id)
+
+    async def handle(self, message: ReplicaMessage) -> ReplicaMessage:
+        """Answers a message of another member.
+
+        Raises:
+            ReplicaStoppedError: the replica does not run.
+        """
+        self.core.require_running()
+        assert self.handler is not None
+        try:
+            return self.handler.handle(message)
+        except Exception as error:
+            self.core.fail(error)
+            raise ReplicaStoppedError("the replica failed") from error
+
+    def describe(self) -> ReplicaDescription:
+        """Returns the present state for dumps."""
+        return describe_replica(self.core)
--- /dev/null
+++ b/src/cicadatray/replication/replica_settings.py
@@ -0,0 +1,36 @@
+"""Settings of one replica."""
+
+import msgspec
+
+from cicadatray.replication.member import Member
+
+KIB = 1024
+
+
+class ReplicaSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Times are in seconds on the event loop's clock.
+
+    `bootstrap` lets an empty data folder form a new group with exactly `initial_members`; all of
+    them must be reachable once, until the group is formed. Without it, a member with an empty data
+    folder waits until a leader adds it as a learner.
+
+    A leader that has no contact with a majority steps down after `election_timeout_min_s`. The
+    ratio to `heartbeat_s` and `call_timeout_s` leaves room for one lost message.
+    """
+
+    member_id: str
+    data_folder: str
+    initial_members: tuple[Member, ...] = ()
+    bootstrap: bool = False
+    election_timeout_min_s: float = 1.0
+    election_timeout_max_s: float = 2.0
+    heartbeat_s: float = 0.25
+    call_timeout_s: float = 0.4
+    membership_timeout_s: float = 10.0
+    snapshot_entries: int = 4096
+    snapshot_bytes: int = 4096 * KIB
+    retained_entries: int = 64
+    segment_bytes: int = 1024 * KIB
+    append_batch_bytes: int = 256 * KIB
+    snapshot_chunk_bytes: int = 256 * KIB
+    pending_limit_bytes: int = 8192 * KIB
--- /dev/null
+++ b/src/cicadatray/replication/role.py
@@ -0,0 +1,14 @@
+"""Roles of a replica."""
+
+from enum import StrEnum
+
+
+class Role(StrEnum):
+    """A learner receives the log but does not count for quorums and never campaigns."""
+
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    STOPPED = "stopped"
--- /dev/null
+++ b/tests/cover/replication/process_loop.py
@@ -0,0 +1,77 @@
+"""A virtual-time loop on which the tasks of one process can be frozen."""
+
+import asyncio
+from collections.abc import Callable
+from contextvars import Context, ContextVar
+from typing import Any
+
+from cicadatray.internal.bench.virtual_time_loop import VirtualTimeLoop
+
+
+class _Call:
+    __slots__ = ("args", "callback", "context", "handle", "process")
+
+    def __init__(self, process: "Process", callback: Any, args: Any, context: Any) -> None:
+        self.process = process
+        self.callback = callback
+        self.args = args
+        self.context = context
+        self.handle: asyncio.Handle | None = None
+
+    def __call__(self) -> None:
+        if self.process.is_frozen:
+            self.process.held.append(self)
+        elif self.handle is None or not self.handle.cancelled():
+            self.callback(*self.args)
+
+
+class Process:
+    """Everything that runs in `context` belongs to the process."""
+
+    __slots__ = ("context", "held", "is_frozen")
+
+    def __init__(self) -> None:
+        self.context = Context()
+        self.context.run(_current.set, self)
+        self.is_frozen = False
+        self.held: list[_Call] = []
+
+    def thaw(self) -> None:
+        """Runs what became due meanwhile, in order."""
+        self.is_frozen = False
+        held, self.held = self.held, []
+        for call in held:
+            asyncio.get_event_loop().call_soon(call, context=call.context)
+
+
+_current: ContextVar[Process | None] = ContextVar("_current", default=None)
+
+
+class ProcessLoop(VirtualTimeLoop):
+    """Holds back the callbacks of frozen processes while its clock goes on."""
+
+    __slots__ = ()
+
+    def call_soon(
+        self, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> asyncio.Handle:
+        call = self._wrapped(callback, args, context)
+        if call is None:
+            return super().call_soon(callback, *args, context=context)
+        call.handle = super().call_soon(call, context=context)
+        return call.handle
+
+    def call_at(
+        self, when: float, callback: Callable[..., object], *args: Any, context: Any = None
+    ) -> asyncio.TimerHandle:
+        call = self._wrapped(callback, args, context)
+        if call is None:
+            return super().call_at(when, callback, *args, context=context)
+        call.handle = timer = super().call_at(when, call, context=context)
+        return timer
+
+    def _wrapped(self, callback: Any, args: Any, context: Context | None) -> _Call | None:
+        process = context.get(_current) if context is not None else _current.get()
+        if process is None or isinstance(callback, _Call):
+            return None
+        return _Call(process, callback, args, context)
