Allow port 0 for the listen address of entries and agents

Cause: the quickstart's entries have port 0 for `listen`, which the checks of settings refused, so that no entry started and the quickstart ended with "not every entry lists 8 agents".

Change: `listen` of an entry or an agent may have port 0, which lets the system choose; every other port, and `listen` of a control instance, must be from 1 to 65535.

--- a/src/cicadatray/internal/settings/common.py
+++ b/src/cicadatray/internal/settings/common.py
@@ -9,6 +9,7 @@
 PORT_LIMIT = 65535
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=PORT_LIMIT)]
+PortOrZero = Annotated[int, msgspec.Meta(ge=0, le=PORT_LIMIT)]
 IpNumber = Annotated[str, formatted("ip_number")]
 Name = Annotated[str, formatted("name")]
 PathText = Annotated[str, formatted("path")]
@@ -22,8 +23,8 @@
 
     host: IpNumber
     """IP number; host names are not resolved."""
-    port: Port
-    """TCP port."""
+    port: PortOrZero
+    """TCP port; 0 lets the system choose, only for `listen` of an entry or an agent."""
 
 
 class ControlMember(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/cicadatray/internal/settings/semantic.py
+++ b/src/cicadatray/internal/settings/semantic.py
@@ -101,6 +101,22 @@
         return False
 
 
+@semantic_check(*EVERY_ROLE)
+def check_known_ports(document: dict[str, Any]) -> Checked:
+    """Only an entry and an agent tell others which port the system chose for `listen`."""
+    named = {key: document.get(key) for key in ("listen", "http", "endpoint", "worker")}
+    if document.get("role") != "control":
+        del named["listen"]
+    for key in ("endpoint", "worker"):
+        part = named[key]
+        named[f"{key}.address"] = part.get("address") if isinstance(part, dict) else None
+    return merge_checks(
+        fault(f"{path}.port", 0, "a whole number from 1 to 65535")
+        for path, address in named.items()
+        if isinstance(address, dict) and address.get("port") == 0
+    )
+
+
 @semantic_check("agent")
 def check_agent_has_work(document: dict[str, Any]) -> Checked:
     """An agent without endpoint and worker would announce itself and do nothing."""
