Run the control role on the replicated log

Cause: control was one instance with a log in memory. Change: control instances carry the replicated log over the inner protocol; a leader session ends with its term, so that soft state of an earlier term is never used.

--- a/src/cicadatray/internal/bench/deployment/deployment_plan.py
+++ b/src/cicadatray/internal/bench/deployment/deployment_plan.py
@@ -6,7 +6,7 @@
 class DeploymentPlan(msgspec.Struct, frozen=True):
     """The defaults are the smallest deployment that shows every role."""
 
-    controls: int = 1
+    controls: int = 3
     entries: int = 2
     endpoints: int = 4
     workers: int = 4
--- a/src/cicadatray/internal/bench/deployment/local_deployment.py
+++ b/src/cicadatray/internal/bench/deployment/local_deployment.py
@@ -106,7 +106,7 @@
             settings = EntrySettings(
                 name=f"entry-{position}",
                 data_centre=DATA_CENTRES[position % len(DATA_CENTRES)],
-                listen=Address(HOST, 0),
+                listen=Address(HOST, free_ports(1)[0]),
                 secret_file=str(self.folder / "secret"),
                 control=self.control_members,
                 dump_folder=str(self.folder / "logs"),
--- a/src/cicadatray/internal/control/agent_links.py
+++ b/src/cicadatray/internal/control/agent_links.py
@@ -1,11 +1,14 @@
 """Connections from the control leader to agents."""
 
+from cicadatray.internal.wire.backoff import Backoff
 from cicadatray.internal.wire.codec import Codec
 from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.directory_messages import AgentRecord
 from cicadatray.internal.wire.rpc_client import RpcClient
 
+# Orders of an urgent gang have 3.5 s in all, so an agent that restarted is tried again soon.
+RECONNECT_LIMIT_S = 0.5
 UNREACHABLE_CODE = "agent_unreachable"
 
 
@@ -37,6 +40,7 @@
     def _client(self, agent: AgentRecord) -> RpcClient:
         client = self.clients.get(agent.agent_id)
         if client is None or (client.host, client.port) != (agent.host, agent.port):
-            client = RpcClient(agent.host, agent.port, self.codec, self.secret)
+            backoff = Backoff(limit_s=RECONNECT_LIMIT_S)
+            client = RpcClient(agent.host, agent.port, self.codec, self.secret, backoff)
             self.clients[agent.agent_id] = client
         return client
--- a/src/cicadatray/internal/control/calls.py
+++ b/src/cicadatray/internal/control/calls.py
@@ -1,5 +1,5 @@
 """Imports every module that registers a call handler."""
 
-from cicadatray.internal.control import directory_calls, job_calls, key_calls
+from cicadatray.internal.control import directory_calls, job_calls, key_calls, replica_calls
 
-CALL_MODULES = (directory_calls, job_calls, key_calls)
+CALL_MODULES = (directory_calls, job_calls, key_calls, replica_calls)
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -7,14 +7,10 @@
 from cicadatray.internal.control import calls, commands
 from cicadatray.internal.control.agent_links import AgentLinks
 from cicadatray.internal.control.control_state import ControlState
-from cicadatray.internal.control.errors import LeadershipLostError
+from cicadatray.internal.control.errors import ControlError, LeadershipLostError
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
-from cicadatray.internal.control.local_replica import (
-    LocalReplica,
-    NotLeaderError,
-    ProposalUnknownError,
-)
+from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
@@ -26,6 +22,10 @@
 from cicadatray.internal.wire.messages.directory_messages import NotLeader
 from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.internal.wire.rpc_server import RpcServer
+from cicadatray.replication.errors import NotLeaderError, ReplicationError
+from cicadatray.replication.member import Member
+from cicadatray.replication.replica import Replica
+from cicadatray.replication.replica_settings import ReplicaSettings
 
 CONFIRM_TIMEOUT_S = 1.0
 LEADERSHIP_POLL_S = 0.1
@@ -37,16 +37,38 @@
 assert commands.COMMAND_MODULES and calls.CALL_MODULES
 
 
+def replica_settings(settings: ControlSettings) -> ReplicaSettings:
+    """Returns the settings of the replicated log for a control instance."""
+    members = tuple(Member(m.name, m.host, m.port) for m in settings.control)
+    return ReplicaSettings(
+        member_id=settings.name,
+        data_folder=settings.data_folder,
+        initial_members=members,
+        bootstrap=settings.bootstrap,
+    )
+
+
 class ControlDaemon:
     """Answers calls, and schedules while it leads."""
 
-    __slots__ = ("codec", "links", "loop", "replica", "server", "session", "settings", "state")
+    __slots__ = (
+        "codec",
+        "links",
+        "loop",
+        "replica",
+        "replica_link",
+        "server",
+        "session",
+        "settings",
+        "state",
+    )
 
     def __init__(self, settings: ControlSettings, secret: bytes) -> None:
         self.settings = settings
         self.codec = message_codec()
         self.state = ControlState()
-        self.replica = LocalReplica(self.state)
+        self.replica_link = ReplicaLink(settings.name, self.codec, secret)
+        self.replica = Replica(replica_settings(settings), self.state, self.replica_link)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
         self.loop: SchedulingLoop | None = None
@@ -59,12 +81,15 @@
         await self.server.start()
         log.info("control listens", port=self.server.port)
         leading = asyncio.create_task(self._lead_again_and_again())
-        await stop.wait()
+        await self._wait_for_end(stop)
         await self.replica.stop()
         leading.cancel()
         await asyncio.gather(leading, return_exceptions=True)
         await self.links.close()
+        await self.replica_link.close()
         await self.server.stop()
+        if self.replica.failure is not None:
+            raise ControlError(f"the replica failed: {self.replica.failure}")
 
     async def answer(self, call: MessageStruct) -> MessageStruct:
         """Answers one call of another process."""
@@ -75,7 +100,7 @@
             return await handler(self, call)
         except NotLeaderError as error:
             return NotLeader(leader_name=error.leader_id or "")
-        except (LeadershipLostError, ProposalUnknownError) as error:
+        except (LeadershipLostError, ReplicationError) as error:
             return Failure(
                 code=IN_DOUBT_CODE, detail=str(error), retry_after_s=IN_DOUBT_RETRY_AFTER_S
             )
@@ -87,7 +112,7 @@
             NotLeaderError: it does not lead, or has not yet taken over.
         """
         await self.replica.confirm_leadership(CONFIRM_TIMEOUT_S)
-        if self.session is None:
+        if self.session is None or self.session.term != self.replica.term:
             raise NotLeaderError(None)
         return self.session
 
@@ -96,6 +121,13 @@
         if self.loop is not None:
             self.loop.notify()
 
+    async def _wait_for_end(self, stop: asyncio.Event) -> None:
+        stopping = asyncio.create_task(stop.wait())
+        failing = asyncio.create_task(self.replica.wait_stopped())
+        await asyncio.wait((stopping, failing), return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        failing.cancel()
+
     async def _lead_again_and_again(self) -> None:
         while True:
             try:
@@ -117,10 +149,13 @@
         self.session = LeaderSession(self.state, self.replica, self.links, self.replica.term)
         await self._add_first_operator(self.session)
         self.loop = SchedulingLoop(self.session)
-        async with asyncio.TaskGroup() as tasks:
-            scheduling = tasks.create_task(self.loop.run())
-            await self._watch_leadership()
-            scheduling.cancel()
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                scheduling = tasks.create_task(self.loop.run())
+                await self._watch_leadership()
+                scheduling.cancel()
+        except* LeadershipLostError as errors:
+            raise LeadershipLostError(str(errors.exceptions[0])) from None
 
     async def _add_first_operator(self, session: LeaderSession) -> None:
         """Gives a new deployment the operator account that its settings name."""
--- a/src/cicadatray/internal/control/leader_session.py
+++ b/src/cicadatray/internal/control/leader_session.py
@@ -7,12 +7,9 @@
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.directory import Directory
 from cicadatray.internal.control.errors import LeadershipLostError
-from cicadatray.internal.control.local_replica import (
-    LocalReplica,
-    NotLeaderError,
-    ProposalUnknownError,
-)
 from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.replication.errors import ReplicationError
+from cicadatray.replication.replica import Replica
 from cicadatray.scheduling.scheduler import Scheduler
 
 PROPOSE_TIMEOUT_S = 3.0
@@ -36,9 +33,7 @@
         "wake",
     )
 
-    def __init__(
-        self, state: ControlState, replica: LocalReplica, links: AgentLinks, term: int
-    ) -> None:
+    def __init__(self, state: ControlState, replica: Replica, links: AgentLinks, term: int) -> None:
         self.state = state
         self.replica = replica
         self.links = links
@@ -64,10 +59,12 @@
             LeadershipLostError: the command may or may not be committed, and this instance must
                 stop acting as the leader.
         """
+        if self.replica.term != self.term:
+            raise LeadershipLostError("another term has begun")
         try:
             encoded = self.state.encode_command(command)
             return self.state.decode_reply(await self.replica.propose(encoded, PROPOSE_TIMEOUT_S))
-        except (NotLeaderError, ProposalUnknownError) as error:
+        except ReplicationError as error:
             raise LeadershipLostError(str(error)) from error
 
     def _clock_offset_s(self) -> float:
--- /dev/null
+++ b/src/cicadatray/internal/control/replica_link.py
@@ -0,0 +1,62 @@
+"""Carries messages of the replicated log between control instances."""
+
+from cicadatray.internal.wire.backoff import Backoff
+from cicadatray.internal.wire.codec import Codec
+from cicadatray.internal.wire.errors import WireError
+from cicadatray.internal.wire.messages.directory_messages import ReplicaAnswer, ReplicaCall
+from cicadatray.internal.wire.rpc_client import RpcClient
+from cicadatray.replication.errors import MessageDecodeError, ReplicaTransportError
+from cicadatray.replication.member import Member
+from cicadatray.replication.message import (
+    ReplicaMessage,
+    decode_replica_message,
+    encode_replica_message,
+)
+
+# A member that has restarted must hear heartbeats again before it would stand for election.
+RECONNECT_LIMIT_S = 0.5
+
+
+class ReplicaLink:
+    """The transport of a replica: one connection for each other member."""
+
+    __slots__ = ("clients", "codec", "member_id", "secret")
+
+    def __init__(self, member_id: str, codec: Codec, secret: bytes) -> None:
+        self.member_id = member_id
+        self.codec = codec
+        self.secret = secret
+        self.clients: dict[Member, RpcClient] = {}
+
+    async def call(
+        self, member: Member, message: ReplicaMessage, timeout_s: float
+    ) -> ReplicaMessage:
+        """Sends a message and returns its reply.
+
+        Raises:
+            ReplicaTransportError: the member cannot be reached, is slow or answered wrongly.
+        """
+        call = ReplicaCall(member_id=self.member_id, payload=encode_replica_message(message))
+        try:
+            reply = await self._client(member).call(call, timeout_s)
+        except WireError as error:
+            raise ReplicaTransportError(str(error)) from error
+        if not isinstance(reply, ReplicaAnswer):
+            raise ReplicaTransportError(f"{member.member_id} answered {reply}")
+        try:
+            return decode_replica_message(reply.payload)
+        except MessageDecodeError as error:
+            raise ReplicaTransportError(f"{member.member_id}: {error}") from error
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for client in self.clients.values():
+            await client.close()
+
+    def _client(self, member: Member) -> RpcClient:
+        client = self.clients.get(member)
+        if client is None:
+            backoff = Backoff(limit_s=RECONNECT_LIMIT_S)
+            client = RpcClient(member.host, member.port, self.codec, self.secret, backoff)
+            self.clients[member] = client
+        return client
--- a/src/cicadatray/internal/wire/backoff.py
+++ b/src/cicadatray/internal/wire/backoff.py
@@ -10,16 +10,19 @@
 class Backoff:
     """Exponential backoff with full jitter, so that a restarted data centre makes no storm."""
 
-    __slots__ = ("ceiling_s", "random")
+    __slots__ = ("ceiling_s", "limit_s", "random")
 
-    def __init__(self, random_source: random.Random | None = None) -> None:
+    def __init__(
+        self, random_source: random.Random | None = None, limit_s: float = BACKOFF_LIMIT_S
+    ) -> None:
+        self.limit_s = limit_s
         self.random = random_source or random.Random()
         self.ceiling_s = BACKOFF_FIRST_S
 
     def next_delay_s(self) -> float:
         """Returns the next delay and raises the ceiling of the one after it."""
         delay_s = self.random.uniform(0, self.ceiling_s)
-        self.ceiling_s = min(BACKOFF_LIMIT_S, self.ceiling_s * BACKOFF_FACTOR)
+        self.ceiling_s = min(self.limit_s, self.ceiling_s * BACKOFF_FACTOR)
         return delay_s
 
     def reset(self) -> None:
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -38,12 +38,14 @@
         "writer",
     )
 
-    def __init__(self, host: str, port: int, codec: Codec, secret: bytes) -> None:
+    def __init__(
+        self, host: str, port: int, codec: Codec, secret: bytes, backoff: Backoff | None = None
+    ) -> None:
         self.host = host
         self.port = port
         self.codec = codec
         self.secret = secret
-        self.backoff = Backoff()
+        self.backoff = backoff or Backoff()
         self.connect_lock = asyncio.Lock()
         self.next_call_id = 1
         self.pending: dict[int, asyncio.Future[MessageStruct]] = {}
