--- /dev/null
+++ b/src/cicadatray/scheduling/fleet.py
@@ -0,0 +1,155 @@
+"""The tree of all units, with indexes of idle capacity."""
+
+from collections.abc import Iterable
+
+from cicadatray.scheduling.inventory import Inventory, WorkerRecord
+from cicadatray.scheduling.placement import Placement
+from cicadatray.scheduling.rack_index import RackIndex
+from cicadatray.scheduling.shape import Scope, Shape
+from cicadatray.scheduling.unit import Unit
+
+
+class Fleet:
+    """Keeps the totals of every unit and the rack index of every data centre current."""
+
+    __slots__ = (
+        "data_centres",
+        "indexes",
+        "largest_shapes",
+        "next_order",
+        "racks",
+        "records",
+        "workers",
+    )
+
+    def __init__(self, inventory: Inventory) -> None:
+        self.workers: dict[str, Unit] = {}
+        self.racks: dict[str, Unit] = {}
+        self.data_centres: dict[str, Unit] = {}
+        self.indexes: dict[str, RackIndex] = {}
+        self.records: dict[str, WorkerRecord] = {}
+        self.largest_shapes: dict[Scope, Shape] = {}
+        self.next_order = 0
+        self.replace(inventory)
+
+    def replace(self, inventory: Inventory) -> bool:
+        """Adds, changes and retires workers by their difference; returns whether any differed.
+
+        A retired worker keeps its unit out of service, because gangs may still hold it.
+        """
+        records = {record.worker_id: record for record in inventory.workers}
+        if records == self.records:
+            return False
+        for worker_id, record in self.records.items():
+            if records.get(worker_id) != record:
+                self._retire(worker_id, record)
+        for worker_id, record in records.items():
+            if self.records.get(worker_id) != record:
+                self._add(record)
+        self.records = records
+        self.largest_shapes.clear()
+        return True
+
+    def units(self, scope: Scope) -> Iterable[Unit]:
+        """Returns all units of a scope in the order of the inventory."""
+        if scope is Scope.WORKER:
+            return self.workers.values()
+        return self.racks.values() if scope is Scope.RACK else self.data_centres.values()
+
+    def largest_shape(self, scope: Scope) -> Shape:
+        """Returns the largest shape that any unit could hold with all its workers in service."""
+        if scope not in self.largest_shapes:
+            sizes: dict[str, int] = {}
+            for record in self.records.values():
+                unit = self.workers[record.worker_id].around(scope)
+                sizes[unit.key] = sizes.get(unit.key, 0) + record.accelerators
+            self.largest_shapes[scope] = Shape(max(sizes.values(), default=0), scope)
+        return self.largest_shapes[scope]
+
+    def occupy(self, placement: Placement) -> None:
+        """Marks the accelerators of a placement as used by a gang."""
+        for worker, accelerators in self.located(placement):
+            worker.used += accelerators
+            self.refresh(worker)
+
+    def vacate(self, placement: Placement) -> None:
+        """Marks the accelerators of a placement as idle again."""
+        for worker, accelerators in self.located(placement):
+            worker.used -= accelerators
+            self.refresh(worker)
+
+    def claim(self, placement: Placement, sign: int) -> None:
+        """Sets accelerators aside for a gang whose reclaim is in progress, or gives them back."""
+        for worker, accelerators in self.located(placement):
+            worker.claimed += sign * accelerators
+            self.refresh(worker)
+
+    def located(self, placement: Placement) -> list[tuple[Unit, int]]:
+        """Returns the workers of a placement; a restored one may name workers long removed."""
+        shares = placement.shares
+        known = [share for share in shares if share.worker_id in self.workers]
+        return [(self.workers[share.worker_id], share.accelerators) for share in known]
+
+    def set_in_service(self, worker: Unit, in_service: bool) -> None:
+        """Takes a worker out of service or puts it back."""
+        worker.in_service = in_service
+        self.refresh(worker)
+
+    def set_fence(self, worker: Unit, job_id: str | None) -> None:
+        """Hides the idle capacity of a worker from all searches, or shows it again."""
+        worker.fence = job_id
+        self.refresh(worker)
+
+    def refresh(self, worker: Unit) -> None:
+        """Recomputes a worker's totals and carries the difference to its rack and data centre."""
+        capacity = worker.total if worker.in_service else 0
+        idle = max(0, worker.physically_idle - worker.claimed) if worker.fence is None else 0
+        if capacity == worker.capacity and idle == worker.idle:
+            return
+        for unit in worker.path()[1:]:
+            unit.capacity += capacity - worker.capacity
+            unit.idle += idle - worker.idle
+        worker.capacity = capacity
+        worker.idle = idle
+        worker.largest_idle = idle
+        rack = worker.around(Scope.RACK)
+        rack.largest_idle = max(child.idle for child in rack.children.values())
+        self.indexes[worker.around(Scope.DATA_CENTRE).key].update(rack)
+
+    def _retire(self, worker_id: str, record: WorkerRecord) -> None:
+        worker = self.workers[worker_id]
+        worker.total = 0
+        self.refresh(worker)
+
+    def _add(self, record: WorkerRecord) -> None:
+        rack = self._rack(record)
+        worker = self.workers.get(record.worker_id)
+        if worker is None or worker.parent is not rack:
+            previous = worker
+            worker = Unit(record.worker_id, Scope.WORKER, rack, self._take_order())
+            if previous is not None:
+                worker.used = previous.used
+                worker.in_service = previous.in_service
+                previous.around(Scope.RACK).children.pop(record.worker_id, None)
+            self.workers[record.worker_id] = worker
+            rack.children[record.worker_id] = worker
+        worker.total = record.accelerators
+        self.refresh(worker)
+
+    def _rack(self, record: WorkerRecord) -> Unit:
+        data_centre = self.data_centres.get(record.data_centre)
+        if data_centre is None:
+            data_centre = Unit(record.data_centre, Scope.DATA_CENTRE, None, self._take_order())
+            self.data_centres[data_centre.key] = data_centre
+            self.indexes[data_centre.key] = RackIndex()
+        key = f"{record.data_centre}/{record.rack}"
+        rack = self.racks.get(key)
+        if rack is None:
+            rack = Unit(key, Scope.RACK, data_centre, self._take_order())
+            self.racks[key] = rack
+            data_centre.children[key] = rack
+        return rack
+
+    def _take_order(self) -> int:
+        self.next_order += 1
+        return self.next_order
--- /dev/null
+++ b/src/cicadatray/scheduling/guarantee_clash.py
@@ -0,0 +1,62 @@
+"""Finds guarantees that cannot all be placed together."""
+
+from collections.abc import Sequence
+
+from cicadatray.scheduling.fleet import Fleet
+from cicadatray.scheduling.guarantee_slot import GuaranteeSlot
+from cicadatray.scheduling.rules import Guarantee
+from cicadatray.scheduling.slot_search import SlotSearch, search_order
+
+# Naming a smaller clash takes one search per step; beyond this the whole set is named instead.
+CLASH_SEARCHES = 64
+
+
+def make_slots(guarantees: Sequence[Guarantee]) -> list[GuaranteeSlot]:
+    """Returns one slot per guaranteed block; equal guarantees of an account are numbered on."""
+    counts: dict[tuple[str, object], int] = {}
+    slots = []
+    for guarantee in guarantees:
+        key = (guarantee.client_account, guarantee.shape)
+        for _ in range(guarantee.count):
+            counts[key] = counts.get(key, 0) + 1
+            slots.append(GuaranteeSlot(guarantee.client_account, guarantee.shape, counts[key]))
+    return slots
+
+
+def can_place_together(fleet: Fleet, guarantees: Sequence[Guarantee]) -> bool:
+    """Whether all blocks fit into a fleet without reservations; leaves none behind."""
+    search = SlotSearch(fleet)
+    placed: list[GuaranteeSlot] = []
+    complete = True
+    for slot in sorted(make_slots(guarantees), key=search_order):
+        if not search.insert(slot, placed):
+            complete = False
+            break
+        placed.append(slot)
+    for slot in placed:
+        search.detach(slot)
+    return complete
+
+
+def find_clash(fleet: Fleet, guarantees: Sequence[Guarantee]) -> list[int]:
+    """Returns the positions of guarantees that clash, or nothing if all fit.
+
+    The set is minimal when it is found within `CLASH_SEARCHES` searches: leaving any one of it out
+    would make the rest fit.
+    """
+    clash = list(range(len(guarantees)))
+    if can_place_together(fleet, guarantees):
+        return []
+    searches = 0
+    size = max(1, len(clash) // 2)
+    while size >= 1:
+        start = 0
+        while start < len(clash) and searches < CLASH_SEARCHES:
+            rest = clash[:start] + clash[start + size :]
+            searches += 1
+            if rest and not can_place_together(fleet, [guarantees[i] for i in rest]):
+                clash = rest
+            else:
+                start += size
+        size //= 2
+    return clash
--- /dev/null
+++ b/src/cicadatray/scheduling/guarantee_slot.py
@@ -0,0 +1,33 @@
+"""One block that a client account is guaranteed."""
+
+from cicadatray.scheduling.placement import Placement
+from cicadatray.scheduling.shape import Shape
+from cicadatray.scheduling.unit import Unit
+
+
+class GuaranteeSlot:
+    """A guaranteed block, the unit where the plan keeps it and the jobs that run inside it.
+
+    `unit` is None while losses leave no unit for the block.
+    """
+
+    __slots__ = ("bound", "client_account", "number", "shape", "unit")
+
+    def __init__(self, client_account: str, shape: Shape, number: int) -> None:
+        self.client_account = client_account
+        self.shape = shape
+        self.number = number
+        self.unit: Unit | None = None
+        self.bound: dict[str, Placement] = {}
+
+    @property
+    def free(self) -> int:
+        """Accelerators of the block that none of the account's jobs occupy."""
+        used = sum(share.accelerators for held in self.bound.values() for share in held.shares)
+        return self.shape.accelerators - used
+
+    @property
+    def name(self) -> str:
+        """Returns a description for people."""
+        scope = self.shape.scope.value.replace("_", " ")
+        return f"{self.client_account}: {self.shape.accelerators} in one {scope} ({self.number})"
--- /dev/null
+++ b/src/cicadatray/scheduling/headroom_index.py
@@ -0,0 +1,60 @@
+"""Units ordered by the capacity that the guarantee plan has not committed."""
+
+from collections.abc import Iterator
+
+from cicadatray.scheduling.fleet import Fleet
+from cicadatray.scheduling.shape import Scope
+from cicadatray.scheduling.unit import Unit
+
+
+class HeadroomIndex:
+    """Buckets of equal headroom per scope.
+
+    A worker is filed under the smaller of its own and its rack's headroom, so that a search does
+    not visit the workers of racks that are committed as a whole.
+    """
+
+    __slots__ = ("buckets", "positions")
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.buckets: dict[Scope, dict[int, dict[str, Unit]]] = {scope: {} for scope in Scope}
+        self.positions: dict[Scope, dict[str, int]] = {scope: {} for scope in Scope}
+        for scope in Scope:
+            for unit in fleet.units(scope):
+                self._file(unit)
+
+    def update(self, unit: Unit) -> None:
+        """Files a unit, and the workers of a rack, under their present headroom."""
+        self._file(unit)
+        if unit.scope is Scope.RACK:
+            for worker in unit.children.values():
+                self._file(worker)
+
+    def ascending(self, scope: Scope, accelerators: int) -> Iterator[Unit]:
+        """Yields units in which a reservation of this size fits, the tightest first."""
+        buckets = self.buckets[scope]
+        for headroom in sorted(key for key in buckets if key >= accelerators):
+            for unit in buckets[headroom].values():
+                if fits(unit, accelerators):
+                    yield unit
+
+    def _file(self, unit: Unit) -> None:
+        headroom = unit.headroom
+        if unit.scope is Scope.WORKER and unit.parent is not None:
+            headroom = min(headroom, unit.parent.headroom)
+        positions = self.positions[unit.scope]
+        previous = positions.get(unit.key)
+        buckets = self.buckets[unit.scope]
+        if previous is not None:
+            if previous == headroom and buckets[previous].get(unit.key) is unit:
+                return
+            del buckets[previous][unit.key]
+            if not buckets[previous]:
+                del buckets[previous]
+        buckets.setdefault(headroom, {})[unit.key] = unit
+        positions[unit.key] = headroom
+
+
+def fits(unit: Unit, accelerators: int) -> bool:
+    """Whether a reservation fits in the unit and in all units around it."""
+    return all(outer.headroom >= accelerators for outer in unit.path())
--- /dev/null
+++ b/src/cicadatray/scheduling/job.py
@@ -0,0 +1,67 @@
+"""A job inside the scheduler."""
+
+from enum import Enum
+
+from cicadatray.scheduling.job_request import JobRequest
+from cicadatray.scheduling.placement import Placement
+
+
+class JobState(Enum):
+    """Where a job is between its submission and its end."""
+
+    WAITING = "waiting"
+    RECLAIMING = "reclaiming"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Job:
+    """A job with its present placement; `sequence` orders jobs by arrival."""
+
+    __slots__ = (
+        "attempts",
+        "cancelled",
+        "failed_workers",
+        "held_until_s",
+        "moves",
+        "placed_s",
+        "placement",
+        "request",
+        "sequence",
+        "started_s",
+        "state",
+        "task_failed",
+        "unreachable",
+    )
+
+    def __init__(self, request: JobRequest, sequence: int) -> None:
+        self.request = request
+        self.sequence = sequence
+        self.state = JobState.WAITING
+        self.placement: Placement | None = None
+        self.placed_s = 0.0
+        self.started_s: float | None = None
+        self.cancelled = False
+        self.task_failed = False
+        self.unreachable = False
+        self.attempts = 0
+        self.moves = 0
+        self.held_until_s = 0.0
+        self.failed_workers: dict[str, None] = {}
+
+    @property
+    def holds_capacity(self) -> bool:
+        """Whether accelerators are granted to the job."""
+        return self.state in (JobState.STARTING, JobState.RUNNING, JobState.STOPPING)
+
+    @property
+    def live(self) -> bool:
+        """Whether the job holds capacity and has not been told to stop."""
+        return self.state in (JobState.STARTING, JobState.RUNNING)
+
+    def uses(self, worker_id: str) -> bool:
+        """Whether the job's placement has a share on this worker."""
+        if self.placement is None:
+            return False
+        return any(share.worker_id == worker_id for share in self.placement.shares)
--- /dev/null
+++ b/src/cicadatray/scheduling/policies/baseline.py
@@ -0,0 +1,59 @@
+"""What the two baseline policies have in common."""
+
+from cicadatray.scheduling.decision import Decision, FailJob, PlaceJob
+from cicadatray.scheduling.explanation import Explanation
+from cicadatray.scheduling.job import Job
+from cicadatray.scheduling.placement import Placement, WorkerShare
+from cicadatray.scheduling.policies.policy import SchedulingPolicy
+from cicadatray.scheduling.shape import Shape
+from cicadatray.scheduling.unit import Unit
+
+BASELINE_ATTEMPTS = 3  # without a limit a job that always fails would be placed for ever
+
+
+def take(workers: list[Unit], needed: int) -> Placement:
+    """Returns a placement that takes the idle accelerators of the workers in this order."""
+    shares = []
+    for worker in workers:
+        taken = min(needed, worker.idle)
+        if taken > 0:
+            shares.append(WorkerShare(worker.key, taken))
+            needed -= taken
+    return Placement(tuple(shares))
+
+
+class BaselinePolicy(SchedulingPolicy):
+    """Whole gangs in some order and place, without guarantees, shares or aging."""
+
+    __slots__ = ()
+
+    def find(self, shape: Shape) -> Placement | None:
+        """Returns a placement on idle capacity."""
+        raise NotImplementedError
+
+    def order(self, jobs: list[Job]) -> list[Job]:
+        """Returns the waiting jobs in the order in which they are tried."""
+        raise NotImplementedError
+
+    def decide(self, now_s: float) -> list[Decision]:
+        """Tries every waiting job once."""
+        decisions: list[Decision] = []
+        full: set[Shape] = set()
+        for job in self.order(list(self.state.waiting.values())):
+            shape = job.request.shape
+            if job.attempts >= BASELINE_ATTEMPTS:
+                self.state.forget(job)
+                decisions.append(FailJob(job.request.job_id, f"failed {job.attempts} times"))
+                continue
+            placement = None if shape in full else self.find(shape)
+            if placement is None:
+                full.add(shape)
+                continue
+            self.state.place(job, placement, now_s)
+            decisions.append(PlaceJob(job.request.job_id, placement))
+        return decisions
+
+    def explain(self, job: Job, now_s: float) -> Explanation:
+        """Says whether the job waits for idle capacity."""
+        reason = "runs or starts" if job.holds_capacity else "no unit has enough idle accelerators"
+        return Explanation(job.request.job_id, job.state.value, reason)
--- /dev/null
+++ b/src/cicadatray/scheduling/policies/first_fit.py
@@ -0,0 +1,25 @@
+"""The first-fit baseline."""
+
+from cicadatray.scheduling.job import Job
+from cicadatray.scheduling.placement import Placement
+from cicadatray.scheduling.policies.baseline import BaselinePolicy, take
+from cicadatray.scheduling.registry import scheduling_policy
+from cicadatray.scheduling.shape import Shape
+
+
+@scheduling_policy("first_fit")
+class FirstFitPolicy(BaselinePolicy):
+    """Arrival order, each job in the first unit of the inventory that has room."""
+
+    __slots__ = ()
+
+    def order(self, jobs: list[Job]) -> list[Job]:
+        """Returns the jobs by arrival."""
+        return sorted(jobs, key=lambda job: job.sequence)
+
+    def find(self, shape: Shape) -> Placement | None:
+        """Returns the first unit with enough idle accelerators."""
+        for unit in self.state.fleet.units(shape.scope):
+            if unit.idle >= shape.accelerators:
+                return take(unit.workers(), shape.accelerators)
+        return None
--- /dev/null
+++ b/src/cicadatray/scheduling/rack_index.py
@@ -0,0 +1,54 @@
+"""Racks of one data centre, ordered by their idle capacity."""
+
+from bisect import bisect_left, insort
+from collections.abc import Iterator
+
+from cicadatray.scheduling.unit import Unit
+
+
+class RackIndex:
+    """Racks in buckets of equal idle capacity and equal largest idle worker.
+
+    A search skips the buckets that cannot fit, so its cost does not grow with the number of racks.
+    """
+
+    __slots__ = ("buckets", "keys", "positions")
+
+    def __init__(self) -> None:
+        self.buckets: dict[tuple[int, int], dict[str, Unit]] = {}
+        self.keys: list[tuple[int, int]] = []
+        self.positions: dict[str, tuple[int, int]] = {}
+
+    def update(self, rack: Unit) -> None:
+        """Files the rack under its present idle capacity."""
+        position = (rack.idle, rack.largest_idle)
+        previous = self.positions.get(rack.key)
+        if previous == position:
+            return
+        if previous is not None:
+            self._remove(rack, previous)
+        if position not in self.buckets:
+            self.buckets[position] = {}
+            insort(self.keys, position)
+        self.buckets[position][rack.key] = rack
+        self.positions[rack.key] = position
+
+    def remove(self, rack: Unit) -> None:
+        """Drops a rack that has no worker left."""
+        previous = self.positions.pop(rack.key, None)
+        if previous is not None:
+            self._remove(rack, previous)
+
+    def ascending(self, idle: int, largest_idle: int) -> Iterator[Unit]:
+        """Yields racks with at least this capacity, those with the least idle first."""
+        start = bisect_left(self.keys, (idle, 0))
+        for key in self.keys[start:]:
+            if key[1] >= largest_idle:
+                yield from self.buckets[key].values()
+
+    def _remove(self, rack: Unit, position: tuple[int, int]) -> None:
+        bucket = self.buckets[position]
+        del bucket[rack.key]
+        if not bucket:
+            del self.buckets[position]
+            self.keys.pop(bisect_left(self.keys, position))
--- a/src/cicadatray/scheduling/scheduler.py
+++ b/src/cicadatray/scheduling/scheduler.py
@@ -1,129 +1,178 @@
 """The scheduler: which job runs where and when."""
 
 from cicadatray.scheduling.admission import Admission
-from cicadatray.scheduling.decision import Decision, PlaceJob
+from cicadatray.scheduling.decision import Decision
 from cicadatray.scheduling.explanation import Explanation
 from cicadatray.scheduling.gang_outcome import REQUEUED_OUTCOMES, GangOutcome
-from cicadatray.scheduling.inventory import Inventory, WorkerRecord
+from cicadatray.scheduling.inventory import Inventory
+from cicadatray.scheduling.job import Job, JobState
 from cicadatray.scheduling.job_request import JobRequest
-from cicadatray.scheduling.placement import Placement, WorkerShare
+from cicadatray.scheduling.placement import Placement
+from cicadatray.scheduling.policies import find_policy
+from cicadatray.scheduling.policies.policy import SchedulingPolicy
 from cicadatray.scheduling.rules import Rules
-from cicadatray.scheduling.shape import Scope, Shape
+from cicadatray.scheduling.scheduling_state import SchedulingState
+from cicadatray.scheduling.shape import Shape
 
 
 class Scheduler:
-    """Arrival order with first fit; the interface of the full scheduler."""
+    """Keeps jobs, fleet and rules, and asks the configured policy for decisions.
 
-    __slots__ = ("inventory", "lost_workers", "placements", "rules", "waiting")
+    Events about jobs or workers that are not known are ignored, because the caller may repeat an
+    event or report it after a cancellation.
+    """
+
+    __slots__ = ("inventory", "policy", "rules", "state")
 
     def __init__(self, inventory: Inventory, rules: Rules) -> None:
         self.inventory = inventory
         self.rules = rules
-        self.waiting: dict[str, JobRequest] = {}
-        self.placements: dict[str, tuple[JobRequest, Placement]] = {}
-        self.lost_workers: set[str] = set()
+        self.state = SchedulingState(inventory, rules)
+        self.policy = self._make_policy()
 
     def submit(self, request: JobRequest, now_s: float) -> Admission:
         """Queues a job, or refuses one that no inventory unit could ever hold."""
-        largest = self._largest_unit(request.shape.scope)
-        if request.shape.accelerators > largest:
-            return Admission(
-                accepted=False,
-                reason=f"no {request.shape.scope.value} has {request.shape.accelerators}",
-                largest_shape=Shape(largest, request.shape.scope),
-            )
-        self.waiting[request.job_id] = request
+        if request.job_id in self.state.jobs:
+            return Admission(accepted=True, reason="already known")
+        refusal = self._refuse(request.shape)
+        if refusal is not None:
+            return refusal
+        self.policy.submitted(self.state.add(request), now_s)
         return Admission(accepted=True)
 
     def cancel(self, job_id: str, now_s: float) -> None:
         """Forgets a waiting job; a running one is released by `gang_released`."""
-        self.waiting.pop(job_id, None)
+        job = self.state.jobs.get(job_id)
+        if job is None:
+            return
+        job.cancelled = True
+        self.policy.cancelled(job, now_s)
+        if job.holds_capacity:
+            job.state = JobState.STOPPING
+        else:
+            self.state.forget(job)
 
     def decide(self, now_s: float) -> list[Decision]:
         """Returns what to do now; placed jobs hold their capacity from here on."""
-        decisions: list[Decision] = []
-        for request in list(self.waiting.values()):
-            placement = self._first_fit(request.shape)
-            if placement is None:
-                continue
-            del self.waiting[request.job_id]
-            self.placements[request.job_id] = (request, placement)
-            decisions.append(PlaceJob(request.job_id, placement))
-        return decisions
+        return self.policy.decide(now_s)
 
     def gang_started(self, job_id: str, now_s: float) -> None:
         """The gang runs."""
+        job = self.state.jobs.get(job_id)
+        if job is not None and job.state is JobState.STARTING:
+            job.state = JobState.RUNNING
+            job.started_s = now_s
+            self.policy.started(job, now_s)
 
     def gang_released(self, job_id: str, now_s: float, outcome: GangOutcome) -> None:
-        """Frees the gang's capacity and requeues the job where the outcome allows it."""
-        held = self.placements.pop(job_id, None)
-        if held is not None and outcome in REQUEUED_OUTCOMES:
-            self.waiting[job_id] = held[0]
+        """Frees the gang's capacity and requeues the job where the outcome allows it.
+
+        A job whose task failed is requeued until the policy decides `FailJob`.
+        """
+        job = self.state.jobs.get(job_id)
+        if job is None or not job.holds_capacity:
+            return
+        self.policy.releasing(job, outcome, now_s)
+        self.state.vacate(job)
+        retried = outcome is GangOutcome.FAILED and job.task_failed
+        if retried:
+            job.attempts += 1
+        if job.cancelled or not (retried or outcome in REQUEUED_OUTCOMES):
+            self.state.forget(job)
+            return
+        self.state.requeue(job)
+        self.policy.requeued(job, now_s)
 
     def worker_lost(self, worker_id: str, now_s: float) -> None:
-        """Takes a worker out of service."""
-        self.lost_workers.add(worker_id)
+        """Takes a worker out of service; gangs on it are released by `gang_released`."""
+        worker = self.state.fleet.workers.get(worker_id)
+        if worker is None:
+            return
+        self.state.fleet.set_in_service(worker, False)
+        for job in self.state.on_worker.get(worker_id, {}).values():
+            job.unreachable = True
+        self.policy.worker_lost(worker, now_s)
 
     def worker_returned(self, worker_id: str, now_s: float) -> None:
         """Puts a worker back into service."""
-        self.lost_workers.discard(worker_id)
+        worker = self.state.fleet.workers.get(worker_id)
+        if worker is None:
+            return
+        self.state.fleet.set_in_service(worker, True)
+        self.policy.worker_returned(worker, now_s)
 
     def task_failed(self, job_id: str, worker_id: str, now_s: float) -> None:
         """A task of the job failed on this worker."""
+        job = self.state.jobs.get(job_id)
+        worker = self.state.fleet.workers.get(worker_id)
+        if job is None or worker is None or not job.uses(worker_id):
+            return
+        job.task_failed = True
+        job.failed_workers[worker_id] = None
+        self.policy.task_failed(job, worker, now_s)
 
     def usage_reported(self, job_id: str, run_s: float, now_s: float) -> None:
         """The gang has run for this long, as reported with a lag."""
+        job = self.state.jobs.get(job_id)
+        if job is not None:
+            self.policy.usage_reported(job, run_s, now_s)
 
     def replace_configuration(self, inventory: Inventory, rules: Rules, now_s: float) -> None:
-        """Puts another inventory and other rules into effect."""
+        """Puts another inventory and other rules into effect; the policy keeps what it learned.
+
+        Raises:
+            UnknownPolicyError: the rules name a policy that is not registered; nothing changed.
+        """
+        policy_type = find_policy(rules.policy)
         self.inventory = inventory
         self.rules = rules
+        self.state.rules = rules
+        self.state.fleet.replace(inventory)
+        if type(self.policy) is not policy_type:
+            self.policy = self._make_policy()
+            for job in self.state.jobs.values():
+                self._introduce(job, now_s)
+        self.policy.reconfigured(now_s)
 
     def restore_running(self, request: JobRequest, placement: Placement, now_s: float) -> None:
         """Adds a gang that already holds its capacity, after a change of leader."""
-        self.placements[request.job_id] = (request, placement)
+        job = self.state.jobs.get(request.job_id)
+        if job is not None and job.holds_capacity:
+            return
+        if job is not None:
+            self.policy.cancelled(job, now_s)
+        job = self.state.add(request)
+        self.state.place(job, placement, now_s)
+        job.state = JobState.RUNNING
+        job.started_s = now_s
+        self.policy.restored(job, now_s)
 
     def explain(self, job_id: str, now_s: float) -> Explanation:
         """Says why the job waits or runs."""
-        if job_id in self.placements:
-            return Explanation(job_id, "placed", "runs or starts")
-        if job_id in self.waiting:
-            return Explanation(job_id, "waiting", "no unit has enough idle accelerators")
-        return Explanation(job_id, "unknown", "not queued and not placed")
-
-    def _units(self, scope: Scope) -> dict[tuple[str, ...], list[WorkerRecord]]:
-        units: dict[tuple[str, ...], list[WorkerRecord]] = {}
-        for worker in self.inventory.workers:
-            keys = (worker.data_centre, worker.rack, worker.worker_id)
-            depth = {Scope.DATA_CENTRE: 1, Scope.RACK: 2, Scope.WORKER: 3}[scope]
-            units.setdefault(keys[:depth], []).append(worker)
-        return units
-
-    def _largest_unit(self, scope: Scope) -> int:
-        sizes = [sum(w.accelerators for w in unit) for unit in self._units(scope).values()]
-        return max(sizes, default=0)
-
-    def _idle(self) -> dict[str, int]:
-        idle = {w.worker_id: w.accelerators for w in self.inventory.workers}
-        for _, placement in self.placements.values():
-            for share in placement.shares:
-                idle[share.worker_id] = idle.get(share.worker_id, 0) - share.accelerators
-        for worker_id in self.lost_workers:
-            idle[worker_id] = 0
-        return idle
-
-    def _first_fit(self, shape: Shape) -> Placement | None:
-        idle = self._idle()
-        for unit in self._units(shape.scope).values():
-            if sum(idle[w.worker_id] for w in unit) >= shape.accelerators:
-                return self._take(unit, idle, shape.accelerators)
-        return None
-
-    def _take(self, unit: list[WorkerRecord], idle: dict[str, int], needed: int) -> Placement:
-        shares = []
-        for worker in unit:
-            taken = min(needed, idle[worker.worker_id])
-            if taken > 0:
-                shares.append(WorkerShare(worker.worker_id, taken))
-                needed -= taken
-        return Placement(tuple(shares))
+        job = self.state.jobs.get(job_id)
+        if job is None:
+            return Explanation(job_id, "unknown", "not queued and not placed")
+        return self.policy.explain(job, now_s)
+
+    def _refuse(self, shape: Shape) -> Admission | None:
+        largest = self.state.fleet.largest_shape(shape.scope)
+        if shape.accelerators < 1:
+            return Admission(False, "a job needs at least one accelerator", largest)
+        if shape.accelerators <= largest.accelerators:
+            return None
+        scope = shape.scope.value.replace("_", " ")
+        reason = (
+            f"no {scope} has {shape.accelerators} accelerators, "
+            f"the largest has {largest.accelerators}"
+        )
+        return Admission(False, reason, largest)
+
+    def _make_policy(self) -> SchedulingPolicy:
+        policy: SchedulingPolicy = find_policy(self.rules.policy)(self.state)
+        return policy
+
+    def _introduce(self, job: Job, now_s: float) -> None:
+        if job.holds_capacity:
+            self.policy.restored(job, now_s)
+        else:
+            self.policy.submitted(job, now_s)
--- /dev/null
+++ b/src/cicadatray/scheduling/scheduling_state.py
@@ -0,0 +1,61 @@
+"""What every policy decides about: the fleet, the jobs and the rules."""
+
+from cicadatray.scheduling.fleet import Fleet
+from cicadatray.scheduling.inventory import Inventory
+from cicadatray.scheduling.job import Job, JobState
+from cicadatray.scheduling.job_request import JobRequest
+from cicadatray.scheduling.placement import Placement
+from cicadatray.scheduling.rules import Rules
+
+
+class SchedulingState:
+    """Jobs by identifier, with the jobs that wait and the jobs on each worker indexed."""
+
+    __slots__ = ("fleet", "jobs", "next_sequence", "on_worker", "rules", "waiting")
+
+    def __init__(self, inventory: Inventory, rules: Rules) -> None:
+        self.fleet = Fleet(inventory)
+        self.rules = rules
+        self.jobs: dict[str, Job] = {}
+        self.waiting: dict[str, Job] = {}
+        self.on_worker: dict[str, dict[str, Job]] = {}
+        self.next_sequence = 0
+
+    def add(self, request: JobRequest) -> Job:
+        """Adds a waiting job."""
+        self.next_sequence += 1
+        job = Job(request, self.next_sequence)
+        self.jobs[request.job_id] = job
+        self.waiting[request.job_id] = job
+        return job
+
+    def forget(self, job: Job) -> None:
+        """Removes a job that holds no capacity."""
+        self.jobs.pop(job.request.job_id, None)
+        self.waiting.pop(job.request.job_id, None)
+
+    def place(self, job: Job, placement: Placement, now_s: float) -> None:
+        """Grants a placement to a waiting job."""
+        self.waiting.pop(job.request.job_id, None)
+        job.state = JobState.STARTING
+        job.placement = placement
+        job.placed_s = now_s
+        job.started_s = None
+        job.task_failed = False
+        job.unreachable = False
+        self.fleet.occupy(placement)
+        for share in placement.shares:
+            self.on_worker.setdefault(share.worker_id, {})[job.request.job_id] = job
+
+    def vacate(self, job: Job) -> None:
+        """Takes the placement of a job back."""
+        assert job.placement is not None
+        self.fleet.vacate(job.placement)
+        for share in job.placement.shares:
+            self.on_worker[share.worker_id].pop(job.request.job_id, None)
+        job.placement = None
+
+    def requeue(self, job: Job) -> None:
+        """Makes a job wait again; its arrival order is unchanged."""
+        job.state = JobState.WAITING
+        self.waiting[job.request.job_id] = job
--- /dev/null
+++ b/src/cicadatray/scheduling/slot_search.py
@@ -0,0 +1,104 @@
+"""Assigns guaranteed blocks to units so that all of them fit together."""
+
+from cicadatray.scheduling.fleet import Fleet
+from cicadatray.scheduling.guarantee_slot import GuaranteeSlot
+from cicadatray.scheduling.headroom_index import HeadroomIndex, fits
+from cicadatray.scheduling.shape import Scope
+from cicadatray.scheduling.unit import Unit
+
+# Bounds the exhaustive search: one step is one unit looked at, about a microsecond. Small
+# inventories are searched completely within it; at design size it limits one repair to about 0.2 s.
+SEARCH_STEPS = 200_000
+
+
+class SlotSearch:
+    """Reserves units for slots; a slot with bound jobs stays where it is."""
+
+    __slots__ = ("fleet", "index", "steps_left")
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.index = HeadroomIndex(fleet)
+        self.steps_left = 0
+
+    def reserve(self, unit: Unit, accelerators: int) -> None:
+        """Commits accelerators in a unit and all around it; negative values give them back."""
+        for outer in unit.path():
+            outer.reserved += accelerators
+            self.index.update(outer)
+
+    def attach(self, slot: GuaranteeSlot, unit: Unit) -> None:
+        """Keeps the slot's block at a unit."""
+        slot.unit = unit
+        self.reserve(unit, slot.shape.accelerators)
+
+    def detach(self, slot: GuaranteeSlot) -> None:
+        """Gives the block of a slot without bound jobs back."""
+        assert slot.unit is not None and not slot.bound
+        self.reserve(slot.unit, -slot.shape.accelerators)
+        slot.unit = None
+
+    def insert(self, slot: GuaranteeSlot, others: list[GuaranteeSlot]) -> bool:
+        """Attaches a slot where it fits tightest, or rearranges the other free slots for it."""
+        for unit in self.index.ascending(slot.shape.scope, slot.shape.accelerators):
+            self.attach(slot, unit)
+            return True
+        return self._rearrange([*others, slot])
+
+    def _rearrange(self, slots: list[GuaranteeSlot]) -> bool:
+        previous = [(slot, slot.unit) for slot in slots]
+        for slot in slots:
+            if slot.unit is not None:
+                self.detach(slot)
+        self.steps_left = SEARCH_STEPS
+        ordered = sorted(slots, key=search_order)
+        if self._within_total(ordered) and self._search(ordered):
+            return True
+        for slot, unit in previous:
+            if unit is not None:
+                self.attach(slot, unit)
+        return False
+
+    def _within_total(self, slots: list[GuaranteeSlot]) -> bool:
+        needed = sum(slot.shape.accelerators for slot in slots)
+        return needed <= sum(max(0, u.headroom) for u in self.fleet.data_centres.values())
+
+    def _search(self, slots: list[GuaranteeSlot]) -> bool:
+        """Depth-first search over the units of each slot in turn, without recursion."""
+        choices = [self._choices(slots[0])]
+        while choices:
+            slot = slots[len(choices) - 1]
+            if slot.unit is not None:
+                self.detach(slot)
+            if not choices[-1] or self.steps_left <= 0:
+                choices.pop()
+                continue
+            self.attach(slot, choices[-1].pop())
+            if len(choices) == len(slots):
+                return True
+            choices.append(self._choices(slots[len(choices)]))
+        return False
+
+    def _choices(self, slot: GuaranteeSlot) -> list[Unit]:
+        """Returns units to try, the tightest last; of interchangeable units only one."""
+        seen: dict[tuple[object, ...], Unit] = {}
+        for unit in self.fleet.units(slot.shape.scope):
+            self.steps_left -= 1
+            if unit.headroom >= slot.shape.accelerators and fits(unit, slot.shape.accelerators):
+                seen.setdefault(signature(unit), unit)
+        return sorted(seen.values(), key=lambda unit: (-unit.headroom, -unit.order))
+
+
+def search_order(slot: GuaranteeSlot) -> tuple[int, str, str, int]:
+    """Large blocks first, because they have the fewest units to go to."""
+    return (-slot.shape.accelerators, slot.shape.scope.value, slot.client_account, slot.number)
+
+
+def signature(unit: Unit) -> tuple[object, ...]:
+    """Returns a value that is equal for units between which no later placement can distinguish."""
+    if unit.scope is Scope.DATA_CENTRE or unit.parent is None:
+        return (unit.key,)
+    if unit.scope is Scope.RACK:
+        workers = tuple(sorted(worker.headroom for worker in unit.children.values()))
+        return (unit.headroom, workers, unit.parent.key)
+    return (unit.headroom, *signature(unit.parent))
--- /dev/null
+++ b/src/cicadatray/scheduling/unit.py
@@ -0,0 +1,79 @@
+"""One node of the tree of data centres, racks and workers."""
+
+from cicadatray.scheduling.shape import Scope
+
+
+class Unit:
+    """A data centre, rack or worker with its totals of accelerators.
+
+    `capacity` counts accelerators in service. `idle` counts those that any job may be given now.
+    `reserved` counts what the guarantee plan has committed at this unit or below it. The fields
+    `total`, `used`, `claimed`, `in_service` and `fence` are kept for workers only.
+    """
+
+    __slots__ = (
+        "capacity",
+        "children",
+        "claimed",
+        "fence",
+        "idle",
+        "in_service",
+        "key",
+        "largest_idle",
+        "order",
+        "parent",
+        "reserved",
+        "scope",
+        "total",
+        "used",
+    )
+
+    def __init__(self, key: str, scope: Scope, parent: "Unit | None", order: int) -> None:
+        self.key = key
+        self.scope = scope
+        self.parent = parent
+        self.order = order
+        self.children: dict[str, Unit] = {}
+        self.capacity = 0
+        self.idle = 0
+        self.largest_idle = 0
+        self.reserved = 0
+        self.total = 0
+        self.used = 0
+        self.claimed = 0
+        self.in_service = True
+        self.fence: str | None = None
+
+    @property
+    def headroom(self) -> int:
+        """Accelerators that the guarantee plan has not committed."""
+        return self.capacity - self.reserved
+
+    @property
+    def physically_idle(self) -> int:
+        """Accelerators of a worker in service that no gang holds, claimed and fenced ones too."""
+        return max(0, self.total - self.used) if self.in_service else 0
+
+    def path(self) -> "list[Unit]":
+        """Returns the unit and all units around it, innermost first."""
+        units: list[Unit] = []
+        unit: Unit | None = self
+        while unit is not None:
+            units.append(unit)
+            unit = unit.parent
+        return units
+
+    def workers(self) -> "list[Unit]":
+        """Returns the workers of the unit in the order of the inventory."""
+        if self.scope is Scope.WORKER:
+            return [self]
+        if self.scope is Scope.RACK:
+            return list(self.children.values())
+        return [worker for rack in self.children.values() for worker in rack.children.values()]
+
+    def around(self, scope: Scope) -> "Unit":
+        """Returns the unit of `scope` that contains this one."""
+        for unit in self.path():
+            if unit.scope is scope:
+                return unit
+        raise ValueError(f"{self.key} is not inside a {scope.value}")
--- /dev/null
+++ b/tests/scheduling_helpers.py
@@ -0,0 +1,52 @@
+"""Shorthand for inventories, rules and jobs."""
+
+from cicadatray.scheduling.decision import PlaceJob
+from cicadatray.scheduling.inventory import Inventory, WorkerRecord
+from cicadatray.scheduling.job_request import JobRequest
+from cicadatray.scheduling.rules import Guarantee, Rules
+from cicadatray.scheduling.scheduler import Scheduler
+from cicadatray.scheduling.shape import Scope, Shape
+
+SCOPES = {"w": Scope.WORKER, "r": Scope.RACK, "d": Scope.DATA_CENTRE}
+
+
+def shape(text: str) -> Shape:
+    """Reads a shape such as "16r": 16 accelerators in one rack."""
+    return Shape(int(text[:-1]), SCOPES[text[-1]])
+
+
+def inventory(*racks: tuple[int, ...]) -> Inventory:
+    """Makes one data centre; each argument gives the accelerators of the workers of one rack."""
+    return sites(racks)
+
+
+def sites(*data_centres: tuple[tuple[int, ...], ...]) -> Inventory:
+    """Makes data centres d0, d1, ... with racks r0, r1, ... and workers such as d0r1w2."""
+    workers = [
+        WorkerRecord(f"d{d}r{r}w{w}", f"d{d}", f"r{r}", size, 8 * size, 64, "member")
+        for d, racks in enumerate(data_centres)
+        for r, sizes in enumerate(racks)
+        for w, size in enumerate(sizes)
+    ]
+    return Inventory(tuple(workers))
+
+
+def rules(*guarantees: tuple[str, str, int], policy: str = "compact", large: str = "16r") -> Rules:
+    """Makes rules from (account, shape, count)."""
+    made = tuple(Guarantee(account, shape(text), count) for account, text, count in guarantees)
+    return Rules(policy, shape(large), made)
+
+
+def job(job_id: str, text: str, account: str = "a", **fields: object) -> JobRequest:
+    """Makes a checkpointable ordinary job unless the fields say otherwise."""
+    values: dict[str, object] = {"checkpointable": True, "urgent": False, "submitted_s": 0.0}
+    values.update(fields)
+    return JobRequest(job_id, account, shape(text), 3600.0, **values)  # type: ignore[arg-type]
+
+
+def place_all(scheduler: Scheduler, now_s: float = 0.0) -> dict[str, PlaceJob]:
+    """Decides once, reports every placed gang as started and returns the placements."""
+    placed = {d.job_id: d for d in scheduler.decide(now_s) if isinstance(d, PlaceJob)}
+    for job_id in placed:
+        scheduler.gang_started(job_id, now_s)
+    return placed
