--- a/src/cicadatray/internal/control/directory_calls.py
+++ b/src/cicadatray/internal/control/directory_calls.py
@@ -20,7 +20,7 @@
     ReadDirectory,
     Withdraw,
 )
-from cicadatray.scheduling.registry import policies
+from cicadatray.scheduling.check_configuration import check_configuration
 
 if TYPE_CHECKING:
     from cicadatray.internal.control.control_daemon import ControlDaemon
@@ -86,11 +86,20 @@
 async def change_configuration(daemon: "ControlDaemon", call: ChangeConfiguration) -> MessageStruct:
     """Proposes a change of the configuration."""
     session = await daemon.leading_session()
-    policy = call.rules.policy if call.rules else None
-    if policy is not None and policies and policy not in policies:
-        known = ", ".join(sorted(policies))
-        detail = f"rules.policy: {policy!r} is not one of {known}"
-        return Failure(code=INVALID_CONFIGURATION_CODE, detail=detail)
+    faults = _faults(daemon, call)
+    if faults:
+        return Failure(code=INVALID_CONFIGURATION_CODE, detail="; ".join(faults))
     reply = await session.propose(call)
     daemon.notify()
     return reply
+
+
+def _faults(daemon: "ControlDaemon", call: ChangeConfiguration) -> list[str]:
+    """Checks the documents as they would be in effect together."""
+    configuration = daemon.state.configuration
+    inventory = call.inventory or configuration.inventory
+    rules = call.rules or configuration.rules
+    if call.accounts is not None or not inventory.workers:
+        return []
+    faults = check_configuration(inventory, rules)
+    return [f"{fault.path}: {fault.value!r}, expected {fault.expected}" for fault in faults]
--- a/src/cicadatray/internal/control/gang_driver.py
+++ b/src/cicadatray/internal/control/gang_driver.py
@@ -40,7 +40,16 @@
 class GangDriver:
     """Runs as one task for each gang, on the leader only."""
 
-    __slots__ = ("changed", "entry", "epoch", "incarnations", "outcome", "reason", "session")
+    __slots__ = (
+        "changed",
+        "entry",
+        "epoch",
+        "incarnations",
+        "outcome",
+        "reason",
+        "session",
+        "task_failed",
+    )
 
     def __init__(self, session: LeaderSession, entry: JobEntry) -> None:
         self.session = session
@@ -50,6 +59,7 @@
         self.incarnations: dict[str, str] = {}
         self.outcome: GangOutcome | None = entry.gang.outcome if entry.gang else None
         self.reason = entry.reason
+        self.task_failed = False
 
     def request_stop(self, outcome: GangOutcome, reason: str) -> None:
         """Asks for the gang to be stopped; the first request stays."""
@@ -152,6 +162,7 @@
 
     def _report_failures(self, states: list[str]) -> None:
         now_s = self.session.scheduling_time_s()
+        self.task_failed = True
         for share, state in zip(self._shares(), states, strict=True):
             if state == "failed":
                 self.session.scheduler.task_failed(self._job_id(), share.worker_id, now_s)
@@ -175,6 +186,9 @@
     def _tell_scheduler(self, reply: MessageStruct, outcome: GangOutcome) -> None:
         if isinstance(reply, JobView) and reply.state is JobState.CANCELLED:
             outcome = GangOutcome.CANCELLED
+        elif self.task_failed:
+            # The scheduler counts the failure and decides whether the job is tried again.
+            outcome = GangOutcome.FAILED
         now_s = self.session.scheduling_time_s()
         self.session.scheduler.gang_released(self._job_id(), now_s, outcome)
         self.session.wake.set()
