Log, dump and change members through the daemons

Cause: processes logged without role and name, and their state could not be looked into. Change: structured logging, state dumps by call and by signal in every role, and routes for dumps and for changes of the control group.

--- a/src/cicadatray/internal/agent/agent_daemon.py
+++ b/src/cicadatray/internal/agent/agent_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from pathlib import Path
 
 import msgspec
 import structlog
@@ -11,10 +12,12 @@
 from cicadatray.internal.agent.errors import WorkerFailedError
 from cicadatray.internal.agent.task_table import TaskTable
 from cicadatray.internal.agent.worker_client import WorkerClient
+from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.agent_settings import AgentSettings
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.attempt_messages import CancelAttempt, RunAttempt
+from cicadatray.internal.wire.messages.diagnostic_messages import ReadDump, TextReply
 from cicadatray.internal.wire.messages.directory_messages import AgentRecord
 from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.internal.wire.messages.task_messages import (
@@ -38,11 +41,21 @@
 class AgentDaemon:
     """Serves entries and the control leader until it is stopped."""
 
-    __slots__ = ("announcer", "attempts", "control", "incarnation", "server", "settings", "tasks")
+    __slots__ = (
+        "announcer",
+        "attempts",
+        "control",
+        "dump",
+        "incarnation",
+        "server",
+        "settings",
+        "tasks",
+    )
 
     def __init__(self, settings: AgentSettings, secret: bytes) -> None:
         codec = message_codec()
         self.settings = settings
+        self.dump = StateDump(Path(settings.dump_folder), settings.name)
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.control = ControlClient(settings.control, codec, secret)
         self.attempts: AttemptRunner | None = None
@@ -78,6 +91,8 @@
             return self.attempts.cancel(call)
         if self.tasks is not None and isinstance(call, TASK_ORDERS):
             return await self.tasks.handle(call)
+        if isinstance(call, ReadDump):
+            return TextReply(text=self.dump.render().decode())
         return Failure(code=UNKNOWN_CALL_CODE, detail=type(call).__name__)
 
     def abandon(self) -> None:
--- a/src/cicadatray/internal/control/calls.py
+++ b/src/cicadatray/internal/control/calls.py
@@ -1,5 +1,11 @@
 """Imports every module that registers a call handler."""
 
-from cicadatray.internal.control import directory_calls, job_calls, key_calls, replica_calls
+from cicadatray.internal.control import (
+    diagnostic_calls,
+    directory_calls,
+    job_calls,
+    key_calls,
+    replica_calls,
+)
 
-CALL_MODULES = (directory_calls, job_calls, key_calls, replica_calls)
+CALL_MODULES = (diagnostic_calls, directory_calls, job_calls, key_calls, replica_calls)
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -1,17 +1,21 @@
 """A control instance as a process."""
 
 import asyncio
+from pathlib import Path
 
 import structlog
 
 from cicadatray.internal.control import calls, commands
 from cicadatray.internal.control.agent_links import AgentLinks
+from cicadatray.internal.control.control_description import ControlDescription, describe_control
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.errors import ControlError, LeadershipLostError
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
 from cicadatray.internal.wire.messages.configuration_messages import (
@@ -53,8 +57,10 @@
 
     __slots__ = (
         "codec",
+        "dump",
         "links",
         "loop",
+        "metrics",
         "replica",
         "replica_link",
         "server",
@@ -69,6 +75,9 @@
         self.state = ControlState()
         self.replica_link = ReplicaLink(settings.name, self.codec, secret)
         self.replica = Replica(replica_settings(settings), self.state, self.replica_link)
+        self.dump = StateDump(Path(settings.dump_folder), settings.name)
+        self.dump.register("control", self.describe)
+        self.metrics = MetricsRegistry()
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
         self.loop: SchedulingLoop | None = None
@@ -116,6 +125,10 @@
             raise NotLeaderError(None)
         return self.session
 
+    def describe(self) -> ControlDescription:
+        """Returns what a state dump shows."""
+        return describe_control(self.state, self.replica.describe(), self.session)
+
     def notify(self) -> None:
         """Wakes the scheduling loop."""
         if self.loop is not None:
--- /dev/null
+++ b/src/cicadatray/internal/control/control_description.py
@@ -0,0 +1,102 @@
+"""What a control instance shows in state dumps."""
+
+import asyncio
+from collections import Counter
+
+import msgspec
+
+from cicadatray.internal.control.control_state import ControlState
+from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.replication.description import ReplicaDescription
+
+LISTED_LIMIT = 200
+
+
+class AgentLine(msgspec.Struct, frozen=True):
+    """One agent as the leader knows it."""
+
+    agent_id: str
+    incarnation: str
+    address: str
+    silent_s: float
+    tasks: int
+    draining: bool
+
+
+class GangLine(msgspec.Struct, frozen=True):
+    """One job that holds capacity."""
+
+    job_id: str
+    client_account: str
+    state: str
+    epoch: int
+    reason: str
+
+
+class LeaderLines(msgspec.Struct, frozen=True):
+    """Soft state that only the leader has."""
+
+    term: int
+    leading_s: float
+    directory_version: int
+    agents: tuple[AgentLine, ...]
+
+
+class ControlDescription(msgspec.Struct, frozen=True):
+    """Counts of the replicated state, and lists of bounded length."""
+
+    replica: ReplicaDescription
+    configuration_version: int
+    configuration_operator: str
+    jobs_by_state: dict[str, int]
+    keys_by_state: dict[str, int]
+    gangs: tuple[GangLine, ...]
+    leader: LeaderLines | None
+
+
+def describe_control(
+    state: ControlState, replica: ReplicaDescription, session: LeaderSession | None
+) -> ControlDescription:
+    """Returns the description of one control instance."""
+    return ControlDescription(
+        replica=replica,
+        configuration_version=state.configuration.version,
+        configuration_operator=state.configuration.operator,
+        jobs_by_state=dict(Counter(entry.state.value for entry in state.jobs.values())),
+        keys_by_state=dict(Counter(record.state.value for record in state.keys.values())),
+        gangs=_gang_lines(state),
+        leader=_leader_lines(session) if session is not None else None,
+    )
+
+
+def _gang_lines(state: ControlState) -> tuple[GangLine, ...]:
+    holding = [entry for entry in state.jobs.values() if entry.gang is not None]
+    return tuple(
+        GangLine(
+            entry.request.job_id,
+            entry.request.client_account,
+            entry.state.value,
+            entry.epoch,
+            entry.reason,
+        )
+        for entry in holding[:LISTED_LIMIT]
+    )
+
+
+def _leader_lines(session: LeaderSession) -> LeaderLines:
+    now_s = asyncio.get_running_loop().time()
+    known = list(session.directory.sessions.values())[:LISTED_LIMIT]
+    agents = tuple(
+        AgentLine(
+            agent.record.agent_id,
+            agent.record.incarnation,
+            f"{agent.record.host}:{agent.record.port}",
+            round(now_s - agent.last_heard_s, 3),
+            len(agent.reports),
+            agent.record.draining,
+        )
+        for agent in known
+    )
+    return LeaderLines(
+        session.term, round(now_s - session.started_s, 3), session.directory.version, agents
+    )
--- a/src/cicadatray/internal/daemon/main.py
+++ b/src/cicadatray/internal/daemon/main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import logging
 import signal
 import sys
 from pathlib import Path
@@ -9,6 +10,8 @@
 
 import structlog
 
+from cicadatray.internal.observability.logging import configure_logging
+from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.agent_settings import AgentSettings
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.settings.errors import SettingsError
@@ -22,6 +25,8 @@
 class RoleDaemon(Protocol):
     """What every role offers to the daemon."""
 
+    dump: StateDump
+
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then drains."""
 
@@ -56,6 +61,7 @@
         stop.set()
 
     loop = asyncio.get_running_loop()
+    daemon.dump.install_signal(loop)
     for stop_signal in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(stop_signal, on_stop_signal)
     await daemon.run(stop)
@@ -68,6 +74,9 @@
     arguments = parser.parse_args()
     try:
         settings = load_settings(arguments.settings)
+        role = type(settings).__struct_config__.tag
+        configure_logging(settings.logging, str(role), settings.name)
+        logging.getLogger("transitions").setLevel(logging.WARNING)
         asyncio.run(serve(settings))
     except SettingsError as error:
         print(error, file=sys.stderr)
--- a/src/cicadatray/internal/entry/entry_daemon.py
+++ b/src/cicadatray/internal/entry/entry_daemon.py
@@ -1,6 +1,7 @@
 """An entry as a process."""
 
 import asyncio
+from pathlib import Path
 
 import structlog
 
@@ -8,6 +9,7 @@
 from cicadatray.internal.entry.entry_context import EntryContext
 from cicadatray.internal.entry.http_application import build_application
 from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.entry_settings import EntrySettings
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.messages.registry import message_codec
@@ -18,15 +20,17 @@
 class EntryDaemon:
     """Serves callers until it is stopped."""
 
-    __slots__ = ("context", "control", "directory", "http", "settings")
+    __slots__ = ("context", "control", "directory", "dump", "http", "settings")
 
     def __init__(self, settings: EntrySettings, secret: bytes) -> None:
         codec = message_codec()
         self.settings = settings
+        self.dump = StateDump(Path(settings.dump_folder), settings.name)
         self.control = ControlClient(settings.control, codec, secret)
         self.directory = DirectoryCache(self.control, codec, secret)
         self.context = EntryContext(settings, self.directory, self.control)
         application = build_application(self.context)
+        application.state.dump = self.dump
         self.http = HttpServer(application, settings.http.host, settings.http.port)
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/src/cicadatray/internal/entry/http_application.py
+++ b/src/cicadatray/internal/entry/http_application.py
@@ -3,7 +3,7 @@
 from starlette.applications import Starlette
 from starlette.routing import Route
 
-from cicadatray.internal.entry import http_jobs, http_operators, http_requests
+from cicadatray.internal.entry import http_diagnostics, http_jobs, http_operators, http_requests
 from cicadatray.internal.entry.entry_context import EntryContext
 from cicadatray.internal.entry.errors import EntryError
 from cicadatray.internal.entry.http_answer import handle_entry_error
@@ -21,6 +21,8 @@
         Route("/v1/configuration", http_operators.show_configuration, methods=["GET"]),
         Route("/v1/configuration/history", http_operators.show_history, methods=["GET"]),
         Route("/v1/configuration/{kind}", http_operators.change_configuration, methods=["PUT"]),
+        Route("/v1/processes/{name}/dump", http_diagnostics.show_dump, methods=["GET"]),
+        Route("/v1/members", http_diagnostics.change_member, methods=["POST"]),
         Route("/v1/directory", http_operators.show_directory, methods=["GET"]),
     ]
     application = Starlette(routes=routes, exception_handlers={EntryError: handle_entry_error})
--- /dev/null
+++ b/src/cicadatray/internal/entry/http_diagnostics.py
@@ -0,0 +1,78 @@
+"""HTTP routes of operators about processes and about the control group."""
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+
+from cicadatray.internal.entry.authentication import authenticate_operator
+from cicadatray.internal.entry.entry_context import EntryContext
+from cicadatray.internal.entry.errors import EntryError
+from cicadatray.internal.entry.http_answer import JSON_TYPE, json_answer
+from cicadatray.internal.entry.http_body import read_document
+from cicadatray.internal.observability.state_dump import StateDump
+from cicadatray.internal.wire.errors import WireError
+from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.messages.diagnostic_messages import (
+    ChangeMember,
+    MemberAction,
+    ReadDump,
+    TextReply,
+)
+
+DUMP_TIMEOUT_S = 3.0
+# Promotion waits until the learner has caught up.
+MEMBER_TIMEOUT_S = 20.0
+PROCESS_RETRY_AFTER_S = 2.0
+
+
+class MemberChange(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of a change of the control group."""
+
+    action: MemberAction
+    name: str
+    host: str = ""
+    port: int = 0
+
+
+class ChangeDone(msgspec.Struct, frozen=True):
+    """The answer to a change that is in effect."""
+
+    name: str
+    action: MemberAction
+
+
+async def show_dump(request: Request) -> Response:
+    """Shows the state dump of this entry, a control instance or an agent."""
+    context: EntryContext = request.app.state.context
+    authenticate_operator(request, context.directory)
+    name = request.path_params["name"]
+    if name == context.settings.name:
+        dump: StateDump = request.app.state.dump
+        return Response(dump.render(), media_type=JSON_TYPE)
+    try:
+        reply = await _read_dump(context, name)
+    except WireError as error:
+        detail = f"{name} does not answer: {error}"
+        raise EntryError(503, "process_unreachable", detail, PROCESS_RETRY_AFTER_S) from error
+    if not isinstance(reply, TextReply):
+        raise EntryError(503, "process_unreachable", f"{name} answered {type(reply).__name__}")
+    return Response(reply.text, media_type=JSON_TYPE)
+
+
+async def change_member(request: Request) -> Response:
+    """Adds, promotes or removes one control instance."""
+    context: EntryContext = request.app.state.context
+    authenticate_operator(request, context.directory)
+    change = await read_document(request, MemberChange)
+    call = ChangeMember(action=change.action, name=change.name, host=change.host, port=change.port)
+    await context.ask_control(call, MEMBER_TIMEOUT_S)
+    return json_answer(ChangeDone(change.name, change.action))
+
+
+async def _read_dump(context: EntryContext, name: str) -> MessageStruct:
+    if name in context.control.clients:
+        return await context.control.call_member(name, ReadDump(), DUMP_TIMEOUT_S)
+    peer = context.directory.peers.get(name)
+    if peer is None:
+        raise EntryError(404, "process_unknown", f"no process named {name!r} is known here")
+    return await peer.client.call(ReadDump(), DUMP_TIMEOUT_S)
