Change the control group with the tool, and report changes in doubt as unknown

Cause: the entry offers changes of the control group, which the tool lacked. An answer such as `in_doubt` or `control_unavailable` to a change ended with exit code 4 (not run), although control may have carried the change out. Enumerations appeared in dumps by their Python names.

Change: commands member add, promote and remove; a 5xx answer to a change counts as not run only when the entry says so by outcome or code; dumps show the values of enumerations.

--- a/src/cicadatray/internal/cli/application.py
+++ b/src/cicadatray/internal/cli/application.py
@@ -28,9 +28,13 @@
 configuration_commands = App(
     name="configuration", help="Inventory, rules and accounts (operators).", help_epilogue=""
 )
+member_commands = App(
+    name="member", help="The control group's members (operators).", help_epilogue=""
+)
 application.command(request_commands)
 application.command(job_commands)
 application.command(configuration_commands)
+application.command(member_commands)
 
 
 def examples(*lines: str) -> str:
--- a/src/cicadatray/internal/cli/error_mapping.py
+++ b/src/cicadatray/internal/cli/error_mapping.py
@@ -5,6 +5,10 @@
 from cicadatray.internal.cli.exit_code import ExitCode
 
 UNKNOWN_OUTCOME = "outcome_unknown"
+NOT_RUN_OUTCOME = "not_run"
+# The entry refuses with these before it acts. Others, such as `control_unavailable` and `in_doubt`,
+# leave open whether control has carried a change out.
+NOTHING_DONE_CODES = ("entry_draining", "configuration_unconfirmed", "overloaded", "no_endpoint")
 EXIT_CODES = {
     401: ExitCode.UNAUTHORIZED,
     403: ExitCode.UNAUTHORIZED,
@@ -24,12 +28,19 @@
     if response.error().code in CONFLICT_CODES:
         return ExitCode.CONFLICT
     default = ExitCode.NOT_RUN if response.status_code >= 500 else ExitCode.REFUSED
+    if response.status_code >= 500 and changes and not _says_nothing_done(response):
+        default = ExitCode.OUTCOME_UNKNOWN
     exit_code = EXIT_CODES.get(response.status_code, default)
     if response.answer_lost_before and changes and exit_code in INCONCLUSIVE:
         return ExitCode.OUTCOME_UNKNOWN
     return exit_code
 
 
+def _says_nothing_done(response: EntryResponse) -> bool:
+    outcome = response.headers.get(OUTCOME_HEADER)
+    return outcome == NOT_RUN_OUTCOME or response.error().code in NOTHING_DONE_CODES
+
+
 def raise_for_error(response: EntryResponse, changes: bool) -> None:
     """Does nothing for an answer that is no error.
 
--- a/src/cicadatray/internal/cli/main.py
+++ b/src/cicadatray/internal/cli/main.py
@@ -12,6 +12,7 @@
     configuration_commands,
     job_commands,
     local_commands,
+    member_commands,
     operator_commands,
     request_commands,
 )
@@ -25,6 +26,7 @@
     configuration_commands,
     change_commands,
     operator_commands,
+    member_commands,
     local_commands,
 )
 JSON_OPTION = "--json"
--- a/src/cicadatray/internal/observability/redaction.py
+++ b/src/cicadatray/internal/observability/redaction.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Mapping, MutableMapping
+from enum import Enum
 from typing import Any
 
 import msgspec
@@ -43,6 +44,8 @@
         return redact_text(value)
     if isinstance(value, bytes | bytearray | memoryview):
         return redact_text(bytes(value).decode("utf-8", "backslashreplace"))
+    if isinstance(value, Enum):
+        return redact(value.value, depth + 1)
     if isinstance(value, msgspec.Struct):
         value = msgspec.structs.asdict(value)
     if isinstance(value, Mapping):
--- a/tests/cover/cli/test_commands.py
+++ b/tests/cover/cli/test_commands.py
@@ -40,6 +40,7 @@
         *[f"job {name}" for name in ("submit", "show", "wait", "list", "cancel", "explain")],
         *[f"configuration {name}" for name in ("show", "diff", "history")],
         *[f"configuration {name}" for name in ("import-inventory", "set-rules", "set-accounts")],
+        *[f"member {name}" for name in ("add", "promote", "remove")],
         *("directory", "dump", "metrics", "check", "completion"),
     ]
     for command in commands:
@@ -60,6 +61,7 @@
         ("request send s --deadline-ms 0", ExitCode.USAGE),
         ("request send s --idempotency-key \x01", ExitCode.USAGE),
         ("configuration set-rules f --operation-id o --replaces-version x", ExitCode.USAGE),
+        ("member add c4 10.0.0.4 0", ExitCode.USAGE),
         ("check /nonexistent", ExitCode.FAULTY_DOCUMENT),
         ("job show absent", ExitCode.NOT_FOUND),
         ("completion bash", ExitCode.OK),
@@ -208,6 +210,24 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("command", "body"),
+    [
+        (
+            "add c4 10.0.0.4 7400",
+            {"action": "add", "name": "c4", "host": "10.0.0.4", "port": 7400},
+        ),
+        ("promote c4", {"action": "promote", "name": "c4"}),
+        ("remove c1", {"action": "remove", "name": "c1"}),
+    ],
+)
+def test_member_changes(entry: ScriptedEntry, command: str, body: dict[str, Any]) -> None:
+    """Guards against a change of the control group other than the one asked for."""
+    entry.answer("POST", "/v1/members", {"name": body["name"], "action": body["action"]})
+    assert run(f"member {command}".split()) is ExitCode.OK
+    assert [received.document() for received in entry.received] == [body]
+
+
 def test_cancel(entry: ScriptedEntry) -> None:
     """Guards against a cancellation that only reads the job."""
     entry.answer("DELETE", "/v1/jobs/job-1", {**JOB, "state": "cancelled"})
--- a/tests/cover/cli/test_entry_client.py
+++ b/tests/cover/cli/test_entry_client.py
@@ -132,6 +132,10 @@
         (503, {"cicadatray-outcome": "not_run"}, b"{}", False, ExitCode.NOT_RUN),
         (502, {"cicadatray-outcome": "outcome_unknown"}, b"{}", False, ExitCode.OUTCOME_UNKNOWN),
         (503, {"cicadatray-outcome": "not_run"}, b"{}", True, ExitCode.OUTCOME_UNKNOWN),
+        (503, {}, b'{"code": "entry_draining"}', False, ExitCode.NOT_RUN),
+        (503, {}, b'{"code": "in_doubt"}', False, ExitCode.OUTCOME_UNKNOWN),
+        (503, {}, b'{"code": "control_unavailable"}', False, ExitCode.OUTCOME_UNKNOWN),
+        (500, {}, b"Internal Server Error", False, ExitCode.OUTCOME_UNKNOWN),
         (401, {}, b"{}", True, ExitCode.OUTCOME_UNKNOWN),
         (409, {}, b'{"code": "version_conflict"}', True, ExitCode.CONFLICT),
         (422, {}, b'{"code": "job_impossible"}', True, ExitCode.REFUSED),
@@ -140,6 +144,12 @@
 def test_exit_code_of_an_error(
     status_code: int, headers: dict[str, str], body: bytes, lost: bool, exit_code: ExitCode
 ) -> None:
-    """Guards against a refusal of a resend that hides what an earlier attempt may have done."""
+    """Guards against "not run" for something that may have run, here or in an earlier attempt."""
     response = EntryResponse(status_code, headers, body, answer_lost_before=lost)
     assert find_exit_code(response, changes=True) is exit_code
+
+
+def test_failed_read_is_not_an_unknown_outcome() -> None:
+    """Guards against a script that treats a failed read as a change in doubt."""
+    response = EntryResponse(503, {}, b'{"code": "in_doubt"}', answer_lost_before=True)
+    assert find_exit_code(response, changes=False) is ExitCode.NOT_RUN
--- a/tests/cover/observability/test_logging.py
+++ b/tests/cover/observability/test_logging.py
@@ -19,6 +19,7 @@
     traced,
 )
 from cicadatray.internal.settings.common import LoggingSettings
+from cicadatray.scheduling.shape import Scope
 
 SECRET = "hunter2hunter2"
 
@@ -138,6 +139,11 @@
     assert redact(text) == text
 
 
+def test_enumerations_are_shown_by_value() -> None:
+    """Guards against dumps that show Python names in the place of documented values."""
+    assert redact({"scope": Scope.DATA_CENTRE}) == {"scope": "data_centre"}
+
+
 def test_self_reference_ends() -> None:
     """Guards against a logging call that never returns."""
     loop: list[Any] = []
