--- /dev/null
+++ b/tests/cover/guides/test_pages.py
@@ -0,0 +1,37 @@
+"""Tests that the pages name what the code has."""
+
+from pathlib import Path
+
+import pytest
+
+from cicadatray.internal.cli.exit_code import ExitCode
+from cicadatray.internal.observability import standard_metrics
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+
+DOCS = Path(__file__).parents[3] / "docs"
+METRIC_MAKERS = [
+    standard_metrics.request_seconds,
+    standard_metrics.queue_seconds,
+    standard_metrics.reclaim_seconds,
+    standard_metrics.fragmentation_ratio,
+    standard_metrics.retries_total,
+    standard_metrics.ejections_total,
+    standard_metrics.refusals_total,
+]
+
+
+@pytest.mark.parametrize("maker", METRIC_MAKERS, ids=lambda maker: maker.__name__)
+def test_metric_is_documented_with_its_labels(maker: object) -> None:
+    """Guards against a metric that operators cannot look up."""
+    assert callable(maker)
+    metric = maker(MetricsRegistry())
+    labels = ", ".join(f"`{label}`" for label in metric.sets.label_names)
+    page = (DOCS / "operations.md").read_text(encoding="utf-8")
+    assert f"| `{metric.name}` | {metric.kind} | {labels}".rstrip() in page
+
+
+def test_exit_codes_are_documented() -> None:
+    """Guards against a script that cannot know what an exit code means."""
+    page = (DOCS / "callers.md").read_text(encoding="utf-8")
+    missing = [code.name for code in ExitCode if f"| {code.value} | `{code.name}` |" not in page]
+    assert missing == []
