Add fault cases with real processes

Cause: nothing showed what holds when processes die, freeze or are cut off. Control instances open connections from the address in their settings, so that the forwarder can cut one of them off.

--- a/src/cicadatray/internal/bench/deployment/caller.py
+++ b/src/cicadatray/internal/bench/deployment/caller.py
@@ -13,6 +13,7 @@
 OUTCOME_HEADER = "cicadatray-outcome"
 CODE_HEADER = "cicadatray-code"
 LOST = "lost"
+NOT_SENT_ERRORS = frozenset({"ConnectionRefusedError", "ConnectTimeout"})
 
 
 class CallerAnswer(msgspec.Struct, frozen=True):
@@ -26,13 +27,17 @@
 
 
 class Caller:
-    """Sends with one credential to entries chosen at random."""
+    """Sends with one credential to entries chosen at random.
 
-    __slots__ = ("client", "credential", "random", "urls")
+    `broken_sends` counts sends whose connection was lost after it had been opened.
+    """
+
+    __slots__ = ("client", "broken_sends", "credential", "random", "urls")
 
     def __init__(self, urls: list[str], credential: str, seed: int = 0) -> None:
         self.urls = urls
         self.credential = credential
+        self.broken_sends = 0
         self.random = random.Random(seed)
         timeouts = Timeouts(sock_connect=CONNECT_TIMEOUT_S, sock_read=60.0, request_timeout=60.0)
         self.client = aiosonic.HTTPClient(aiosonic.TCPConnector(timeouts=timeouts))
@@ -53,7 +58,9 @@
             content: bytes = await response.content()
         except Exception as error:
             # The library raises many unrelated types when a connection is lost.
-            return CallerAnswer(0, LOST, type(error).__name__, b"")
+            name = type(error).__name__
+            self.broken_sends += name not in NOT_SENT_ERRORS
+            return CallerAnswer(0, LOST, name, b"")
         retry_after = response.headers.get("retry-after") or "0"
         return CallerAnswer(
             status_code=response.status_code,
--- a/src/cicadatray/internal/bench/deployment/deployment_plan.py
+++ b/src/cicadatray/internal/bench/deployment/deployment_plan.py
@@ -4,7 +4,10 @@
 
 
 class DeploymentPlan(msgspec.Struct, frozen=True):
-    """The defaults are the smallest deployment that shows every role."""
+    """The defaults are the smallest deployment that shows every role.
+
+    With `forward_control` connections to control instances pass forwarders that can cut them.
+    """
 
     controls: int = 3
     entries: int = 2
@@ -14,3 +17,4 @@
     accelerators: int = 8
     racks: int = 2
     service: str = "bookings"
+    forward_control: bool = False
--- a/src/cicadatray/internal/bench/deployment/local_deployment.py
+++ b/src/cicadatray/internal/bench/deployment/local_deployment.py
@@ -23,6 +23,8 @@
 ENDPOINT_MODULE = "cicadatray.internal.standins.endpoint"
 WORKER_MODULE = "cicadatray.internal.standins.worker"
 SECRET_BYTES = 32
+# Each control instance has a loopback address of its own, by which a forwarder knows it.
+FIRST_CONTROL_HOST = 10
 DATA_CENTRES = ("centre-a", "centre-b", "centre-c")
 
 
@@ -34,6 +36,7 @@
         "folder",
         "handles",
         "http_ports",
+        "listen_addresses",
         "operator_credential",
         "plan",
     )
@@ -43,11 +46,17 @@
         self.plan = plan
         self.handles: dict[str, ProcessHandle] = {}
         self.operator_credential = secrets.token_hex(SECRET_BYTES)
-        ports = free_ports(plan.controls + plan.entries)
+        ports = free_ports(2 * plan.controls + plan.entries)
+        self.listen_addresses = [
+            Address(f"127.0.1.{FIRST_CONTROL_HOST + i}", ports[i]) for i in range(plan.controls)
+        ]
+        self.http_ports = ports[2 * plan.controls :]
+        known = [Address(HOST, port) for port in ports[plan.controls : 2 * plan.controls]]
+        known = known if plan.forward_control else self.listen_addresses
         self.control_members = tuple(
-            ControlMember(f"control-{i}", HOST, ports[i]) for i in range(plan.controls)
+            ControlMember(f"control-{i}", address.host, address.port)
+            for i, address in enumerate(known)
         )
-        self.http_ports = ports[plan.controls :]
         self._prepare_folder()
         self._add_controls()
         self._add_entries()
@@ -90,7 +99,7 @@
             settings = ControlSettings(
                 name=member.name,
                 data_centre=DATA_CENTRES[position % len(DATA_CENTRES)],
-                listen=Address(member.host, member.port),
+                listen=self.listen_addresses[position],
                 secret_file=str(self.folder / "secret"),
                 control=self.control_members,
                 logging=LoggingSettings(),
--- a/src/cicadatray/internal/bench/deployment/operator.py
+++ b/src/cicadatray/internal/bench/deployment/operator.py
@@ -5,15 +5,17 @@
 
 import msgspec
 
-from cicadatray.internal.bench.deployment.caller import Caller
+from cicadatray.internal.bench.deployment.caller import Caller, CallerAnswer
 from cicadatray.internal.bench.deployment.local_deployment import DATA_CENTRES, LocalDeployment
 from cicadatray.internal.entry.http_operators import VersionDocument
+from cicadatray.internal.settings.common import ControlMember
 from cicadatray.internal.wire.messages.configuration_messages import AccountRecord, Accounts
 from cicadatray.scheduling.inventory import Inventory, WorkerRecord
 from cicadatray.scheduling.rules import Rules
 
 READY_LIMIT_S = 30.0
 READY_POLL_S = 0.2
+MEMBER_LIMIT_S = 30.0
 
 
 class ConfigurationView(msgspec.Struct):
@@ -29,6 +31,31 @@
     agents: list[msgspec.Raw]
 
 
+class RulesView(msgspec.Struct):
+    """The version in effect and its rules."""
+
+    version: int
+    rules: Rules
+
+
+class ReplicaView(msgspec.Struct):
+    """The part of a dump that names the leader."""
+
+    leader_id: str | None
+
+
+class ControlView(msgspec.Struct):
+    """The control section of a dump."""
+
+    replica: ReplicaView
+
+
+class DumpView(msgspec.Struct):
+    """A dump of a control instance."""
+
+    control: ControlView
+
+
 class SetupError(Exception):
     """The deployment did not become ready."""
 
@@ -121,6 +148,65 @@
         """Sets the rules."""
         return await self.replace("rules", rules)
 
+    async def leader_name(self) -> str:
+        """Returns the control instance that leads.
+
+        Raises:
+            SetupError: none is known.
+        """
+        for member in self.deployment.control_members:
+            answer = await self.caller.send_once("GET", f"/v1/processes/{member.name}/dump")
+            if answer.status_code != 200:
+                continue
+            dump = msgspec.json.decode(answer.body, type=DumpView)
+            if dump.control.replica.leader_id:
+                return dump.control.replica.leader_id
+        raise SetupError("no control instance knows a leader")
+
+    async def change_member(self, action: str, member: ControlMember) -> None:
+        """Changes the control group, again and again until it is accepted.
+
+        Raises:
+            SetupError: it was not accepted in time.
+        """
+        body = {"action": action, "name": member.name, "host": member.host, "port": member.port}
+        deadline_s = asyncio.get_running_loop().time() + MEMBER_LIMIT_S
+        while asyncio.get_running_loop().time() < deadline_s:
+            answer = await self.caller.send_once("POST", "/v1/members", msgspec.json.encode(body))
+            if answer.status_code == 200:
+                return
+            await asyncio.sleep(READY_POLL_S)
+        raise SetupError(f"{action} {member.name} refused: {answer}")
+
+    async def touch_rules(self) -> int:
+        """Replaces the rules by the same ones, which makes a new version."""
+        answer = await self.caller.send("GET", "/v1/configuration")
+        rules = msgspec.json.decode(answer.body, type=RulesView).rules
+        return await self.replace("rules", rules)
+
+    async def race_once(self) -> bool:
+        """Replaces one version twice at once and resends; tells whether exactly one change won."""
+        answer = await self.caller.send("GET", "/v1/configuration")
+        view = msgspec.json.decode(answer.body, type=RulesView)
+        urls = self.deployment.entry_urls()
+        sends = [self._race_send(view, side, urls[side % len(urls)]) for side in (0, 1)]
+        first = await asyncio.gather(*sends)
+        again = await asyncio.gather(
+            *(self._race_send(view, side, urls[(side + 1) % len(urls)]) for side in (0, 1))
+        )
+        statuses = sorted(answer.status_code for answer in first)
+        same = all(a.status_code == b.status_code for a, b in zip(first, again, strict=True))
+        return statuses == [200, 409] and same and await self.version() == view.version + 1
+
+    async def _race_send(self, view: RulesView, side: int, url: str) -> CallerAnswer:
+        body = {
+            "document": view.rules,
+            "replaces_version": view.version,
+            "operation_id": f"race-{view.version}-{side}",
+        }
+        path = "/v1/configuration/rules"
+        return await self.caller.send_once("PUT", path, msgspec.json.encode(body), url=url)
+
     async def _view(self, url: str) -> DirectoryView | None:
         answer = await self.caller.send_once("GET", "/v1/directory", url=url)
         if answer.status_code != 200:
--- /dev/null
+++ b/src/cicadatray/internal/bench/fault_runs/__init__.py
@@ -0,0 +1,1 @@
+"""Faults of real processes, and what must hold through them."""
--- a/src/cicadatray/internal/bench/request_load.py
+++ b/src/cicadatray/internal/bench/request_load.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.standins.endpoint import EndpointWork
 
 DEADLINE_MS = 10_000
+PROBE_WORK_S = 0.02
 NON_IDEMPOTENT_PERIOD = 2
 LARGE_ANSWER_PERIOD = 7
 LARGE_ANSWER_BYTES = 20_000
@@ -39,6 +40,12 @@
         """Sends `count` requests, every second one non-idempotent."""
         await asyncio.gather(*(self._send(number, work_s) for number in range(count)))
 
+    async def send_probe(self, number: int) -> bool:
+        """Sends one non-idempotent request and tells whether it completed."""
+        position = number * NON_IDEMPOTENT_PERIOD
+        await self._send(position, PROBE_WORK_S)
+        return self.sent[-1].answer.outcome == "completed"
+
     async def _send(self, number: int, work_s: float) -> None:
         subject = f"{self.prefix}-{number}"
         non_idempotent = number % NON_IDEMPOTENT_PERIOD == 0
--- a/src/cicadatray/internal/daemon/main.py
+++ b/src/cicadatray/internal/daemon/main.py
@@ -16,6 +16,7 @@
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.settings.errors import SettingsError
 from cicadatray.internal.settings.load import DaemonSettings, load_settings, read_secret
+from cicadatray.internal.wire.source_address import SOURCE_ADDRESS
 
 SETTINGS_EXIT_CODE = 2
 
@@ -77,6 +78,7 @@
         role = type(settings).__struct_config__.tag
         configure_logging(settings.logging, str(role), settings.name)
         logging.getLogger("transitions").setLevel(logging.WARNING)
+        SOURCE_ADDRESS.bind(settings.listen.host)
         asyncio.run(serve(settings))
     except SettingsError as error:
         print(error, file=sys.stderr)
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -13,6 +13,7 @@
 from cicadatray.internal.wire.frame import pack_frame, read_frame
 from cicadatray.internal.wire.handshake import authenticate
 from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.source_address import SOURCE_ADDRESS
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -104,7 +105,10 @@
 
     async def _connect(self, timeout_s: float) -> asyncio.StreamWriter:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(self.host, self.port)
+            local_address = SOURCE_ADDRESS.local_address()
+            reader, writer = await asyncio.open_connection(
+                self.host, self.port, local_addr=local_address
+            )
         try:
             await authenticate(reader, writer, self.secret, dialer=True)
         except BaseException:
