Treat an invocation that names a key as a repeat

The tool reported "unreachable" or "not run" for a repeated invocation although the first one may have been carried out.

--- a/src/cicadatray/internal/cli/change_commands.py
+++ b/src/cicadatray/internal/cli/change_commands.py
@@ -138,6 +138,7 @@
         msgspec.json.encode(body),
         JSON_HEADERS,
         changes=True,
+        repeats=bool(order.operation_id),
     )
     answer = await session.fetch(request)
     if session.output.json_wanted:
--- a/src/cicadatray/internal/cli/entry_client.py
+++ b/src/cicadatray/internal/cli/entry_client.py
@@ -55,7 +55,7 @@
         """
         clock = asyncio.get_running_loop()
         deadline_s = clock.time() + self.retry_for_s
-        answer_lost = False
+        answer_lost = request.repeats
         failures = 0
         while True:
             address = self.addresses[self.position]
--- a/src/cicadatray/internal/cli/entry_request.py
+++ b/src/cicadatray/internal/cli/entry_request.py
@@ -9,7 +9,7 @@
     """One request; it is sent again unchanged, so everything in it must allow that.
 
     `changes` tells that a lost answer leaves open whether something has happened.
-    `timeout_s` bounds one attempt.
+    `repeats` tells that an earlier invocation may have sent it. `timeout_s` bounds one attempt.
     """
 
     method: str
@@ -17,4 +17,5 @@
     body: bytes = b""
     headers: dict[str, str] = {}
     changes: bool = False
+    repeats: bool = False
     timeout_s: float = ATTEMPT_TIMEOUT_S
--- a/src/cicadatray/internal/cli/job_commands.py
+++ b/src/cicadatray/internal/cli/job_commands.py
@@ -62,7 +62,10 @@
     body = msgspec.json.encode(document)
     async with open_session(options) as session:
         session.output.note(f"idempotency key {key}")
-        job = await session.fetch(EntryRequest("POST", "/v1/jobs", body, headers, changes=True))
+        request = EntryRequest(
+            "POST", "/v1/jobs", body, headers, changes=True, repeats=bool(idempotency_key)
+        )
+        job = await session.fetch(request)
         if wait:
             return await JobWait(session, str(job["job_id"])).run(None)
         _show_job(session.output, job)
--- a/src/cicadatray/internal/cli/request_commands.py
+++ b/src/cicadatray/internal/cli/request_commands.py
@@ -58,11 +58,15 @@
     if body and data:
         raise ToolError(ExitCode.USAGE, "--body and --data exclude each other")
     key = idempotency_key or new_identifier("key")
-    content = read_input(body) if body else data.encode()
-    headers = _headers(key, content_type, deadline_ms, non_idempotent)
-    timeout_s = deadline_ms / MS_PER_S + ANSWER_MARGIN_S
-    path = f"/v1/services/{quote(service, safe='')}/requests"
-    request = EntryRequest("POST", path, content, headers, changes=True, timeout_s=timeout_s)
+    request = EntryRequest(
+        "POST",
+        f"/v1/services/{quote(service, safe='')}/requests",
+        read_input(body) if body else data.encode(),
+        _headers(key, content_type, deadline_ms, non_idempotent),
+        changes=True,
+        repeats=bool(idempotency_key),
+        timeout_s=deadline_ms / MS_PER_S + ANSWER_MARGIN_S,
+    )
     async with open_session(options) as session:
         session.output.note(f"idempotency key {key}")
         response = await session.call(request)
--- a/tests/cover/cli/test_entry_client.py
+++ b/tests/cover/cli/test_entry_client.py
@@ -13,6 +13,7 @@
 from cicadatray.internal.cli.exit_code import ExitCode
 
 CHANGE = EntryRequest("PUT", "/x", b"{}", {"Idempotency-Key": "k"}, changes=True)
+REPEATED_CHANGE = EntryRequest("PUT", "/x", changes=True, repeats=True)
 READ = EntryRequest("GET", "/x")
 OK = EntryResponse(200, {}, b"{}")
 BUSY = EntryResponse(503, {"retry-after": "7"}, b'{"code": "overloaded"}')
@@ -99,6 +100,7 @@
         ([DOWN], CHANGE, ExitCode.UNREACHABLE),
         ([LOST], CHANGE, ExitCode.OUTCOME_UNKNOWN),
         ([LOST], READ, ExitCode.UNREACHABLE),
+        ([DOWN], REPEATED_CHANGE, ExitCode.OUTCOME_UNKNOWN),
         ([LOST, DOWN], CHANGE, ExitCode.OUTCOME_UNKNOWN),
         ([DOWN, LOST, DOWN], CHANGE, ExitCode.OUTCOME_UNKNOWN),
     ],
