Refuse credentials of fewer than eight characters in the tool

Cause: a one-letter credential was removed from every word that the tool printed, which garbled the output at a terminal (seen in a trial with a pseudo-terminal).

Change: such a credential is refused with a usage error; a test covers the table at a terminal.

--- a/src/cicadatray/internal/cli/tool_configuration.py
+++ b/src/cicadatray/internal/cli/tool_configuration.py
@@ -18,6 +18,8 @@
 ENTRIES_VARIABLE = "CICADATRAY_ENTRIES"
 CREDENTIAL_VARIABLE = "CICADATRAY_CREDENTIAL_FILE"
 CREDENTIAL_LIMIT_BYTES = 4096
+# Shorter ones can be guessed, and removing them from what is printed would garble it.
+CREDENTIAL_LEAST_CHARACTERS = 8
 
 
 class ToolConfiguration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -90,8 +92,9 @@
         raise ToolError(ExitCode.USAGE, f"credential file {path}: {error.strerror}") from error
     credential = data.decode("ascii", "replace").strip()
     usable = credential.isascii() and credential.isprintable() and " " not in credential
-    if not credential or not usable or len(data) > CREDENTIAL_LIMIT_BYTES:
-        expected = "one line of printable ASCII characters without blanks"
+    too_short = len(credential) < CREDENTIAL_LEAST_CHARACTERS
+    if too_short or not usable or len(data) > CREDENTIAL_LIMIT_BYTES:
+        expected = f"{CREDENTIAL_LEAST_CHARACTERS} or more printable ASCII characters, no blanks"
         raise ToolError(ExitCode.USAGE, f"credential file {path}: expected {expected}")
     if mode & (stat.S_IRGRP | stat.S_IROTH) and os.name == "posix":
         print(f"warning: other users can read {path}; use chmod 600", file=sys.stderr)
--- a/tests/cover/cli/test_commands.py
+++ b/tests/cover/cli/test_commands.py
@@ -1,6 +1,7 @@
 """Tests of whole commands against a scripted entry."""
 
 import hashlib
+import io
 from pathlib import Path
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from cicadatray.internal.cli.exit_code import ExitCode
 from cicadatray.internal.cli.main import run
+from cicadatray.internal.cli.output import Output
 from cover.cli.scripted_entry import CREDENTIAL, ScriptedAnswer, ScriptedEntry
 
 JOB = {
@@ -172,6 +174,15 @@
     assert msgspec.json.decode(capsys.readouterr().out) == {"jobs": []}
 
 
+def test_table_at_a_terminal(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against texts of the deployment that a terminal or the table library interprets."""
+    terminal = io.StringIO()
+    monkeypatch.setattr(terminal, "isatty", lambda: True)
+    monkeypatch.setattr("sys.stdout", terminal)
+    Output(json_wanted=False).table(["REASON"], [["[bold]no\x1b[2Jroom"]])
+    assert "\u2502 [bold]no\\x1b[2Jroom" in terminal.getvalue()
+
+
 @pytest.mark.parametrize(
     ("command", "path", "document", "shown"),
     [
--- a/tests/cover/cli/test_tool_configuration.py
+++ b/tests/cover/cli/test_tool_configuration.py
@@ -45,7 +45,9 @@
     assert found.credential not in repr(found)
 
 
-@pytest.mark.parametrize("content", ["", " \n", "two words", "caf\u00e9", "a\nb", "x" * 5000])
+@pytest.mark.parametrize(
+    "content", ["", " \n", "seven77", "two words", "caf\u00e9-au-lait", "a\nbcdefgh", "x" * 5000]
+)
 def test_unusable_credential_is_refused(files: dict[str, str], content: str) -> None:
     """Guards against headers that are split or cut by what a file happens to hold."""
     Path(files["option"]).write_text(content, encoding="utf-8")
