--- a/src/cicadatray/internal/daemon/main.py
+++ b/src/cicadatray/internal/daemon/main.py
@@ -17,6 +17,7 @@
 from cicadatray.internal.settings.errors import SettingsError
 from cicadatray.internal.settings.load import DaemonSettings, load_settings, read_secret
 from cicadatray.internal.wire.source_address import SOURCE_ADDRESS
+from cicadatray.internal.wire.traffic import TRAFFIC
 
 SETTINGS_EXIT_CODE = 2
 
@@ -62,6 +63,7 @@
         stop.set()
 
     loop = asyncio.get_running_loop()
+    daemon.dump.register("traffic", lambda: TRAFFIC)
     daemon.dump.install_signal(loop)
     for stop_signal in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(stop_signal, on_stop_signal)
--- a/src/cicadatray/internal/wire/frame.py
+++ b/src/cicadatray/internal/wire/frame.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cicadatray.internal.wire.errors import FrameError
+from cicadatray.internal.wire.traffic import TRAFFIC
 
 FRAME_LIMIT_BYTES = 1024 * 1024
 LENGTH_BYTES = 4
@@ -16,6 +17,7 @@
     """
     if len(body) > FRAME_LIMIT_BYTES:
         raise FrameError(f"message of {len(body)} bytes, at most {FRAME_LIMIT_BYTES} are allowed")
+    TRAFFIC.sent(LENGTH_BYTES + len(body))
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
@@ -35,6 +37,7 @@
     length = int.from_bytes(head, "big")
     if length > FRAME_LIMIT_BYTES:
         raise FrameError(f"frame of {length} bytes announced, at most {FRAME_LIMIT_BYTES}")
+    TRAFFIC.received(LENGTH_BYTES + length)
     try:
         return await reader.readexactly(length)
     except asyncio.IncompleteReadError as error:
