Make the agent's refusals certain and give entries admission, retry budget and ejection

Cause: an agent answered "refused" for attempts that had run: a cancelled idempotent attempt that had just ended, and a claim that the ledger had dropped. The slot gate checked its room before queued attempts had entered it, so that any number arriving together was admitted. Refused idempotent attempts filled the ledger and displaced results kept for resends. An unexpected error of the endpoint client left an attempt without a reply. At the entry every failure was retried on every endpoint, a fast failing endpoint attracted requests, and there was no queue. Change: the agent refuses an unseen attempt only where it certainly has not run; an attempt takes its slot or queue place when it arrives; only claimed attempts are retained. A started attempt whose caller has gone is finished and recorded. A second stop signal answers with the true outcome.

--- a/src/cicadatray/internal/agent/attempt_ledger.py
+++ b/src/cicadatray/internal/agent/attempt_ledger.py
@@ -9,16 +9,24 @@
 
 
 class AttemptLedger:
-    """Bounded by count, bytes and time.
+    """Attempts in progress, and ended ones bounded by count, bytes and time.
 
     Claims of non-idempotent requests carry rising log indexes. When an entry is dropped, every
     claim up to its index counts as forgotten, so that a late repetition never runs a second time.
     """
 
-    __slots__ = ("entries", "forgotten_index", "held_bytes", "limit_bytes", "retention_s")
+    __slots__ = (
+        "ended",
+        "forgotten_index",
+        "held_bytes",
+        "in_progress",
+        "limit_bytes",
+        "retention_s",
+    )
 
     def __init__(self, limit_bytes: int, retention_s: float) -> None:
-        self.entries: OrderedDict[str, AttemptEntry] = OrderedDict()
+        self.in_progress: dict[str, AttemptEntry] = {}
+        self.ended: OrderedDict[str, AttemptEntry] = OrderedDict()
         self.forgotten_index = 0
         self.held_bytes = 0
         self.limit_bytes = limit_bytes
@@ -26,7 +34,7 @@
 
     def find(self, attempt_id: str) -> AttemptEntry | None:
         """Returns the entry of an attempt that was seen before."""
-        return self.entries.get(attempt_id)
+        return self.in_progress.get(attempt_id) or self.ended.get(attempt_id)
 
     def is_forgotten(self, claim_index: int) -> bool:
         """Tells whether an unseen claim may have been dropped, so that its outcome is unknown."""
@@ -35,35 +43,33 @@
     def add(self, attempt_id: str, claim_index: int) -> AttemptEntry:
         """Records a new attempt."""
         entry = AttemptEntry(claim_index)
-        self.entries[attempt_id] = entry
+        self.in_progress[attempt_id] = entry
         return entry
 
     def end(self, attempt_id: str, entry: AttemptEntry, size_bytes: int, now_s: float) -> None:
         """Records that an attempt has its final reply, and drops what exceeds the limits."""
+        self.in_progress.pop(attempt_id, None)
         if entry.phase is not AttemptPhase.REFUSED:
             entry.phase = AttemptPhase.ENDED
-            if entry.claim_index == 0:
-                # Nobody asks again for an idempotent attempt: a resend makes a new one.
-                self.entries.pop(attempt_id, None)
-                return
-        entry.ended_s = now_s
-        entry.size_bytes = size_bytes + ENTRY_OVERHEAD_BYTES
-        self.held_bytes += entry.size_bytes
-        if attempt_id in self.entries:
-            self.entries.move_to_end(attempt_id)
+        if entry.claim_index > 0 and attempt_id not in self.ended:
+            # Idempotent attempts are not retained: a resend makes a new one, and a burst of
+            # refusals would displace the results of non-idempotent ones.
+            entry.ended_s = now_s
+            entry.size_bytes = size_bytes + ENTRY_OVERHEAD_BYTES
+            self.held_bytes += entry.size_bytes
+            self.ended[attempt_id] = entry
         self._trim(now_s)
 
     def unfinished(self) -> list[AttemptEntry]:
         """Returns the attempts that have no final reply yet."""
-        return [entry for entry in self.entries.values() if not entry.reply.done()]
+        return [entry for entry in self.in_progress.values() if not entry.reply.done()]
 
     def _trim(self, now_s: float) -> None:
-        for attempt_id, entry in list(self.entries.items()):
-            if not entry.reply.done():
-                continue
-            within_limits = self.held_bytes <= self.limit_bytes and len(self.entries) <= ENTRY_LIMIT
-            if within_limits and now_s - entry.ended_s <= self.retention_s:
+        while self.ended:
+            attempt_id, oldest = next(iter(self.ended.items()))
+            within_limits = self.held_bytes <= self.limit_bytes and len(self.ended) <= ENTRY_LIMIT
+            if within_limits and now_s - oldest.ended_s <= self.retention_s:
                 return
-            del self.entries[attempt_id]
-            self.held_bytes -= entry.size_bytes
-            self.forgotten_index = max(self.forgotten_index, entry.claim_index)
+            del self.ended[attempt_id]
+            self.held_bytes -= oldest.size_bytes
+            self.forgotten_index = max(self.forgotten_index, oldest.claim_index)
--- a/src/cicadatray/internal/agent/attempt_runner.py
+++ b/src/cicadatray/internal/agent/attempt_runner.py
@@ -28,6 +28,7 @@
 OTHER_INCARNATION_CODE = "agent_restarted"
 FORGOTTEN_CODE = "attempt_forgotten"
 STOPPED_CODE = "agent_stopped"
+INTERNAL_ERROR_CODE = "internal_error"
 DRAIN_RETRY_AFTER_S = 0.5
 TRACE_HEADER = "Trace-Id"
 
@@ -49,24 +50,32 @@
 
     async def run(self, call: RunAttempt) -> MessageStruct:
         """Returns the reply of the attempt, starting it if it is new."""
+        if call.agent_incarnation != self.incarnation:
+            return self._failed(OTHER_INCARNATION_CODE, "the agent was restarted")
         entry = self.ledger.find(call.attempt_id)
         if entry is None:
-            refusal = self._refusal(call)
-            if refusal is not None:
-                return refusal
+            if self.ledger.is_forgotten(call.claim_index):
+                return self._failed(FORGOTTEN_CODE, "the attempt may have run long ago")
             entry = self.ledger.add(call.attempt_id, call.claim_index)
             if not self.gate.has_room():
                 self._refuse(call.attempt_id, entry, self._no_room())
             else:
-                entry.task = asyncio.create_task(self._execute(call, entry))
+                turn = entry.turn = self.gate.enter()
+                entry.task = asyncio.create_task(self._execute(call, entry, turn))
         return await asyncio.shield(entry.reply)
 
     def cancel(self, call: CancelAttempt) -> MessageStruct:
-        """Ends an attempt that has not started; one that has started goes on."""
-        entry = self.ledger.find(call.attempt_id)
+        """Ends an attempt that has not started; one that has started goes on.
+
+        An attempt that is not in the ledger is refused for good only where it certainly has not
+        run: ended idempotent attempts and forgotten claims are not in the ledger either.
+        """
         if call.agent_incarnation != self.incarnation:
             return self._failed(OTHER_INCARNATION_CODE, "the agent was restarted")
+        entry = self.ledger.find(call.attempt_id)
         if entry is None:
+            if call.claim_index == 0 or self.ledger.is_forgotten(call.claim_index):
+                return self._failed(FORGOTTEN_CODE, "the attempt may have run")
             entry = self.ledger.add(call.attempt_id, call.claim_index)
         if entry.phase is AttemptPhase.QUEUED:
             self._refuse(call.attempt_id, entry, self._refused(CANCELLED_CODE, "cancelled", 0.0))
@@ -82,7 +91,7 @@
 
     def abandon(self) -> None:
         """Answers all attempts in progress with what is known of them."""
-        for attempt_id, entry in list(self.ledger.entries.items()):
+        for attempt_id, entry in list(self.ledger.in_progress.items()):
             if entry.reply.done():
                 continue
             if entry.phase is AttemptPhase.QUEUED:
@@ -93,12 +102,12 @@
             else:
                 entry.reply.set_result(self._failed(STOPPED_CODE, "the agent stopped"))
 
-    async def _execute(self, call: RunAttempt, entry: AttemptEntry) -> None:
+    async def _execute(
+        self, call: RunAttempt, entry: AttemptEntry, turn: asyncio.Future[None]
+    ) -> None:
         loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(call.remaining_s):
-                await self.gate.enter()
-        except TimeoutError:
+        await asyncio.wait((turn,), timeout=call.remaining_s)
+        if not turn.done():
             reply = self._refused(DEADLINE_CODE, "no slot in time", self.gate.retry_after_s())
             self._refuse(call.attempt_id, entry, reply)
             return
@@ -122,6 +131,10 @@
         except EndpointFailedError as error:
             log.warning("endpoint failed", attempt_id=call.attempt_id, reason=str(error))
             return self._failed(ENDPOINT_FAILED_CODE, str(error))
+        except Exception as error:
+            # Without a reply the entry and a drain would wait for this attempt for ever.
+            log.exception("attempt failed", attempt_id=call.attempt_id)
+            return self._failed(INTERNAL_ERROR_CODE, type(error).__name__)
         return AttemptAnswer(
             status_code=answer.status_code,
             content_type=answer.content_type,
@@ -129,13 +142,6 @@
             load=self.gate.load(),
         )
 
-    def _refusal(self, call: RunAttempt) -> MessageStruct | None:
-        if call.agent_incarnation != self.incarnation:
-            return self._failed(OTHER_INCARNATION_CODE, "the agent was restarted")
-        if self.ledger.is_forgotten(call.claim_index):
-            return self._failed(FORGOTTEN_CODE, "the attempt may have run long ago")
-        return None
-
     def _no_room(self) -> AttemptRefused:
         if self.gate.draining:
             return self._refused(DRAINING_CODE, "the endpoint is leaving", DRAIN_RETRY_AFTER_S)
@@ -143,6 +149,8 @@
 
     def _refuse(self, attempt_id: str, entry: AttemptEntry, reply: MessageStruct) -> None:
         entry.phase = AttemptPhase.REFUSED
+        if entry.turn is not None:
+            self.gate.withdraw(entry.turn)
         if entry.task is not None and entry.task is not asyncio.current_task():
             entry.task.cancel()
         self._settle(attempt_id, entry, reply, 0)
--- a/src/cicadatray/internal/agent/endpoint_client.py
+++ b/src/cicadatray/internal/agent/endpoint_client.py
@@ -18,6 +18,7 @@
 IDLE_LIMIT_MS = 2_000
 # Longer than any request: the caller's deadline ends a request, not the HTTP library.
 REQUEST_LIMIT_S = 24 * 3600.0
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
 BODILESS_STATUS_CODES = frozenset({204, 304})
 
 
@@ -70,13 +71,15 @@
         self._check_whole(response, content)
         if len(content) > ANSWER_LIMIT_BYTES:
             raise EndpointFailedError(f"{self.url}: answer of {len(content)} bytes is too large")
-        answer_type = response.headers.get("content-type") or "application/octet-stream"
+        answer_type = response.headers.get("content-type") or ""
+        if not (answer_type and answer_type.isascii() and answer_type.isprintable()):
+            answer_type = DEFAULT_CONTENT_TYPE
         return EndpointAnswer(response.status_code, answer_type, content)
 
     def _check_whole(self, response: aiosonic.HttpResponse, content: bytes) -> None:
         announced = response.headers.get("content-length")
         if announced is not None:
-            if int(announced) != len(content):
+            if not announced.isdecimal() or int(announced) != len(content):
                 raise EndpointFailedError(f"{self.url}: {len(content)} of {announced} bytes")
             return
         # Without a length or chunks the end of the body cannot be told from a lost connection.
--- a/src/cicadatray/internal/agent/slot_gate.py
+++ b/src/cicadatray/internal/agent/slot_gate.py
@@ -7,6 +7,8 @@
 
 # The agent's queue is short, because the entries' queues are fair and this one is not.
 QUEUE_PER_SLOT = 1
+MEAN_RUN_WEIGHT = 0.2
+RETRY_AFTER_FLOOR_S = 0.1
 
 
 class SlotGate:
@@ -26,25 +28,27 @@
         queue_limit = self.slots * QUEUE_PER_SLOT
         return not self.draining and self.running + len(self.waiting) < self.slots + queue_limit
 
-    async def enter(self) -> None:
-        """Waits for a free slot. A cancelled wait takes none."""
+    def enter(self) -> asyncio.Future[None]:
+        """Takes a slot or a place in the queue at once; the future is done when a slot is held."""
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         if self.running < self.slots:
             self.running += 1
-            return
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.waiting.append(turn)
-        try:
-            await turn
-        except asyncio.CancelledError:
-            if turn.done() and not turn.cancelled():
-                self._pass_on()
-            elif turn in self.waiting:
-                self.waiting.remove(turn)
-            raise
+            turn.set_result(None)
+        else:
+            self.waiting.append(turn)
+        return turn
+
+    def withdraw(self, turn: asyncio.Future[None]) -> None:
+        """Gives back a place in the queue, or a slot that was not used."""
+        if turn.done():
+            self._pass_on()
+        else:
+            self.waiting.remove(turn)
 
     def leave(self, run_s: float) -> None:
         """Frees a slot and records how long it was held."""
-        self.mean_run_s = run_s if not self.mean_run_s else 0.8 * self.mean_run_s + 0.2 * run_s
+        known = self.mean_run_s
+        self.mean_run_s = known + (run_s - known) * (MEAN_RUN_WEIGHT if known else 1.0)
         self._pass_on()
 
     def load(self) -> AgentLoad:
@@ -54,12 +58,10 @@
     def retry_after_s(self) -> float:
         """Estimates when a slot will be free again."""
         queue_length = 1 + len(self.waiting)
-        return max(0.1, self.mean_run_s * queue_length / self.slots)
+        return max(RETRY_AFTER_FLOOR_S, self.mean_run_s * queue_length / self.slots)
 
     def _pass_on(self) -> None:
-        while self.waiting:
-            turn = self.waiting.popleft()
-            if not turn.done():
-                turn.set_result(None)
-                return
-        self.running -= 1
+        if self.waiting:
+            self.waiting.popleft().set_result(None)
+        else:
+            self.running -= 1
--- /dev/null
+++ b/src/cicadatray/internal/bench/requests_simulation/simulated_endpoint.py
@@ -0,0 +1,71 @@
+"""An endpoint in memory."""
+
+import asyncio
+import random
+from collections import Counter
+
+from cicadatray.internal.agent.endpoint_client import EndpointAnswer
+from cicadatray.internal.agent.errors import EndpointFailedError, EndpointUnreachableError
+
+FAILURE_S = 0.001
+
+
+class SimulatedEndpoint:
+    """Takes the place of `EndpointClient`; a request's body is its subject.
+
+    `failing` answers 500 at once, `truncating` runs the request and loses the answer, and
+    `refusing` accepts no connection.
+    """
+
+    __slots__ = (
+        "answer_bytes",
+        "executions",
+        "failing",
+        "peak",
+        "random",
+        "received",
+        "refusing",
+        "running",
+        "service_s",
+        "truncating",
+    )
+
+    def __init__(self, service_s: float = 0.05, seed: int = 0) -> None:
+        self.service_s = service_s
+        self.random = random.Random(seed)
+        self.failing = False
+        self.truncating = False
+        self.refusing = False
+        self.answer_bytes = 0
+        self.received = 0
+        self.running = 0
+        self.peak = 0
+        self.executions: Counter[bytes] = Counter()
+
+    async def send(self, body: bytes, content_type: str, headers: dict[str, str]) -> EndpointAnswer:
+        """Runs one request.
+
+        Raises:
+            EndpointUnreachableError: as told by `refusing`.
+            EndpointFailedError: as told by `truncating`.
+        """
+        if self.refusing:
+            raise EndpointUnreachableError("connection refused")
+        self.received += 1
+        self.executions[body] += 1
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+        try:
+            jitter = self.random.uniform(0.5, 1.5)
+            await asyncio.sleep(FAILURE_S if self.failing else self.service_s * jitter)
+        finally:
+            self.running -= 1
+        if self.truncating:
+            raise EndpointFailedError("answer cut short")
+        if self.failing:
+            return EndpointAnswer(500, "text/plain", b"broken")
+        return EndpointAnswer(200, "text/plain", self.answer_to(body))
+
+    def answer_to(self, body: bytes) -> bytes:
+        """Returns the whole answer to a request."""
+        return (b"answer to " + body).ljust(self.answer_bytes, b".")
--- /dev/null
+++ b/src/cicadatray/internal/bench/requests_simulation/simulated_entry.py
@@ -0,0 +1,57 @@
+"""An entry in memory, with the real request service."""
+
+import random
+
+from cicadatray.internal.bench.requests_simulation.simulated_agent import SimulatedAgent
+from cicadatray.internal.bench.requests_simulation.simulated_control import SimulatedControl
+from cicadatray.internal.entry.agent_peer import AgentPeer
+from cicadatray.internal.entry.directory_cache import DirectoryCache
+from cicadatray.internal.entry.entry_metrics import EntryMetrics
+from cicadatray.internal.entry.request_resources import RequestResources
+from cicadatray.internal.entry.request_service import RequestService
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.wire.messages.directory_messages import AgentRecord
+from cicadatray.internal.wire.messages.registry import message_codec
+
+DEFAULT_QUEUE_LIMIT = 256
+
+
+class _SimulatedDirectory(DirectoryCache):
+    """Reaches the agents in memory."""
+
+    __slots__ = ("agents", "seed")
+
+    agents: dict[str, SimulatedAgent]
+    seed: int
+
+    def new_peer(self, record: AgentRecord) -> AgentPeer:
+        peer = super().new_peer(record)
+        peer.client = self.agents[record.agent_id]  # type: ignore[assignment]
+        peer.health.random = random.Random(f"{self.seed}/{record.incarnation}")
+        return peer
+
+
+class SimulatedEntry:
+    """`directory` polls only when told to, by `poll_once` or its `run`."""
+
+    __slots__ = ("directory", "metrics", "requests")
+
+    def __init__(
+        self,
+        agents: list[SimulatedAgent],
+        control: SimulatedControl,
+        queue_limit: int = DEFAULT_QUEUE_LIMIT,
+        seed: int = 0,
+    ) -> None:
+        self.directory = _SimulatedDirectory(control, message_codec(), b"")  # type: ignore[arg-type]
+        self.directory.agents = {agent.agent_id: agent for agent in agents}
+        self.directory.seed = seed
+        self.metrics = MetricsRegistry()
+        resources = RequestResources(
+            self.directory,
+            control,  # type: ignore[arg-type]
+            EntryMetrics(self.metrics),
+            queue_limit,
+        )
+        resources.selector.random = random.Random(seed)
+        self.requests = RequestService(resources)
--- a/src/cicadatray/internal/entry/caller_request.py
+++ b/src/cicadatray/internal/entry/caller_request.py
@@ -1,13 +1,14 @@
-"""A request of a caller, as admitted by the entry."""
+"""A request of a caller, as received by the entry."""
 
 import asyncio
 import hashlib
+from typing import Any
 
 DIGEST_BYTES = 16
 
 
 class CallerRequest:
-    """`deadline_s` is event loop time. `abandoned` is set when no caller waits any more."""
+    """`deadline_s` is event loop time. `abandoned` is done when no caller waits any more."""
 
     __slots__ = (
         "abandoned",
@@ -40,7 +41,7 @@
         self.non_idempotent = non_idempotent
         self.deadline_s = deadline_s
         self.trace_id = trace_id
-        self.abandoned = asyncio.Event()
+        self.abandoned: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def remaining_s(self) -> float:
         """Returns what is left of the deadline."""
@@ -50,3 +51,25 @@
         """Identifies the content, so that a key cannot be reused for another request."""
         content = b"\0".join((self.service.encode(), self.content_type.encode(), self.body))
         return hashlib.sha256(content).digest()[:DIGEST_BYTES]
+
+    def abandon(self) -> None:
+        """Ends every wait of the request; an attempt that has not started is not started."""
+        if not self.abandoned.done():
+            self.abandoned.set_result(None)
+
+    def is_open(self) -> bool:
+        """Tells whether a caller waits and the deadline has not passed."""
+        return self.remaining_s() > 0 and not self.abandoned.done()
+
+    async def wait_for(self, future: asyncio.Future[Any]) -> bool:
+        """Waits while the request is open and tells whether the future is done."""
+        await asyncio.wait(
+            (future, self.abandoned),
+            timeout=max(0.0, self.remaining_s()),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        return future.done()
+
+    async def pause(self, pause_s: float) -> None:
+        """Waits for a time, at most while the request is open."""
+        await asyncio.wait((self.abandoned,), timeout=max(0.0, min(pause_s, self.remaining_s())))
--- a/src/cicadatray/internal/entry/directory_cache.py
+++ b/src/cicadatray/internal/entry/directory_cache.py
@@ -18,6 +18,7 @@
     DirectoryReply,
     ReadDirectory,
 )
+from cicadatray.scheduling.rules import DEFAULT_SHARE_WEIGHT
 
 POLL_INTERVAL_S = 0.5
 
@@ -33,6 +34,7 @@
 
     __slots__ = (
         "accounts_by_digest",
+        "by_service",
         "codec",
         "configuration",
         "confirmed_at_s",
@@ -49,6 +51,7 @@
         self.codec = codec
         self.secret = secret
         self.peers: dict[str, AgentPeer] = {}
+        self.by_service: dict[str, list[AgentPeer]] = {}
         self.settled = False
         self.term = 0
         self.version = -1
@@ -76,6 +79,8 @@
         reply = await self.control.call(call, CONFIGURATION_BOUND_S)
         if not isinstance(reply, DirectoryReply):
             return
+        if (reply.term, reply.version) < (self.term, self.version):
+            return  # overtaken by the reply to another poll
         if reply.agents is not None:
             await self._take_agents(reply.agents)
         self.settled = reply.settled
@@ -108,29 +113,45 @@
         await self.poll_once()
         return self.settled and self.find(agent_id, incarnation) is None
 
+    def all_peers_of(self, service: str) -> list[AgentPeer]:
+        """Returns all agents of a service."""
+        return self.by_service.get(service, [])
+
     def peers_of(self, service: str) -> list[AgentPeer]:
         """Returns the agents of a service that accept work."""
-        return [
-            peer
-            for peer in self.peers.values()
-            if peer.record.service == service and peer.accepts_work()
-        ]
+        return [peer for peer in self.all_peers_of(service) if peer.accepts_work()]
 
     def knows_service(self, service: str) -> bool:
         """Tells whether any agent of the service is known."""
-        return any(peer.record.service == service for peer in self.peers.values())
+        return service in self.by_service
+
+    def weight_of(self, client_account: str) -> float:
+        """Returns the share of a client account that the rules in effect give."""
+        if self.configuration is None:
+            return DEFAULT_SHARE_WEIGHT
+        return self.configuration.rules.shares.get(client_account, DEFAULT_SHARE_WEIGHT)
+
+    def new_peer(self, record: AgentRecord) -> AgentPeer:
+        """Returns the peer of an agent that was not listed before."""
+        return AgentPeer(record, self.codec, self.secret)
 
     async def _take_agents(self, agents: tuple[AgentRecord, ...]) -> None:
         listed = {agent.agent_id: agent for agent in agents}
+        removed: list[AgentPeer] = []
         for agent_id, peer in list(self.peers.items()):
             record = listed.get(agent_id)
             if record is None or record.incarnation != peer.record.incarnation:
-                del self.peers[agent_id]
+                removed.append(self.peers.pop(agent_id))
             else:
                 peer.record = record
         for agent_id, record in listed.items():
             if agent_id not in self.peers:
-                self.peers[agent_id] = AgentPeer(record, self.codec, self.secret)
+                self.peers[agent_id] = self.new_peer(record)
+        self.by_service = {}
+        for peer in self.peers.values():
+            self.by_service.setdefault(peer.record.service, []).append(peer)
+        for peer in removed:
+            await peer.retire()
 
     async def _read_configuration(self) -> None:
         reply = await self.control.call(ReadConfiguration(), CONFIGURATION_BOUND_S)
--- a/src/cicadatray/internal/entry/entry_context.py
+++ b/src/cicadatray/internal/entry/entry_context.py
@@ -1,8 +1,11 @@
 """What the HTTP routes share."""
 
 from cicadatray.internal.entry.directory_cache import DirectoryCache
+from cicadatray.internal.entry.entry_metrics import EntryMetrics
 from cicadatray.internal.entry.errors import EntryError
+from cicadatray.internal.entry.request_resources import RequestResources
 from cicadatray.internal.entry.request_service import RequestService
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.settings.entry_settings import EntrySettings
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.message import Failure, MessageStruct
@@ -19,10 +22,16 @@
 }
 
 
+def draining_error() -> EntryError:
+    """Returns the error for new work that comes during a planned stop."""
+    detail = "this entry is stopping; another one will answer"
+    return EntryError(503, "entry_draining", detail, DRAINING_RETRY_AFTER_S)
+
+
 class EntryContext:
     """The state of one entry process."""
 
-    __slots__ = ("control", "directory", "draining", "requests", "settings")
+    __slots__ = ("control", "directory", "draining", "metrics", "requests", "settings")
 
     def __init__(
         self, settings: EntrySettings, directory: DirectoryCache, control: ControlClient
@@ -30,7 +39,10 @@
         self.settings = settings
         self.directory = directory
         self.control = control
-        self.requests = RequestService(directory, control)
+        self.metrics = MetricsRegistry()
+        entry_metrics = EntryMetrics(self.metrics)
+        resources = RequestResources(directory, control, entry_metrics, settings.queue_limit)
+        self.requests = RequestService(resources)
         self.draining = False
 
     def refuse_while_draining(self) -> None:
@@ -40,8 +52,7 @@
             EntryError: this entry is stopping.
         """
         if self.draining:
-            detail = "this entry is stopping; another one will answer"
-            raise EntryError(503, "entry_draining", detail, DRAINING_RETRY_AFTER_S)
+            raise draining_error()
 
     async def ask_control(
         self, message: MessageStruct, timeout_s: float = CONTROL_TIMEOUT_S
--- a/src/cicadatray/internal/entry/entry_daemon.py
+++ b/src/cicadatray/internal/entry/entry_daemon.py
@@ -8,10 +8,14 @@
 from cicadatray.internal.entry.entry_context import EntryContext
 from cicadatray.internal.entry.http_application import build_application
 from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.entry.shared_request import STOP_GRACE_S
 from cicadatray.internal.settings.entry_settings import EntrySettings
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.messages.registry import message_codec
 
+# After the second stop signal: the time for outcomes, and for sending the answers.
+ABORT_AFTER_S = STOP_GRACE_S + 1.0
+
 log = structlog.get_logger(__name__)
 
 
@@ -43,7 +47,6 @@
         await self.control.close()
 
     def abandon(self) -> None:
-        """Answers everything in progress at once, on a second stop signal."""
-        for task in self.context.requests.running:
-            task.cancel()
-        self.http.abort()
+        """Answers everything in progress with its true outcome, on a second stop signal."""
+        self.context.requests.abandon()
+        asyncio.get_running_loop().call_later(ABORT_AFTER_S, self.http.abort)
--- /dev/null
+++ b/src/cicadatray/internal/entry/entry_metrics.py
@@ -0,0 +1,44 @@
+"""The metrics of an entry."""
+
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.observability.standard_metrics import (
+    ejections_total,
+    queue_seconds,
+    refusals_total,
+    request_seconds,
+    retries_total,
+)
+
+
+class EntryMetrics:
+    """Records what the request path does."""
+
+    __slots__ = ("ejections", "queue", "refusals", "registry", "requests", "retries")
+
+    def __init__(self, registry: MetricsRegistry) -> None:
+        self.registry = registry
+        self.requests = request_seconds(registry)
+        self.queue = queue_seconds(registry)
+        self.retries = retries_total(registry)
+        self.ejections = ejections_total(registry)
+        self.refusals = refusals_total(registry)
+
+    def record_answer(self, client_account: str, outcome: str, duration_s: float) -> None:
+        """Counts an answered request."""
+        self.requests.observe(duration_s, client_account=client_account, outcome=outcome)
+
+    def record_wait(self, client_account: str, wait_s: float) -> None:
+        """Counts a request's time in the queue."""
+        self.queue.observe(wait_s, client_account=client_account)
+
+    def record_retry(self, client_account: str) -> None:
+        """Counts an attempt after the first."""
+        self.retries.increment(client_account=client_account)
+
+    def record_ejection(self, agent_id: str) -> None:
+        """Counts an ejected endpoint."""
+        self.ejections.increment(agent=agent_id)
+
+    def record_refusal(self, client_account: str, code: str) -> None:
+        """Counts a request that was turned away."""
+        self.refusals.increment(client_account=client_account, code=code)
--- a/src/cicadatray/internal/entry/http_requests.py
+++ b/src/cicadatray/internal/entry/http_requests.py
@@ -8,11 +8,11 @@
 
 from cicadatray.internal.entry.authentication import authenticate
 from cicadatray.internal.entry.caller_request import CallerRequest
-from cicadatray.internal.entry.entry_context import EntryContext
+from cicadatray.internal.entry.entry_context import EntryContext, draining_error
 from cicadatray.internal.entry.errors import EntryError
 from cicadatray.internal.entry.http_answer import outcome_answer
 from cicadatray.internal.entry.http_body import read_body
-from cicadatray.internal.entry.request_outcome import RequestOutcome, outcome_unknown
+from cicadatray.internal.entry.request_outcome import RequestOutcome, not_run, outcome_unknown
 
 KEY_HEADER = "idempotency-key"
 NON_IDEMPOTENT_HEADER = "request-non-idempotent"
@@ -28,15 +28,30 @@
 async def send_request(request: Request) -> Response:
     """Runs one request and answers with its final outcome."""
     context: EntryContext = request.app.state.context
-    context.refuse_while_draining()
+    try:
+        caller_request = await _read_request(request, context)
+    except EntryError as error:
+        if not error.retry_after_s:
+            raise
+        return outcome_answer(_early_outcome(request, error))
+    if context.draining and context.requests.find(caller_request) is None:
+        outcome = _early_outcome(request, draining_error())
+    else:
+        outcome = await _run_while_connected(request, context, caller_request)
+    response = outcome_answer(outcome)
+    response.headers[TRACE_HEADER] = caller_request.trace_id
+    return response
+
+
+async def _read_request(request: Request, context: EntryContext) -> CallerRequest:
     account = authenticate(request, context.directory)
     headers = request.headers
     key = read_key(request)
-    non_idempotent = headers.get(NON_IDEMPOTENT_HEADER, "").lower() == "true"
+    non_idempotent = _is_non_idempotent(request)
     if non_idempotent and not key:
         raise EntryError(400, "key_missing", "a non-idempotent request needs an Idempotency-Key")
     deadline_s = _read_deadline_s(request, context.settings.default_deadline_s)
-    caller_request = CallerRequest(
+    return CallerRequest(
         client_account=account.client_account,
         service=request.path_params["service"],
         body=await read_body(request),
@@ -46,10 +61,20 @@
         deadline_s=asyncio.get_running_loop().time() + deadline_s,
         trace_id=headers.get(TRACE_HEADER) or secrets.token_hex(TRACE_ID_BYTES),
     )
-    outcome = await _run_while_connected(request, context, caller_request)
-    response = outcome_answer(outcome)
-    response.headers[TRACE_HEADER] = caller_request.trace_id
-    return response
+
+
+def _is_non_idempotent(request: Request) -> bool:
+    return request.headers.get(NON_IDEMPOTENT_HEADER, "").lower() == "true"
+
+
+def _early_outcome(request: Request, error: EntryError) -> RequestOutcome:
+    """Returns the outcome of a request that may come back and whose key was not looked up.
+
+    An earlier send of a non-idempotent request may have run, so only its log can tell.
+    """
+    if _is_non_idempotent(request):
+        return outcome_unknown(error.code, error.detail, error.retry_after_s)
+    return not_run(error.status_code, error.code, error.detail, error.retry_after_s)
 
 
 def read_key(request: Request) -> str:
--- a/src/cicadatray/internal/entry/idempotent_runner.py
+++ b/src/cicadatray/internal/entry/idempotent_runner.py
@@ -3,138 +3,186 @@
 import asyncio
 import secrets
 
-from cicadatray.internal.entry.agent_peer import AgentPeer
+from cicadatray.internal.entry.admission import NO_ENDPOINT_RETRY_AFTER_S, AdmissionRefusal
+from cicadatray.internal.entry.agent_calls import cancel_attempt, start_attempt
+from cicadatray.internal.entry.attempt_verdict import FIRST_SERVER_ERROR, Verdict, judge_reply
 from cicadatray.internal.entry.caller_request import CallerRequest
-from cicadatray.internal.entry.endpoint_selector import EndpointSelector
+from cicadatray.internal.entry.endpoint_selector import EndpointChoice
 from cicadatray.internal.entry.request_outcome import (
     RequestOutcome,
     completed,
     not_run,
     outcome_unknown,
 )
+from cicadatray.internal.entry.request_resources import RequestResources
 from cicadatray.internal.wire.errors import PeerUnreachableError, WireError
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.attempt_messages import (
     AttemptAnswer,
     AttemptFailed,
     AttemptRefused,
-    CancelAttempt,
-    RunAttempt,
 )
 
 ATTEMPT_ID_BYTES = 12
-FIRST_SERVER_ERROR = 500
 NO_ENDPOINT_CODE = "no_endpoint"
+NO_SLOT_CODE = "no_slot"
 OVERLOADED_CODE = "overloaded"
 DEADLINE_CODE = "deadline_exceeded"
 ENDPOINT_FAILED_CODE = "endpoint_failed"
-NO_ENDPOINT_RETRY_AFTER_S = 1.0
-CANCEL_TIMEOUT_S = 1.0
+RETRY_AFTER_FLOOR_S = 0.1
+# A request that found every endpoint full this often is turned away; the queue is too optimistic.
+TURN_LIMIT = 3
 
 
 class IdempotentRunner:
     """One instance for each request."""
 
-    __slots__ = ("last_answer", "may_have_run", "request", "retry_after_s", "selector", "tried")
+    __slots__ = (
+        "failed",
+        "last_answer",
+        "may_have_run",
+        "refused",
+        "request",
+        "resources",
+        "retry_after_s",
+        "retry_costs",
+    )
 
-    def __init__(self, request: CallerRequest, selector: EndpointSelector) -> None:
+    def __init__(self, request: CallerRequest, resources: RequestResources) -> None:
         self.request = request
-        self.selector = selector
-        self.tried: set[str] = set()
+        self.resources = resources
+        self.failed: set[str] = set()
+        self.refused: set[str] = set()
         self.last_answer: AttemptAnswer | None = None
         self.may_have_run = False
+        self.retry_costs = False
         self.retry_after_s: float | None = None
 
     async def run(self) -> RequestOutcome:
         """Returns the final outcome, at the latest at the deadline."""
-        while self.request.remaining_s() > 0 and not self.request.abandoned.is_set():
-            peer = self.selector.choose(self.request.service, self.tried)
-            if peer is None:
-                return self._give_up()
-            self.tried.add(peer.record.agent_id)
-            outcome = await self._attempt(peer)
+        admission = self.resources.admission
+        loop = asyncio.get_running_loop()
+        self.resources.retry_budget.record_request()
+        for turn in range(TURN_LIMIT):
+            refusal = await admission.enter(self.request, again=turn > 0)
+            if refusal is not None:
+                return self._refused_outcome(refusal)
+            entered_s = loop.time()
+            try:
+                outcome = await self._use_turn()
+            finally:
+                admission.leave(self.request, loop.time() - entered_s)
             if outcome is not None:
                 return outcome
+            pause_s = self.retry_after_s or RETRY_AFTER_FLOOR_S
+            if pause_s >= self.request.remaining_s():
+                break
+            await self.request.pause(pause_s)
+            self.refused.clear()
+        return self._give_up()
+
+    async def _use_turn(self) -> RequestOutcome | None:
+        """Tries endpoints; returns None when only refusals for lack of slots are left."""
+        while self.request.is_open():
+            tried = self.failed | self.refused
+            choice = self.resources.selector.choose(self.request.service, tried)
+            if choice is None:
+                return None if self.refused else self._give_up()
+            if self.retry_costs and not self._take_retry():
+                self.resources.selector.report(choice, Verdict.NEUTRAL)
+                return self._give_up()
+            reply = await self._attempt(choice)
+            if isinstance(reply, AttemptAnswer) and reply.status_code < FIRST_SERVER_ERROR:
+                return completed(reply.status_code, reply.content_type, reply.body)
         return self._deadline_outcome()
 
-    async def _attempt(self, peer: AgentPeer) -> RequestOutcome | None:
+    def _take_retry(self) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        if not self.resources.retry_budget.take(now_s):
+            return False
+        self.resources.metrics.record_retry(self.request.client_account)
+        return True
+
+    async def _attempt(self, choice: EndpointChoice) -> MessageStruct | None:
+        """Sends to one endpoint; returns None when no reply came."""
         attempt_id = secrets.token_hex(ATTEMPT_ID_BYTES)
-        call = RunAttempt(
-            attempt_id=attempt_id,
-            agent_incarnation=peer.record.incarnation,
-            service=self.request.service,
-            body=self.request.body,
-            content_type=self.request.content_type,
-            remaining_s=self.request.remaining_s(),
-            trace_id=self.request.trace_id,
-        )
+        sending = start_attempt(self.request, choice.peer, attempt_id)
+        verdict = Verdict.NEUTRAL
+        # A probe is at the entry's own risk, and an attempt that was not run made no load.
+        self.retry_costs = False
         try:
-            reply = await self._call_or_abandon(peer, call)
-        except PeerUnreachableError:
+            if not await self.request.wait_for(sending):
+                await self._cancel(choice, attempt_id)
+                if not sending.done():
+                    return None
+            reply = sending.result()
+            verdict = judge_reply(reply)
+            self._take_reply(choice, reply)
+            self.retry_costs = not (choice.probe or isinstance(reply, AttemptRefused))
+            return reply
+        except WireError as error:
+            verdict = Verdict.FAILURE
+            self.failed.add(choice.peer.record.agent_id)
+            if not isinstance(error, PeerUnreachableError):
+                self.may_have_run = True
+                self.retry_costs = not choice.probe
             return None
-        except WireError:
-            self.may_have_run = True
-            return None
-        if reply is None:
-            await self._cancel(peer, attempt_id)
-            return self._deadline_outcome()
-        return self._judge(reply)
-
-    async def _call_or_abandon(self, peer: AgentPeer, call: RunAttempt) -> MessageStruct | None:
-        """Returns None when the deadline passed or no caller waits any more."""
-        sending = asyncio.create_task(peer.call(call, self.request.remaining_s() + 1.0))
-        abandoning = asyncio.create_task(self.request.abandoned.wait())
-        try:
-            await asyncio.wait(
-                (sending, abandoning),
-                timeout=max(0.0, self.request.remaining_s()),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            return await sending if sending.done() else None
         finally:
             sending.cancel()
-            abandoning.cancel()
+            self.resources.selector.report(choice, verdict)
 
-    async def _cancel(self, peer: AgentPeer, attempt_id: str) -> None:
-        call = CancelAttempt(attempt_id=attempt_id, agent_incarnation=peer.record.incarnation)
+    async def _cancel(self, choice: EndpointChoice, attempt_id: str) -> None:
         try:
-            reply = await peer.call(call, CANCEL_TIMEOUT_S)
+            reply = await cancel_attempt(choice.peer, attempt_id)
         except WireError:
             self.may_have_run = True
             return
         if not isinstance(reply, AttemptRefused):
             self.may_have_run = True
 
-    def _judge(self, reply: MessageStruct) -> RequestOutcome | None:
-        if isinstance(reply, AttemptAnswer):
-            if reply.status_code < FIRST_SERVER_ERROR:
-                return completed(reply.status_code, reply.content_type, reply.body)
-            self.last_answer = reply
-        elif isinstance(reply, AttemptRefused):
-            known = self.retry_after_s
+    def _take_reply(self, choice: EndpointChoice, reply: MessageStruct) -> None:
+        service = self.resources.admission.service(self.request.service)
+        agent_id = choice.peer.record.agent_id
+        if isinstance(reply, AttemptRefused) and reply.code == NO_SLOT_CODE:
+            service.observe_refusal()
+            self.refused.add(agent_id)
             told = reply.retry_after_s
-            self.retry_after_s = told if known is None else min(known, told)
+            self.retry_after_s = min(told, self.retry_after_s or told)
+            return
+        self.failed.add(agent_id)
+        if isinstance(reply, AttemptAnswer):
+            service.observe_reply(reply.load)
+            if reply.status_code >= FIRST_SERVER_ERROR:
+                self.last_answer = reply
         elif isinstance(reply, AttemptFailed):
             self.may_have_run = True
-        return None
+
+    def _refused_outcome(self, refusal: AdmissionRefusal) -> RequestOutcome:
+        if self.may_have_run or self.last_answer is not None:
+            return self._give_up()
+        status_code = 504 if refusal.code == DEADLINE_CODE else 503
+        return not_run(status_code, refusal.code, refusal.detail, refusal.retry_after_s)
 
     def _give_up(self) -> RequestOutcome:
-        """Every endpoint was tried, or there is none."""
+        """Every endpoint was tried, there is none, or no retry is allowed."""
         if self.last_answer is not None:
             answer = self.last_answer
             return completed(answer.status_code, answer.content_type, answer.body)
         if self.may_have_run:
-            return outcome_unknown(ENDPOINT_FAILED_CODE, "no endpoint gave a whole answer")
+            detail = "no endpoint gave a whole answer"
+            return outcome_unknown(ENDPOINT_FAILED_CODE, detail, NO_ENDPOINT_RETRY_AFTER_S)
         if self.retry_after_s is not None:
             detail = "all slots are taken"
-            return not_run(503, OVERLOADED_CODE, detail, max(0.1, self.retry_after_s))
+            return not_run(503, OVERLOADED_CODE, detail, self._retry_after_s())
         detail = "no endpoint of this service is reachable"
         return not_run(503, NO_ENDPOINT_CODE, detail, NO_ENDPOINT_RETRY_AFTER_S)
 
     def _deadline_outcome(self) -> RequestOutcome:
-        if self.may_have_run or self.last_answer is not None:
-            return outcome_unknown(DEADLINE_CODE, "no whole answer before the deadline")
+        if self.last_answer is not None:
+            return self._give_up()
+        if self.may_have_run:
+            return outcome_unknown(DEADLINE_CODE, "no whole answer before the deadline", 1.0)
         return not_run(504, DEADLINE_CODE, "not started before the deadline", self._retry_after_s())
 
     def _retry_after_s(self) -> float:
-        return max(0.1, self.retry_after_s or NO_ENDPOINT_RETRY_AFTER_S)
+        return max(RETRY_AFTER_FLOOR_S, self.retry_after_s or NO_ENDPOINT_RETRY_AFTER_S)
--- a/src/cicadatray/internal/entry/request_service.py
+++ b/src/cicadatray/internal/entry/request_service.py
@@ -1,61 +1,110 @@
-"""Admits requests and joins resends to requests in progress."""
+"""Runs requests and joins resends to requests in progress."""
 
 import asyncio
 
+import msgspec
+import structlog
+
 from cicadatray.internal.entry.caller_request import CallerRequest
-from cicadatray.internal.entry.directory_cache import DirectoryCache
-from cicadatray.internal.entry.endpoint_selector import EndpointSelector
 from cicadatray.internal.entry.idempotent_runner import IdempotentRunner
 from cicadatray.internal.entry.non_idempotent_runner import NonIdempotentRunner
-from cicadatray.internal.entry.request_outcome import RequestOutcome, not_run
+from cicadatray.internal.entry.request_outcome import (
+    OutcomeKind,
+    RequestOutcome,
+    not_run,
+    outcome_unknown,
+)
+from cicadatray.internal.entry.request_resources import RequestResources
 from cicadatray.internal.entry.shared_request import SharedRequest
-from cicadatray.internal.wire.control_client import ControlClient
 
 KEY_REUSED_CODE = "key_reused"
+INTERNAL_ERROR_CODE = "internal_error"
+INTERNAL_RETRY_AFTER_S = 1.0
+
+log = structlog.get_logger(__name__)
+
+
+class RequestName(msgspec.Struct, frozen=True):
+    """Idempotent and non-idempotent requests never share a run, whatever their keys."""
+
+    client_account: str
+    key: str
+    non_idempotent: bool
 
 
 class RequestService:
     """Owns every request in progress at this entry."""
 
-    __slots__ = ("control", "directory", "in_progress", "running", "selector")
+    __slots__ = ("in_progress", "resources", "running")
 
-    def __init__(self, directory: DirectoryCache, control: ControlClient) -> None:
-        self.directory = directory
-        self.control = control
-        self.selector = EndpointSelector(directory)
-        self.in_progress: dict[str, SharedRequest] = {}
-        self.running: set[asyncio.Task[RequestOutcome]] = set()
+    def __init__(self, resources: RequestResources) -> None:
+        self.resources = resources
+        self.in_progress: dict[RequestName, SharedRequest] = {}
+        self.running: set[SharedRequest] = set()
 
     async def run(self, request: CallerRequest) -> RequestOutcome:
         """Returns the final outcome of a request, or of the one in progress with the same key."""
-        name = f"{request.client_account}/{request.key}"
-        shared = self.in_progress.get(name) if request.key else None
+        started_s = asyncio.get_running_loop().time()
+        outcome = await self._run(request)
+        duration_s = asyncio.get_running_loop().time() - started_s
+        metrics = self.resources.metrics
+        metrics.record_answer(request.client_account, outcome.kind.value, duration_s)
+        if outcome.kind is OutcomeKind.NOT_RUN:
+            metrics.record_refusal(request.client_account, outcome.code)
+        return outcome
+
+    def find(self, request: CallerRequest) -> SharedRequest | None:
+        """Returns the request in progress with the same key, unless its callers have gone."""
+        shared = self.in_progress.get(self._name(request)) if request.key else None
+        return None if shared is None or shared.request.abandoned.done() else shared
+
+    async def finish(self) -> None:
+        """Waits for all requests in progress, and for attempts whose callers have gone."""
+        while self.running or self.resources.background:
+            tasks = {shared.task for shared in self.running} | self.resources.background
+            stops = {shared.stopping for shared in self.running if not shared.stopping.done()}
+            await asyncio.wait((*tasks, *stops), return_when=asyncio.FIRST_COMPLETED)
+            self.running = {shared for shared in self.running if not shared.stopping.done()}
+
+    def abandon(self) -> None:
+        """Ends all requests in progress; each caller gets the true outcome soon."""
+        for shared in self.running:
+            shared.stop()
+        for task in self.resources.background:
+            task.cancel()
+
+    async def _run(self, request: CallerRequest) -> RequestOutcome:
+        shared = self.find(request)
         if shared is not None and shared.request.digest() != request.digest():
             return not_run(422, KEY_REUSED_CODE, "this key is in use for another request", 0.0)
-        if shared is None or shared.request.abandoned.is_set():
-            shared = self._start(name, request)
-        return await shared.wait()
+        if shared is None:
+            shared = self._start(request)
+        return await shared.wait(request.deadline_s)
 
-    async def finish(self) -> None:
-        """Waits for all requests in progress."""
-        while self.running:
-            await asyncio.wait(self.running)
-
-    def _start(self, name: str, request: CallerRequest) -> SharedRequest:
-        task = asyncio.create_task(self._runner(request).run())
-        shared = SharedRequest(request, task)
-        self.running.add(task)
-        task.add_done_callback(self.running.discard)
+    def _start(self, request: CallerRequest) -> SharedRequest:
+        shared = SharedRequest(request, asyncio.create_task(self._run_alone(request)))
+        self.running.add(shared)
         if request.key:
-            self.in_progress[name] = shared
-            task.add_done_callback(lambda _: self._forget(name, shared))
+            self.in_progress[self._name(request)] = shared
+        shared.task.add_done_callback(lambda _: self._forget(shared))
         return shared
 
-    def _runner(self, request: CallerRequest) -> IdempotentRunner | NonIdempotentRunner:
-        if request.non_idempotent:
-            return NonIdempotentRunner(request, self.selector, self.directory, self.control)
-        return IdempotentRunner(request, self.selector)
+    async def _run_alone(self, request: CallerRequest) -> RequestOutcome:
+        try:
+            if request.non_idempotent:
+                return await NonIdempotentRunner(request, self.resources).run()
+            return await IdempotentRunner(request, self.resources).run()
+        except Exception:
+            # A defect must not leave callers without an answer, nor claim more than is known.
+            log.exception("request failed", trace_id=request.trace_id)
+            detail = "internal error; the request may have run"
+            return outcome_unknown(INTERNAL_ERROR_CODE, detail, INTERNAL_RETRY_AFTER_S)
 
-    def _forget(self, name: str, shared: SharedRequest) -> None:
+    def _forget(self, shared: SharedRequest) -> None:
+        self.running.discard(shared)
+        name = self._name(shared.request)
         if self.in_progress.get(name) is shared:
             del self.in_progress[name]
+
+    def _name(self, request: CallerRequest) -> RequestName:
+        return RequestName(request.client_account, request.key, request.non_idempotent)
--- a/src/cicadatray/internal/entry/shared_request.py
+++ b/src/cicadatray/internal/entry/shared_request.py
@@ -3,25 +3,56 @@
 import asyncio
 
 from cicadatray.internal.entry.caller_request import CallerRequest
-from cicadatray.internal.entry.request_outcome import RequestOutcome
+from cicadatray.internal.entry.request_outcome import RequestOutcome, outcome_unknown
+
+# Beyond the deadline, for the calls that find out whether the request was started.
+DEADLINE_GRACE_S = 2.0
+# The same after the second stop signal.
+STOP_GRACE_S = 2.0
+DEADLINE_CODE = "deadline_exceeded"
+STOPPED_CODE = "entry_stopped"
+RETRY_AFTER_S = 1.0
 
 
 class SharedRequest:
-    """The run is cancelled when its last caller has gone."""
+    """The run is told to end when its last caller has gone."""
 
-    __slots__ = ("request", "task", "waiters")
+    __slots__ = ("request", "started_s", "stopping", "task", "waiters")
 
     def __init__(self, request: CallerRequest, task: asyncio.Task[RequestOutcome]) -> None:
         self.request = request
         self.task = task
+        self.started_s = asyncio.get_running_loop().time()
+        self.stopping: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.waiters = 0
 
-    async def wait(self) -> RequestOutcome:
-        """Returns the outcome. A cancelled wait leaves the run to the other callers."""
+    async def wait(self, deadline_s: float) -> RequestOutcome:
+        """Returns the outcome, or that it is unknown soon after the caller's deadline.
+
+        A cancelled wait leaves the run to the other callers.
+        """
         self.waiters += 1
         try:
-            return await asyncio.shield(self.task)
+            limit_s = deadline_s - asyncio.get_running_loop().time() + DEADLINE_GRACE_S
+            await asyncio.wait(
+                (self.task, self.stopping),
+                timeout=max(0.0, limit_s),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if self.task.done():
+                return self.task.result()
+            code = STOPPED_CODE if self.stopping.done() else DEADLINE_CODE
+            return outcome_unknown(code, "the request may be running", RETRY_AFTER_S)
         finally:
             self.waiters -= 1
             if self.waiters == 0 and not self.task.done():
-                self.request.abandoned.set()
+                self.request.abandon()
+
+    def stop(self) -> None:
+        """Ends the run; its callers get what is known of it within `STOP_GRACE_S`."""
+        self.request.abandon()
+        asyncio.get_running_loop().call_later(STOP_GRACE_S, self._stop_waiting)
+
+    def _stop_waiting(self) -> None:
+        if not self.stopping.done():
+            self.stopping.set_result(None)
