Test ejection, retries and admission of requests, and use an agent's late refusal

Cause: where an attempt's deadline passed in the agent's queue, the agent's refusal crossed with the entry's cancellation, and the entry answered outcome_unknown. One failure kept an endpoint without requests for ever while all were idle. Change: an entry that could not prevent an attempt waits 50 ms for the reply that may be on its way; a single failure weighs on the choice for 20 s only.

--- a/src/cicadatray/internal/entry/endpoint_health.py
+++ b/src/cicadatray/internal/entry/endpoint_health.py
@@ -27,6 +27,8 @@
 FAILURE_SHARE_RESULTS = 5
 # An endpoint that gets no request because of its failures must become eligible again.
 FAILURE_SHARE_HALF_LIFE_S = 10.0
+# Between idle endpoints any difference decides, so a single failure counts for 20 s only.
+FAILURE_SHARE_FLOOR = 0.05
 
 
 class EndpointHealth:
@@ -69,9 +71,9 @@
 
         An endpoint that fails fast has nothing in progress and would otherwise attract requests.
         """
-        return float(
-            self.failure_share * 0.5 ** ((now_s - self.result_at_s) / FAILURE_SHARE_HALF_LIFE_S)
-        )
+        half_lives = (now_s - self.result_at_s) / FAILURE_SHARE_HALF_LIFE_S
+        share: float = self.failure_share * 0.5**half_lives
+        return share if share >= FAILURE_SHARE_FLOOR else 0.0
 
     def should_be_ejected(self) -> bool:
         """Tells whether the endpoint failed too many requests in a row."""
--- a/src/cicadatray/internal/entry/idempotent_runner.py
+++ b/src/cicadatray/internal/entry/idempotent_runner.py
@@ -30,6 +30,8 @@
 DEADLINE_CODE = "deadline_exceeded"
 ENDPOINT_FAILED_CODE = "endpoint_failed"
 RETRY_AFTER_FLOOR_S = 0.1
+# The reply of an attempt that ended just before its cancellation is on its way for this long.
+LATE_REPLY_S = 0.05
 # A request that found every endpoint full this often is turned away; the queue is too optimistic.
 TURN_LIMIT = 3
 
@@ -112,8 +114,10 @@
         self.retry_costs = False
         try:
             if not await self.request.wait_for(sending):
-                await self._cancel(choice, attempt_id)
+                prevented = await self._cancel(choice, attempt_id)
+                await asyncio.wait((sending,), timeout=0.0 if prevented else LATE_REPLY_S)
                 if not sending.done():
+                    self.may_have_run |= not prevented
                     return None
             reply = sending.result()
             verdict = judge_reply(reply)
@@ -131,14 +135,13 @@
             sending.cancel()
             self.resources.selector.report(choice, verdict)
 
-    async def _cancel(self, choice: EndpointChoice, attempt_id: str) -> None:
+    async def _cancel(self, choice: EndpointChoice, attempt_id: str) -> bool:
+        """Tells whether the agent confirmed that the attempt will never start."""
         try:
             reply = await cancel_attempt(choice.peer, attempt_id)
         except WireError:
-            self.may_have_run = True
-            return
-        if not isinstance(reply, AttemptRefused):
-            self.may_have_run = True
+            return False
+        return isinstance(reply, AttemptRefused)
 
     def _take_reply(self, choice: EndpointChoice, reply: MessageStruct) -> None:
         service = self.resources.admission.service(self.request.service)
