--- a/src/cicadatray/internal/bench/deployment/caller.py
+++ b/src/cicadatray/internal/bench/deployment/caller.py
@@ -8,6 +8,8 @@
 from aiosonic.timeout import Timeouts
 
 CONNECT_TIMEOUT_S = 1.0
+# The balancer takes a frozen entry out after a few failed checks; the caller stands in for it here.
+ANSWER_TIMEOUT_S = 12.0
 RESEND_LIMIT = 40
 RESEND_PAUSE_S = 0.3
 OUTCOME_HEADER = "cicadatray-outcome"
@@ -39,7 +41,11 @@
         self.credential = credential
         self.broken_sends = 0
         self.random = random.Random(seed)
-        timeouts = Timeouts(sock_connect=CONNECT_TIMEOUT_S, sock_read=60.0, request_timeout=60.0)
+        timeouts = Timeouts(
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=ANSWER_TIMEOUT_S,
+            request_timeout=ANSWER_TIMEOUT_S,
+        )
         self.client = aiosonic.HTTPClient(aiosonic.TCPConnector(timeouts=timeouts))
 
     async def send_once(
--- a/src/cicadatray/internal/bench/fault_runs/case_runner.py
+++ b/src/cicadatray/internal/bench/fault_runs/case_runner.py
@@ -44,7 +44,8 @@
         except Exception as error:
             report.error = f"{type(error).__name__}: {error}"
         finally:
-            await asyncio.to_thread(run.deployment.kill)
+            # Without a thread, so that an interrupted run leaves no process behind.
+            run.deployment.kill()
         _count(run, report)
         return report
 
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -159,7 +159,9 @@
 
     async def _lead(self) -> None:
         log.info("leading", term=self.replica.term)
-        self.session = LeaderSession(self.state, self.replica, self.links, self.replica.term)
+        self.session = LeaderSession(
+            self.state, self.replica, self.links, self.replica.term, self.metrics
+        )
         await self._add_first_operator(self.session)
         self.loop = SchedulingLoop(self.session)
         try:
--- a/src/cicadatray/internal/control/gang_driver.py
+++ b/src/cicadatray/internal/control/gang_driver.py
@@ -8,6 +8,8 @@
 from cicadatray.internal.control.job_entry import JobEntry
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.leases import ANNOUNCE_INTERVAL_S, LEASE_END_S
+from cicadatray.internal.observability.standard_metrics import reclaim_seconds
+from cicadatray.internal.observability.trace import bind_trace_id
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.job_messages import (
     JobState,
@@ -74,6 +76,8 @@
         Raises:
             LeadershipLostError: the new leader goes on from the replicated state.
         """
+        if self.entry.trace_id:
+            bind_trace_id(self.entry.trace_id)
         if self.entry.state is JobState.STARTING:
             await self._start()
         elif self.entry.state is JobState.RUNNING:
@@ -116,10 +120,17 @@
         order = StartTask(job_id=self._job_id(), epoch=self.epoch)
         replies = await asyncio.gather(*(self._start_member(s, order) for s in self._shares()))
         if all(replies):
-            self.session.scheduler.gang_started(self._job_id(), self.session.scheduling_time_s())
+            self._record_start()
         else:
             self.request_stop(GangOutcome.WORKER_LOST, "a member could not start")
 
+    def _record_start(self) -> None:
+        now_s = self.session.scheduling_time_s()
+        self.session.scheduler.gang_started(self._job_id(), now_s)
+        if self.entry.request.urgent and self.entry.epoch == 1:
+            waited_s = now_s - self.entry.request.submitted_s
+            reclaim_seconds(self.session.metrics).observe(waited_s)
+
     async def _start_member(self, share: WorkerShare, order: StartTask) -> bool:
         deadline_s = self.session.now_s() + START_TIMEOUT_S
         while self.session.now_s() < deadline_s:
--- a/src/cicadatray/internal/control/leader_session.py
+++ b/src/cicadatray/internal/control/leader_session.py
@@ -7,6 +7,7 @@
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.directory import Directory
 from cicadatray.internal.control.errors import LeadershipLostError
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.replication.errors import ReplicationError
 from cicadatray.replication.replica import Replica
@@ -25,6 +26,7 @@
         "clock_offset_s",
         "directory",
         "links",
+        "metrics",
         "replica",
         "scheduler",
         "started_s",
@@ -33,7 +35,15 @@
         "wake",
     )
 
-    def __init__(self, state: ControlState, replica: Replica, links: AgentLinks, term: int) -> None:
+    def __init__(
+        self,
+        state: ControlState,
+        replica: Replica,
+        links: AgentLinks,
+        term: int,
+        metrics: MetricsRegistry,
+    ) -> None:
+        self.metrics = metrics
         self.state = state
         self.replica = replica
         self.links = links
--- a/src/cicadatray/internal/wire/rpc_server.py
+++ b/src/cicadatray/internal/wire/rpc_server.py
@@ -1,10 +1,12 @@
 """Listener that answers calls of other processes."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import structlog
 
+from cicadatray.internal.observability.trace import traced
 from cicadatray.internal.wire.codec import Codec
 from cicadatray.internal.wire.errors import FrameError, HandshakeError
 from cicadatray.internal.wire.frame import pack_frame, read_frame
@@ -93,8 +95,10 @@
     async def _answer(
         self, writer: asyncio.StreamWriter, call_id: int, message: MessageStruct
     ) -> None:
+        trace_id = getattr(message, "trace_id", "")
         try:
-            reply = await self.handler(message)
+            with traced(trace_id) if trace_id else contextlib.nullcontext():
+                reply = await self.handler(message)
         except Exception as error:
             log.exception("call failed", message_type=type(message).__name__)
             reply = Failure(code=INTERNAL_ERROR_CODE, detail=type(error).__name__)
