Check at-most-once requests and gangs under leases with minicheck

Change: explicit-state specifications at_most_once, gang_start_with_leases and regrant_with_leases, with seeded defects, the runner behind ./build.sh model, and a printer for shortest counterexamples.

--- /dev/null
+++ b/src/cicadatray/internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, checked exhaustively within stated bounds."""
--- /dev/null
+++ b/tests/cover/models/test_seeded_defects.py
@@ -0,0 +1,28 @@
+"""Tests that the checker finds every defect seeded into a specification."""
+
+import pytest
+
+from cicadatray.internal.models import specifications
+from cicadatray.internal.models.check import check_specification
+from cicadatray.internal.models.registry import SPECIFICATIONS
+
+specifications.load()
+
+# Searches that take more than 20 s are in tests/nocover/models.
+SLOW_SPECIFICATIONS = {"at_most_once"}
+DEFECTS = [(name, str(d)) for name, spec in SPECIFICATIONS.items() for d in spec.defects]
+
+
+@pytest.mark.parametrize(("name", "defect"), DEFECTS)
+def test_seeded_defect_is_found(name: str, defect: str) -> None:
+    """Guards against invariants or actions so weak that a missing rule goes unnoticed."""
+    result = check_specification(SPECIFICATIONS[name], defect)
+    assert result.violated
+    assert len(result.trace) == result.steps + 1
+
+
+@pytest.mark.parametrize("name", sorted(set(SPECIFICATIONS) - SLOW_SPECIFICATIONS))
+def test_correct_protocol_holds(name: str) -> None:
+    """Guards against a protocol that loses its invariants within the bounds."""
+    result = check_specification(SPECIFICATIONS[name], None)
+    assert (result.holds, result.complete, result.violated) == (True, True, "")
