--- a/src/cicadatray/replication/core.py
+++ b/src/cicadatray/replication/core.py
@@ -48,6 +48,7 @@
         "leader_id",
         "leadership",
         "lifecycle",
+        "loop",
         "random",
         "settings",
         "stopped",
@@ -64,6 +65,7 @@
         transport: ReplicaTransport,
         random_source: random.Random,
     ) -> None:
+        self.loop = asyncio.get_running_loop()
         self.settings = settings
         self.storage = storage
         self.transport = transport
@@ -104,7 +106,7 @@
 
     def now_s(self) -> float:
         """Returns the event loop's clock."""
-        return asyncio.get_running_loop().time()
+        return self.loop.time()
 
     def is_voter(self) -> bool:
         """Returns whether this member counts for quorums."""
@@ -216,7 +218,7 @@
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Starts a task that ends with the replica; its failure ends the replica."""
-        task = asyncio.get_running_loop().create_task(self._guard(coroutine))
+        task = self.loop.create_task(self._guard(coroutine))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
--- a/src/cicadatray/replication/proposal.py
+++ b/src/cicadatray/replication/proposal.py
@@ -18,3 +18,4 @@
         """Ends the wait of the proposer unless it has ended already."""
         if not self.result.done():
             self.result.set_exception(error)
+            self.result.exception()  # a proposer that has gone must not cause a warning
--- a/tests/cover/replication/cluster.py
+++ b/tests/cover/replication/cluster.py
@@ -82,13 +82,8 @@
         """Ends the process; nothing of it reaches the disk or the network any more."""
         self._end()
         self.process.thaw()
-
-        async def abort() -> None:
-            if self.replica.core_or_none is not None:
-                self.replica.abort()
-
-        loop = asyncio.get_event_loop()
-        loop.run_until_complete(loop.create_task(abort(), context=self.process.context))
+        if self.replica.core_or_none is not None:
+            self.process.context.run(self.replica.abort)
 
     def _end(self) -> None:
         self.is_running = False
@@ -112,6 +107,7 @@
         "network",
         "next_command",
         "nodes",
+        "operations",
         "overrides",
         "random",
     )
@@ -125,6 +121,7 @@
         self.agreed: list[bytes] = []
         self.acknowledged: dict[bytes, int] = {}
         self.next_command = 0
+        self.operations: set[asyncio.Task[bool]] = set()
         self.network = FakeNetwork(self, self.random)
         self.initial = [f"n{number}" for number in range(1, size + 1)]
         self.nodes = {name: Node(self, name, bootstrap=True) for name in self.initial}
@@ -173,6 +170,9 @@
     def advance(self, duration_s: float) -> None:
         """Lets everything run for some time."""
         self.run(asyncio.sleep(duration_s))
+        for node in self.running():
+            failure = node.replica.failure
+            self.check(failure is None, f"replica failed: {failure!r}")
         assert not self.faults, self.faults
 
     def advance_until(self, condition: Callable[[], Any], limit_s: float = 30.0) -> None:
@@ -183,8 +183,9 @@
             self.advance(0.05)
 
     def running(self) -> list[Node]:
-        """Returns the members whose process runs."""
-        return [node for node in self.nodes.values() if node.is_running]
+        """Returns the members whose process runs and has loaded its disk."""
+        nodes = self.nodes.values()
+        return [node for node in nodes if node.is_running and node.replica.core_or_none]
 
     def leader(self) -> Node | None:
         """Returns the leader of the highest term among the members that run and are not frozen."""
@@ -216,13 +217,71 @@
     async def read(self, node: Node, timeout_s: float = 2.0) -> bool:
         """Reads with a barrier; the state must hold all that was acknowledged before the call."""
         expected = max(self.acknowledged.values(), default=0)
+        machine = node.machine
         try:
             await node.replica.confirm_leadership(timeout_s)
         except ReplicationError:
             return False
-        self.check(len(node.machine.commands) >= expected, "stale read")
+        self.check(len(machine.commands) >= expected, "stale read")
         return True
 
+    def cut_off(self, name: str) -> None:
+        """Isolates a member in both directions."""
+        for other in self.nodes:
+            self.network.cuts |= {(name, other), (other, name)}
+
+    def lose_disk(self, name: str, bootstrap: bool) -> None:
+        """Replaces a member's disk by an empty one and starts it again."""
+        self.nodes[name].kill()
+        self.nodes[name] = Node(self, name, bootstrap)
+        self.nodes[name].start(self)
+
+    async def change(self, name: str, change: str) -> bool:
+        """Tries a membership change on the leader; returns whether it was committed."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        try:
+            if change == "add":
+                await leader.replica.add_learner(self.member(name))
+            elif change == "promote":
+                await leader.replica.promote(name)
+            else:
+                await leader.replica.remove(name)
+        except ReplicationError:
+            return False
+        return True
+
+    async def repair(self, name: str) -> None:
+        """Adds a member as a learner and promotes it, as often as it takes."""
+        while not await self.change(name, "add") or not await self.change(name, "promote"):
+            await asyncio.sleep(0.5)
+
+    async def leave(self, name: str) -> None:
+        """Removes a member that does not lead, as often as it takes, then ends its process."""
+        while True:
+            leader = self.leader()
+            if leader is not None and leader.settings.member_id == name:
+                await leader.replica.hand_over()
+            elif await self.change(name, "remove") or self.has_left(leader, name):
+                break
+            await asyncio.sleep(0.5)
+        self.nodes[name].kill()
+        del self.nodes[name]
+
+    def has_left(self, leader: Node | None, name: str) -> bool:
+        """Returns whether the leader knows of a committed membership without the member."""
+        if leader is None:
+            return False
+        history = leader.replica.core.history
+        return history.at(leader.replica.commit_index).find(name) is None
+
+    def spawn(self, node: Node, operation: Coroutine[Any, Any, bool]) -> None:
+        """Runs an operation of a client inside a member's process, so that freezes delay it."""
+        task = self.loop.create_task(operation, context=node.process.context)
+        self.operations.add(task)
+        task.add_done_callback(self.operations.discard)
+
     def propose_until_done(self) -> None:
         """Proposes one command again and again until it is acknowledged."""
 
--- a/tests/cover/replication/fake_network.py
+++ b/tests/cover/replication/fake_network.py
@@ -19,13 +19,14 @@
 
 
 class FakeNetwork:
-    """`cuts` holds directed links that lose everything; times in seconds."""
+    """`cuts` holds directed links that lose everything, `dropped` a message type that is lost."""
 
     __slots__ = (
         "answers",
         "cluster",
         "cuts",
         "delay_s",
+        "dropped",
         "leaders",
         "loss",
         "random",
@@ -39,6 +40,7 @@
         self.answers: set[asyncio.Task[None]] = set()
         self.cuts: set[tuple[str, str]] = set()
         self.delay_s = 0.002
+        self.dropped: type | None = None
         self.loss = 0.0
         self.repeat = 0.0
         self.leaders: dict[int, str] = {}
@@ -47,7 +49,10 @@
     def send(self, source: str, target: str, data: bytes, reply: "asyncio.Future[bytes]") -> None:
         """Delivers a request once, twice or not at all."""
         self.sent += 1
-        self._check_leader(decode_replica_message(data))
+        message = decode_replica_message(data)
+        self._check_leader(message)
+        if self.dropped is not None and isinstance(message, self.dropped):
+            return
         for _ in range(2 if self.random.random() < self.repeat else 1):
             if not self._is_lost(source, target):
                 self._later(self._deliver, source, target, data, reply)
