--- a/src/cicadatray/internal/entry/entry_daemon.py
+++ b/src/cicadatray/internal/entry/entry_daemon.py
@@ -33,6 +33,7 @@
         self.control = ControlClient(settings.control, codec, secret)
         self.directory = DirectoryCache(self.control, codec, secret)
         self.context = EntryContext(settings, self.directory, self.control)
+        self.dump.register("entry", self.context.describe)
         application = build_application(self.context)
         application.state.dump = self.dump
         self.http = HttpServer(application, settings.http.host, settings.http.port)
