--- a/src/cicadatray/scheduling/fleet.py
+++ b/src/cicadatray/scheduling/fleet.py
@@ -90,9 +90,14 @@
         known = [share for share in shares if share.worker_id in self.workers]
         return [(self.workers[share.worker_id], share.accelerators) for share in known]
 
-    def set_in_service(self, worker: Unit, in_service: bool) -> None:
-        """Takes a worker out of service or puts it back."""
-        worker.in_service = in_service
+    def set_lost(self, worker: Unit, lost: bool) -> None:
+        """Takes an unreachable worker out of service or puts it back."""
+        worker.lost = lost
+        self.refresh(worker)
+
+    def set_quarantined(self, worker: Unit, quarantined: bool) -> None:
+        """Takes a worker that fails its tasks out of service or puts it back."""
+        worker.quarantined = quarantined
         self.refresh(worker)
 
     def set_fence(self, worker: Unit, job_id: str | None) -> None:
@@ -103,7 +108,7 @@
     def refresh(self, worker: Unit) -> None:
         """Recomputes a worker's totals and carries the difference to its rack and data centre."""
         capacity = worker.total if worker.in_service else 0
-        idle = max(0, worker.physically_idle - worker.claimed) if worker.fence is None else 0
+        idle = worker.unclaimed if worker.fence is None else 0
         if capacity == worker.capacity and idle == worker.idle:
             return
         for unit in worker.path()[1:]:
@@ -129,7 +134,9 @@
             worker = Unit(record.worker_id, Scope.WORKER, rack, self._take_order())
             if previous is not None:
                 worker.used = previous.used
-                worker.in_service = previous.in_service
+                worker.claimed = previous.claimed
+                worker.lost = previous.lost
+                worker.quarantined = previous.quarantined
                 previous.around(Scope.RACK).children.pop(record.worker_id, None)
             self.workers[record.worker_id] = worker
             rack.children[record.worker_id] = worker
--- /dev/null
+++ b/src/cicadatray/scheduling/guarantee_plan.py
@@ -0,0 +1,284 @@
+"""The reservation plan: where each guaranteed block is kept."""
+
+from cicadatray.scheduling.fleet import Fleet
+from cicadatray.scheduling.guarantee_clash import make_slots
+from cicadatray.scheduling.guarantee_slot import GuaranteeSlot
+from cicadatray.scheduling.job import Job, JobState
+from cicadatray.scheduling.placement import Placement
+from cicadatray.scheduling.rules import Guarantee
+from cicadatray.scheduling.shape import Scope, Shape
+from cicadatray.scheduling.slot_search import SlotSearch, search_order
+from cicadatray.scheduling.unit import Unit
+
+
+class GuaranteePlan:
+    """Assigns every guaranteed block to a unit and binds jobs to the blocks they run in.
+
+    `Unit.reserved` of a unit is the sum of the blocks kept at it or below it; a bound job's
+    accelerators count at their workers and the rest of its block at the block's unit. The plan is
+    valid while no unit has more reserved than its capacity: docs/decisions-scheduling.md shows
+    that all blocks can then be placed together. Events only mark the plan as stale; `repair` makes
+    it valid again once, so that the loss of a data centre is not repaired worker by worker.
+    """
+
+    __slots__ = (
+        "by_account",
+        "by_shape",
+        "fleet",
+        "missing",
+        "search",
+        "slot_of",
+        "slots",
+        "stale",
+        "version",
+    )
+
+    def __init__(self, fleet: Fleet, guarantees: tuple[Guarantee, ...]) -> None:
+        self.fleet = fleet
+        self.search = SlotSearch(fleet)
+        self.slots: dict[tuple[str, Shape, int], GuaranteeSlot] = {}
+        self.by_account: dict[str, list[GuaranteeSlot]] = {}
+        self.by_shape: dict[Shape, list[GuaranteeSlot]] = {}
+        self.slot_of: dict[str, GuaranteeSlot] = {}
+        self.missing: dict[tuple[str, Shape, int], GuaranteeSlot] = {}
+        self.stale = True
+        self.version = 0
+        self.replace(guarantees)
+
+    @property
+    def at_risk(self) -> list[GuaranteeSlot]:
+        """Returns the blocks that cannot be placed together with the others."""
+        return list(self.missing.values())
+
+    def replace(self, guarantees: tuple[Guarantee, ...]) -> None:
+        """Takes other guarantees over; unchanged blocks keep their units and jobs."""
+        wanted = {slot.key: slot for slot in make_slots(guarantees)}
+        for key in [key for key in self.slots if key not in wanted]:
+            self.evict(self.slots.pop(key))
+            del self.missing[key]
+        for key, slot in wanted.items():
+            if key not in self.slots:
+                self.slots[key] = slot
+                self.missing[key] = slot
+        self.by_account = {}
+        self.by_shape = {}
+        for slot in self.slots.values():
+            self.by_account.setdefault(slot.client_account, []).append(slot)
+            self.by_shape.setdefault(slot.shape, []).append(slot)
+        self._changed()
+
+    def inventory_changed(self) -> None:
+        """Recomputes all sums; blocks at units that no longer exist lose their place."""
+        for scope in Scope:
+            for unit in self.fleet.units(scope):
+                unit.reserved = 0
+        self.search = SlotSearch(self.fleet)
+        for slot in self.slots.values():
+            if slot.unit is None:
+                continue
+            if self._is_current(slot):
+                self.search.attach(slot, slot.unit)
+                for placement in slot.bound.values():
+                    self._shift(slot, placement, 1)
+            else:
+                self._drop(slot)
+        self._changed()
+
+    def capacity_changed(self, worker: Unit) -> None:
+        """Notes that a worker went out of service or came back."""
+        for unit in worker.path():
+            self.search.index.update(unit)
+        overcommitted = any(unit.headroom < 0 for unit in worker.path())
+        self.version += 1
+        self.stale = self.stale or overcommitted or bool(self.missing)
+
+    def can_bind(self, slot: GuaranteeSlot, placement: Placement) -> bool:
+        """Whether a job at this placement would run inside the block."""
+        needed = sum(share.accelerators for share in placement.shares)
+        if slot.unit is None or slot.free < needed:
+            return False
+        below: dict[str, tuple[Unit, int]] = {}
+        located = self.fleet.located(placement)
+        for worker, accelerators in located:
+            path = worker.path()
+            if slot.unit not in path:
+                return False
+            for unit in path[: path.index(slot.unit)]:
+                below[unit.key] = (unit, below.get(unit.key, (unit, 0))[1] + accelerators)
+        enough = all(unit.headroom >= amount for unit, amount in below.values())
+        return enough and len(located) == len(placement.shares)
+
+    def bind(self, slot: GuaranteeSlot, job_id: str, placement: Placement) -> None:
+        """Lets a job run inside the block."""
+        slot.bound[job_id] = placement
+        self.slot_of[job_id] = slot
+        self._shift(slot, placement, 1)
+
+    def unbind(self, job_id: str) -> None:
+        """Returns the job's part of its block; a job without a block is ignored."""
+        slot = self.slot_of.pop(job_id, None)
+        if slot is None:
+            return
+        self._shift(slot, slot.bound.pop(job_id), -1)
+        self.version += 1
+        self.stale = self.stale or bool(self.missing)
+
+    def bind_where_possible(self, job: Job) -> bool:
+        """Binds a placed job to a block of its account, if it happens to run inside one."""
+        assert job.placement is not None
+        for slot in self.by_account.get(job.request.client_account, ()):
+            if self.can_bind(slot, job.placement):
+                self.bind(slot, job.request.job_id, job.placement)
+                return True
+        return False
+
+    def bind_by_moving(self, job: Job, jobs: dict[str, Job]) -> bool:
+        """Binds a running job to a block that is kept at its location for it.
+
+        Used after a change of leader, whose new plan does not know where the old one kept blocks.
+        A job for which no other block may lose its place stays lent.
+        """
+        assert job.placement is not None
+        if self.bind_where_possible(job):
+            return True
+        missing_before = len(self.missing)
+        for slot in self.by_account.get(job.request.client_account, ()):
+            unit = self._common_unit(job.placement, slot.shape.scope)
+            if slot.bound or slot.free < job.request.shape.accelerators or unit is None:
+                continue
+            if slot.unit is not None:
+                self.evict(slot)
+            self.search.attach(slot, unit)
+            del self.missing[slot.key]
+            if self.can_bind(slot, job.placement):
+                self.bind(slot, job.request.job_id, job.placement)
+            self.stale = True
+            self.repair(jobs)
+            if job.request.job_id in self.slot_of and len(self.missing) <= missing_before:
+                return True
+            self.evict(slot)
+            self.repair(jobs)
+        return False
+
+    def _common_unit(self, placement: Placement, scope: Scope) -> Unit | None:
+        units = {w.around(scope).key: w.around(scope) for w, _ in self.fleet.located(placement)}
+        return next(iter(units.values())) if len(units) == 1 else None
+
+    def move(self, slot: GuaranteeSlot, unit: Unit) -> None:
+        """Keeps a block without bound jobs at another unit that has room for it."""
+        self.search.detach(slot)
+        self.search.attach(slot, unit)
+
+    def swap(self, slot: GuaranteeSlot, other: GuaranteeSlot) -> None:
+        """Exchanges the units of two blocks of equal shape without bound jobs."""
+        slot.unit, other.unit = other.unit, slot.unit
+
+    def evict(self, slot: GuaranteeSlot) -> None:
+        """Takes the place of a block away; its jobs become lent."""
+        for job_id in list(slot.bound):
+            self.unbind(job_id)
+        if slot.unit is not None:
+            self.search.detach(slot)
+            self.missing[slot.key] = slot
+        self._changed()
+
+    def repair(self, jobs: dict[str, Job]) -> None:
+        """Makes the plan valid again and places blocks that have no unit, those at risk first."""
+        if not self.stale:
+            return
+        self.stale = False
+        for urgent_too in (False, True):
+            for slot in self._by_protection(jobs, urgent_too):
+                if self._overcommitted(slot):
+                    self.evict(slot)
+        missing = sorted(self.at_risk, key=lambda slot: (not slot.was_at_risk, search_order(slot)))
+        for slot in missing:
+            if not self._insert(slot):
+                self._insert_by_unbinding(slot, jobs)
+            slot.was_at_risk = slot.unit is None
+        self.stale = False
+
+    def _insert(self, slot: GuaranteeSlot) -> bool:
+        free = [other for other in self.slots.values() if other.unit and not other.bound]
+        inserted = self.search.insert(slot, free)
+        if inserted:
+            del self.missing[slot.key]
+        return inserted
+
+    def _insert_by_unbinding(self, slot: GuaranteeSlot, jobs: dict[str, Job]) -> None:
+        """Unbinds what is not protected where that makes room for a whole block."""
+        unbound = [job_id for job_id in self.slot_of if not is_protected(jobs, job_id)]
+        if not unbound:
+            return
+        previous = [(job_id, self.slot_of[job_id]) for job_id in unbound]
+        for job_id in unbound:
+            self.unbind(job_id)
+        inserted = self._insert(slot)
+        for job_id, held in previous:
+            placement = jobs[job_id].placement if job_id in jobs else None
+            if placement is None:
+                continue
+            if inserted:
+                self.bind_where_possible(jobs[job_id])
+            elif self.can_bind(held, placement):
+                self.bind(held, job_id, placement)
+
+    def _by_protection(self, jobs: dict[str, Job], urgent_too: bool) -> list[GuaranteeSlot]:
+        """Returns blocks in the order in which an overcommitted unit gives them up."""
+        placed = [slot for slot in self.slots.values() if slot.unit is not None]
+        if not urgent_too:
+            placed = [
+                s for s in placed if not any(is_protected(jobs, job_id) for job_id in s.bound)
+            ]
+        return sorted(placed, key=lambda slot: (len(slot.bound) > 0, -slot.shape.accelerators))
+
+    def _overcommitted(self, slot: GuaranteeSlot) -> bool:
+        assert slot.unit is not None
+        if any(unit.headroom < 0 for unit in slot.unit.path()):
+            return True
+        for placement in slot.bound.values():
+            for worker, _ in self.fleet.located(placement):
+                if any(unit.headroom < 0 for unit in worker.path()):
+                    return True
+        return False
+
+    def _is_current(self, slot: GuaranteeSlot) -> bool:
+        assert slot.unit is not None
+        units = {unit.key: unit for unit in self.fleet.units(slot.shape.scope)}
+        if units.get(slot.unit.key) is not slot.unit:
+            return False
+        placements = slot.bound.values()
+        workers = [worker for held in placements for worker, _ in self.fleet.located(held)]
+        return all(slot.unit in worker.path() for worker in workers)
+
+    def _shift(self, slot: GuaranteeSlot, placement: Placement, sign: int) -> None:
+        """Moves a part of a block between its unit and the workers of a placement."""
+        assert slot.unit is not None
+        for worker, accelerators in self.fleet.located(placement):
+            for unit in worker.path():
+                if unit is slot.unit:
+                    break
+                unit.reserved += sign * accelerators
+                self.search.index.update(unit)
+
+    def _drop(self, slot: GuaranteeSlot) -> None:
+        """Forgets the place of a block whose units are gone, together with their sums."""
+        for job_id in slot.bound:
+            del self.slot_of[job_id]
+        slot.bound.clear()
+        slot.unit = None
+        self.missing[slot.key] = slot
+
+    def _changed(self) -> None:
+        self.stale = True
+        self.version += 1
+
+
+def is_protected(jobs: dict[str, Job], job_id: str) -> bool:
+    """Whether a bound job keeps its block when another cannot be placed otherwise.
+
+    Ordinary jobs do not claim the guarantee, and a claim whose gang is not placed yet can be made
+    again elsewhere.
+    """
+    job = jobs.get(job_id)
+    return job is not None and job.request.urgent and job.state is not JobState.RECLAIMING
--- a/src/cicadatray/scheduling/guarantee_slot.py
+++ b/src/cicadatray/scheduling/guarantee_slot.py
@@ -1,5 +1,6 @@
 """One block that a client account is guaranteed."""
 
+from cicadatray.scheduling.guarantee_block import GuaranteeBlock
 from cicadatray.scheduling.placement import Placement
 from cicadatray.scheduling.shape import Shape
 from cicadatray.scheduling.unit import Unit
@@ -11,7 +12,7 @@
     `unit` is None while losses leave no unit for the block.
     """
 
-    __slots__ = ("bound", "client_account", "number", "shape", "unit")
+    __slots__ = ("bound", "client_account", "number", "shape", "unit", "was_at_risk")
 
     def __init__(self, client_account: str, shape: Shape, number: int) -> None:
         self.client_account = client_account
@@ -19,6 +20,17 @@
         self.number = number
         self.unit: Unit | None = None
         self.bound: dict[str, Placement] = {}
+        self.was_at_risk = False
+
+    @property
+    def key(self) -> tuple[str, Shape, int]:
+        """Identifies the block across changes of the rules."""
+        return (self.client_account, self.shape, self.number)
+
+    @property
+    def block(self) -> GuaranteeBlock:
+        """Returns the block's name for callers."""
+        return GuaranteeBlock(self.client_account, self.shape, self.number)
 
     @property
     def free(self) -> int:
--- a/src/cicadatray/scheduling/job.py
+++ b/src/cicadatray/scheduling/job.py
@@ -17,12 +17,17 @@
 
 
 class Job:
-    """A job with its present placement; `sequence` orders jobs by arrival."""
+    """A job with its present placement; `sequence` orders jobs by arrival.
+
+    `failures` lists, for each attempt in which a task failed, the workers on which it failed.
+    `held_until_s` delays the next attempt. `charged` tells that the job counts against its
+    account's share.
+    """
 
     __slots__ = (
-        "attempts",
         "cancelled",
-        "failed_workers",
+        "charged",
+        "failures",
         "held_until_s",
         "moves",
         "placed_s",
@@ -44,11 +49,11 @@
         self.started_s: float | None = None
         self.cancelled = False
         self.task_failed = False
+        self.charged = False
         self.unreachable = False
-        self.attempts = 0
         self.moves = 0
         self.held_until_s = 0.0
-        self.failed_workers: dict[str, None] = {}
+        self.failures: list[list[str]] = []
 
     @property
     def holds_capacity(self) -> bool:
@@ -60,6 +65,11 @@
         """Whether the job holds capacity and has not been told to stop."""
         return self.state in (JobState.STARTING, JobState.RUNNING)
 
+    @property
+    def failed_workers(self) -> set[str]:
+        """Workers on which a task of this job has failed."""
+        return {worker_id for attempt in self.failures for worker_id in attempt}
+
     def uses(self, worker_id: str) -> bool:
         """Whether the job's placement has a share on this worker."""
         if self.placement is None:
--- /dev/null
+++ b/src/cicadatray/scheduling/ordinary_round.py
@@ -0,0 +1,72 @@
+"""One round of placing ordinary jobs on idle capacity."""
+
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+
+from cicadatray.scheduling.job import Job
+from cicadatray.scheduling.placement import Placement
+from cicadatray.scheduling.placement_search import PlacementSearch
+from cicadatray.scheduling.shape import Shape
+from cicadatray.scheduling.share_ledger import ShareLedger
+from cicadatray.scheduling.waiting_queue import WaitingQueue
+
+Rank = Callable[[Job, float], float]
+
+
+class OrdinaryRound:
+    """Serves the account with the lowest standing first, and its jobs by the policy's rank.
+
+    A shape that does not fit is not tried again in the round, so a full fleet costs one search per
+    shape and not one per waiting job.
+    """
+
+    __slots__ = ("full", "held", "ledger", "now_s", "queue", "rank", "search")
+
+    def __init__(
+        self,
+        queue: WaitingQueue,
+        ledger: ShareLedger,
+        search: PlacementSearch,
+        rank: Rank,
+        now_s: float,
+    ) -> None:
+        self.queue = queue
+        self.ledger = ledger
+        self.search = search
+        self.rank = rank
+        self.now_s = now_s
+        self.full: set[Shape] = set()
+        self.held: set[int] = set()
+
+    def run(self, place: Callable[[Job, Placement], None]) -> None:
+        """Places jobs until none fits."""
+        order = [(self.ledger.standing(a, self.now_s), a) for a in self.queue.accounts]
+        heapify(order)
+        while order:
+            standing, account = heappop(order)
+            job = self._next(account)
+            if job is None:
+                continue
+            placement = self.find(job)
+            if placement is not None:
+                place(job, placement)
+                standing = self.ledger.standing(account, self.now_s)
+            heappush(order, (standing, account))
+
+    def find(self, job: Job) -> Placement | None:
+        """Returns a placement, away from workers where the job failed if there are others."""
+        avoided = job.failed_workers
+        placement = self.search.find(job.request.shape, avoided)
+        if placement is None and avoided:
+            placement = self.search.find(job.request.shape, set())
+        if placement is None:
+            self.full.add(job.request.shape)
+        return placement
+
+    def _next(self, account: str) -> Job | None:
+        while True:
+            heads = self.queue.heads(account, self.held, self.full)
+            due = [job for job in heads if job.held_until_s <= self.now_s]
+            if due or not heads:
+                return min(due, key=lambda job: self.rank(job, self.now_s), default=None)
+            self.held.update(job.sequence for job in heads)
--- /dev/null
+++ b/src/cicadatray/scheduling/placement_search.py
@@ -0,0 +1,84 @@
+"""Finds the placement that does least harm to large adjacent blocks."""
+
+from collections.abc import Iterable
+
+from cicadatray.scheduling.fleet import Fleet
+from cicadatray.scheduling.placement import Placement, WorkerShare
+from cicadatray.scheduling.shape import Scope, Shape
+from cicadatray.scheduling.unit import Unit
+
+RACKS_LOOKED_AT = 12  # per data centre; the index yields those with the least idle capacity first
+
+
+class PlacementSearch:
+    """Best fit that counts how many large jobs each placement would keep from fitting."""
+
+    __slots__ = ("fleet", "large_job")
+
+    def __init__(self, fleet: Fleet, large_job: Shape) -> None:
+        self.fleet = fleet
+        self.large_job = large_job
+
+    def find(self, shape: Shape, avoided: set[str]) -> Placement | None:
+        """Returns a placement on idle capacity; workers in `avoided` are left out."""
+        best: tuple[tuple[int, int, int], Placement] | None = None
+        for placement, unit in self._candidates(shape, avoided):
+            rank = (self.large_jobs_lost(placement), unit.idle - shape.accelerators, unit.order)
+            if best is None or rank < best[0]:
+                best = (rank, placement)
+        return best[1] if best is not None else None
+
+    def large_jobs_lost(self, placement: Placement) -> int:
+        """Returns how many more large jobs would fit if the placement stayed idle."""
+        size = self.large_job.accelerators
+        before: dict[str, int] = {}
+        after: dict[str, int] = {}
+        for worker, accelerators in self.fleet.located(placement):
+            unit = worker.around(self.large_job.scope)
+            before.setdefault(unit.key, unit.idle)
+            after[unit.key] = after.get(unit.key, unit.idle) - accelerators
+        return sum(before[key] // size - max(0, after[key]) // size for key in before)
+
+    def _candidates(self, shape: Shape, avoided: set[str]) -> Iterable[tuple[Placement, Unit]]:
+        needed = shape.accelerators
+        for key, data_centre in self.fleet.data_centres.items():
+            if data_centre.idle < needed:
+                continue
+            index = self.fleet.indexes[key]
+            if shape.scope is Scope.DATA_CENTRE:
+                placement = take(index.ascending(1, 0), needed, avoided)
+                if placement is not None:
+                    yield placement, data_centre
+                continue
+            single = shape.scope is Scope.WORKER
+            racks = index.ascending(needed, needed if single else 0)
+            for looked_at, rack in enumerate(racks):
+                if looked_at >= RACKS_LOOKED_AT and not avoided:
+                    break
+                placement = take_worker(rack, needed, avoided) if single else None
+                placement = placement if single else take([rack], needed, avoided)
+                if placement is not None:
+                    yield placement, rack
+
+
+def take(racks: Iterable[Unit], needed: int, avoided: set[str]) -> Placement | None:
+    """Takes idle accelerators rack by rack, smallest remnants first so that whole workers stay."""
+    shares: list[WorkerShare] = []
+    for rack in racks:
+        for worker in sorted(rack.children.values(), key=lambda w: (w.idle, w.order)):
+            taken = min(needed, worker.idle)
+            if taken > 0 and worker.key not in avoided:
+                shares.append(WorkerShare(worker.key, taken))
+                needed -= taken
+        if needed == 0:
+            return Placement(tuple(shares))
+    return None
+
+
+def take_worker(rack: Unit, needed: int, avoided: set[str]) -> Placement | None:
+    """Takes all accelerators from the worker of the rack that they fit tightest."""
+    fitting = [w for w in rack.children.values() if w.idle >= needed and w.key not in avoided]
+    if not fitting:
+        return None
+    worker = min(fitting, key=lambda w: (w.idle, w.order))
+    return Placement((WorkerShare(worker.key, needed),))
--- a/src/cicadatray/scheduling/policies/baseline.py
+++ b/src/cicadatray/scheduling/policies/baseline.py
@@ -41,9 +41,9 @@
         full: set[Shape] = set()
         for job in self.order(list(self.state.waiting.values())):
             shape = job.request.shape
-            if job.attempts >= BASELINE_ATTEMPTS:
+            if len(job.failures) >= BASELINE_ATTEMPTS:
                 self.state.forget(job)
-                decisions.append(FailJob(job.request.job_id, f"failed {job.attempts} times"))
+                decisions.append(FailJob(job.request.job_id, f"failed {len(job.failures)} times"))
                 continue
             placement = None if shape in full else self.find(shape)
             if placement is None:
--- a/src/cicadatray/scheduling/policies/compact.py
+++ b/src/cicadatray/scheduling/policies/compact.py
@@ -1,11 +1,11 @@
 """The policy that weighs fragmentation more than completion time."""
 
-from cicadatray.scheduling.policies.best_fit_backfill import BestFitBackfillPolicy
+from cicadatray.scheduling.policies.product import ProductPolicy
 from cicadatray.scheduling.registry import scheduling_policy
 
 
 @scheduling_policy("compact")
-class CompactPolicy(BestFitBackfillPolicy):
-    """Placeholder until the guarantee plan is in place."""
+class CompactPolicy(ProductPolicy):
+    """Guarantees, shares and whole blocks."""
 
     __slots__ = ()
--- a/src/cicadatray/scheduling/policies/policy.py
+++ b/src/cicadatray/scheduling/policies/policy.py
@@ -3,6 +3,7 @@
 from cicadatray.scheduling.decision import Decision
 from cicadatray.scheduling.explanation import Explanation
 from cicadatray.scheduling.gang_outcome import GangOutcome
+from cicadatray.scheduling.guarantee_block import GuaranteeBlock
 from cicadatray.scheduling.job import Job
 from cicadatray.scheduling.scheduling_state import SchedulingState
 from cicadatray.scheduling.unit import Unit
@@ -24,6 +25,14 @@
         """Says why a known job waits or runs."""
         raise NotImplementedError
 
+    def guarantees_at_risk(self) -> list[GuaranteeBlock]:
+        """Returns the blocks that cannot be placed together with the others."""
+        return []
+
+    def block_of(self, job: Job) -> GuaranteeBlock | None:
+        """Returns the block of its account's guarantee that the job runs in."""
+        return None
+
     def submitted(self, job: Job, now_s: float) -> None:
         """A job was admitted."""
 
--- /dev/null
+++ b/src/cicadatray/scheduling/reclaim_option.py
@@ -0,0 +1,19 @@
+"""One way to make room for an urgent job."""
+
+from cicadatray.scheduling.job import Job
+from cicadatray.scheduling.placement import Placement
+
+
+class ReclaimOption:
+    """A placement inside one unit and the jobs that must stop for it; `cost` ranks options.
+
+    `ready` tells whether the placement is idle now.
+    """
+
+    __slots__ = ("cost", "placement", "ready", "victims")
+
+    def __init__(self, placement: Placement, victims: list[Job], cost: float, ready: bool) -> None:
+        self.placement = placement
+        self.victims = victims
+        self.cost = cost
+        self.ready = ready
--- /dev/null
+++ b/src/cicadatray/scheduling/reclaim_search.py
@@ -0,0 +1,194 @@
+"""Finds the cheapest placement of an urgent job inside one unit."""
+
+from cicadatray.scheduling.guarantee_plan import GuaranteePlan
+from cicadatray.scheduling.job import Job, JobState
+from cicadatray.scheduling.job_request import JobRequest
+from cicadatray.scheduling.placement import Placement, WorkerShare
+from cicadatray.scheduling.reclaim_option import ReclaimOption
+from cicadatray.scheduling.scheduling_state import SchedulingState
+from cicadatray.scheduling.shape import Scope
+from cicadatray.scheduling.unit import Unit
+
+# Costs are accelerator-seconds of work. Breaking a job costs its caller a restart besides the lost
+# work, so one job with somewhat more work lost is preferred over many small ones.
+BROKEN_JOB_COST = 600.0
+CHECKPOINT_COST_S = 30.0
+WAIT_FOR_RELEASE_COST = 1.0
+# An unreachable gang frees its capacity only when its lease expires, after the target for urgent
+# work; a lent urgent job was admitted inside a guarantee before a loss took that away.
+UNREACHABLE_COST = 1e7
+LENT_URGENT_COST = 1e8
+RACKS_PER_OPTION = 16
+
+
+class ReclaimSearch:
+    """Chooses workers and victims by least work lost and fewest jobs broken."""
+
+    __slots__ = ("plan", "state")
+
+    def __init__(self, state: SchedulingState, plan: GuaranteePlan) -> None:
+        self.state = state
+        self.plan = plan
+
+    def best(self, request: JobRequest, unit: Unit, now_s: float) -> ReclaimOption | None:
+        """Returns the cheapest option inside the unit that keeps a block of the job's account."""
+        options = [self._option(request, part, unit, now_s) for part in parts(request, unit)]
+        found = [option for option in options if option is not None]
+        return min(found, key=lambda option: option.cost, default=None)
+
+    def cost(self, job: Job, now_s: float) -> float:
+        """Returns the accelerator-seconds lost by stopping a job; granted time, not reported."""
+        elapsed_s = CHECKPOINT_COST_S if job.request.checkpointable else now_s - job.placed_s
+        cost = BROKEN_JOB_COST + max(0.0, elapsed_s) * job.request.shape.accelerators
+        if job.unreachable:
+            cost += UNREACHABLE_COST
+        if job.request.urgent:
+            cost += LENT_URGENT_COST
+        return cost
+
+    def _option(
+        self, request: JobRequest, part: Unit, block_unit: Unit, now_s: float
+    ) -> ReclaimOption | None:
+        """Tries idle capacity, then capacity about to be released, then victims."""
+        needed = request.shape.accelerators
+        racks = self._racks(part, block_unit, needed)
+        limits = {w.key: self._limit(w, block_unit, needed) for _, ws in racks for w in ws}
+        rooms = {w.key: w.unclaimed for _, workers in racks for w in workers}
+        if total(racks, limits, rooms) >= needed:
+            return ReclaimOption(allocate(racks, limits, rooms, needed), [], 0.0, True)
+        for _, workers in racks:
+            for worker in workers:
+                rooms[worker.key] = self.expected(worker)
+        victims = self._victims(racks, limits, rooms, needed, now_s)
+        if victims is None:
+            return None
+        cost = WAIT_FOR_RELEASE_COST + sum(self.cost(job, now_s) for job in victims)
+        return ReclaimOption(allocate(racks, limits, rooms, needed), victims, cost, False)
+
+    def _victims(
+        self,
+        racks: "list[tuple[int, list[Unit]]]",
+        limits: dict[str, int],
+        rooms: dict[str, int],
+        needed: int,
+        now_s: float,
+    ) -> list[Job] | None:
+        """Picks victims by cost per accelerator gained and drops those not needed; fills rooms."""
+        candidates = self._lent_jobs(racks)
+        chosen: list[Job] = []
+        reached = total(racks, limits, rooms)
+        while reached < needed:
+            best: tuple[float, int, Job] | None = None
+            for job in candidates.values():
+                add(rooms, job, 1)
+                gain = min(needed, total(racks, limits, rooms)) - reached
+                add(rooms, job, -1)
+                if gain > 0:
+                    rank = (self.cost(job, now_s) / gain, job.sequence, job)
+                    best = rank if best is None or rank[:2] < best[:2] else best
+            if best is None:
+                return None
+            chosen.append(candidates.pop(best[2].request.job_id))
+            add(rooms, best[2], 1)
+            reached = total(racks, limits, rooms)
+        for job in sorted(chosen, key=lambda job: -self.cost(job, now_s)):
+            add(rooms, job, -1)
+            if total(racks, limits, rooms) >= needed:
+                chosen.remove(job)
+            else:
+                add(rooms, job, 1)
+        return chosen
+
+    def _lent_jobs(self, racks: "list[tuple[int, list[Unit]]]") -> dict[str, Job]:
+        jobs: dict[str, Job] = {}
+        for _, workers in racks:
+            for worker in workers:
+                for job_id, job in self.state.on_worker.get(worker.key, {}).items():
+                    if job.live and job_id not in self.plan.slot_of:
+                        jobs[job_id] = job
+        return jobs
+
+    def expected(self, worker: Unit) -> int:
+        """Accelerators that are idle or being released and not needed for earlier reclaims."""
+        if not worker.in_service:
+            return 0
+        releasing = 0
+        for job in self.state.on_worker.get(worker.key, {}).values():
+            if job.state is JobState.STOPPING and not job.unreachable and job.placement:
+                shares = job.placement.shares
+                releasing += sum(s.accelerators for s in shares if s.worker_id == worker.key)
+        return worker.total - worker.used + releasing - worker.claimed
+
+    def _limit(self, worker: Unit, block_unit: Unit, needed: int) -> int:
+        """Accelerators of the worker that other blocks leave to this one."""
+        if worker is block_unit:
+            return needed if worker.in_service else 0
+        return max(0, worker.headroom)
+
+    def _racks(self, part: Unit, block_unit: Unit, needed: int) -> "list[tuple[int, list[Unit]]]":
+        """Returns the racks to look at, each with what other blocks leave of it."""
+        if part.scope is Scope.WORKER:
+            rack = part.around(Scope.RACK)
+            limited = block_unit.scope is Scope.DATA_CENTRE
+            return [(max(0, rack.headroom) if limited else needed, [part])]
+        if part is block_unit and part.scope is Scope.RACK:
+            return [(needed, part.workers())]
+        if part.scope is Scope.RACK:
+            return [(max(0, part.headroom), part.workers())]
+        chosen: list[tuple[int, list[Unit]]] = []
+        reachable = 0
+        by_idle = sorted(part.children.values(), key=lambda rack: (-rack.idle, rack.order))
+        for rack in by_idle:
+            if reachable >= needed and len(chosen) >= RACKS_PER_OPTION:
+                break
+            if rack.headroom > 0:
+                chosen.append((rack.headroom, rack.workers()))
+                reachable += rack.headroom
+        return chosen
+
+
+def parts(request: JobRequest, unit: Unit) -> list[Unit]:
+    """Returns the units inside `unit` within which the job may be placed."""
+    if request.shape.scope is Scope.WORKER:
+        return unit.workers()
+    if request.shape.scope is Scope.RACK and unit.scope is Scope.DATA_CENTRE:
+        return list(unit.children.values())
+    return [unit]
+
+
+def total(
+    racks: "list[tuple[int, list[Unit]]]", limits: dict[str, int], rooms: dict[str, int]
+) -> int:
+    """Returns how many accelerators a job could use."""
+    reachable = 0
+    for rack_limit, workers in racks:
+        usable = sum(max(0, min(limits[w.key], rooms[w.key])) for w in workers)
+        reachable += min(rack_limit, usable)
+    return reachable
+
+
+def add(rooms: dict[str, int], job: Job, sign: int) -> None:
+    """Counts a job's accelerators as room, or no longer."""
+    assert job.placement is not None
+    for share in job.placement.shares:
+        if share.worker_id in rooms:
+            rooms[share.worker_id] += sign * share.accelerators
+
+
+def allocate(
+    racks: "list[tuple[int, list[Unit]]]",
+    limits: dict[str, int],
+    rooms: dict[str, int],
+    needed: int,
+) -> Placement:
+    """Takes the smallest rooms first, so that wholly idle workers stay whole."""
+    shares: list[WorkerShare] = []
+    for rack_limit, workers in racks:
+        rack_left = min(rack_limit, needed)
+        for worker in sorted(workers, key=lambda w: (rooms[w.key], w.order)):
+            taken = max(0, min(limits[worker.key], rooms[worker.key], rack_left))
+            if taken > 0:
+                shares.append(WorkerShare(worker.key, taken))
+                rack_left -= taken
+                needed -= taken
+    return Placement(tuple(shares))
--- a/src/cicadatray/scheduling/scheduler.py
+++ b/src/cicadatray/scheduling/scheduler.py
@@ -4,6 +4,7 @@
 from cicadatray.scheduling.decision import Decision
 from cicadatray.scheduling.explanation import Explanation
 from cicadatray.scheduling.gang_outcome import REQUEUED_OUTCOMES, GangOutcome
+from cicadatray.scheduling.guarantee_block import GuaranteeBlock
 from cicadatray.scheduling.inventory import Inventory
 from cicadatray.scheduling.job import Job, JobState
 from cicadatray.scheduling.job_request import JobRequest
@@ -75,8 +76,6 @@
         self.policy.releasing(job, outcome, now_s)
         self.state.vacate(job)
         retried = outcome is GangOutcome.FAILED and job.task_failed
-        if retried:
-            job.attempts += 1
         if job.cancelled or not (retried or outcome in REQUEUED_OUTCOMES):
             self.state.forget(job)
             return
@@ -88,7 +87,7 @@
         worker = self.state.fleet.workers.get(worker_id)
         if worker is None:
             return
-        self.state.fleet.set_in_service(worker, False)
+        self.state.fleet.set_lost(worker, True)
         for job in self.state.on_worker.get(worker_id, {}).values():
             job.unreachable = True
         self.policy.worker_lost(worker, now_s)
@@ -98,7 +97,7 @@
         worker = self.state.fleet.workers.get(worker_id)
         if worker is None:
             return
-        self.state.fleet.set_in_service(worker, True)
+        self.state.fleet.set_lost(worker, False)
         self.policy.worker_returned(worker, now_s)
 
     def task_failed(self, job_id: str, worker_id: str, now_s: float) -> None:
@@ -107,8 +106,10 @@
         worker = self.state.fleet.workers.get(worker_id)
         if job is None or worker is None or not job.uses(worker_id):
             return
+        if not job.task_failed:
+            job.failures.append([])
         job.task_failed = True
-        job.failed_workers[worker_id] = None
+        job.failures[-1].append(worker_id)
         self.policy.task_failed(job, worker, now_s)
 
     def usage_reported(self, job_id: str, run_s: float, now_s: float) -> None:
@@ -147,6 +148,15 @@
         job.started_s = now_s
         self.policy.restored(job, now_s)
 
+    def guarantees_at_risk(self) -> list[GuaranteeBlock]:
+        """Returns the blocks that losses keep from being placed together with the others."""
+        return self.policy.guarantees_at_risk()
+
+    def block_of(self, job_id: str) -> GuaranteeBlock | None:
+        """Returns the block that a job runs in; a placed job without one is lent its capacity."""
+        job = self.state.jobs.get(job_id)
+        return None if job is None else self.policy.block_of(job)
+
     def explain(self, job_id: str, now_s: float) -> Explanation:
         """Says why the job waits or runs."""
         job = self.state.jobs.get(job_id)
--- /dev/null
+++ b/src/cicadatray/scheduling/share_ledger.py
@@ -0,0 +1,41 @@
+"""Use of lent capacity by client account, over time."""
+
+import math
+
+from cicadatray.scheduling.rules import DEFAULT_SHARE_WEIGHT, Rules
+
+# An account that used more than its share is held back for some hours, not for ever.
+USAGE_HALF_LIFE_S = 4 * 3600.0
+# Gangs just granted count as if they had run this long, so that one burst cannot take everything
+# before any time has passed.
+GRANT_CHARGE_S = 1800.0
+
+
+class ShareLedger:
+    """Decayed accelerator-seconds per account, counted from grants and not from usage reports."""
+
+    __slots__ = ("granted", "updated_s", "used", "weights")
+
+    def __init__(self, rules: Rules) -> None:
+        self.used: dict[str, float] = {}
+        self.granted: dict[str, int] = {}
+        self.updated_s: dict[str, float] = {}
+        self.weights = rules.shares
+
+    def grant(self, account: str, accelerators: int, now_s: float) -> None:
+        """Starts to count a gang; negative values end it."""
+        self._update(account, now_s)
+        self.granted[account] = self.granted.get(account, 0) + accelerators
+
+    def standing(self, account: str, now_s: float) -> float:
+        """Returns the account's use divided by its weight; the lowest is served first."""
+        self._update(account, now_s)
+        used = self.used[account] + self.granted.get(account, 0) * GRANT_CHARGE_S
+        return used / self.weights.get(account, DEFAULT_SHARE_WEIGHT)
+
+    def _update(self, account: str, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self.updated_s.get(account, now_s))
+        left = math.exp2(-elapsed_s / USAGE_HALF_LIFE_S)
+        accrued = self.granted.get(account, 0) * (1.0 - left) * USAGE_HALF_LIFE_S / math.log(2.0)
+        self.used[account] = self.used.get(account, 0.0) * left + accrued
+        self.updated_s[account] = max(now_s, self.updated_s.get(account, now_s))
--- a/src/cicadatray/scheduling/unit.py
+++ b/src/cicadatray/scheduling/unit.py
@@ -8,7 +8,7 @@
 
     `capacity` counts accelerators in service. `idle` counts those that any job may be given now.
     `reserved` counts what the guarantee plan has committed at this unit or below it. The fields
-    `total`, `used`, `claimed`, `in_service` and `fence` are kept for workers only.
+    `total`, `used`, `claimed`, `lost`, `quarantined` and `fence` are kept for workers only.
     """
 
     __slots__ = (
@@ -17,11 +17,12 @@
         "claimed",
         "fence",
         "idle",
-        "in_service",
         "key",
         "largest_idle",
+        "lost",
         "order",
         "parent",
+        "quarantined",
         "reserved",
         "scope",
         "total",
@@ -41,9 +42,15 @@
         self.total = 0
         self.used = 0
         self.claimed = 0
-        self.in_service = True
+        self.lost = False
+        self.quarantined = False
         self.fence: str | None = None
 
+    @property
+    def in_service(self) -> bool:
+        """Whether gangs may be placed on the worker."""
+        return not (self.lost or self.quarantined)
+
     @property
     def headroom(self) -> int:
         """Accelerators that the guarantee plan has not committed."""
@@ -54,6 +61,11 @@
         """Accelerators of a worker in service that no gang holds, claimed and fenced ones too."""
         return max(0, self.total - self.used) if self.in_service else 0
 
+    @property
+    def unclaimed(self) -> int:
+        """Accelerators of a worker that are idle now and set aside for no reclaim."""
+        return max(0, self.physically_idle - self.claimed)
+
     def path(self) -> "list[Unit]":
         """Returns the unit and all units around it, innermost first."""
         units: list[Unit] = []
--- /dev/null
+++ b/src/cicadatray/scheduling/urgent_claims.py
@@ -0,0 +1,202 @@
+"""Reclaims guaranteed capacity for urgent jobs."""
+
+from cicadatray.scheduling.decision import Decision, PlaceJob, ReclaimJob
+from cicadatray.scheduling.guarantee_plan import GuaranteePlan
+from cicadatray.scheduling.guarantee_slot import GuaranteeSlot
+from cicadatray.scheduling.job import Job, JobState
+from cicadatray.scheduling.job_request import JobRequest
+from cicadatray.scheduling.reclaim_option import ReclaimOption
+from cicadatray.scheduling.reclaim_search import ReclaimSearch
+from cicadatray.scheduling.scheduling_state import SchedulingState
+from cicadatray.scheduling.shape import Shape
+from cicadatray.scheduling.unit import Unit
+from cicadatray.scheduling.waiting_queue import WaitingQueue
+
+# Alternatives to a block's own unit that are looked at when jobs would have to stop there.
+ALTERNATIVES = 16
+
+
+class UrgentClaims:
+    """Urgent jobs that wait, and those whose victims are being stopped.
+
+    A claim binds the job to a block of its account and sets its accelerators aside before the
+    victims are stopped, so two claims never wait for capacity that the other holds.
+    """
+
+    __slots__ = ("plan", "queue", "reclaiming", "refused", "search", "state", "waiting")
+
+    def __init__(self, state: SchedulingState, plan: GuaranteePlan, queue: WaitingQueue) -> None:
+        self.state = state
+        self.plan = plan
+        self.queue = queue
+        self.search = ReclaimSearch(state, plan)
+        self.waiting: dict[str, Job] = {}
+        self.reclaiming: dict[str, Job] = {}
+        self.refused: dict[tuple[str, Shape], int] = {}
+
+    def decide(self, now_s: float) -> list[Decision]:
+        """Places claims whose capacity is idle and makes new ones."""
+        decisions: list[Decision] = []
+        for job in list(self.reclaiming.values()):
+            self._continue(job, now_s, decisions)
+        for job in sorted(self.waiting.values(), key=lambda job: job.sequence):
+            key = (job.request.client_account, job.request.shape)
+            if self.refused.get(key) == self.plan.version:
+                continue
+            slot = self._find_block(job.request)
+            if slot is None:
+                self.refused[key] = self.plan.version
+            else:
+                self._claim(job, slot, now_s, decisions)
+        return decisions
+
+    def withdraw(self, job: Job) -> None:
+        """Gives back what was set aside for a job."""
+        self.waiting.pop(job.request.job_id, None)
+        if self.reclaiming.pop(job.request.job_id, None) is None:
+            return
+        assert job.placement is not None
+        self.state.fleet.claim(job.placement, -1)
+        job.placement = None
+        self.plan.unbind(job.request.job_id)
+
+    def would_displace(self, job: Job, now_s: float) -> list[Job]:
+        """Returns the jobs that a reclaim for this job would stop now, whether urgent or not."""
+        for slot in self.plan.by_account.get(job.request.client_account, ()):
+            if slot.unit is None or slot.free < job.request.shape.accelerators:
+                continue
+            option = self.search.best(job.request, slot.unit, now_s)
+            if option is not None:
+                return option.victims
+        return []
+
+    def _continue(self, job: Job, now_s: float, decisions: list[Decision]) -> None:
+        assert job.placement is not None
+        located = self.state.fleet.located(job.placement)
+        if all(worker.physically_idle >= amount for worker, amount in located):
+            self._place_claim(job, now_s, decisions)
+        elif job.request.job_id not in self.plan.slot_of or self._is_short(job):
+            self.withdraw(job)
+            job.state = JobState.WAITING
+            self.state.waiting[job.request.job_id] = job
+            self.waiting[job.request.job_id] = job
+            self.queue.add(job)
+
+    def _is_short(self, job: Job) -> bool:
+        """Whether a loss took capacity away that the claim counted on."""
+        assert job.placement is not None
+        located = self.state.fleet.located(job.placement)
+        return any(self.search.expected(worker) < 0 for worker, _ in located)
+
+    def _place_claim(self, job: Job, now_s: float, decisions: list[Decision]) -> None:
+        assert job.placement is not None
+        placement = job.placement
+        del self.reclaiming[job.request.job_id]
+        self.state.fleet.claim(placement, -1)
+        self.state.place(job, placement, now_s)
+        decisions.append(PlaceJob(job.request.job_id, placement))
+
+    def _claim(
+        self, job: Job, slot: GuaranteeSlot, now_s: float, decisions: list[Decision]
+    ) -> None:
+        assert slot.unit is not None
+        option = self.search.best(job.request, slot.unit, now_s)
+        if not slot.bound and (option is None or option.cost > 0):
+            option = self._cheapest_elsewhere(job.request, slot, option, now_s)
+        if option is None:
+            return
+        del self.waiting[job.request.job_id]
+        self.queue.remove(job)
+        self.plan.bind(slot, job.request.job_id, option.placement)
+        if option.ready:
+            self.state.place(job, option.placement, now_s)
+            decisions.append(PlaceJob(job.request.job_id, option.placement))
+        else:
+            self._reclaim(job, option, decisions)
+
+    def _reclaim(self, job: Job, option: ReclaimOption, decisions: list[Decision]) -> None:
+        job.state = JobState.RECLAIMING
+        job.placement = option.placement
+        self.state.waiting.pop(job.request.job_id, None)
+        self.reclaiming[job.request.job_id] = job
+        self.state.fleet.claim(option.placement, 1)
+        for victim in option.victims:
+            victim.state = JobState.STOPPING
+            decisions.append(ReclaimJob(victim.request.job_id, job.request.job_id))
+
+    def _find_block(self, request: JobRequest) -> GuaranteeSlot | None:
+        """Returns a block of the account with room; its own ordinary jobs give way to urgent ones.
+
+        Of several blocks the one with the least room left is used, so that large ones stay whole.
+        """
+        needed = request.shape.accelerators
+        slots = [s for s in self.plan.by_account.get(request.client_account, ()) if s.unit]
+        slots = [s for s in slots if can_hold(s, request.shape)]
+        with_room = [slot for slot in slots if slot.free >= needed]
+        if with_room:
+            return min(with_room, key=lambda slot: slot.free)
+        for slot in slots:
+            jobs = self.state.jobs
+            ordinary = [job_id for job_id in slot.bound if not jobs[job_id].request.urgent]
+            held = sum(s.accelerators for job_id in ordinary for s in slot.bound[job_id].shares)
+            if slot.free + held >= needed:
+                for job_id in ordinary:
+                    self.plan.unbind(job_id)
+                return slot
+        return None
+
+    def _cheapest_elsewhere(
+        self,
+        request: JobRequest,
+        slot: GuaranteeSlot,
+        best: ReclaimOption | None,
+        now_s: float,
+    ) -> ReclaimOption | None:
+        """Keeps the block elsewhere when fewer jobs have to stop there."""
+        chosen: Unit | GuaranteeSlot | None = None
+        places: list[Unit | GuaranteeSlot] = [*self._free_units(slot)]
+        places.extend(self._equal_blocks(slot))
+        for place in places:
+            unit = place if isinstance(place, Unit) else place.unit
+            if unit is None:
+                continue
+            option = self.search.best(request, unit, now_s)
+            if option is not None and (best is None or option.cost < best.cost):
+                best = option
+                chosen = place
+                if option.cost == 0:
+                    break
+        if isinstance(chosen, Unit):
+            self.plan.move(slot, chosen)
+        elif chosen is not None:
+            self.plan.swap(slot, chosen)
+        return best
+
+    def _free_units(self, slot: GuaranteeSlot) -> list[Unit]:
+        """Returns units that could keep the block, those with the most idle capacity first."""
+        home = slot.unit
+        assert home is not None
+        self.plan.search.detach(slot)
+        found: list[Unit] = []
+        for unit in self.plan.search.index.ascending(slot.shape.scope, slot.shape.accelerators):
+            if unit is not home:
+                found.append(unit)
+            if len(found) >= 4 * ALTERNATIVES:
+                break
+        self.plan.search.attach(slot, home)
+        return sorted(found, key=lambda unit: (-unit.idle, unit.order))[:ALTERNATIVES]
+
+    def _equal_blocks(self, slot: GuaranteeSlot) -> list[GuaranteeSlot]:
+        others = self.plan.by_shape[slot.shape]
+        free = [other for other in others if other.unit and not other.bound and other is not slot]
+        ordered = sorted(free, key=lambda other: -other.unit.idle if other.unit else 0)
+        return ordered[:ALTERNATIVES]
+
+
+def can_hold(slot: GuaranteeSlot, shape: Shape) -> bool:
+    """Whether a job of this shape may run inside the block: its scope must not be narrower.
+
+    A block that spans several workers may offer a narrower job no single worker of its size. Such
+    a job is inside the guarantee only if a single worker, or rack, of the plan happens to suffice.
+    """
+    return slot.shape.accelerators >= shape.accelerators
--- /dev/null
+++ b/tests/cover/scheduling/test_guarantees.py
@@ -0,0 +1,114 @@
+"""Tests of guarantees and reclaims."""
+
+import pytest
+
+from cicadatray.scheduling.decision import PlaceJob, ReclaimJob
+from cicadatray.scheduling.gang_outcome import GangOutcome
+from cicadatray.scheduling.scheduler import Scheduler
+from scheduling_helpers import inventory, job, place_all, rules
+
+POLICIES = ["compact", "swift"]
+
+
+def reclaimed(scheduler: Scheduler, now_s: float) -> list[str]:
+    decisions = scheduler.decide(now_s)
+    return sorted(d.job_id for d in decisions if isinstance(d, ReclaimJob))
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_urgent_job_is_placed_when_its_victims_are_released(policy: str) -> None:
+    """Guards against an urgent job that waits behind borrowers, or starts before they stopped.
+
+    The job that is being reclaimed for also must not be placed elsewhere in the meantime.
+    """
+    scheduler = Scheduler(inventory((8, 8)), rules(("a", "8w", 1), policy=policy))
+    for name in ("x", "y"):
+        scheduler.submit(job(name, "8w", "b", checkpointable=False), 0.0)
+    place_all(scheduler)
+    scheduler.submit(job("u", "8w", "a", urgent=True), 100.0)
+    victims = reclaimed(scheduler, 100.0)
+    assert len(victims) == 1
+    assert scheduler.decide(100.5) == []
+    other = ({"x", "y"} - set(victims)).pop()
+    scheduler.gang_released(victims[0], 101.0, GangOutcome.STOPPED)
+    assert [d.job_id for d in scheduler.decide(101.0) if isinstance(d, PlaceJob)] == ["u"]
+    assert scheduler.state.jobs[other].live
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_least_work_lost_and_fewest_jobs_broken(policy: str) -> None:
+    """Guards against stopping long runs or many small jobs where one cheap victim suffices."""
+    scheduler = Scheduler(inventory((8,), (8,), (8,)), rules(("a", "8w", 1), policy=policy))
+    scheduler.submit(job("long", "8w", "b", checkpointable=False), 0.0)
+    scheduler.submit(job("saved", "8w", "b", checkpointable=True), 0.0)
+    for name in "pqrstuvw":
+        scheduler.submit(job(name, "1w", "b", checkpointable=True), 0.0)
+    assert len(place_all(scheduler)) == 10
+    scheduler.submit(job("urgent", "8w", "a", urgent=True), 9000.0)
+    assert reclaimed(scheduler, 9000.0) == ["saved"]
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_urgent_job_beyond_its_guarantee_waits_as_an_ordinary_one(policy: str) -> None:
+    """Guards against an account that marks all its jobs urgent to displace others."""
+    scheduler = Scheduler(inventory((8,), (8,)), rules(("a", "8w", 1), policy=policy))
+    scheduler.submit(job("first", "8w", "a", urgent=True), 0.0)
+    scheduler.submit(job("other", "8w", "b"), 0.0)
+    place_all(scheduler)
+    scheduler.submit(job("second", "8w", "a", urgent=True), 1.0)
+    assert scheduler.decide(1.0) == []
+    assert scheduler.explain("second", 1.0).state == "waiting"
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_job_inside_its_own_guarantee_is_never_a_victim(policy: str) -> None:
+    """Guards against one account's guarantee being served from another's."""
+    scheduler = Scheduler(
+        inventory((8,), (8,)), rules(("a", "8w", 1), ("b", "8w", 1), policy=policy)
+    )
+    scheduler.submit(job("b-first", "8w", "b", urgent=True), 0.0)
+    scheduler.submit(job("c", "8w", "c"), 0.0)
+    place_all(scheduler)
+    scheduler.submit(job("a-first", "8w", "a", urgent=True), 1.0)
+    assert reclaimed(scheduler, 1.0) == ["c"]
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_loss_names_the_guarantee_at_risk_and_restores_it_first(policy: str) -> None:
+    """Guards against silence about a guarantee that no longer fits."""
+    scheduler = Scheduler(inventory((8,), (8,)), rules(("a", "8w", 1), ("b", "8w", 1)))
+    scheduler.worker_lost("d0r1w0", 0.0)
+    at_risk = scheduler.guarantees_at_risk()
+    assert len(at_risk) == 1
+    urgent = job("u", "8w", at_risk[0].client_account, urgent=True)
+    scheduler.worker_returned("d0r1w0", 1.0)
+    assert scheduler.guarantees_at_risk() == []
+    scheduler.submit(urgent, 1.0)
+    assert list(place_all(scheduler, 1.0)) == ["u"]
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_new_leader_keeps_urgent_jobs_inside_their_guarantee(policy: str) -> None:
+    """Guards against a new leader that lets a protected running job become a victim."""
+    wanted = rules(("a", "8w", 1), ("b", "8w", 1), policy=policy)
+    first = Scheduler(inventory((8,), (8,)), wanted)
+    request = job("b-first", "8w", "b", urgent=True)
+    first.submit(request, 0.0)
+    placement = place_all(first)["b-first"].placement
+    for worker_id in ("d0r0w0", "d0r1w0"):
+        placement = type(placement)((type(placement.shares[0])(worker_id, 8),))
+        second = Scheduler(inventory((8,), (8,)), wanted)
+        second.restore_running(request, placement, 0.0)
+        second.submit(job("a-first", "8w", "a", urgent=True), 1.0)
+        assert second.block_of("b-first") is not None
+        assert [type(decision) for decision in second.decide(1.0)] == [PlaceJob]
+
+
+def test_configuration_change_fails_a_job_that_can_no_longer_run() -> None:
+    """Guards against a job that waits for ever since its only rack left the inventory."""
+    scheduler = Scheduler(inventory((8, 8), (8,)), rules(large="8r"))
+    scheduler.submit(job("hold", "16r"), 0.0)
+    place_all(scheduler)
+    scheduler.submit(job("j", "16r"), 0.0)
+    scheduler.replace_configuration(inventory((8,), (8,)), rules(large="8r"), 1.0)
+    assert "no rack has more than 8" in str(scheduler.decide(1.0))
--- /dev/null
+++ b/tests/guarantee_oracle.py
@@ -0,0 +1,75 @@
+"""An exhaustive check of guarantees that shares no code with the scheduler."""
+
+from functools import cache
+from itertools import product
+
+from cicadatray.scheduling.guarantee_block import GuaranteeBlock
+from cicadatray.scheduling.inventory import Inventory, WorkerRecord
+from cicadatray.scheduling.placement import Placement
+from cicadatray.scheduling.shape import Scope
+
+
+def unit_of(worker: WorkerRecord, scope: Scope) -> tuple[str, ...]:
+    """Returns what identifies the unit of a scope that a worker belongs to."""
+    if scope is Scope.WORKER:
+        return (worker.worker_id,)
+    if scope is Scope.RACK:
+        return (worker.data_centre, worker.rack)
+    return (worker.data_centre,)
+
+
+def spans_one_unit(inventory: Inventory, placement: Placement, scope: Scope) -> bool:
+    """Whether all shares are adjacent."""
+    records = {worker.worker_id: worker for worker in inventory.workers}
+    return len({unit_of(records[s.worker_id], scope) for s in placement.shares}) == 1
+
+
+def can_place_all(
+    inventory: Inventory,
+    lost: set[str],
+    blocks: list[GuaranteeBlock],
+    inside: dict[GuaranteeBlock, list[Placement]],
+) -> bool:
+    """Tries every assignment of every block, accelerator by accelerator.
+
+    Jobs that run inside a block are fixed; everything else counts as reclaimable.
+    """
+    workers = [worker for worker in inventory.workers if worker.worker_id not in lost]
+    position = {worker.worker_id: index for index, worker in enumerate(workers)}
+    free = [worker.accelerators for worker in workers]
+    rests = []
+    for block in blocks:
+        held = [share for placement in inside.get(block, []) for share in placement.shares]
+        for share in held:
+            if share.worker_id not in position:
+                return False
+            free[position[share.worker_id]] -= share.accelerators
+        units = {unit_of(workers[position[s.worker_id]], block.shape.scope) for s in held}
+        rest = block.shape.accelerators - sum(share.accelerators for share in held)
+        rests.append((block.shape.scope, rest, units))
+    rests.sort(key=lambda rest: -rest[1])
+
+    @cache
+    def place(index: int, left: tuple[int, ...]) -> bool:
+        if min(left, default=0) < 0:
+            return False
+        if index == len(rests):
+            return True
+        scope, rest, units = rests[index]
+        groups: dict[tuple[str, ...], list[int]] = {}
+        for i, worker in enumerate(workers):
+            groups.setdefault(unit_of(worker, scope), []).append(i)
+        for unit, members in groups.items():
+            if units and units != {unit}:
+                continue
+            for amounts in product(*(range(min(rest, left[i]) + 1) for i in members)):
+                if sum(amounts) != rest:
+                    continue
+                remaining = list(left)
+                for i, amount in zip(members, amounts, strict=True):
+                    remaining[i] -= amount
+                if place(index + 1, tuple(remaining)):
+                    return True
+        return False
+
+    return place(0, tuple(free))
