Answer hang-ups, drains and second stop signals truthfully, bound stalled callers, add metrics and dumps

Cause: a second stop signal cancelled the tasks of requests, which gave a 500; a draining entry turned resends of requests in progress away; uvicorn sets no limit on the time until the first header, nor on one that comes byte by byte; an oversized body was answered with unread bytes left, which resets the connection; nothing was measured.

--- a/src/cicadatray/internal/agent/agent_daemon.py
+++ b/src/cicadatray/internal/agent/agent_daemon.py
@@ -6,11 +6,13 @@
 import msgspec
 import structlog
 
+from cicadatray.internal.agent.agent_description import AgentDescription, describe_attempts
 from cicadatray.internal.agent.announcer import Announcer
 from cicadatray.internal.agent.attempt_runner import AttemptRunner
 from cicadatray.internal.agent.errors import WorkerFailedError
 from cicadatray.internal.agent.task_table import TaskTable
 from cicadatray.internal.agent.worker_client import WorkerClient
+from cicadatray.internal.control.leases import LEASE_S
 from cicadatray.internal.settings.agent_settings import AgentSettings
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.message import Failure, MessageStruct
@@ -85,6 +87,19 @@
         if self.attempts is not None:
             self.attempts.abandon()
 
+    def describe(self) -> AgentDescription:
+        """Returns the state of this agent for a dump."""
+        confirmed_at_s = self.announcer.confirmed_at_s if self.announcer else float("-inf")
+        now_s = asyncio.get_running_loop().time()
+        return AgentDescription(
+            agent_id=self.settings.name,
+            incarnation=self.incarnation,
+            draining=bool(self.announcer and self.announcer.record.draining),
+            lease_left_s=round(max(0.0, confirmed_at_s + LEASE_S - now_s), 3),
+            tasks=len(self.tasks.tasks) if self.tasks else 0,
+            attempts=describe_attempts(self.attempts) if self.attempts else None,
+        )
+
     async def _drain(self) -> None:
         log.info("draining")
         assert self.announcer is not None
--- /dev/null
+++ b/src/cicadatray/internal/agent/agent_description.py
@@ -0,0 +1,48 @@
+"""What an agent shows of its state to operators."""
+
+import msgspec
+
+from cicadatray.internal.agent.attempt_runner import AttemptRunner
+
+
+class AttemptsDescription(msgspec.Struct, frozen=True):
+    """Slots and ledger; `forgotten_index` is the highest claim that was dropped."""
+
+    running: int
+    queued: int
+    slots: int
+    draining: bool
+    mean_run_s: float
+    in_progress: int
+    ended: int
+    held_bytes: int
+    limit_bytes: int
+    forgotten_index: int
+
+
+class AgentDescription(msgspec.Struct, frozen=True):
+    """`lease_left_s` is zero when the leader has not confirmed this agent in time."""
+
+    agent_id: str
+    incarnation: str
+    draining: bool
+    lease_left_s: float
+    tasks: int
+    attempts: AttemptsDescription | None
+
+
+def describe_attempts(runner: AttemptRunner) -> AttemptsDescription:
+    """Returns the state of slots and ledger at this moment."""
+    load, ledger = runner.gate.load(), runner.ledger
+    return AttemptsDescription(
+        running=load.running,
+        queued=load.queued,
+        slots=load.slots,
+        draining=load.draining,
+        mean_run_s=round(runner.gate.mean_run_s, 4),
+        in_progress=len(ledger.in_progress),
+        ended=len(ledger.ended),
+        held_bytes=ledger.held_bytes,
+        limit_bytes=ledger.limit_bytes,
+        forgotten_index=ledger.forgotten_index,
+    )
--- a/src/cicadatray/internal/bench/requests_simulation/simulated_control.py
+++ b/src/cicadatray/internal/bench/requests_simulation/simulated_control.py
@@ -12,6 +12,7 @@
 from cicadatray.internal.wire.control_client import ControlUnavailableError
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.configuration_messages import (
+    AccountRecord,
     Accounts,
     ConfigurationReply,
     ReadConfiguration,
@@ -29,11 +30,21 @@
     """Takes the place of `ControlClient`. `lose_replies` counts calls that are committed and whose
     answer is lost; `available` is False while there is no leader."""
 
-    __slots__ = ("agents", "available", "index", "lose_replies", "shares", "state", "version")
+    __slots__ = (
+        "accounts",
+        "agents",
+        "available",
+        "index",
+        "lose_replies",
+        "shares",
+        "state",
+        "version",
+    )
 
     def __init__(self, agents: list[SimulatedAgent], shares: dict[str, float]) -> None:
         self.agents = agents
         self.shares = shares
+        self.accounts: tuple[AccountRecord, ...] = ()
         self.state = ControlState()
         self.index = 0
         self.version = 0
@@ -63,7 +74,7 @@
             shape = Shape(8, Scope.WORKER)
             rules = Rules("compact", shape, shares=self.shares)
             return ConfigurationReply(
-                version=1, inventory=Inventory(()), rules=rules, accounts=Accounts(())
+                version=1, inventory=Inventory(()), rules=rules, accounts=Accounts(self.accounts)
             )
         if isinstance(message, ReadKey):
             known = self.state.keys.get(key_name(message.client_account, message.key))
--- a/src/cicadatray/internal/bench/requests_simulation/simulated_endpoint.py
+++ b/src/cicadatray/internal/bench/requests_simulation/simulated_endpoint.py
@@ -4,10 +4,20 @@
 import random
 from collections import Counter
 
+import msgspec
+
 from cicadatray.internal.agent.endpoint_client import EndpointAnswer
 from cicadatray.internal.agent.errors import EndpointFailedError, EndpointUnreachableError
 
 FAILURE_S = 0.001
+TRACE_HEADER = "Trace-Id"
+
+
+class Execution(msgspec.Struct, frozen=True):
+    """One run of a request, on behalf of the send with this trace identifier."""
+
+    subject: bytes
+    trace_id: str
 
 
 class SimulatedEndpoint:
@@ -21,6 +31,7 @@
         "answer_bytes",
         "executions",
         "failing",
+        "history",
         "peak",
         "random",
         "received",
@@ -41,6 +52,7 @@
         self.running = 0
         self.peak = 0
         self.executions: Counter[bytes] = Counter()
+        self.history: list[Execution] = []
 
     async def send(self, body: bytes, content_type: str, headers: dict[str, str]) -> EndpointAnswer:
         """Runs one request.
@@ -53,6 +65,7 @@
             raise EndpointUnreachableError("connection refused")
         self.received += 1
         self.executions[body] += 1
+        self.history.append(Execution(body, headers[TRACE_HEADER]))
         self.running += 1
         self.peak = max(self.peak, self.running)
         try:
--- a/src/cicadatray/internal/bench/requests_simulation/simulated_entry.py
+++ b/src/cicadatray/internal/bench/requests_simulation/simulated_entry.py
@@ -2,14 +2,12 @@
 
 import random
 
-from cicadatray.internal.bench.requests_simulation.simulated_agent import SimulatedAgent
+from cicadatray.internal.bench.requests_simulation.simulated_agent import ADDRESS, SimulatedAgent
 from cicadatray.internal.bench.requests_simulation.simulated_control import SimulatedControl
 from cicadatray.internal.entry.agent_peer import AgentPeer
 from cicadatray.internal.entry.directory_cache import DirectoryCache
-from cicadatray.internal.entry.entry_metrics import EntryMetrics
-from cicadatray.internal.entry.request_resources import RequestResources
-from cicadatray.internal.entry.request_service import RequestService
-from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.entry.entry_context import EntryContext
+from cicadatray.internal.settings.entry_settings import EntrySettings
 from cicadatray.internal.wire.messages.directory_messages import AgentRecord
 from cicadatray.internal.wire.messages.registry import message_codec
 
@@ -34,7 +32,7 @@
 class SimulatedEntry:
     """`directory` polls only when told to, by `poll_once` or its `run`."""
 
-    __slots__ = ("directory", "metrics", "requests")
+    __slots__ = ("context", "directory", "requests")
 
     def __init__(
         self,
@@ -46,12 +44,15 @@
         self.directory = _SimulatedDirectory(control, message_codec(), b"")  # type: ignore[arg-type]
         self.directory.agents = {agent.agent_id: agent for agent in agents}
         self.directory.seed = seed
-        self.metrics = MetricsRegistry()
-        resources = RequestResources(
-            self.directory,
-            control,  # type: ignore[arg-type]
-            EntryMetrics(self.metrics),
-            queue_limit,
+        settings = EntrySettings(
+            name=f"entry-{seed}",
+            data_centre="centre",
+            listen=ADDRESS,
+            secret_file="secret",
+            control=(),
+            http=ADDRESS,
+            queue_limit=queue_limit,
         )
-        resources.selector.random = random.Random(seed)
-        self.requests = RequestService(resources)
+        self.context = EntryContext(settings, self.directory, control)  # type: ignore[arg-type]
+        self.requests = self.context.requests
+        self.requests.resources.selector.random = random.Random(seed)
--- a/src/cicadatray/internal/entry/entry_context.py
+++ b/src/cicadatray/internal/entry/entry_context.py
@@ -1,6 +1,7 @@
 """What the HTTP routes share."""
 
 from cicadatray.internal.entry.directory_cache import DirectoryCache
+from cicadatray.internal.entry.entry_description import EntryDescription, describe_entry
 from cicadatray.internal.entry.entry_metrics import EntryMetrics
 from cicadatray.internal.entry.errors import EntryError
 from cicadatray.internal.entry.request_resources import RequestResources
@@ -45,6 +46,10 @@
         self.requests = RequestService(resources)
         self.draining = False
 
+    def describe(self) -> EntryDescription:
+        """Returns the state of this entry for a dump."""
+        return describe_entry(self)
+
     def refuse_while_draining(self) -> None:
         """Turns new work away during a planned stop.
 
--- a/src/cicadatray/internal/entry/http_answer.py
+++ b/src/cicadatray/internal/entry/http_answer.py
@@ -12,6 +12,7 @@
 OUTCOME_HEADER = "Cicadatray-Outcome"
 CODE_HEADER = "Cicadatray-Code"
 RETRY_AFTER_HEADER = "Retry-After"
+UNREAD_BODY_STATUS_CODES = frozenset({408, 413})
 JSON_TYPE = "application/json"
 
 
@@ -33,6 +34,10 @@
     body = ErrorBody(error.code, error.detail, error.retry_after_s)
     response = json_answer(body, error.status_code)
     response.headers[CODE_HEADER] = error.code
+    if error.status_code in UNREAD_BODY_STATUS_CODES:
+        # The rest of the body may never come; a caller that sends it slowly would hold the
+        # connection for ever.
+        response.headers["Connection"] = "close"
     _set_retry_after(response, error.retry_after_s)
     return response
 
--- a/src/cicadatray/internal/entry/http_application.py
+++ b/src/cicadatray/internal/entry/http_application.py
@@ -3,7 +3,7 @@
 from starlette.applications import Starlette
 from starlette.routing import Route
 
-from cicadatray.internal.entry import http_jobs, http_operators, http_requests
+from cicadatray.internal.entry import http_jobs, http_metrics, http_operators, http_requests
 from cicadatray.internal.entry.entry_context import EntryContext
 from cicadatray.internal.entry.errors import EntryError
 from cicadatray.internal.entry.http_answer import handle_entry_error
@@ -22,6 +22,7 @@
         Route("/v1/configuration/history", http_operators.show_history, methods=["GET"]),
         Route("/v1/configuration/{kind}", http_operators.change_configuration, methods=["PUT"]),
         Route("/v1/directory", http_operators.show_directory, methods=["GET"]),
+        Route("/metrics", http_metrics.show_metrics, methods=["GET"]),
     ]
     application = Starlette(routes=routes, exception_handlers={EntryError: handle_entry_error})
     application.state.context = context
--- a/src/cicadatray/internal/entry/http_body.py
+++ b/src/cicadatray/internal/entry/http_body.py
@@ -10,6 +10,9 @@
 
 BODY_LIMIT_BYTES = 512 * 1024
 BODY_TIMEOUT_S = 10.0
+# A body that is too large is read and dropped up to here: closing a connection with unread bytes
+# resets it, and the caller would lose the answer.
+DISCARD_LIMIT_BYTES = 4 * 1024 * 1024
 Document = TypeVar("Document")
 
 
@@ -25,15 +28,20 @@
         async with asyncio.timeout(BODY_TIMEOUT_S):
             async for chunk in request.stream():
                 size += len(chunk)
+                if size > DISCARD_LIMIT_BYTES:
+                    break
                 if size > BODY_LIMIT_BYTES:
-                    detail = f"at most {BODY_LIMIT_BYTES} bytes are allowed"
-                    raise EntryError(413, "body_too_large", detail)
-                chunks.append(chunk)
+                    chunks.clear()
+                else:
+                    chunks.append(chunk)
     except TimeoutError as error:
         detail = f"the body did not arrive within {BODY_TIMEOUT_S:.0f} s"
         raise EntryError(408, "body_too_slow", detail) from error
     except ClientDisconnect as error:
         raise EntryError(400, "caller_disconnected", "the caller has gone") from error
+    if size > BODY_LIMIT_BYTES:
+        detail = f"at most {BODY_LIMIT_BYTES} bytes are allowed"
+        raise EntryError(413, "body_too_large", detail)
     return b"".join(chunks)
 
 
--- /dev/null
+++ b/src/cicadatray/internal/entry/http_metrics.py
@@ -0,0 +1,15 @@
+"""HTTP route of metrics."""
+
+from starlette.requests import Request
+from starlette.responses import Response
+
+from cicadatray.internal.entry.entry_context import EntryContext
+
+EXPOSITION_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+async def show_metrics(request: Request) -> Response:
+    """Shows all metrics of this entry; they hold no secrets, so no credential is asked for."""
+    context: EntryContext = request.app.state.context
+    headers = {"Content-Type": EXPOSITION_TYPE}
+    return Response(context.metrics.render_text(), headers=headers)
--- a/src/cicadatray/internal/entry/http_requests.py
+++ b/src/cicadatray/internal/entry/http_requests.py
@@ -36,6 +36,8 @@
         return outcome_answer(_early_outcome(request, error))
     if context.draining and context.requests.find(caller_request) is None:
         outcome = _early_outcome(request, draining_error())
+        metrics = context.requests.resources.metrics
+        metrics.record_refusal(caller_request.client_account, outcome.code)
     else:
         outcome = await _run_while_connected(request, context, caller_request)
     response = outcome_answer(outcome)
--- a/src/cicadatray/internal/entry/http_server.py
+++ b/src/cicadatray/internal/entry/http_server.py
@@ -7,9 +7,9 @@
 import uvicorn
 from starlette.applications import Starlette
 
+from cicadatray.internal.entry.guarded_protocol import HEADER_LIMIT_BYTES, GuardedProtocol
+
 KEEP_ALIVE_S = 30
-CONNECTION_LIMIT = 512
-HEADER_LIMIT_BYTES = 16 * 1024
 STARTED_POLL_S = 0.01
 
 
@@ -33,12 +33,11 @@
             application,
             host=host,
             port=port,
-            http="h11",
+            http=GuardedProtocol,
             ws="none",
             lifespan="off",
             log_config=None,
             access_log=False,
-            limit_concurrency=CONNECTION_LIMIT,
             h11_max_incomplete_event_size=HEADER_LIMIT_BYTES,
             timeout_keep_alive=KEEP_ALIVE_S,
         )
--- a/src/cicadatray/internal/entry/request_service.py
+++ b/src/cicadatray/internal/entry/request_service.py
@@ -1,6 +1,7 @@
 """Runs requests and joins resends to requests in progress."""
 
 import asyncio
+from typing import Any
 
 import msgspec
 import structlog
@@ -19,6 +20,8 @@
 
 KEY_REUSED_CODE = "key_reused"
 INTERNAL_ERROR_CODE = "internal_error"
+# In metrics: the caller hung up before there was an outcome.
+CALLER_GONE_OUTCOME = "caller_gone"
 INTERNAL_RETRY_AFTER_S = 1.0
 
 log = structlog.get_logger(__name__)
@@ -35,20 +38,24 @@
 class RequestService:
     """Owns every request in progress at this entry."""
 
-    __slots__ = ("in_progress", "resources", "running")
+    __slots__ = ("in_progress", "resources", "running", "stopping")
 
     def __init__(self, resources: RequestResources) -> None:
         self.resources = resources
         self.in_progress: dict[RequestName, SharedRequest] = {}
         self.running: set[SharedRequest] = set()
+        self.stopping = False
 
     async def run(self, request: CallerRequest) -> RequestOutcome:
         """Returns the final outcome of a request, or of the one in progress with the same key."""
         started_s = asyncio.get_running_loop().time()
-        outcome = await self._run(request)
-        duration_s = asyncio.get_running_loop().time() - started_s
-        metrics = self.resources.metrics
-        metrics.record_answer(request.client_account, outcome.kind.value, duration_s)
+        metrics, label = self.resources.metrics, CALLER_GONE_OUTCOME
+        try:
+            outcome = await self._run(request)
+            label = outcome.kind.value
+        finally:
+            duration_s = asyncio.get_running_loop().time() - started_s
+            metrics.record_answer(request.client_account, label, duration_s)
         if outcome.kind is OutcomeKind.NOT_RUN:
             metrics.record_refusal(request.client_account, outcome.code)
         return outcome
@@ -60,14 +67,19 @@
 
     async def finish(self) -> None:
         """Waits for all requests in progress, and for attempts whose callers have gone."""
-        while self.running or self.resources.background:
-            tasks = {shared.task for shared in self.running} | self.resources.background
-            stops = {shared.stopping for shared in self.running if not shared.stopping.done()}
-            await asyncio.wait((*tasks, *stops), return_when=asyncio.FIRST_COMPLETED)
+        while self.running or (self.resources.background and not self.stopping):
+            ends: set[asyncio.Future[Any]] = {shared.task for shared in self.running}
+            ends |= {shared.stopping for shared in self.running}
+            if not self.stopping:
+                ends |= self.resources.background
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
             self.running = {shared for shared in self.running if not shared.stopping.done()}
+        for task in self.resources.background:
+            task.cancel()
 
     def abandon(self) -> None:
         """Ends all requests in progress; each caller gets the true outcome soon."""
+        self.stopping = True
         for shared in self.running:
             shared.stop()
         for task in self.resources.background:
--- a/tests/cover/entry/deployment.py
+++ b/tests/cover/entry/deployment.py
@@ -62,6 +62,7 @@
     non_idempotent: bool = False,
     deadline_s: float = 5.0,
     key: str | None = None,
+    trace_id: str = "trace",
 ) -> CallerRequest:
     """Returns a request whose key is its subject, unless told otherwise."""
     return CallerRequest(
@@ -72,5 +73,5 @@
         key=subject if key is None else key,
         non_idempotent=non_idempotent,
         deadline_s=asyncio.get_running_loop().time() + deadline_s,
-        trace_id="trace",
+        trace_id=trace_id,
     )
