Name the tasks that may continue in each reply to an announcement

Change: replies name the continuing tasks and the term; agents fence what is not named, stopped or expired, and refuse orders of earlier terms; leases reach the worker as a moment on the instance's monotonic clock; every stop reaches the worker; capacity is free one lease after the stop was committed.

--- a/src/cicadatray/internal/agent/announcer.py
+++ b/src/cicadatray/internal/agent/announcer.py
@@ -69,7 +69,7 @@
             return False
         self.confirmed_at_s = sent_at_s
         if self.tasks is not None:
-            await self.tasks.renew(sent_at_s + reply.lease_s)
+            await self.tasks.renew(reports, reply, sent_at_s)
         return True
 
     async def _wait(self, limit_s: float) -> None:
--- a/src/cicadatray/internal/agent/task_table.py
+++ b/src/cicadatray/internal/agent/task_table.py
@@ -9,7 +9,7 @@
 from cicadatray.internal.agent.task_entry import FAILED, FINISHED, PREPARED, RUNNING, TaskEntry
 from cicadatray.internal.agent.worker_client import ReserveOrder, WorkerClient, WorkerTask
 from cicadatray.internal.wire.message import MessageStruct
-from cicadatray.internal.wire.messages.directory_messages import TaskReport
+from cicadatray.internal.wire.messages.directory_messages import AnnounceReply, TaskReport
 from cicadatray.internal.wire.messages.task_messages import (
     CheckpointTask,
     PrepareTask,
@@ -20,11 +20,14 @@
 )
 
 FENCE_LIMIT = 10_000
+STALE_TERM_CODE = "stale_term"
 STALE_EPOCH_CODE = "stale_epoch"
 NO_LEASE_CODE = "no_lease"
 DRAINING_CODE = "draining"
 WORKER_FAILED_CODE = "worker_failed"
 
+TaskOrderMessage = PrepareTask | StartTask | CheckpointTask | StopTask
+
 log = structlog.get_logger(__name__)
 
 
@@ -34,12 +37,22 @@
     `lease_until_s` is event loop time. `changed` is set when a report should be announced at once.
     """
 
-    __slots__ = ("changed", "draining", "fences", "lease_until_s", "lock", "tasks", "worker")
+    __slots__ = (
+        "changed",
+        "draining",
+        "fences",
+        "lease_term",
+        "lease_until_s",
+        "lock",
+        "tasks",
+        "worker",
+    )
 
     def __init__(self, worker: WorkerClient) -> None:
         self.worker = worker
         self.tasks: dict[str, TaskEntry] = {}
         self.fences: OrderedDict[str, int] = OrderedDict()
+        self.lease_term = 0
         self.lease_until_s = 0.0
         self.draining = False
         self.changed = asyncio.Event()
@@ -49,7 +62,7 @@
         """Returns what the agent announces."""
         return tuple(entry.report() for entry in self.tasks.values())
 
-    async def handle(self, order: MessageStruct) -> MessageStruct:
+    async def handle(self, order: TaskOrderMessage) -> MessageStruct:
         """Carries out one order, one at a time."""
         try:
             async with self.lock:
@@ -63,17 +76,46 @@
         for task in await self.worker.list_tasks():
             await self.worker.stop(task.task_id, task.epoch)
 
-    async def renew(self, lease_until_s: float) -> None:
-        """Extends the lease of every task to the agent's own."""
-        self.lease_until_s = max(self.lease_until_s, lease_until_s)
-        for entry in list(self.tasks.values()):
-            remaining_s = self.lease_until_s - asyncio.get_running_loop().time()
-            if entry.state not in (PREPARED, RUNNING) or remaining_s <= 0:
-                continue
-            try:
-                await self.worker.renew(entry.job_id, entry.epoch, remaining_s)
-            except WorkerFailedError as error:
-                log.warning("lease not renewed", job_id=entry.job_id, reason=str(error))
+    async def renew(
+        self, reported: tuple[TaskReport, ...], reply: AnnounceReply, sent_at_s: float
+    ) -> None:
+        """Takes over the reply to an announcement of `reported`, sent at this event loop time.
+
+        Tasks that were prepared after the announcement keep the lease of their reservation.
+        """
+        if reply.term < self.lease_term:
+            return
+        self.lease_term = reply.term
+        self.lease_until_s = max(self.lease_until_s, sent_at_s + reply.lease_s)
+        continuing = {(task.job_id, task.epoch) for task in reply.continuing}
+        async with self.lock:
+            for report in reported:
+                entry = self.tasks.get(report.job_id)
+                if entry is None or entry.epoch != report.epoch:
+                    continue
+                if (report.job_id, report.epoch) in continuing:
+                    await self._renew_task(entry)
+                else:
+                    await self._drop(entry)
+
+    async def _renew_task(self, entry: TaskEntry) -> None:
+        if entry.state not in (PREPARED, RUNNING):
+            return
+        try:
+            await self.worker.renew(entry.job_id, entry.epoch, self.lease_until_s)
+        except WorkerFailedError as error:
+            log.warning("lease not renewed", job_id=entry.job_id, reason=str(error))
+
+    async def _drop(self, entry: TaskEntry) -> None:
+        """Stops a task that the leader no longer names, and refuses late orders for it."""
+        log.info("task is not to continue", job_id=entry.job_id, epoch=entry.epoch)
+        self._fence(entry.job_id, entry.epoch)
+        try:
+            await self.worker.stop(entry.job_id, entry.epoch)
+        except WorkerFailedError as error:
+            # The worker stops the task by itself: its lease is never longer than ours.
+            log.warning("task not stopped", job_id=entry.job_id, reason=str(error))
+        self.tasks.pop(entry.job_id, None)
 
     async def refresh(self) -> None:
         """Takes over the states that the worker reports, and drops everything without a lease."""
@@ -99,14 +141,15 @@
             entry.state = task.state
             self.changed.set()
 
-    async def _carry_out(self, order: MessageStruct) -> MessageStruct:
+    async def _carry_out(self, order: TaskOrderMessage) -> MessageStruct:
+        if order.term < self.lease_term:
+            return TaskRefused(code=STALE_TERM_CODE, detail=f"term {self.lease_term} has begun")
         if isinstance(order, PrepareTask):
             return await self._prepare(order)
         if isinstance(order, StartTask):
             return await self._start(order)
         if isinstance(order, CheckpointTask):
             return await self._checkpoint(order)
-        assert isinstance(order, StopTask)
         return await self._stop(order)
 
     async def _prepare(self, order: PrepareTask) -> MessageStruct:
@@ -114,14 +157,15 @@
             return TaskRefused(code=STALE_EPOCH_CODE, detail="the gang was stopped")
         if self.draining:
             return TaskRefused(code=DRAINING_CODE, detail="the agent stops")
-        remaining_s = self._remaining_lease_s()
-        if remaining_s <= 0:
+        if self._remaining_lease_s() <= 0:
             return TaskRefused(code=NO_LEASE_CODE, detail="the agent holds no lease")
         known = self.tasks.get(order.job_id)
         if known is not None and known.epoch > order.epoch:
             return TaskRefused(code=STALE_EPOCH_CODE, detail=f"epoch {known.epoch} is known")
         if known is None or known.epoch < order.epoch:
-            reservation = ReserveOrder(order.epoch, order.accelerators, remaining_s, order.payload)
+            reservation = ReserveOrder(
+                order.epoch, order.accelerators, self.lease_until_s, order.payload
+            )
             await self.worker.reserve(order.job_id, reservation)
             entry = TaskEntry(order.job_id, order.epoch, order.accelerators)
             self.tasks[order.job_id] = entry
@@ -147,21 +191,18 @@
 
     async def _stop(self, order: StopTask) -> MessageStruct:
         self._fence(order.job_id, order.epoch)
+        # Also for an unknown task: the worker may still run one that this agent has dropped.
+        await self.worker.stop(order.job_id, order.epoch)
         entry = self.tasks.get(order.job_id)
         if entry is not None and entry.epoch <= order.epoch:
-            await self.worker.stop(order.job_id, entry.epoch)
             del self.tasks[order.job_id]
         return TaskAccepted()
 
     async def _stop_all(self) -> None:
         log.warning("lease is over, stopping all tasks", tasks=len(self.tasks))
-        for entry in list(self.tasks.values()):
-            try:
-                await self.worker.stop(entry.job_id, entry.epoch)
-            except WorkerFailedError as error:
-                # The worker stops the task by itself: its lease is never longer than ours.
-                log.warning("task not stopped", job_id=entry.job_id, reason=str(error))
-            self.tasks.pop(entry.job_id, None)
+        async with self.lock:
+            for entry in list(self.tasks.values()):
+                await self._drop(entry)
         self.changed.set()
 
     def _fence(self, job_id: str, epoch: int) -> None:
--- a/src/cicadatray/internal/agent/worker_client.py
+++ b/src/cicadatray/internal/agent/worker_client.py
@@ -13,11 +13,15 @@
 
 
 class ReserveOrder(msgspec.Struct, frozen=True):
-    """Reserves accelerators for a task; the worker frees them when the lease is over."""
+    """Reserves accelerators for a task; the worker frees them when the lease is over.
+
+    `lease_until_s` is a moment on the monotonic clock that all processes of an instance share. A
+    duration would begin anew when the order reaches the worker late.
+    """
 
     epoch: int
     accelerators: int
-    lease_s: float
+    lease_until_s: float
     payload: str
 
 
@@ -25,7 +29,7 @@
     """An order about one task; a lower epoch than the task's is refused."""
 
     epoch: int
-    lease_s: float = 0.0
+    lease_until_s: float = 0.0
 
 
 class WorkerTask(msgspec.Struct, frozen=True):
@@ -65,9 +69,9 @@
         """Starts a reserved task."""
         await self._order(task_id, "start", TaskOrder(epoch))
 
-    async def renew(self, task_id: str, epoch: int, lease_s: float) -> None:
-        """Extends the lease to `lease_s` from now."""
-        await self._order(task_id, "renew", TaskOrder(epoch, lease_s))
+    async def renew(self, task_id: str, epoch: int, lease_until_s: float) -> None:
+        """Extends the lease to a moment on the instance's monotonic clock."""
+        await self._order(task_id, "renew", TaskOrder(epoch, lease_until_s))
 
     async def checkpoint(self, task_id: str, epoch: int) -> None:
         """Writes a checkpoint and returns when it is written."""
--- a/src/cicadatray/internal/control/directory_calls.py
+++ b/src/cicadatray/internal/control/directory_calls.py
@@ -18,6 +18,8 @@
     AnnounceReply,
     DirectoryReply,
     ReadDirectory,
+    TaskReference,
+    TaskReport,
     Withdraw,
 )
 from cicadatray.scheduling.check_configuration import check_configuration
@@ -35,7 +37,22 @@
     session = await daemon.leading_session()
     session.directory.announce(call, session.now_s())
     daemon.notify()
-    return AnnounceReply(lease_s=LEASE_S, configuration_version=daemon.state.configuration.version)
+    return AnnounceReply(
+        lease_s=LEASE_S,
+        term=session.term,
+        continuing=tuple(
+            TaskReference(report.job_id, report.epoch)
+            for report in call.tasks
+            if _may_continue(daemon, report)
+        ),
+        configuration_version=daemon.state.configuration.version,
+    )
+
+
+def _may_continue(daemon: "ControlDaemon", report: TaskReport) -> bool:
+    entry = daemon.state.jobs.get(report.job_id)
+    gang = entry.gang if entry is not None else None
+    return gang is not None and gang.epoch == report.epoch and gang.outcome is None
 
 
 @answers(Withdraw)
--- a/src/cicadatray/internal/control/gang_driver.py
+++ b/src/cicadatray/internal/control/gang_driver.py
@@ -105,6 +105,7 @@
         order = PrepareTask(
             job_id=self._job_id(),
             epoch=self.epoch,
+            term=self.session.term,
             accelerators=share.accelerators,
             payload=self.entry.payload,
             trace_id=self.entry.trace_id,
@@ -117,7 +118,7 @@
         return False
 
     async def _start_tasks(self) -> None:
-        order = StartTask(job_id=self._job_id(), epoch=self.epoch)
+        order = StartTask(job_id=self._job_id(), epoch=self.epoch, term=self.session.term)
         replies = await asyncio.gather(*(self._start_member(s, order) for s in self._shares()))
         if all(replies):
             self._record_start()
@@ -180,20 +181,36 @@
 
     async def _end(self) -> None:
         outcome = self.outcome or GangOutcome.STOPPED
-        if outcome is not GangOutcome.COMPLETED:
-            command = StopGang(
-                job_id=self._job_id(), epoch=self.epoch, outcome=outcome, reason=self.reason
-            )
-            await self.session.propose(command)
-        if outcome is GangOutcome.CHECKPOINTED and not await self._checkpoint():
-            outcome = GangOutcome.STOPPED
-        await asyncio.gather(*(self._stop_member(share) for share in self._shares()))
+        if outcome is GangOutcome.COMPLETED:
+            await self._forget_tasks()
+        else:
+            outcome = await self._stop(outcome)
         release = ReleaseGang(
             job_id=self._job_id(), epoch=self.epoch, outcome=outcome, reason=self.reason
         )
         reply = await self.session.propose(release)
         self._tell_scheduler(reply, outcome)
 
+    async def _forget_tasks(self) -> None:
+        """Lets agents forget finished tasks. One that is missed learns it from its next reply."""
+        order = StopTask(job_id=self._job_id(), epoch=self.epoch, term=self.session.term)
+        await asyncio.gather(
+            *(self._order(s.worker_id, order, STOP_TIMEOUT_S) for s in self._shares())
+        )
+
+    async def _stop(self, outcome: GangOutcome) -> GangOutcome:
+        """Returns when no member runs any more, with the outcome that took effect."""
+        command = StopGang(
+            job_id=self._job_id(), epoch=self.epoch, outcome=outcome, reason=self.reason
+        )
+        await self.session.propose(command)
+        # From here on no reply to an announcement renews the lease of these tasks.
+        stopped_at_s = self.session.now_s()
+        if outcome is GangOutcome.CHECKPOINTED and not await self._checkpoint():
+            outcome = GangOutcome.STOPPED
+        await asyncio.gather(*(self._stop_member(s, stopped_at_s) for s in self._shares()))
+        return outcome
+
     def _tell_scheduler(self, reply: MessageStruct, outcome: GangOutcome) -> None:
         if isinstance(reply, JobView) and reply.state is JobState.CANCELLED:
             outcome = GangOutcome.CANCELLED
@@ -205,27 +222,27 @@
         self.session.wake.set()
 
     async def _checkpoint(self) -> bool:
-        order = CheckpointTask(job_id=self._job_id(), epoch=self.epoch)
+        order = CheckpointTask(job_id=self._job_id(), epoch=self.epoch, term=self.session.term)
         replies = await asyncio.gather(
             *(self._order(s.worker_id, order, CHECKPOINT_BOUND_S) for s in self._shares())
         )
         return all(isinstance(reply, TaskAccepted) for reply in replies)
 
-    async def _stop_member(self, share: WorkerShare) -> None:
+    async def _stop_member(self, share: WorkerShare, stopped_at_s: float) -> None:
         """Returns when the task has stopped or its lease is over."""
-        order = StopTask(job_id=self._job_id(), epoch=self.epoch)
-        while not self._lease_is_over(share.worker_id):
+        order = StopTask(job_id=self._job_id(), epoch=self.epoch, term=self.session.term)
+        while not self._lease_is_over(share.worker_id, stopped_at_s):
             reply = await self._order(share.worker_id, order, STOP_TIMEOUT_S)
             if isinstance(reply, TaskAccepted):
                 return
             await asyncio.sleep(STOP_RETRY_S)
 
-    def _lease_is_over(self, worker_id: str) -> bool:
-        agent = self._agent(worker_id)
+    def _lease_is_over(self, worker_id: str, stopped_at_s: float) -> bool:
         now_s = self.session.now_s()
-        if agent is None:
-            return now_s - self.session.started_s > LEASE_END_S
-        return agent.lease_is_over(now_s)
+        if now_s - stopped_at_s > LEASE_END_S:
+            return True
+        agent = self._agent(worker_id)
+        return agent is not None and agent.lease_is_over(now_s)
 
     async def _order(
         self, worker_id: str, order: MessageStruct, timeout_s: float
--- a/src/cicadatray/internal/standins/worker.py
+++ b/src/cicadatray/internal/standins/worker.py
@@ -72,7 +72,7 @@
         if taken + order.accelerators > self.accelerators:
             return Response("not enough accelerators", 409)
         task = StandinTask(task_id, order.epoch, order.accelerators, order.payload)
-        task.lease_until_s = asyncio.get_running_loop().time() + order.lease_s
+        task.lease_until_s = order.lease_until_s
         self.tasks[task_id] = task
         return Response("")
 
@@ -81,16 +81,21 @@
         order = msgspec.json.decode(await request.body(), type=TaskOrder)
         verb = request.path_params["verb"]
         task = self.tasks.get(request.path_params["task_id"])
+        if verb == "stop":
+            return self._stop(task, order)
         if task is None or task.epoch != order.epoch:
-            return Response("", 200 if verb == "stop" else 404)
+            return Response("no such task", 404)
         if verb == "start":
             return self._start(task)
         if verb == "renew":
-            task.lease_until_s = asyncio.get_running_loop().time() + order.lease_s
+            task.lease_until_s = order.lease_until_s
         elif verb == "checkpoint":
             await asyncio.sleep(CHECKPOINT_S)
             self.journal.record("checkpointed", task.task_id, task.epoch, task.accelerators)
-        elif verb == "stop" and task.holds_accelerators():
+        return Response("")
+
+    def _stop(self, task: StandinTask | None, order: TaskOrder) -> Response:
+        if task is not None and task.epoch <= order.epoch and task.holds_accelerators():
             self._end(task, STOPPED, "stopped")
         return Response("")
 
--- a/src/cicadatray/internal/wire/messages/directory_messages.py
+++ b/src/cicadatray/internal/wire/messages/directory_messages.py
@@ -14,6 +14,13 @@
     run_s: float
 
 
+class TaskReference(msgspec.Struct, frozen=True):
+    """One task of one gang."""
+
+    job_id: str
+    epoch: int
+
+
 class AgentRecord(msgspec.Struct, frozen=True):
     """An agent in the directory; `incarnation` changes with every start of the process."""
 
@@ -36,9 +43,15 @@
 
 
 class AnnounceReply(MessageStruct, frozen=True):
-    """`lease_s` counts from when the agent sent the announcement."""
+    """`lease_s` counts from when the agent sent the announcement.
+
+    `continuing` names the announced tasks that may go on; the agent stops the others. A gang that
+    is being stopped is not named, so its lease ends although its agent is alive.
+    """
 
     lease_s: float
+    term: int
+    continuing: tuple[TaskReference, ...]
     configuration_version: int
 
 
--- a/src/cicadatray/internal/wire/messages/task_messages.py
+++ b/src/cicadatray/internal/wire/messages/task_messages.py
@@ -1,4 +1,8 @@
-"""Messages from the control leader to agents: the tasks of gangs."""
+"""Messages from the control leader to agents: the tasks of gangs.
+
+`term` is the leader's: an agent refuses orders of a term below the one that granted its lease, so
+that a leader which was frozen cannot act on it any more.
+"""
 
 from cicadatray.internal.wire.message import MessageStruct
 
@@ -11,6 +15,7 @@
 
     job_id: str
     epoch: int
+    term: int
     accelerators: int
     payload: str
     trace_id: str
@@ -21,6 +26,7 @@
 
     job_id: str
     epoch: int
+    term: int
 
 
 class CheckpointTask(MessageStruct, frozen=True):
@@ -28,6 +34,7 @@
 
     job_id: str
     epoch: int
+    term: int
 
 
 class StopTask(MessageStruct, frozen=True):
@@ -35,6 +42,7 @@
 
     job_id: str
     epoch: int
+    term: int
 
 
 class TaskAccepted(MessageStruct, frozen=True):
