Count only sends in progress as interrupted, and close connections of a draining entry

Cause: planned_stop_entry reported 11 interrupted requests. All were sends on kept-alive connections that the stopped entry had closed before (lost within 1 ms, none started at an endpoint). Change: a lost send counts as interrupted when it was in flight or had started at an endpoint. A draining entry answers with Connection: close, so that callers stop using the connection.

--- a/src/cicadatray/internal/bench/fault_runs/case_runner.py
+++ b/src/cicadatray/internal/bench/fault_runs/case_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import tempfile
 from pathlib import Path
 
@@ -24,6 +25,7 @@
 WARM_UP_S = 1.5
 CASE_LIMIT_S = 180.0
 LEAVING_LIMIT_S = 3.0
+IN_PROGRESS_S = 0.02
 PLANNED_PREFIX = "planned_"
 
 
@@ -79,11 +81,26 @@
     report.reverted = run.watch.reverted
     report.recovery_s = run.recovery_s
     if report.case.startswith(PLANNED_PREFIX):
-        report.interrupted = tally.unknown + run.request_load.caller.broken_sends
+        report.interrupted = tally.unknown + _count_interrupted(run)
     _count_gangs(run, report)
     report.work_after_leaving = _count_work_after_leaving(run)
 
 
+def _count_interrupted(run: FaultRun) -> int:
+    """Counts sends that were lost while they were in progress.
+
+    A send that is lost at once used a kept-alive connection which the other side had closed before.
+    """
+    paths = run.deployment.journal_paths("endpoint")
+    events = [event for path in paths for event in read_journal(path)]
+    started = {event.subject: event.at_s for event in events if event.event == "started"}
+    return sum(
+        1
+        for broken in run.request_load.caller.broken_sends
+        if broken.in_flight_s > IN_PROGRESS_S or started.get(broken.subject, math.inf) < broken.at_s
+    )
+
+
 def _count_gangs(run: FaultRun, report: CaseReport) -> None:
     events = worker_events(run.deployment.journal_paths("worker"))
     sizes = {job.job_id: job.accelerators for job in run.job_load.submitted}
--- a/src/cicadatray/internal/entry/http_answer.py
+++ b/src/cicadatray/internal/entry/http_answer.py
@@ -59,7 +59,15 @@
 async def handle_entry_error(request: Request, error: Exception) -> Response:
     """Renders an `EntryError` that a route raised."""
     assert isinstance(error, EntryError)
-    return error_answer(error)
+    response = error_answer(error)
+    close_while_draining(request, response)
+    return response
+
+
+def close_while_draining(request: Request, response: Response) -> None:
+    """Ends the connection with its last answer, so that the caller does not use it again."""
+    if request.app.state.context.draining:
+        response.headers["Connection"] = "close"
 
 
 def _set_retry_after(response: Response, retry_after_s: float) -> None:
--- a/src/cicadatray/internal/entry/http_requests.py
+++ b/src/cicadatray/internal/entry/http_requests.py
@@ -10,7 +10,7 @@
 from cicadatray.internal.entry.caller_request import CallerRequest
 from cicadatray.internal.entry.entry_context import EntryContext, draining_error
 from cicadatray.internal.entry.errors import EntryError
-from cicadatray.internal.entry.http_answer import outcome_answer
+from cicadatray.internal.entry.http_answer import close_while_draining, outcome_answer
 from cicadatray.internal.entry.http_body import read_body
 from cicadatray.internal.entry.request_outcome import RequestOutcome, not_run, outcome_unknown
 
@@ -42,6 +42,7 @@
         outcome = await _run_while_connected(request, context, caller_request)
     response = outcome_answer(outcome)
     response.headers[TRACE_HEADER] = caller_request.trace_id
+    close_while_draining(request, response)
     return response
 
 
