Keep workers for old jobs, quarantine workers, move jobs and explain waits

Cause: large jobs could be overtaken for ever, faulty workers and faulty jobs ate capacity, and explain named no cause. Change: FenceKeeper, FaultTracker, Compaction and explanations in both production policies.

--- a/src/cicadatray/scheduling/job.py
+++ b/src/cicadatray/scheduling/job.py
@@ -20,7 +20,8 @@
     """A job with its present placement; `sequence` orders jobs by arrival.
 
     `failures` lists, for each attempt in which a task failed, the workers on which it failed.
-    `held_until_s` delays the next attempt. `charged` tells that the job counts against its
+    `held_until_s` delays the next attempt. `stops` counts the runs that
+    were ended for others. `charged` tells that the job counts against its
     account's share.
     """
 
@@ -29,15 +30,16 @@
         "charged",
         "failures",
         "held_until_s",
-        "moves",
         "placed_s",
         "placement",
         "request",
         "sequence",
         "started_s",
         "state",
+        "stops",
         "task_failed",
         "unreachable",
+        "waiting_since_s",
     )
 
     def __init__(self, request: JobRequest, sequence: int) -> None:
@@ -51,8 +53,9 @@
         self.task_failed = False
         self.charged = False
         self.unreachable = False
-        self.moves = 0
+        self.stops = 0
         self.held_until_s = 0.0
+        self.waiting_since_s = request.submitted_s
         self.failures: list[list[str]] = []
 
     @property
--- a/src/cicadatray/scheduling/ordinary_round.py
+++ b/src/cicadatray/scheduling/ordinary_round.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
 
+from cicadatray.scheduling.fence_keeper import FenceKeeper
 from cicadatray.scheduling.job import Job
 from cicadatray.scheduling.placement import Placement
 from cicadatray.scheduling.placement_search import PlacementSearch
@@ -20,19 +21,21 @@
     shape and not one per waiting job.
     """
 
-    __slots__ = ("full", "held", "ledger", "now_s", "queue", "rank", "search")
+    __slots__ = ("fences", "full", "held", "ledger", "now_s", "queue", "rank", "search")
 
     def __init__(
         self,
         queue: WaitingQueue,
         ledger: ShareLedger,
         search: PlacementSearch,
+        fences: FenceKeeper,
         rank: Rank,
         now_s: float,
     ) -> None:
         self.queue = queue
         self.ledger = ledger
         self.search = search
+        self.fences = fences
         self.rank = rank
         self.now_s = now_s
         self.full: set[Shape] = set()
@@ -59,6 +62,8 @@
         placement = self.search.find(job.request.shape, avoided)
         if placement is None and avoided:
             placement = self.search.find(job.request.shape, set())
+        if placement is None:
+            placement = self.fences.backfill(job, self.now_s)
         if placement is None:
             self.full.add(job.request.shape)
         return placement
--- a/src/cicadatray/scheduling/policies/product.py
+++ b/src/cicadatray/scheduling/policies/product.py
@@ -1,15 +1,19 @@
 """What the two production policies have in common."""
 
+from cicadatray.scheduling.compaction import Compaction
 from cicadatray.scheduling.decision import Decision, FailJob, PlaceJob
 from cicadatray.scheduling.explanation import Explanation
+from cicadatray.scheduling.fence_keeper import FenceKeeper
 from cicadatray.scheduling.gang_outcome import GangOutcome
 from cicadatray.scheduling.guarantee_block import GuaranteeBlock
 from cicadatray.scheduling.guarantee_plan import GuaranteePlan
-from cicadatray.scheduling.job import Job
+from cicadatray.scheduling.job import Job, JobState
 from cicadatray.scheduling.ordinary_round import OrdinaryRound
 from cicadatray.scheduling.placement import Placement
 from cicadatray.scheduling.placement_search import PlacementSearch
+from cicadatray.scheduling.policies.fault_response import FaultResponse
 from cicadatray.scheduling.policies.policy import SchedulingPolicy
+from cicadatray.scheduling.policies.waiting_explanation import explain_waiting
 from cicadatray.scheduling.run_estimates import RunEstimates
 from cicadatray.scheduling.scheduling_state import SchedulingState
 from cicadatray.scheduling.share_ledger import ShareLedger
@@ -19,9 +23,26 @@
 
 
 class ProductPolicy(SchedulingPolicy):
-    """Keeps guarantees, shares what remains and protects large blocks."""
-
-    __slots__ = ("claims", "estimates", "failing", "ledger", "plan", "queue", "search")
+    """Keeps guarantees, shares what remains and protects large blocks.
+
+    `fence_delay_s` is how long a job waits before workers are kept for it; `compaction_weight`
+    scales the gain of moving jobs.
+    """
+
+    __slots__ = (
+        "claims",
+        "compaction",
+        "estimates",
+        "failing",
+        "faults",
+        "fences",
+        "ledger",
+        "plan",
+        "queue",
+        "search",
+    )
+    fence_delay_s = 900.0
+    compaction_weight = 1.0
 
     def __init__(self, state: SchedulingState) -> None:
         super().__init__(state)
@@ -32,14 +53,29 @@
         self.ledger = ShareLedger(state.rules)
         self.estimates = RunEstimates()
         self.failing: dict[str, str] = {}
+        self.faults = FaultResponse(state, self.plan)
+        self.fences = FenceKeeper(state, self.estimates, self.fence_delay_s)
+        self.compaction = Compaction(state, self.search, self.estimates, self.compaction_weight)
 
     def decide(self, now_s: float) -> list[Decision]:
         """Repairs the plan, serves urgent claims and then shares what is idle."""
-        self.plan.repair(self.state.jobs)
         decisions: list[Decision] = []
+
+        def place(job: Job, placement: Placement) -> None:
+            self._place(job, placement, now_s, decisions)
+
+        self.faults.observe_runs(now_s)
+        self.plan.repair(self.state.jobs)
         self._fail(decisions)
         decisions += self.claims.decide(now_s)
-        self._place_ordinary(now_s, decisions)
+        for job, placement in self.faults.trials(self.queue, now_s):
+            place(job, placement)
+        self.fences.place_ready(place)
+        search = self.search
+        OrdinaryRound(self.queue, self.ledger, search, self.fences, self.rank, now_s).run(place)
+        self.fences.fence_oldest(self._overdue(now_s), now_s)
+        decisions += self.fences.drain(self._is_lent, now_s)
+        decisions += self.compaction.decide(self._is_lent, now_s)
         return decisions
 
     def guarantees_at_risk(self) -> list[GuaranteeBlock]:
@@ -59,9 +95,23 @@
             self.claims.waiting[job.request.job_id] = job
 
     def requeued(self, job: Job, now_s: float) -> None:
-        """Queues the job at its old place."""
+        """Queues the job at its old place, or stops it if it is at fault itself."""
+        job.waiting_since_s = now_s
+        if job.task_failed:
+            job.held_until_s = now_s + self.faults.tracker.retry_delay_s(job)
+            reason = self.faults.tracker.verdict(job)
+            if reason is not None:
+                self.failing[job.request.job_id] = reason
         self.submitted(job, now_s)
 
+    def started(self, job: Job, now_s: float) -> None:
+        """Watches the run where it tells a faulty worker from a faulty job."""
+        self.faults.started(job)
+
+    def task_failed(self, job: Job, worker: Unit, now_s: float) -> None:
+        """Collects evidence against the worker."""
+        self.faults.task_failed(job, worker, now_s)
+
     def restored(self, job: Job, now_s: float) -> None:
         """Binds a running gang to a block of its account where that is possible."""
         self.plan.repair(self.state.jobs)
@@ -78,6 +128,9 @@
         """Ends the job's use of its block or of lent capacity."""
         request = job.request
         self.plan.unbind(request.job_id)
+        self.faults.released(job, outcome, now_s)
+        if outcome in (GangOutcome.CHECKPOINTED, GangOutcome.STOPPED):
+            job.stops += 1
         if job.charged:
             job.charged = False
             self.ledger.grant(request.client_account, -request.shape.accelerators, now_s)
@@ -106,6 +159,8 @@
         self.plan.replace(self.state.rules.guarantees)
         self.ledger.weights = self.state.rules.shares
         self.search.large_job = self.state.rules.large_job
+        for fence in list(self.fences.fences.values()):
+            self.fences.drop(fence)
         for job in self.state.waiting.values():
             largest = self.state.fleet.largest_shape(job.request.shape.scope).accelerators
             if job.request.shape.accelerators > largest:
@@ -115,22 +170,42 @@
 
     def explain(self, job: Job, now_s: float) -> Explanation:
         """Says why the job waits or runs."""
-        reason = "runs or starts" if job.holds_capacity else "no unit has enough idle accelerators"
+        if not job.holds_capacity:
+            return explain_waiting(job, self.state, self.claims, self.fences, now_s)
+        block = self.block_of(job)
+        if job.state is JobState.STOPPING:
+            reason = "is being stopped"
+        elif block is not None:
+            reason = f"runs or starts inside its account's guarantee, block {block.number}"
+        else:
+            reason = "runs or starts on lent capacity that an urgent job may reclaim"
         return Explanation(job.request.job_id, job.state.value, reason)
 
     def rank(self, job: Job, now_s: float) -> float:
         """Orders the waiting jobs of one account; the lowest is tried first."""
         return job.sequence
 
-    def _place_ordinary(self, now_s: float, decisions: list[Decision]) -> None:
-        def place(job: Job, placement: Placement) -> None:
-            self.queue.remove(job)
-            self.claims.waiting.pop(job.request.job_id, None)
-            self.state.place(job, placement, now_s)
-            self._bind_or_charge(job, now_s)
-            decisions.append(PlaceJob(job.request.job_id, placement))
-
-        OrdinaryRound(self.queue, self.ledger, self.search, self.rank, now_s).run(place)
+    def _place(
+        self, job: Job, placement: Placement, now_s: float, decisions: list[Decision]
+    ) -> None:
+        self.queue.remove(job)
+        self.claims.waiting.pop(job.request.job_id, None)
+        self.state.place(job, placement, now_s)
+        self._bind_or_charge(job, now_s)
+        decisions.append(PlaceJob(job.request.job_id, placement))
+
+    def _overdue(self, now_s: float) -> list[Job]:
+        """Returns jobs that wait too long, in the order in which their accounts are served."""
+        late = [j for j in self.queue.oldest() if now_s - j.waiting_since_s >= self.fence_delay_s]
+        late = [job for job in late if job.held_until_s <= now_s]
+        standing = {j.request.client_account: 0.0 for j in late}
+        for account in standing:
+            standing[account] = self.ledger.standing(account, now_s)
+        late.sort(key=lambda job: (standing[job.request.client_account], job.sequence))
+        return late
+
+    def _is_lent(self, job: Job) -> bool:
+        return job.request.job_id not in self.plan.slot_of and not job.request.urgent
 
     def _fail(self, decisions: list[Decision]) -> None:
         for job_id, reason in self.failing.items():
--- a/src/cicadatray/scheduling/rack_index.py
+++ b/src/cicadatray/scheduling/rack_index.py
@@ -46,6 +46,15 @@
             if key[1] >= largest_idle:
                 yield from self.buckets[key].values()
 
+    def descending(self, count: int) -> list[Unit]:
+        """Returns up to `count` racks, those with the most idle capacity first."""
+        found: list[Unit] = []
+        for key in reversed(self.keys):
+            found.extend(self.buckets[key].values())
+            if len(found) >= count:
+                break
+        return found[:count]
+
     def _remove(self, rack: Unit, position: tuple[int, int]) -> None:
         bucket = self.buckets[position]
         del bucket[rack.key]
--- a/src/cicadatray/scheduling/reclaim_search.py
+++ b/src/cicadatray/scheduling/reclaim_search.py
@@ -39,7 +39,10 @@
     def cost(self, job: Job, now_s: float) -> float:
         """Returns the accelerator-seconds lost by stopping a job; granted time, not reported."""
         elapsed_s = CHECKPOINT_COST_S if job.request.checkpointable else now_s - job.placed_s
-        cost = BROKEN_JOB_COST + max(0.0, elapsed_s) * job.request.shape.accelerators
+        # A job that was stopped before costs more, so that the same young job is not always chosen.
+        cost = (
+            BROKEN_JOB_COST * (1 + job.stops) + max(0.0, elapsed_s) * job.request.shape.accelerators
+        )
         if job.unreachable:
             cost += UNREACHABLE_COST
         if job.request.urgent:
--- a/src/cicadatray/scheduling/waiting_queue.py
+++ b/src/cicadatray/scheduling/waiting_queue.py
@@ -39,10 +39,6 @@
         if not shapes:
             del self.accounts[job.request.client_account]
 
-    def shapes(self) -> set[Shape]:
-        """Returns all shapes that are waited for."""
-        return {shape for shapes in self.accounts.values() for shape in shapes}
-
     def heads(self, account: str, held: set[int], full: set[Shape]) -> list[Job]:
         """Returns the first job of each shape that is neither held back nor known not to fit."""
         found = []
