Measure longer workloads, leader changes and loads without failing workers

Cause: completion percentiles of a few hundred jobs varied widely between seeds, and the baselines lose jobs on failing workers, so that ratios to them mixed failure handling with placement.

Change: horizons of 40 h (Cartago) and 16 h (Port Louis), leader changes that rebuild the scheduler, a load without failing workers and jobs, and ratios to the better baseline of each seed.

--- a/src/cicadatray/internal/bench/measure.py
+++ b/src/cicadatray/internal/bench/measure.py
@@ -14,6 +14,7 @@
     execute_design_costs,
     execute_runs,
     figures_of,
+    runs_of,
 )
 from cicadatray.internal.bench.measurement.deployment import (
     POLICIES,
@@ -22,17 +23,16 @@
 )
 from cicadatray.internal.bench.measurement.design_cost import DesignCost
 from cicadatray.internal.bench.measurement.run_metrics import RunMetrics
-from cicadatray.internal.bench.measurement.spread import Spread
 from cicadatray.internal.bench.measurement.targets import (
     TargetResult,
-    default_policy_targets,
+    absolute_targets,
     design_size_targets,
     format_table,
-    invariant_targets,
+    ratio_targets,
 )
 from cicadatray.internal.bench.measurement.workload_settings import SEEDS
 
-AllFigures = dict[str, dict[str, dict[str, dict[str, Spread]]]]
+AllRuns = dict[RunKey, RunMetrics]
 
 app = cyclopts.App()
 
@@ -48,47 +48,43 @@
     """
     runs = execute_runs(quick)
     costs = execute_design_costs()
-    figures = {
-        deployment.name: {load: figures_of(runs, deployment.name, load) for load in SEEDS}
-        for deployment in deployments()
-    }
     _print_notes(runs)
-    print(format_table(_targets(figures, costs)))
-    print(msgspec.json.encode(_report(figures, costs)).decode())
+    print(format_table(_targets(runs, costs)))
+    print(msgspec.json.encode(_report(runs, costs)).decode())
 
 
-def _print_notes(runs: dict[RunKey, RunMetrics]) -> None:
+def _print_notes(runs: AllRuns) -> None:
     for key, metrics in runs.items():
         for note in metrics.notes:
             if key.policy in PRODUCT_POLICIES:
                 print(f"{key.deployment} {key.load} seed {key.seed} {key.policy}: {note}")
 
 
-def _targets(figures: AllFigures, costs: dict[str, DesignCost]) -> list[TargetResult]:
+def _targets(runs: AllRuns, costs: dict[str, DesignCost]) -> list[TargetResult]:
     results = []
     for deployment in deployments():
         for load in SEEDS:
-            loaded = figures[deployment.name][load]
-            default = deployment.default_policy
-            results += default_policy_targets(deployment.name, load, default, loaded)
+            loaded = runs_of(runs, deployment.name, load)
+            results += ratio_targets(deployment.name, load, deployment.default_policy, loaded)
             for policy in PRODUCT_POLICIES:
-                if policy != default:
-                    results += invariant_targets(deployment.name, load, policy, loaded[policy])
+                figures = figures_of(loaded[policy])
+                results += absolute_targets(deployment.name, load, policy, figures)
     for policy in PRODUCT_POLICIES:
         results += design_size_targets(policy, costs[policy])
     return results
 
 
-def _report(figures: AllFigures, costs: dict[str, DesignCost]) -> dict[str, Any]:
+def _report(runs: AllRuns, costs: dict[str, DesignCost]) -> dict[str, Any]:
     report: dict[str, Any] = {
         "default": {deployment.name: deployment.default_policy for deployment in deployments()}
     }
-    for name, loads in figures.items():
-        report[name] = {}
+    for deployment in deployments():
+        loads = {load: runs_of(runs, deployment.name, load) for load in SEEDS}
+        report[deployment.name] = {}
         for policy in POLICIES:
-            per_load = {load: loads[load][policy] for load in SEEDS}
+            figures = {load: figures_of(loads[load][policy]) for load in SEEDS}
             decision_ms = {"decision_ms_at_design_size": costs[policy].placement_ms}
-            report[name][policy] = per_load | decision_ms
+            report[deployment.name][policy] = figures | decision_ms
     report["design_size"] = costs
     return report
 
--- a/src/cicadatray/internal/bench/measurement/campaign.py
+++ b/src/cicadatray/internal/bench/measurement/campaign.py
@@ -1,5 +1,6 @@
 """All runs of a measurement, spread over a few processes."""
 
+from functools import partial
 from multiprocessing import get_context
 
 import msgspec
@@ -45,8 +46,8 @@
     deployment = next(each for each in deployments() if each.name == key.deployment)
     settings = settings_for(key.deployment, key.load, key.seed)
     workload = WorkloadGenerator(deployment, settings, key.seed).generate()
-    scheduler = Scheduler(deployment.inventory, deployment.rules(key.policy))
-    return Run(deployment, workload, scheduler).run()
+    make = partial(Scheduler, deployment.inventory, deployment.rules(key.policy))
+    return Run(deployment, workload, make).run()
 
 
 def execute_runs(quick: bool) -> dict[RunKey, RunMetrics]:
@@ -69,18 +70,20 @@
     return dict(zip(POLICIES, costs, strict=True))
 
 
-def figures_of(
+def runs_of(
     runs: dict[RunKey, RunMetrics], deployment: str, load: str
-) -> dict[str, dict[str, Spread]]:
-    """Returns, per policy, the spread of every figure over the seeds."""
-    figures: dict[str, dict[str, Spread]] = {}
-    for policy in POLICIES:
-        chosen = [
+) -> dict[str, list[RunMetrics]]:
+    """Returns, per policy, the runs of a deployment under one kind of load, by seed."""
+    return {
+        policy: [
             metrics
             for key, metrics in runs.items()
             if (key.deployment, key.load, key.policy) == (deployment, load, policy)
         ]
-        figures[policy] = {
-            name: spread_of([getattr(metrics, name) for metrics in chosen]) for name in FIGURES
-        }
-    return figures
+        for policy in POLICIES
+    }
+
+
+def figures_of(runs: list[RunMetrics]) -> dict[str, Spread]:
+    """Returns the spread of every figure over the seeds."""
+    return {name: spread_of([getattr(metrics, name) for metrics in runs]) for name in FIGURES}
--- a/src/cicadatray/internal/bench/measurement/claims.py
+++ b/src/cicadatray/internal/bench/measurement/claims.py
@@ -47,8 +47,12 @@
             record.claimed_block = None
 
     def worker_lost(self, now_s: float) -> None:
-        """Marks the claims that have not started yet."""
+        """Notes a loss, whose capacity may still be under lease for a while."""
         self.last_loss_s = now_s
+        self.disturb()
+
+    def disturb(self) -> None:
+        """Excludes the claims that have not started yet from the reclaim time."""
         for record in self.open_claims.values():
             if record.started_s is None:
                 record.disturbed = True
--- a/src/cicadatray/internal/bench/measurement/fake_fleet.py
+++ b/src/cicadatray/internal/bench/measurement/fake_fleet.py
@@ -61,11 +61,20 @@
         record.stop_waiting(self.heap.now_s)
         self._stop(gang, GangOutcome.STOPPED, PREPARE_S + STOP_S)
 
-    def interrupt(self, job_id: str) -> bool:
-        """Checkpoints and stops a gang; returns whether there was one to stop."""
-        gang = self.gangs.get(job_id)
-        if gang is None or gang.phase is GangPhase.STOPPING:
-            return False
+    def restore(self) -> None:
+        """Tells a new scheduler about the gangs that hold capacity, in order of placement."""
+        for job_id, gang in self.gangs.items():
+            request = gang.record.plan.request
+            if gang.holds_capacity:
+                self.scheduler.restore_running(request, gang.placement, self.heap.now_s)
+            if gang.outcome is GangOutcome.CANCELLED:
+                self.scheduler.cancel(job_id, self.heap.now_s)
+
+    def interrupt(self, job_id: str) -> None:
+        """Checkpoints and stops a gang; a repeated request changes nothing."""
+        gang = self.gangs[job_id]
+        if gang.phase is GangPhase.STOPPING:
+            return
         plan = gang.record.plan
         if gang.phase is GangPhase.RUNNING and plan.request.checkpointable:
             gang.running_s -= plan.checkpoint_s  # the tasks run on until the checkpoint is complete
@@ -76,7 +85,6 @@
             self._stop(gang, outcome, plan.checkpoint_s + STOP_S)
         else:
             self._stop(gang, GangOutcome.STOPPED, STOP_S)
-        return True
 
     def cancel(self, job_id: str) -> None:
         """Stops the gang of a cancelled job, if it has one."""
--- a/src/cicadatray/internal/bench/measurement/run.py
+++ b/src/cicadatray/internal/bench/measurement/run.py
@@ -1,6 +1,7 @@
 """One run: a workload against one policy."""
 
 import time
+from collections.abc import Callable
 from functools import partial
 
 from cicadatray.internal.bench.measurement.capacity_ledger import CapacityLedger
@@ -37,6 +38,7 @@
         "fleet",
         "heap",
         "ledger",
+        "make_scheduler",
         "monitor",
         "open_jobs",
         "records",
@@ -44,11 +46,17 @@
         "workload",
     )
 
-    def __init__(self, deployment: Deployment, workload: Workload, scheduler: Scheduler) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        workload: Workload,
+        make_scheduler: Callable[[], Scheduler],
+    ) -> None:
         self.deployment = deployment
         self.workload = workload
         self.heap = EventHeap()
-        self.scheduler = scheduler
+        self.make_scheduler = make_scheduler
+        self.scheduler = make_scheduler()
         self.ledger = CapacityLedger(deployment.inventory, deployment.large_job, workload.horizon_s)
         self.claims = Claims(deployment.inventory, deployment.guarantees)
         self.monitor = InvariantMonitor(self.claims.check, self.ledger.lost)
@@ -71,6 +79,8 @@
         for outage in self.workload.failing:
             self.heap.call_at(outage.from_s, partial(self.fleet.failing.add, outage.worker_id))
             self.heap.call_at(outage.to_s, partial(self.fleet.failing.discard, outage.worker_id))
+        for at_s in self.workload.leader_changes:
+            self.heap.call_at(at_s, self._change_leader)
         self._tick()
         until_s = (1 + DRAIN_HORIZONS) * self.workload.horizon_s
         self.heap.run(until_s, lambda: self.open_jobs == 0)
@@ -101,6 +111,20 @@
         self._end(record, JobEnding.CANCELLED)
         self._request_decision()
 
+    def _change_leader(self) -> None:
+        """A new leader rebuilds its scheduler from the jobs, gangs and workers it knows."""
+        now_s = self.heap.now_s
+        self.scheduler = self.make_scheduler()
+        self.fleet.scheduler = self.scheduler
+        for worker_id in sorted(self.ledger.lost):
+            self.scheduler.worker_lost(worker_id, now_s)
+        self.fleet.restore()
+        for job_id, record in self.records.items():
+            if record.ending is None and job_id not in self.fleet.gangs:
+                self.scheduler.submit(record.plan.request, now_s)
+        self.claims.disturb()
+        self._request_decision()
+
     def _end(self, record: JobRecord, ending: JobEnding) -> None:
         if record.ending is None:
             record.end(ending, self.heap.now_s)
@@ -163,5 +187,7 @@
     def _interrupt(self, decision: ReclaimJob | MoveJob) -> None:
         if self.claims.check.holds(decision.job_id):
             self.monitor.violation(self.heap.now_s, f"{decision} stops a job in its guarantee")
-        if not self.fleet.interrupt(decision.job_id):
+        if decision.job_id in self.fleet.gangs:
+            self.fleet.interrupt(decision.job_id)
+        else:
             self.monitor.unexpected(self.heap.now_s, f"{decision} names a job that does not run")
--- a/src/cicadatray/internal/bench/measurement/run_summary.py
+++ b/src/cicadatray/internal/bench/measurement/run_summary.py
@@ -51,7 +51,10 @@
 def _counts(record: JobRecord) -> bool:
     plan = record.plan
     # A planned cancellation excludes the job under every policy, even if it completed before it.
-    return not (plan.impossible or plan.fails_everywhere or plan.cancel_s is not None)
+    if plan.impossible or plan.fails_everywhere or plan.cancel_s is not None:
+        return False
+    # Wrongly failed jobs have a count of their own and no completion.
+    return not _wrongly_failed(record)
 
 
 def _completion_s(record: JobRecord, run_end_s: float) -> float:
--- a/src/cicadatray/internal/bench/measurement/targets.py
+++ b/src/cicadatray/internal/bench/measurement/targets.py
@@ -4,7 +4,8 @@
 
 from cicadatray.internal.bench.measurement.deployment import BASELINE_POLICIES
 from cicadatray.internal.bench.measurement.design_cost import PHASE_BUDGET_S, DesignCost
-from cicadatray.internal.bench.measurement.spread import Spread
+from cicadatray.internal.bench.measurement.run_metrics import RunMetrics
+from cicadatray.internal.bench.measurement.spread import Spread, spread_of
 
 RECLAIM_BOUND_S = 3.5
 BURST_BUDGET_S = 2.7  # 4.5% of a core over a minute
@@ -13,6 +14,8 @@
 NO_WORSE_RATIO = 1.0
 
 Figures = dict[str, Spread]
+# Per policy, one set of figures for each seed, in the same order of seeds.
+RunsOfPolicies = dict[str, list[RunMetrics]]
 
 
 class TargetResult(msgspec.Struct, frozen=True):
@@ -41,35 +44,42 @@
 ZERO_TARGETS = ("guarantee_violations", "partial_gangs", "starved", "wrongly_failed")
 
 
-def default_policy_targets(
-    deployment: str, load: str, policy: str, figures: dict[str, Figures]
-) -> list[TargetResult]:
-    """Checks the default policy of a deployment under one kind of load.
+def ratios_to_better_baseline(runs: RunsOfPolicies, policy: str, metric: str) -> Spread:
+    """Returns the spread over the seeds of a metric divided by its better baseline's.
 
-    Ratios compare medians over the seeds with those of the better baseline, metric by metric;
-    counts and the reclaim time use the largest value of any seed.
+    The better baseline is chosen for each seed anew.
     """
-    title = f"{deployment} {policy} {load}"
-    product = figures[policy]
+    better = [
+        min(getattr(metrics, metric) for metrics in baselines)
+        for baselines in zip(*(runs[baseline] for baseline in BASELINE_POLICIES), strict=True)
+    ]
+    products = [getattr(metrics, metric) for metrics in runs[policy]]
+    return spread_of([value / base for value, base in zip(products, better, strict=True)])
+
+
+def ratio_targets(
+    deployment: str, load: str, policy: str, runs: RunsOfPolicies
+) -> list[TargetResult]:
+    """Checks the median ratios of a deployment's default policy under one kind of load."""
     results = []
-    for metric, ratio in RATIO_TARGETS[(deployment, policy)].items():
-        better = min(figures[baseline][metric].median for baseline in BASELINE_POLICIES)
-        name = f"{title}: median {metric} <= {ratio} x better baseline ({better:g})"
-        results.append(TargetResult(name, product[metric].median, ratio * better))
-    reclaim = f"{title}: largest reclaim_p99_s"
-    results.append(TargetResult(reclaim, product["reclaim_p99_s"].max, RECLAIM_BOUND_S))
-    return results + invariant_targets(deployment, load, policy, product)
+    for metric, bound in RATIO_TARGETS[(deployment, policy)].items():
+        ratios = ratios_to_better_baseline(runs, policy, metric)
+        name = f"{deployment} {policy} {load}: median ratio of {metric} to the better baseline"
+        seeds = f"{name}, over seeds {ratios.min:g} to {ratios.max:g}"
+        results.append(TargetResult(seeds, ratios.median, bound))
+    return results
 
 
-def invariant_targets(
-    deployment: str, load: str, policy: str, product: Figures
+def absolute_targets(
+    deployment: str, load: str, policy: str, figures: Figures
 ) -> list[TargetResult]:
-    """Checks the counts that must be zero for a product policy."""
-    title = f"{deployment} {policy} {load}"
-    return [
-        TargetResult(f"{title}: largest {metric}", product[metric].max, 0.0)
-        for metric in ZERO_TARGETS
+    """Checks the reclaim time and the counts that must be zero, for the worst seed."""
+    title = f"{deployment} {policy} {load}: largest"
+    reclaim_s = figures["reclaim_p99_s"].max
+    counts = [
+        TargetResult(f"{title} {metric}", figures[metric].max, 0.0) for metric in ZERO_TARGETS
     ]
+    return [TargetResult(f"{title} reclaim_p99_s", reclaim_s, RECLAIM_BOUND_S), *counts]
 
 
 def design_size_targets(policy: str, cost: DesignCost) -> list[TargetResult]:
--- a/src/cicadatray/internal/bench/measurement/workload.py
+++ b/src/cicadatray/internal/bench/measurement/workload.py
@@ -7,12 +7,13 @@
 
 
 class Workload(msgspec.Struct, frozen=True):
-    """Jobs in order of submission, and the faults of the workers."""
+    """Jobs in order of submission, the faults of the workers, and the times of leader changes."""
 
     horizon_s: float
     plans: tuple[JobPlan, ...]
     losses: tuple[WorkerOutage, ...]
     failing: tuple[WorkerOutage, ...]
+    leader_changes: tuple[float, ...] = ()
 
     def longest_fair_wait_s(self, capacity: int) -> float:
         """Returns a bound on the wait of any job when no job is overtaken for long.
--- a/src/cicadatray/internal/bench/measurement/workload_generator.py
+++ b/src/cicadatray/internal/bench/measurement/workload_generator.py
@@ -56,6 +56,7 @@
             plans=self._cancel_in_waves(plans),
             losses=self._outages(settings.losses, LOSS_MIN_S, LOSS_MAX_S),
             failing=self._outages(settings.failing_workers, FAILING_MIN_S, FAILING_MAX_S),
+            leader_changes=tuple(self._moment() for _ in range(settings.leader_changes)),
         )
 
     def _moment(self) -> float:
--- a/src/cicadatray/internal/bench/measurement/workload_settings.py
+++ b/src/cicadatray/internal/bench/measurement/workload_settings.py
@@ -22,11 +22,12 @@
     large_burst_jobs: int
     urgent_claims: int
     urgent_run_s: float
-    cancellation_waves: int = 2
-    losses: int = 3
-    failing_workers: int = 2
-    impossible_jobs: int = 3
-    failing_jobs: int = 4
+    cancellation_waves: int = 4
+    losses: int = 6
+    failing_workers: int = 4
+    impossible_jobs: int = 6
+    failing_jobs: int = 8
+    leader_changes: int = 2
 
 
 def _cartago_tuned() -> WorkloadSettings:
@@ -34,16 +35,16 @@
     medium = (Shape(8, Scope.WORKER), Shape(6, Scope.WORKER))
     large = (Shape(16, Scope.RACK), Shape(16, Scope.RACK), Shape(24, Scope.RACK))
     return WorkloadSettings(
-        horizon_s=16 * HOUR_S,
+        horizon_s=40 * HOUR_S,
         load=0.75,
         small=JobClass(0.70, small, median_run_s=900.0, sigma=0.8, checkpointable_share=0.7),
         medium=JobClass(0.20, medium, median_run_s=1500.0, sigma=0.7, checkpointable_share=0.8),
         large=JobClass(0.10, large, median_run_s=2700.0, sigma=0.5, checkpointable_share=1.0),
-        small_bursts=3,
+        small_bursts=6,
         small_burst_jobs=40,
-        large_bursts=2,
+        large_bursts=5,
         large_burst_jobs=5,
-        urgent_claims=16,
+        urgent_claims=40,
         urgent_run_s=900.0,
     )
 
@@ -53,16 +54,16 @@
     medium = (Shape(8, Scope.WORKER), Shape(6, Scope.WORKER))
     large = (Shape(16, Scope.RACK), Shape(16, Scope.DATA_CENTRE), Shape(24, Scope.DATA_CENTRE))
     return WorkloadSettings(
-        horizon_s=8 * HOUR_S,
+        horizon_s=16 * HOUR_S,
         load=0.75,
         small=JobClass(0.72, small, median_run_s=300.0, sigma=0.8, checkpointable_share=0.5),
         medium=JobClass(0.22, medium, median_run_s=600.0, sigma=0.6, checkpointable_share=0.7),
         large=JobClass(0.06, large, median_run_s=900.0, sigma=0.5, checkpointable_share=0.9),
-        small_bursts=4,
+        small_bursts=8,
         small_burst_jobs=50,
-        large_bursts=2,
+        large_bursts=4,
         large_burst_jobs=6,
-        urgent_claims=20,
+        urgent_claims=40,
         urgent_run_s=400.0,
     )
 
@@ -74,10 +75,10 @@
         small=msgspec.structs.replace(tuned.small, weight=0.85, sigma=1.0),
         medium=msgspec.structs.replace(tuned.medium, weight=0.10),
         large=msgspec.structs.replace(tuned.large, weight=0.05),
-        small_bursts=6,
+        small_bursts=12,
         small_burst_jobs=60,
-        large_bursts=1,
-        cancellation_waves=3,
+        large_bursts=2,
+        cancellation_waves=6,
     )
 
 
@@ -88,27 +89,40 @@
         small=msgspec.structs.replace(tuned.small, weight=0.55),
         medium=msgspec.structs.replace(tuned.medium, weight=0.30),
         large=msgspec.structs.replace(tuned.large, weight=0.15),
-        small_bursts=1,
-        large_bursts=4,
+        small_bursts=2,
+        large_bursts=8,
         large_burst_jobs=4,
-        urgent_claims=24,
-        losses=5,
+        urgent_claims=60,
+        losses=9,
     )
 
 
+def _without_failures(tuned: WorkloadSettings) -> WorkloadSettings:
+    return msgspec.structs.replace(tuned, failing_workers=0, failing_jobs=0)
+
+
 TUNED = "tuned"
 HELD_OUT = "held_out"
+# The tuned parameters without failing workers and jobs. The baselines do not avoid failing workers,
+# so only here the comparison with them is about placement alone.
+HEALTHY = "healthy"
 SETTINGS: dict[str, dict[str, tuple[WorkloadSettings, ...]]] = {
     "cartago": {
         TUNED: (_cartago_tuned(),),
         HELD_OUT: (_more_small_jobs(_cartago_tuned()), _more_large_jobs(_cartago_tuned())),
+        HEALTHY: (_without_failures(_cartago_tuned()),),
     },
     "port_louis": {
         TUNED: (_port_louis_tuned(),),
         HELD_OUT: (_more_small_jobs(_port_louis_tuned()), _more_large_jobs(_port_louis_tuned())),
+        HEALTHY: (_without_failures(_port_louis_tuned()),),
     },
 }
-SEEDS = {TUNED: (1, 2, 3, 4, 5), HELD_OUT: (101, 102, 103, 104, 105, 106)}
+SEEDS = {
+    TUNED: (1, 2, 3, 4, 5, 6, 7),
+    HELD_OUT: (101, 102, 103, 104, 105, 106, 107, 108),
+    HEALTHY: (201, 202, 203, 204, 205),
+}
 
 
 def settings_for(deployment: str, load: str, seed: int) -> WorkloadSettings:
--- a/tests/cover/measurement/test_campaign.py
+++ b/tests/cover/measurement/test_campaign.py
@@ -3,14 +3,22 @@
 import msgspec
 import pytest
 
-from cicadatray.internal.bench.measurement.campaign import RunKey, execute_run
+from cicadatray.internal.bench.measurement.campaign import RunKey, execute_run, figures_of
 from cicadatray.internal.bench.measurement.deployment import Deployment, deployments
 from cicadatray.internal.bench.measurement.design_fleet import DesignFleet
+from cicadatray.internal.bench.measurement.run_metrics import RunMetrics
 from cicadatray.internal.bench.measurement.spread import Spread
-from cicadatray.internal.bench.measurement.targets import default_policy_targets
+from cicadatray.internal.bench.measurement.targets import (
+    absolute_targets,
+    ratios_to_better_baseline,
+)
 from cicadatray.internal.bench.measurement.workload import Workload
 from cicadatray.internal.bench.measurement.workload_generator import WorkloadGenerator
-from cicadatray.internal.bench.measurement.workload_settings import SEEDS, settings_for
+from cicadatray.internal.bench.measurement.workload_settings import (
+    HEALTHY,
+    SEEDS,
+    settings_for,
+)
 
 CASES = [(deployment, load) for deployment in deployments() for load in SEEDS]
 
@@ -34,11 +42,12 @@
         assert settings.load <= ratio < settings.load + 0.05
         plans = workload.plans
         assert any(plan.impossible for plan in plans)
-        assert any(plan.fails_everywhere for plan in plans)
+        assert any(plan.fails_everywhere for plan in plans) is (load != HEALTHY)
         assert any(plan.cancel_s is not None for plan in plans)
         assert any(plan.request.urgent for plan in plans)
         assert any(plan.request.declared_run_s > 2 * plan.run_s for plan in plans)
-        assert workload.losses and workload.failing
+        assert bool(workload.failing) is (load != HEALTHY)
+        assert workload.losses and workload.leader_changes
 
 
 def test_a_run_gives_the_same_figures_again() -> None:
@@ -57,26 +66,24 @@
     assert len({worker.data_centre for worker in fleet.inventory.workers}) == 7
 
 
-def test_targets_use_the_better_baseline_and_the_worst_seed() -> None:
-    """Guards against passing a target on a favourable seed or against the worse baseline."""
-    zero = Spread(0, 0, 0)
-    counts = dict.fromkeys(
-        ("guarantee_violations", "partial_gangs", "starved", "wrongly_failed"), zero
-    )
-    figures = {
-        "first_fit": {"fragmentation": Spread(0.4, 0.4, 0.4), "completion_p99": Spread(9, 9, 9)},
-        "best_fit_backfill": {
-            "fragmentation": Spread(0.8, 0.8, 0.8),
-            "completion_p99": Spread(7, 7, 7),
-        },
-        "compact": counts
-        | {
-            "fragmentation": Spread(0.1, 0.3, 0.3),
-            "completion_p99": Spread(6, 7, 9),
-            "reclaim_p99_s": Spread(3.0, 3.0, 3.6),
-            "starved": Spread(0, 0, 1),
-        },
+def make_metrics(**figures: float) -> RunMetrics:
+    values = dict.fromkeys(RunMetrics.__struct_fields__, 0) | {"notes": ()} | figures
+    return msgspec.convert(values, RunMetrics)
+
+
+def test_ratios_use_the_better_baseline_of_each_seed() -> None:
+    """Guards against meeting a target through the worse baseline or one favourable seed."""
+    runs = {
+        "first_fit": [make_metrics(fragmentation=value) for value in (0.4, 0.8, 0.5)],
+        "best_fit_backfill": [make_metrics(fragmentation=value) for value in (0.8, 0.4, 0.5)],
+        "compact": [make_metrics(fragmentation=value) for value in (0.1, 0.2, 0.5)],
     }
-    results = default_policy_targets("cartago", "tuned", "compact", figures)
-    missed = [result.target.split(": ")[1].split(" <=")[0] for result in results if not result.met]
-    assert missed == ["median fragmentation", "largest reclaim_p99_s", "largest starved"]
+    assert ratios_to_better_baseline(runs, "compact", "fragmentation") == Spread(0.25, 0.5, 1.0)
+
+
+def test_absolute_targets_use_the_worst_seed() -> None:
+    """Guards against a violation in a single seed that a median hides."""
+    runs = [make_metrics(reclaim_p99_s=3.0), make_metrics(reclaim_p99_s=3.6, starved=1)]
+    results = absolute_targets("cartago", "tuned", "compact", figures_of(runs))
+    missed = [result.target.split("largest ")[1] for result in results if not result.met]
+    assert missed == ["reclaim_p99_s", "starved"]
--- a/tests/cover/measurement/test_run.py
+++ b/tests/cover/measurement/test_run.py
@@ -1,10 +1,12 @@
 """Tests of the driver with schedulers that decide what the test says."""
 
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 
 from cicadatray.internal.bench.measurement.run import Run
+from cicadatray.internal.bench.measurement.workload import Workload
 from cicadatray.scheduling.admission import Admission
 from cicadatray.scheduling.decision import Decision, FailJob, PlaceJob, ReclaimJob
 from cicadatray.scheduling.gang_outcome import GangOutcome
@@ -85,7 +87,7 @@
         make_plan("lent", RACK_16),
         make_plan("urgent", RACK_16, submitted_s=50.0, urgent=True),
     )
-    metrics = Run(make_deployment({"a": 2}, GUARANTEE), workload, scheduler).run()
+    metrics = Run(make_deployment({"a": 2}, GUARANTEE), workload, lambda: scheduler).run()
     # Two decisions of 0.125 s, checkpoint 1.5 s, stop 0.5 s, prepare 0.5 s and start 0.25 s.
     assert metrics.reclaim_p99_s == pytest.approx(3.0, rel=0.002)
     assert scheduler.outcomes[0] == ("lent", GangOutcome.CHECKPOINTED)
@@ -102,7 +104,7 @@
 
     scheduler = ScriptedScheduler(script)
     workload = make_workload(make_plan("job", RACK_16))
-    metrics = Run(make_deployment({"a": 2}), workload, scheduler).run()
+    metrics = Run(make_deployment({"a": 2}), workload, lambda: scheduler).run()
     assert metrics.partial_gangs == partial_gangs
     assert metrics.starved == 0
     assert metrics.completion_p50 == pytest.approx(100.875 + 1.125 * partial_gangs, rel=0.002)
@@ -118,7 +120,7 @@
 
     workload = make_workload(make_plan("urgent", RACK_16, urgent=True))
     deployment = make_deployment({"a": 2}, GUARANTEE)
-    metrics = Run(deployment, workload, ScriptedScheduler(script)).run()
+    metrics = Run(deployment, workload, lambda: ScriptedScheduler(script)).run()
     assert metrics.guarantee_violations == 1
 
 
@@ -135,7 +137,7 @@
         def script(queue: list[str], placed: list[Decision] = placed) -> list[Decision]:
             return placed if queue else []
 
-        run = Run(deployment, workload, ScriptedScheduler(script))
+        run = Run(deployment, workload, partial(ScriptedScheduler, script))
         run.heap.call_at(500.0, lambda run=run: run._cancel("urgent"))
         metrics = run.run()
         assert (metrics.guarantee_violations > 0) is bool(violations), placement
@@ -157,7 +159,7 @@
         make_plan("cancelled", RACK_16, submitted_s=30.0, cancel_s=60.0),
         make_plan("completes", RACK_16, submitted_s=70.0),
     )
-    metrics = Run(make_deployment({"a": 2}), workload, scheduler).run()
+    metrics = Run(make_deployment({"a": 2}), workload, lambda: scheduler).run()
     assert scheduler.outcomes == [
         ("fails", GangOutcome.FAILED),
         ("cancelled", GangOutcome.CANCELLED),
@@ -165,3 +167,14 @@
     ]
     assert (metrics.starved, metrics.wrongly_failed) == (0, 0)
     assert metrics.completion_p99 == pytest.approx(100.875, rel=0.002)
+
+
+def test_a_new_leader_learns_of_running_and_waiting_jobs() -> None:
+    """Guards against a leader change that loses jobs or places a gang on capacity in use."""
+    deployment = make_deployment({"a": 2})
+    plans = [make_plan(f"job-{index}", RACK_16, submitted_s=index) for index in range(3)]
+    workload = Workload(1000.0, tuple(plans), (), (), leader_changes=(50.0, 150.0))
+    make = partial(Scheduler, deployment.inventory, deployment.rules("first_fit"))
+    metrics = Run(deployment, workload, make).run()
+    assert (metrics.partial_gangs, metrics.unexpected_decisions, metrics.starved) == (0, 0, 0)
+    assert metrics.completion_p99 == pytest.approx(3 * 100.875 - 2, rel=0.01)
