Measure claims and worker losses at design size

Cause: reclaiming a guarantee and re-planning after a loss are the decisions with a deadline, and their cost was measured only on ten workers.

Change: the cost at design size includes urgent claims on a full fleet, compared with the 0.25 s that the design allows for the decisions of a reclaim, and the loss of workers.

--- a/src/cicadatray/internal/bench/measurement/design_cost.py
+++ b/src/cicadatray/internal/bench/measurement/design_cost.py
@@ -13,6 +13,8 @@
 from cicadatray.scheduling.scheduler import Scheduler
 
 PLACEMENTS = 100
+CLAIMS = 40
+LOSSES = 20
 BURST_JOBS = 1000
 # The leader decides once for all jobs that arrive within the decision delay.
 JOBS_PER_DECISION = 20
@@ -31,6 +33,10 @@
     placement_ms: Spread
     placement_mean_ms: float
     placed_jobs: int
+    reclaim_ms: Spread
+    claims: int
+    claims_placed: int
+    worker_loss_ms: Spread
     submission_burst_s: float
     cancellation_burst_s: float
     complete: bool
@@ -54,6 +60,8 @@
         running = len(self.fleet.running)
         placements_s = self._placements()
         placed = len(self.placed)
+        claims_s, claims_placed = self._claims()
+        losses_s = self._losses()
         burst: list[str] = []
         submissions_s = self._submission_burst(burst_jobs, burst)
         cancellations_s = self._cancellation_burst(burst)
@@ -61,9 +69,13 @@
             workers=len(self.fleet.inventory.workers),
             accelerators=self.fleet.capacity,
             running_jobs=running,
-            placement_ms=spread_of([duration_s * MS_PER_S for duration_s in placements_s]),
+            placement_ms=_milliseconds(placements_s),
             placement_mean_ms=round(sum(placements_s) / len(placements_s) * MS_PER_S, 4),
             placed_jobs=placed,
+            reclaim_ms=_milliseconds(claims_s),
+            claims=len(claims_s),
+            claims_placed=claims_placed,
+            worker_loss_ms=_milliseconds(losses_s),
             submission_burst_s=round(submissions_s, 4),
             cancellation_burst_s=round(cancellations_s, 4),
             complete=self.complete,
@@ -94,6 +106,37 @@
                 break
         return durations_s
 
+    def _claims(self) -> tuple[list[float], int]:
+        """Each probe claims a guarantee on a full fleet: victims, then the placement."""
+        guarantees = self.fleet.guarantees
+        chosen = guarantees[:: max(1, len(guarantees) // CLAIMS)]
+        durations_s = []
+        placed = 0
+        for guarantee in chosen:
+            request = self.fleet.urgent_request(guarantee, self.now_s)
+            begun_s = time.process_time()
+            self.scheduler.submit(request, self.now_s)
+            self._decide()
+            self._decide()
+            durations_s.append(time.process_time() - begun_s)
+            placed += request.job_id in self.placed
+            if self._over_budget(begun_s):
+                break
+        return durations_s, placed
+
+    def _losses(self) -> list[float]:
+        """Each probe loses a worker with accelerators, and gets it back."""
+        workers = [worker for worker in self.fleet.inventory.workers if worker.accelerators]
+        durations_s = []
+        for worker in workers[:: max(1, len(workers) // LOSSES)]:
+            begun_s = time.process_time()
+            self.scheduler.worker_lost(worker.worker_id, self.now_s)
+            self._decide()
+            durations_s.append(time.process_time() - begun_s)
+            self.scheduler.worker_returned(worker.worker_id, self.now_s)
+            self._decide()
+        return durations_s
+
     def _submission_burst(self, jobs: int, submitted: list[str]) -> float:
         requests = [self.fleet.next_request(self.now_s) for _ in range(jobs)]
         begun_s = time.process_time()
@@ -124,6 +167,10 @@
         return over
 
 
+def _milliseconds(durations_s: list[float]) -> Spread:
+    return spread_of([duration_s * MS_PER_S for duration_s in durations_s])
+
+
 def measure_design_cost(
     policy: str, workers: int = DESIGN_WORKERS, burst_jobs: int = BURST_JOBS
 ) -> DesignCost:
--- a/src/cicadatray/internal/bench/measurement/design_fleet.py
+++ b/src/cicadatray/internal/bench/measurement/design_fleet.py
@@ -2,6 +2,8 @@
 
 import random
 
+import msgspec
+
 from cicadatray.scheduling.inventory import Inventory, WorkerRecord
 from cicadatray.scheduling.job_request import JobRequest
 from cicadatray.scheduling.placement import Placement, WorkerShare
@@ -37,7 +39,16 @@
 class DesignFleet:
     """An inventory with rules, a scheduler filled by `restore_running`, and a source of jobs."""
 
-    __slots__ = ("accounts", "idle", "inventory", "random", "running", "scheduler", "submitted")
+    __slots__ = (
+        "accounts",
+        "guarantees",
+        "idle",
+        "inventory",
+        "random",
+        "running",
+        "scheduler",
+        "submitted",
+    )
 
     def __init__(self, workers: int, policy: str) -> None:
         self.random = random.Random(f"design/{workers}")
@@ -46,7 +57,8 @@
         self.idle = {w.worker_id: w.accelerators for w in self.inventory.workers}
         self.running: list[JobRequest] = []
         self.submitted = 0
-        rules = Rules(policy, Shape(16, Scope.RACK), self._guarantees())
+        self.guarantees = self._guarantees()
+        rules = Rules(policy, Shape(16, Scope.RACK), self.guarantees)
         self.scheduler = Scheduler(self.inventory, rules)
 
     @property
@@ -87,6 +99,13 @@
             submitted_s=now_s,
         )
 
+    def urgent_request(self, guarantee: Guarantee, now_s: float) -> JobRequest:
+        """Returns a job that claims the guarantee."""
+        request = self.next_request(now_s, guarantee.shape)
+        return msgspec.structs.replace(
+            request, client_account=guarantee.client_account, urgent=True
+        )
+
     def _guarantees(self) -> tuple[Guarantee, ...]:
         guarantees: list[Guarantee] = []
         for per_100, shape in GUARANTEES_PER_100_ACCOUNTS:
--- a/src/cicadatray/internal/bench/measurement/targets.py
+++ b/src/cicadatray/internal/bench/measurement/targets.py
@@ -8,6 +8,7 @@
 from cicadatray.internal.bench.measurement.spread import Spread, spread_of
 
 RECLAIM_BOUND_S = 3.5
+RECLAIM_DECISION_MS = 250.0  # the design's share of the reclaim bound for both decisions
 BURST_BUDGET_S = 2.7  # 4.5% of a core over a minute
 COMPACT_FRAGMENTATION_RATIO = 0.5
 SWIFT_COMPLETION_RATIO = 0.7
@@ -83,11 +84,15 @@
 
 
 def design_size_targets(policy: str, cost: DesignCost) -> list[TargetResult]:
-    """Checks the processor time of bursts; a phase that was cut off is over its budget."""
+    """Checks bursts and claims; a phase that was cut off is over its budget."""
     title = f"design size {policy}"
     suffix = "" if cost.complete else " (cut off)"
     least = 0.0 if cost.complete else PHASE_BUDGET_S
+    unplaced = cost.claims - cost.claims_placed
     return [
+        TargetResult(f"{title}: largest reclaim_ms", cost.reclaim_ms.max, RECLAIM_DECISION_MS),
+        TargetResult(f"{title}: claims not placed", unplaced, 0.0),
+    ] + [
         TargetResult(f"{title}: {name}{suffix}", max(value, least), BURST_BUDGET_S)
         for name, value in (
             ("submission_burst_s", cost.submission_burst_s),
