Take jobs that are placed without end out of a measurement run

Change: a job placed more than 100 times is abandoned and counted as starved; the figures also count interruptions by reclaims and moves.

--- a/src/cicadatray/internal/bench/measurement/campaign.py
+++ b/src/cicadatray/internal/bench/measurement/campaign.py
@@ -29,6 +29,7 @@
     "claims",
     "disturbed_claims",
     "jobs",
+    "interruptions",
     "decision_p99_ms",
 )
 
--- a/src/cicadatray/internal/bench/measurement/fake_fleet.py
+++ b/src/cicadatray/internal/bench/measurement/fake_fleet.py
@@ -28,7 +28,16 @@
 class FakeFleet:
     """Runs gangs and reports to the scheduler; `changed` is called after each report."""
 
-    __slots__ = ("changed", "failing", "gangs", "heap", "ledger", "released", "scheduler")
+    __slots__ = (
+        "changed",
+        "failing",
+        "gangs",
+        "heap",
+        "interruptions",
+        "ledger",
+        "released",
+        "scheduler",
+    )
 
     def __init__(
         self,
@@ -45,6 +54,7 @@
         self.released = released
         self.gangs: dict[str, Gang] = {}
         self.failing: set[str] = set()
+        self.interruptions = 0
 
     def place(self, record: JobRecord, placement: Placement) -> None:
         """Prepares and starts a gang."""
@@ -77,6 +87,7 @@
         gang = self.gangs[job_id]
         if gang.phase is GangPhase.STOPPING:
             return
+        self.interruptions += 1
         plan = gang.record.plan
         if gang.phase is GangPhase.RUNNING and plan.request.checkpointable:
             gang.running_s -= plan.checkpoint_s  # the tasks run on until the checkpoint is complete
--- a/src/cicadatray/internal/bench/measurement/job_record.py
+++ b/src/cicadatray/internal/bench/measurement/job_record.py
@@ -12,6 +12,7 @@
     CANCELLED = "cancelled"
     FAILED = "failed"
     REFUSED = "refused"
+    ABANDONED = "abandoned"
 
 
 class JobRecord:
@@ -26,6 +27,7 @@
         "ended_s",
         "ending",
         "plan",
+        "placements",
         "remaining_s",
         "started_s",
         "waited_s",
@@ -35,6 +37,7 @@
     def __init__(self, plan: JobPlan) -> None:
         self.plan = plan
         self.remaining_s = plan.run_s
+        self.placements = 0
         self.started_s: float | None = None
         self.ended_s: float | None = None
         self.ending: JobEnding | None = None
--- a/src/cicadatray/internal/bench/measurement/run.py
+++ b/src/cicadatray/internal/bench/measurement/run.py
@@ -17,12 +17,16 @@
 from cicadatray.internal.bench.measurement.worker_outage import WorkerOutage
 from cicadatray.internal.bench.measurement.workload import Workload
 from cicadatray.scheduling.decision import Decision, FailJob, MoveJob, PlaceJob, ReclaimJob
+from cicadatray.scheduling.gang_outcome import GangOutcome
 from cicadatray.scheduling.scheduler import Scheduler
 
 # The leader also decides without an event, for rules that depend on elapsed time.
 TICK_S = 5.0
 # A run that has not finished its work this long after the last submission is cut off.
 DRAIN_HORIZONS = 2.0
+# A job placed this often makes no progress. It is taken out and counted as starved, so that a fault
+# of a policy does not make the run endless.
+MAX_PLACEMENTS = 100
 
 
 class Run:
@@ -173,6 +177,10 @@
         if record.ending is not None or decision.job_id in self.fleet.gangs:
             self.monitor.unexpected(now_s, f"{decision} places a job that has ended or runs")
             return
+        record.placements += 1
+        if record.placements > MAX_PLACEMENTS:
+            self._abandon(record)
+            return
         shape = record.plan.request.shape
         problem = self.ledger.problem_with(decision.placement, shape)
         if problem is not None:
@@ -182,6 +190,12 @@
         self.fleet.place(record, decision.placement)
         self.claims.placed(record, decision.placement)
 
+    def _abandon(self, record: JobRecord) -> None:
+        job_id = record.plan.request.job_id
+        self.scheduler.cancel(job_id, self.heap.now_s)
+        self.scheduler.gang_released(job_id, self.heap.now_s, GangOutcome.CANCELLED)
+        self._end(record, JobEnding.ABANDONED)
+
     def _interrupt(self, decision: ReclaimJob | MoveJob) -> None:
         if self.claims.check.holds(decision.job_id):
             self.monitor.violation(self.heap.now_s, f"{decision} stops a job in its guarantee")
--- a/src/cicadatray/internal/bench/measurement/run_metrics.py
+++ b/src/cicadatray/internal/bench/measurement/run_metrics.py
@@ -22,5 +22,6 @@
     claims: int
     disturbed_claims: int
     jobs: int
+    interruptions: int
     decision_p99_ms: float
     notes: tuple[str, ...] = ()
--- a/src/cicadatray/internal/bench/measurement/run_summary.py
+++ b/src/cicadatray/internal/bench/measurement/run_summary.py
@@ -15,8 +15,8 @@
     from cicadatray.internal.bench.measurement.run import Run
 
 # A job is starved when it has waited, over all its queue times, more than this multiple of the
-# workload's longest fair wait, or has not ended when the run is cut off. Twice leaves room for
-# stopped jobs that run again and for the unevenness of blocks.
+# workload's longest fair wait, has not ended when the run is cut off, or was abandoned. Twice
+# leaves room for stopped jobs that run again and for the unevenness of blocks.
 STARVATION_MULTIPLE = 2.0
 MILLISECONDS_PER_S = 1000.0
 
@@ -37,6 +37,7 @@
     starved = _starved(run, records)
     wrong = [record for record in records if _wrongly_failed(record)]
     return RunMetrics(
+        interruptions=run.fleet.interruptions,
         completion_p50=completions.percentile_s(50),
         completion_p99=completions.percentile_s(99),
         completion_p99_unloaded=unloaded.percentile_s(99),
@@ -81,7 +82,8 @@
 
 def _starved(run: "Run", records: list[JobRecord]) -> list[JobRecord]:
     limit_s = STARVATION_MULTIPLE * run.workload.longest_fair_wait_s(run.deployment.capacity)
-    return [record for record in records if record.ending is None or record.waited_s > limit_s]
+    endless = (None, JobEnding.ABANDONED)
+    return [record for record in records if record.ending in endless or record.waited_s > limit_s]
 
 
 def _wrongly_failed(record: JobRecord) -> bool:
--- a/tests/cover/measurement/test_run.py
+++ b/tests/cover/measurement/test_run.py
@@ -148,7 +148,8 @@
     """Guards against reports without lag, and against a gang that reports for ever."""
 
     def script(queue: list[str]) -> list[Decision]:
-        return [PlaceJob(job_id, WHOLE) for job_id in queue[:1]]
+        free = queue[:1] == ["first"] or scheduler.outcomes
+        return [PlaceJob(job_id, WHOLE) for job_id in queue[:1] if free]
 
     scheduler = ScriptedScheduler(script)
     plans = [make_plan("first", RACK_16, run_s=130.0), make_plan("second", RACK_16, run_s=50.0)]
@@ -183,6 +184,18 @@
     assert metrics.completion_p99 == pytest.approx(100.875, rel=0.002)
 
 
+def test_a_job_that_is_placed_for_ever_counts_as_starved() -> None:
+    """Guards against a run that never ends when a policy retries a failing job without limit."""
+
+    def script(queue: list[str]) -> list[Decision]:
+        return [PlaceJob(job_id, WHOLE) for job_id in queue[:1]]
+
+    scheduler = ScriptedScheduler(script)
+    workload = make_workload(make_plan("fails", RACK_16, fails_everywhere=True))
+    metrics = Run(make_deployment({"a": 2}), workload, lambda: scheduler).run()
+    assert (metrics.starved, len(scheduler.outcomes)) == (1, 101)
+
+
 def test_a_new_leader_learns_of_running_and_waiting_jobs() -> None:
     """Guards against a leader change that loses jobs or places a gang on capacity in use."""
     deployment = make_deployment({"a": 2})
