Tell the scheduler of every applied submission, move jobs from leaving workers, expire keys

Cause: a submission whose commit was in doubt was in the replicated state but not queued by the scheduler until the next change of leader; a leaving worker kept its jobs until the drain timeout; keys of non-idempotent requests were never removed.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -154,6 +154,7 @@
                 log.exception("scheduling failed, starting again from the replicated state")
                 await asyncio.sleep(LEADERSHIP_POLL_S)
             finally:
+                self.state.listeners = []
                 self.session = None
                 self.loop = None
 
@@ -162,6 +163,7 @@
         self.session = LeaderSession(
             self.state, self.replica, self.links, self.replica.term, self.metrics
         )
+        self.state.listeners = [self.session.take_applied]
         await self._add_first_operator(self.session)
         self.loop = SchedulingLoop(self.session)
         try:
--- a/src/cicadatray/internal/control/job_calls.py
+++ b/src/cicadatray/internal/control/job_calls.py
@@ -15,7 +15,6 @@
     ExplainJob,
     ExplanationReply,
     JobsReply,
-    JobView,
     ReadJob,
     ReadJobs,
     SubmitJob,
@@ -45,12 +44,7 @@
     admission = session.scheduler.check_admission(request)
     if not admission.accepted:
         return Failure(code=JOB_IMPOSSIBLE_CODE, detail=_refusal(admission))
-    reply = await session.propose(msgspec.structs.replace(call, request=request))
-    # A concurrent submission of the same job has another time and was queued by its own call.
-    if isinstance(reply, JobView) and reply.request == request:
-        session.scheduler.submit(request, now_s)
-    daemon.notify()
-    return reply
+    return await session.propose(msgspec.structs.replace(call, request=request))
 
 
 def _refusal(admission: Admission) -> str:
@@ -65,11 +59,7 @@
 async def cancel_job(daemon: "ControlDaemon", call: CancelJob) -> MessageStruct:
     """Cancels a job."""
     session = await daemon.leading_session()
-    reply = await session.propose(call)
-    if isinstance(reply, JobView) and reply.state in FINAL_JOB_STATES:
-        session.scheduler.cancel(call.job_id, session.scheduling_time_s())
-    daemon.notify()
-    return reply
+    return await session.propose(call)
 
 
 @answers(ReadJob)
--- a/src/cicadatray/internal/control/leader_session.py
+++ b/src/cicadatray/internal/control/leader_session.py
@@ -9,6 +9,12 @@
 from cicadatray.internal.control.errors import LeadershipLostError
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.messages.job_messages import (
+    FINAL_JOB_STATES,
+    CancelJob,
+    JobState,
+    SubmitJob,
+)
 from cicadatray.replication.errors import ReplicationError
 from cicadatray.replication.replica import Replica
 from cicadatray.scheduling.scheduler import Scheduler
@@ -77,6 +83,21 @@
         except ReplicationError as error:
             raise LeadershipLostError(str(error)) from error
 
+    def take_applied(self, command: MessageStruct) -> None:
+        """Tells the scheduler of jobs that were submitted or cancelled.
+
+        Also of those whose call was answered as in doubt, because the command may commit later.
+        """
+        if isinstance(command, SubmitJob):
+            entry = self.state.jobs.get(command.request.job_id)
+            if entry is not None and entry.state is JobState.WAITING:
+                self.scheduler.submit(entry.request, self.scheduling_time_s())
+        elif isinstance(command, CancelJob):
+            entry = self.state.jobs.get(command.job_id)
+            if entry is not None and entry.state in FINAL_JOB_STATES:
+                self.scheduler.cancel(command.job_id, self.scheduling_time_s())
+        self.wake.set()
+
     def _clock_offset_s(self) -> float:
         """Places the event loop's clock on wall-clock time, but after every recorded submission."""
         latest_s = max((e.request.submitted_s for e in self.state.jobs.values()), default=0.0)
@@ -89,6 +110,6 @@
         for entry in self.state.jobs.values():
             if entry.gang is not None:
                 scheduler.restore_running(entry.request, entry.gang.placement, now_s)
-            elif entry.state.value == "waiting":
+            elif entry.state is JobState.WAITING:
                 scheduler.submit(entry.request, now_s)
         return scheduler
--- a/src/cicadatray/internal/control/scheduling_loop.py
+++ b/src/cicadatray/internal/control/scheduling_loop.py
@@ -7,6 +7,7 @@
 from cicadatray.internal.control.errors import LeadershipLostError
 from cicadatray.internal.control.gang_driver import GangDriver
 from cicadatray.internal.control.job_entry import JobEntry
+from cicadatray.internal.control.key_expiry import KeyExpiry
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.leases import LEASE_END_S
 from cicadatray.internal.wire.messages.job_messages import FailWaitingJob, JobView, PlaceGang
@@ -21,13 +22,14 @@
 class SchedulingLoop:
     """Owns the gang drivers of one leader session."""
 
-    __slots__ = ("available", "configuration_version", "drivers", "session", "tasks")
+    __slots__ = ("available", "configuration_version", "drivers", "expiry", "session", "tasks")
 
     def __init__(self, session: LeaderSession) -> None:
         self.session = session
         self.drivers: dict[str, GangDriver] = {}
         self.tasks: asyncio.TaskGroup | None = None
         self.available: set[str] = set()
+        self.expiry = KeyExpiry(session)
         self.configuration_version = session.state.configuration.version
 
     async def run(self) -> None:
@@ -65,6 +67,8 @@
         self._take_configuration()
         self._sync_workers()
         self._take_cancellations()
+        self._move_from_leaving_workers()
+        await self.expiry.expire_old_keys()
         self.session.directory.refresh_list(self.session.now_s())
         decisions = self.session.scheduler.decide(self.session.scheduling_time_s())
         await asyncio.gather(*(self._carry_out(decision) for decision in decisions))
@@ -132,6 +136,20 @@
             if gang is not None and gang.outcome is GangOutcome.CANCELLED:
                 driver.request_stop(GangOutcome.CANCELLED, "cancelled by its caller")
 
+    def _move_from_leaving_workers(self) -> None:
+        """Checkpoints and requeues jobs whose worker's agent is stopping as planned."""
+        for driver in self.drivers.values():
+            gang = driver.entry.gang
+            if gang is None or not driver.entry.request.checkpointable:
+                continue
+            workers = [share.worker_id for share in gang.placement.shares]
+            if any(self._is_leaving(worker_id) for worker_id in workers):
+                driver.request_stop(GangOutcome.CHECKPOINTED, "a worker is leaving")
+
+    def _is_leaving(self, worker_id: str) -> bool:
+        agent = self.session.directory.by_worker.get(worker_id)
+        return agent is not None and agent.record.draining
+
     def _take_configuration(self) -> None:
         configuration = self.session.state.configuration
         if configuration.version == self.configuration_version:
