--- a/src/cicadatray/replication/core.py
+++ b/src/cicadatray/replication/core.py
@@ -17,7 +17,7 @@
 from cicadatray.replication.member import Member
 from cicadatray.replication.membership import MemberRecord, Membership
 from cicadatray.replication.membership_history import MembershipHistory
-from cicadatray.replication.message import Refusal, ReplicaMessage
+from cicadatray.replication.message import AppendRequest, Refusal, ReplicaMessage, VoteRequest
 from cicadatray.replication.replica_settings import ReplicaSettings
 from cicadatray.replication.role import Role
 from cicadatray.replication.role_lifecycle import RoleLifecycle
@@ -214,13 +214,20 @@
         """
         if self.role is Role.STOPPED:
             raise ReplicaTransportError("the replica has stopped")
-        return await self.transport.call(member, request, self.settings.call_timeout_s)
+        is_heartbeat = isinstance(request, AppendRequest) and not request.records
+        is_pre_vote = isinstance(request, VoteRequest) and request.is_pre_vote
+        is_quick = is_heartbeat or is_pre_vote
+        settings = self.settings
+        timeout_s = settings.call_timeout_s if is_quick else settings.store_timeout_s
+        return await self.transport.call(member, request, timeout_s)
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Starts a task that ends with the replica; its failure ends the replica."""
         task = self.loop.create_task(self._guard(coroutine))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        # A task cancelled before its first step would leave the coroutine unawaited.
+        task.add_done_callback(lambda _: coroutine.close())
         return task
 
     def fail(self, error: Exception) -> None:
--- a/src/cicadatray/replication/leadership.py
+++ b/src/cicadatray/replication/leadership.py
@@ -10,6 +10,8 @@
 from cicadatray.replication.peer_replicator import PeerReplicator
 from cicadatray.replication.proposal import Proposal
 
+QUORUM_CHECKS = 2
+
 
 class Leadership:
     """Begins with winning an election and ends for good with `close`.
@@ -203,9 +205,12 @@
             peer.record = record
 
     async def _watch_quorum(self) -> None:
-        """Steps down when a majority has not answered for the election timeout."""
-        while True:
+        """Steps down when a majority has not answered for the election timeout.
+
+        Looks twice: after a slow sync this task runs before replies that have already arrived.
+        """
+        failed_checks = 0
+        while failed_checks < QUORUM_CHECKS:
             await asyncio.sleep(self.core.settings.heartbeat_s / 2)
-            if not self.has_quorum_contact():
-                self.core.step_down(None, "no contact with a majority")
-                return
+            failed_checks = 0 if self.has_quorum_contact() else failed_checks + 1
+        self.core.step_down(None, "no contact with a majority")
--- a/src/cicadatray/replication/replica_settings.py
+++ b/src/cicadatray/replication/replica_settings.py
@@ -14,6 +14,9 @@
     them must be reachable once, until the group is formed. Without it, a member with an empty data
     folder waits until a leader adds it as a learner.
 
+    Messages that make the receiver write get `store_timeout_s`: syncs of up to 0.5 s were seen on a
+    busy disk, and a reply that comes too late must be asked for again.
+
     A leader that has no contact with a majority steps down after `election_timeout_min_s`. The
     ratio to `heartbeat_s` and `call_timeout_s` leaves room for one lost message.
     """
@@ -26,6 +29,7 @@
     election_timeout_max_s: float = 2.0
     heartbeat_s: float = 0.25
     call_timeout_s: float = 0.4
+    store_timeout_s: float = 0.8
     membership_timeout_s: float = 10.0
     snapshot_entries: int = 4096
     snapshot_bytes: int = 4096 * KIB
