Report the part of fragmentation that placement can avoid

Cause: accelerators beyond whole multiples of the large job count as stranded even on an empty fleet (32 of Cartago's 80), so that part of the metric does not depend on the policy.

--- a/src/cicadatray/internal/bench/measurement/campaign.py
+++ b/src/cicadatray/internal/bench/measurement/campaign.py
@@ -20,6 +20,8 @@
     "completion_p99",
     "completion_p99_unloaded",
     "fragmentation",
+    "fragmentation_floor",
+    "avoidable_fragmentation",
     "guarantee_violations",
     "partial_gangs",
     "reclaim_p99_s",
--- a/src/cicadatray/internal/bench/measurement/capacity_ledger.py
+++ b/src/cicadatray/internal/bench/measurement/capacity_ledger.py
@@ -4,7 +4,7 @@
 
 from cicadatray.internal.bench.measurement.fragmentation import (
     FragmentationIntegral,
-    stranded_accelerators,
+    count_idle,
 )
 from cicadatray.internal.bench.measurement.units import unit_of
 from cicadatray.scheduling.inventory import Inventory, WorkerRecord
@@ -63,5 +63,5 @@
 
     def changed(self, now_s: float) -> None:
         """Takes the present counts into the fragmentation integral."""
-        stranded, idle = stranded_accelerators(self.inventory, self.idle(), self.large_job)
-        self.integral.change(now_s, stranded, idle)
+        counts = count_idle(self.inventory, self.lost, self.idle(), self.large_job)
+        self.integral.change(now_s, counts)
--- a/src/cicadatray/internal/bench/measurement/fragmentation.py
+++ b/src/cicadatray/internal/bench/measurement/fragmentation.py
@@ -6,50 +6,82 @@
 idle ones, and those left over beyond whole multiples of `L`. Fragmentation over a period is the
 time integral of stranded accelerators divided by the time integral of idle accelerators (0 when
 nothing was idle). Accelerators are held from the decision that places a gang until its release.
+
+Some accelerators are stranded however the gangs are arranged: with `I` idle accelerators in all,
+and room for `B` large jobs in the empty units, at best `min(I // L, B)` large jobs fit. The floor
+is the same quotient for that arrangement. Avoidable fragmentation is the difference between the
+two: the share of idle accelerators that would serve large jobs in the best arrangement but do not.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
+
+import msgspec
 
 from cicadatray.internal.bench.measurement.units import unit_of
 from cicadatray.scheduling.inventory import Inventory
 from cicadatray.scheduling.shape import Shape
 
 
-def stranded_accelerators(
-    inventory: Inventory, idle: Mapping[str, int], large_job: Shape
-) -> tuple[int, int]:
-    """Returns the stranded and all idle accelerators, given those idle per worker."""
-    per_unit: dict[tuple[str, ...], int] = {}
+class IdleCounts(msgspec.Struct, frozen=True):
+    """Numbers of accelerators at one moment; `unavoidable` ones are stranded in any arrangement."""
+
+    idle: int = 0
+    stranded: int = 0
+    unavoidable: int = 0
+
+
+def count_idle(
+    inventory: Inventory, lost: Set[str], idle: Mapping[str, int], large_job: Shape
+) -> IdleCounts:
+    """Counts idle accelerators, given those idle per worker and the workers out of service."""
+    idle_in: dict[tuple[str, ...], int] = {}
+    size_of: dict[tuple[str, ...], int] = {}
     for worker in inventory.workers:
         unit = unit_of(worker, large_job.scope)
-        per_unit[unit] = per_unit.get(unit, 0) + idle[worker.worker_id]
-    stranded = sum(count % large_job.accelerators for count in per_unit.values())
-    return stranded, sum(per_unit.values())
+        size = 0 if worker.worker_id in lost else worker.accelerators
+        idle_in[unit] = idle_in.get(unit, 0) + idle[worker.worker_id]
+        size_of[unit] = size_of.get(unit, 0) + size
+    needed = large_job.accelerators
+    total = sum(idle_in.values())
+    most_blocks = min(total // needed, sum(size // needed for size in size_of.values()))
+    stranded = sum(count % needed for count in idle_in.values())
+    return IdleCounts(total, stranded, total - most_blocks * needed)
 
 
 class FragmentationIntegral:
-    """Integrates both counts over the time before the horizon."""
+    """Integrates the counts over the time before the horizon."""
 
-    __slots__ = ("horizon_s", "idle", "idle_integral", "since_s", "stranded", "stranded_integral")
+    __slots__ = (
+        "counts",
+        "horizon_s",
+        "idle_integral",
+        "since_s",
+        "stranded_integral",
+        "unavoidable_integral",
+    )
 
     def __init__(self, horizon_s: float) -> None:
         self.horizon_s = horizon_s
         self.since_s = 0.0
-        self.stranded = 0
-        self.idle = 0
-        self.stranded_integral = 0.0
+        self.counts = IdleCounts()
         self.idle_integral = 0.0
+        self.stranded_integral = 0.0
+        self.unavoidable_integral = 0.0
 
-    def change(self, now_s: float, stranded: int, idle: int) -> None:
+    def change(self, now_s: float, counts: IdleCounts) -> None:
         """Accounts for the time since the previous change, then takes the new counts."""
         until_s = min(now_s, self.horizon_s)
         elapsed_s = max(0.0, until_s - self.since_s)
-        self.stranded_integral += self.stranded * elapsed_s
-        self.idle_integral += self.idle * elapsed_s
+        self.idle_integral += self.counts.idle * elapsed_s
+        self.stranded_integral += self.counts.stranded * elapsed_s
+        self.unavoidable_integral += self.counts.unavoidable * elapsed_s
         self.since_s = until_s
-        self.stranded = stranded
-        self.idle = idle
+        self.counts = counts
 
     def share(self) -> float:
         """Returns the stranded share of the idle accelerators."""
         return self.stranded_integral / self.idle_integral if self.idle_integral else 0.0
+
+    def floor(self) -> float:
+        """Returns the share that no arrangement of the same gangs avoids."""
+        return self.unavoidable_integral / self.idle_integral if self.idle_integral else 0.0
--- a/src/cicadatray/internal/bench/measurement/run_metrics.py
+++ b/src/cicadatray/internal/bench/measurement/run_metrics.py
@@ -13,6 +13,8 @@
     completion_p99: float
     completion_p99_unloaded: float
     fragmentation: float
+    fragmentation_floor: float
+    avoidable_fragmentation: float
     guarantee_violations: int
     partial_gangs: int
     reclaim_p99_s: float
--- a/src/cicadatray/internal/bench/measurement/run_summary.py
+++ b/src/cicadatray/internal/bench/measurement/run_summary.py
@@ -34,6 +34,7 @@
     decisions = DurationHistogram(
         duration_s * MILLISECONDS_PER_S for duration_s in run.decision_times_s
     )
+    fragmentation = run.ledger.integral
     starved = _starved(run, records)
     wrong = [record for record in records if _wrongly_failed(record)]
     return RunMetrics(
@@ -41,7 +42,9 @@
         completion_p50=completions.percentile_s(50),
         completion_p99=completions.percentile_s(99),
         completion_p99_unloaded=unloaded.percentile_s(99),
-        fragmentation=run.ledger.integral.share(),
+        fragmentation=fragmentation.share(),
+        fragmentation_floor=fragmentation.floor(),
+        avoidable_fragmentation=fragmentation.share() - fragmentation.floor(),
         guarantee_violations=run.monitor.violations,
         partial_gangs=run.monitor.partial_gangs,
         reclaim_p99_s=reclaims.percentile_s(99),
--- a/src/cicadatray/internal/bench/measurement/targets.py
+++ b/src/cicadatray/internal/bench/measurement/targets.py
@@ -35,11 +35,13 @@
 RATIO_TARGETS = {
     ("cartago", "compact"): {
         "fragmentation": COMPACT_FRAGMENTATION_RATIO,
+        "avoidable_fragmentation": COMPACT_FRAGMENTATION_RATIO,
         "completion_p99": NO_WORSE_RATIO,
     },
     ("port_louis", "swift"): {
         "completion_p99": SWIFT_COMPLETION_RATIO,
         "fragmentation": NO_WORSE_RATIO,
+        "avoidable_fragmentation": NO_WORSE_RATIO,
     },
 }
 ZERO_TARGETS = ("guarantee_violations", "partial_gangs", "starved", "wrongly_failed")
--- a/tests/cover/measurement/test_accounting.py
+++ b/tests/cover/measurement/test_accounting.py
@@ -6,7 +6,8 @@
 from cicadatray.internal.bench.measurement.event_heap import EventHeap
 from cicadatray.internal.bench.measurement.fragmentation import (
     FragmentationIntegral,
-    stranded_accelerators,
+    IdleCounts,
+    count_idle,
 )
 from cicadatray.internal.bench.measurement.percentiles import DurationHistogram
 from cicadatray.internal.bench.measurement.spread import spread_of
@@ -15,26 +16,33 @@
 
 
 @pytest.mark.parametrize(
-    ("idle", "stranded"),
+    ("idle", "stranded", "unavoidable"),
     [
-        ({"a0": 8, "a1": 8, "a2": 0, "b0": 8}, 8),
-        ({"a0": 8, "a1": 8, "a2": 8, "b0": 0}, 8),
-        ({"a0": 5, "a1": 5, "a2": 6, "b0": 0}, 0),
-        ({"a0": 0, "a1": 0, "a2": 0, "b0": 0}, 0),
+        ({"a0": 8, "a1": 8, "a2": 0, "b0": 8}, 8, 8),
+        ({"a0": 8, "a1": 8, "a2": 8, "b0": 0}, 8, 8),
+        ({"a0": 5, "a1": 5, "a2": 6, "b0": 0}, 0, 0),
+        ({"a0": 4, "a1": 4, "a2": 4, "b0": 4}, 16, 0),
+        # The empty fleet has room for one large job only.
+        ({"a0": 8, "a1": 8, "a2": 8, "b0": 8}, 16, 16),
+        ({"a0": 0, "a1": 0, "a2": 0, "b0": 0}, 0, 0),
     ],
 )
-def test_stranded_accelerators_follow_the_definition(idle: dict[str, int], stranded: int) -> None:
+def test_stranded_accelerators_follow_the_definition(
+    idle: dict[str, int], stranded: int, unavoidable: int
+) -> None:
     """Guards against a drift between the stated definition and the metric."""
     inventory = make_inventory({"a": 3, "b": 1})
-    assert stranded_accelerators(inventory, idle, RACK_16) == (stranded, sum(idle.values()))
+    counts = count_idle(inventory, set(), idle, RACK_16)
+    assert counts == IdleCounts(sum(idle.values()), stranded, unavoidable)
 
 
 def test_fragmentation_is_weighted_by_time_and_ends_at_the_horizon() -> None:
     """Guards against counting the empty fleet after the last submission."""
     integral = FragmentationIntegral(horizon_s=100.0)
-    integral.change(0.0, stranded=8, idle=8)
-    integral.change(25.0, stranded=0, idle=24)
-    integral.change(1000.0, stranded=0, idle=0)
+    integral.change(0.0, IdleCounts(idle=8, stranded=8, unavoidable=4))
+    integral.change(25.0, IdleCounts(idle=24, stranded=0, unavoidable=0))
+    integral.change(1000.0, IdleCounts())
+    assert integral.floor() == pytest.approx(integral.share() / 2)
     assert integral.share() == pytest.approx(8 * 25 / (8 * 25 + 24 * 75))
 
 
