--- a/src/cicadatray/internal/bench/measurement/run_metrics.py
+++ b/src/cicadatray/internal/bench/measurement/run_metrics.py
@@ -13,7 +13,10 @@
     completion_p99: float
     completion_p99_unloaded: float
     fragmentation: float
+    fragmentation_floor: float
+    avoidable_fragmentation: float
     guarantee_violations: int
+    blocked_by_losses: int
     partial_gangs: int
     reclaim_p99_s: float
     starved: int
@@ -23,5 +26,6 @@
     disturbed_claims: int
     jobs: int
     interruptions: int
+    busy_share: float
     decision_p99_ms: float
     notes: tuple[str, ...] = ()
