--- a/src/cicadatray/internal/entry/admission.py
+++ b/src/cicadatray/internal/entry/admission.py
@@ -78,7 +78,8 @@
         self, service: ServiceAdmission, request: CallerRequest
     ) -> AdmissionRefusal | None:
         account = request.client_account
-        if service.estimated_wait_s(account) > request.remaining_s():
+        needed_s = service.estimated_wait_s(account) + service.run_time_s()
+        if needed_s > request.remaining_s():
             detail = "the queue is longer than the deadline"
             return AdmissionRefusal(OVERLOADED_CODE, detail, service.retry_after_s(account))
         if self.waiting() >= self.queue_limit and not self._displace_for(service, account):
@@ -92,7 +93,7 @@
         loop = asyncio.get_running_loop()
         entered_s = loop.time()
         account = request.client_account
-        ticket = QueueTicket(account, self.directory.weight_of(account))
+        ticket = QueueTicket(account, self.directory.weight_of(account), request.deadline_s)
         service.queue.push(ticket, first=again)
         service.dispatch()
         try:
@@ -108,6 +109,9 @@
         if ticket.turn.result() is TurnResult.DISPLACED:
             detail = "the queue is full and this account has the most requests in it"
             return AdmissionRefusal(QUEUE_FULL_CODE, detail, service.retry_after_s(account))
+        if ticket.turn.result() is TurnResult.TOO_LATE:
+            detail = "the turn came too late for the deadline"
+            return AdmissionRefusal(OVERLOADED_CODE, detail, service.retry_after_s(account))
         return None
 
     def _withdraw(self, service: ServiceAdmission, ticket: QueueTicket) -> None:
--- a/src/cicadatray/internal/entry/endpoint_health.py
+++ b/src/cicadatray/internal/entry/endpoint_health.py
@@ -17,6 +17,8 @@
 EJECTION_FIRST_S = 1.0
 EJECTION_LIMIT_S = 30.0
 EJECTION_FACTOR = 2.0
+# Far beyond the count at which the limit is reached; the power must not overflow.
+EJECTION_COUNT_LIMIT = 16
 # Entries that ejected an endpoint at the same moment do not probe it at the same moment.
 EJECTION_JITTER = 0.25
 # After this long without a new ejection the next one starts from the first duration again.
@@ -85,7 +87,7 @@
             self.ejections = 0
         duration_s = min(EJECTION_LIMIT_S, EJECTION_FIRST_S * EJECTION_FACTOR**self.ejections)
         duration_s *= self.random.uniform(1 - EJECTION_JITTER, 1 + EJECTION_JITTER)
-        self.ejections += 1
+        self.ejections = min(self.ejections + 1, EJECTION_COUNT_LIMIT)
         self.ejected_until_s = now_s + duration_s
         self.probe_successes = 0
         self._change(EJECT)
--- a/src/cicadatray/internal/entry/idempotent_runner.py
+++ b/src/cicadatray/internal/entry/idempotent_runner.py
@@ -154,7 +154,7 @@
             return
         self.failed.add(agent_id)
         if isinstance(reply, AttemptAnswer):
-            service.observe_reply(reply.load)
+            service.observe_reply()
             if reply.status_code >= FIRST_SERVER_ERROR:
                 self.last_answer = reply
         elif isinstance(reply, AttemptFailed):
--- a/src/cicadatray/internal/entry/key_attempt.py
+++ b/src/cicadatray/internal/entry/key_attempt.py
@@ -143,7 +143,7 @@
         if isinstance(reply, AttemptRefused) and reply.code == NO_SLOT_CODE:
             service.observe_refusal()
         elif isinstance(reply, AttemptAnswer):
-            service.observe_reply(reply.load)
+            service.observe_reply()
         self._report(judge_reply(reply))
         return reply
 
--- a/src/cicadatray/internal/entry/service_admission.py
+++ b/src/cicadatray/internal/entry/service_admission.py
@@ -2,14 +2,15 @@
 
 import asyncio
 
-from cicadatray.internal.entry.adaptive_limit import AdaptiveLimit
+from cicadatray.internal.entry.adaptive_limit import AdaptiveLimit, ServiceLoad
 from cicadatray.internal.entry.directory_cache import DirectoryCache
 from cicadatray.internal.entry.fair_queue import FairQueue
 from cicadatray.internal.entry.health_lifecycle import HealthState
 from cicadatray.internal.entry.queue_ticket import QueueTicket, TurnResult
-from cicadatray.internal.wire.messages.attempt_messages import AgentLoad
 
 MEAN_HOLD_WEIGHT = 0.1
+# Accounts with requests shorter than the mean must not be turned away for the others' long ones.
+RUN_TIME_SHARE = 0.75
 RETRY_AFTER_FLOOR_S = 0.1
 
 
@@ -29,14 +30,19 @@
         self.in_use = 0
         self.mean_hold_s = 0.0
 
-    def slots(self) -> int:
-        """Returns the slots of the endpoints that may be used."""
-        usable = [
-            peer
+    def load(self) -> ServiceLoad:
+        """Returns what is known of the endpoints that may be used."""
+        loads = [
+            peer.load
             for peer in self.directory.peers_of(self.service)
             if peer.health.state is HealthState.HEALTHY
         ]
-        return sum(peer.load.slots for peer in usable)
+        slots = sum(load.slots for load in loads)
+        return ServiceLoad(slots, sum(load.queued for load in loads))
+
+    def slots(self) -> int:
+        """Returns the slots of the endpoints that may be used."""
+        return self.load().slots
 
     def turns(self) -> int:
         """Returns how many requests may be in progress now."""
@@ -51,6 +57,13 @@
         weight = self.directory.weight_of(client_account)
         return (self.queue.turns_before(client_account, weight) + 1) * self._time_per_turn_s()
 
+    def run_time_s(self) -> float:
+        """Returns the time that a request needs after its turn has come.
+
+        One that starts later would probably end as unknown, and its slot would be wasted.
+        """
+        return self.mean_hold_s * RUN_TIME_SHARE
+
     def retry_after_s(self, client_account: str) -> float:
         """Returns when a new request of this account would find a shorter queue."""
         return max(RETRY_AFTER_FLOOR_S, self.estimated_wait_s(client_account))
@@ -58,10 +71,14 @@
     def dispatch(self) -> None:
         """Gives free turns to waiting requests."""
         turns = self.turns()
+        latest_s = asyncio.get_running_loop().time() + self.run_time_s()
         while self.in_use < turns:
             ticket = self.queue.pop()
             if ticket is None:
                 return
+            if ticket.deadline_s < latest_s:
+                ticket.turn.set_result(TurnResult.TOO_LATE)
+                continue
             self.in_use += 1
             ticket.turn.set_result(TurnResult.GRANTED)
 
@@ -72,15 +89,15 @@
         self.mean_hold_s = known + (held_s - known) * (MEAN_HOLD_WEIGHT if known else 1.0)
         self.dispatch()
 
-    def observe_reply(self, load: AgentLoad) -> None:
-        """Takes the load that came with an agent's reply."""
+    def observe_reply(self) -> None:
+        """Adapts the limit after an agent's reply, whose load the peer has taken."""
         now_s = asyncio.get_running_loop().time()
-        self.limit.observe_reply(load, self.slots(), self.in_use, self.mean_hold_s, now_s)
+        self.limit.observe_reply(self.load(), self.in_use, self.mean_hold_s, now_s)
 
     def observe_refusal(self) -> None:
-        """Takes a refusal for lack of slots."""
+        """Adapts the limit after a refusal for lack of slots."""
         now_s = asyncio.get_running_loop().time()
-        self.limit.observe_refusal(self.slots(), self.mean_hold_s, now_s)
+        self.limit.observe_refusal(self.load(), self.mean_hold_s, now_s)
 
     def displace(self) -> QueueTicket | None:
         """Takes the place of the newest request of the account that has the most waiting."""
--- /dev/null
+++ b/tests/cover/entry/test_crossed_outcomes.py
@@ -0,0 +1,65 @@
+"""Tests of outcomes that cross: fenced keys, and abandoned attempts that were never confirmed."""
+
+import asyncio
+
+import pytest
+from deployment import Deployment
+
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.entry.request_outcome import OutcomeKind
+
+
+def test_an_answer_after_the_key_was_fenced_is_not_given() -> None:
+    """Guards against "completed" at one entry after another one has answered "unknown" for good."""
+
+    async def main() -> None:
+        deployment = Deployment(agents=3, entries=2, service_s=2.0)
+        await deployment.poll()
+        first = deployment.send("invoice", non_idempotent=True)
+        await asyncio.sleep(0.2)
+        deployment.control.unlisted = {agent.agent_id for agent in deployment.agents}
+        await deployment.entries[1].directory.poll_once()
+        fenced = await deployment.send("invoice", non_idempotent=True, entry=1)
+        assert fenced.code == "agent_lost" and not first.done()
+        assert (await first).code == "agent_lost"
+        assert deployment.executions("invoice") == 1
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_an_abandoned_attempt_that_never_arrived_is_not_started_later(listed: bool) -> None:
+    """Guards against work for a caller that has gone, when its cancellation was lost as well."""
+
+    async def main() -> None:
+        deployment = Deployment(agents=1)
+        await deployment.poll()
+        agent = deployment.agents[0]
+        agent.lose_requests = 1_000
+        sent = deployment.send("invoice", non_idempotent=True, deadline_s=1.0)
+        assert (await sent).kind is OutcomeKind.UNKNOWN
+        if not listed:
+            deployment.control.unlisted = {agent.agent_id}
+            await deployment.poll()
+        agent.lose_requests = 0
+        await asyncio.sleep(5.0)
+        assert deployment.executions("invoice") == 0
+        record = deployment.control.state.keys["acueducto/invoice"]
+        assert record.state.value == ("not_run" if listed else "unknown")
+
+    run_virtual(main())
+
+
+def test_a_failed_attempt_is_never_reassigned() -> None:
+    """Guards against a second run after an endpoint has lost the answer."""
+
+    async def main() -> None:
+        deployment = Deployment(agents=3)
+        for agent in deployment.agents:
+            agent.endpoint.truncating = True
+        await deployment.poll()
+        outcome = await deployment.send("invoice", non_idempotent=True)
+        assert (outcome.kind, outcome.code) == (OutcomeKind.UNKNOWN, "agent_lost")
+        assert deployment.executions("invoice") == 1
+
+    run_virtual(main())
