Detect every switched-off protection of leases, disk and formation

Cause: trials on scratch copies still passed with acknowledgements dated at the reply, reads before the first entry of a term, entries of earlier terms committed by counting. Change: the scenarios now keep a lagging member, cut new messages to the frozen leader and check the commit index; formation is tested with crashes at each write and a lost disk; a group without other voters does not wait for a hand-over.

--- a/src/cicadatray/replication/hand_over.py
+++ b/src/cicadatray/replication/hand_over.py
@@ -24,6 +24,8 @@
     leadership = core.leadership
     if leadership is None:
         return True
+    if not any(peer.record.voter for peer in leadership.peers.values()):
+        return False
     leadership.is_handing_over = True
     deadline_s = core.now_s() + timeout_s
     asked: set[str] = set()
--- a/tests/cover/replication/test_leases.py
+++ b/tests/cover/replication/test_leases.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cicadatray.replication.role import Role
 from cover.replication.cluster import Cluster, Node
 
 
@@ -47,11 +48,13 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_frozen_leader_answers_no_stale_read(seed: int, delay_s: float) -> None:
     """Guards against a lease that outlives a freeze, or is renewed by replies read after it."""
-    cluster, leader, _, _ = _with_leader(seed)
+    cluster, leader, name, others = _with_leader(seed)
     cluster.network.delay_s = delay_s
     cluster.advance(0.5 + 0.07 * seed)
     leader.process.is_frozen = True
     cluster.network.delay_s = 0.002
+    cluster.advance(0.3)
+    cluster.network.cuts = {(other, name) for other in others}  # only old replies wait for it
     cluster.advance_until(cluster.leader)
     cluster.advance_busily(0.1, 0.01)
     cluster.propose_until_done()
@@ -61,19 +64,26 @@
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_new_leader_reads_what_the_old_one_acknowledged(seed: int) -> None:
-    """Guards against reads of a new leader before it knows what was committed."""
-    cluster, leader, _, others = _with_leader(seed)
-    leader.process.is_frozen = True
-    leader.process.thaw()
-    proposals = [cluster.propose(leader) for _ in range(5)]
-    for proposal in proposals:
-        cluster.spawn(leader, proposal)
+def test_new_leader_waits_for_its_first_entry(seed: int) -> None:
+    """Guards against reads before the leader knows what was committed, and against committing
+    entries of an earlier term by counting copies (Raft, figure 8)."""
+    cluster, leader, name, (next_name, lagging) = _with_leader(seed)
+    cluster.network.cuts = {(name, lagging)}
+    for _ in range(5):
+        cluster.spawn(leader, cluster.propose(leader))
     cluster.advance(0.08)
+    assert len(cluster.acknowledged) == len(leader.machine.commands)
     leader.kill()
     cluster.network.delay_s = 0.05
-    for _ in range(300):
-        for other in others:
-            cluster.spawn(cluster.nodes[other], cluster.read(cluster.nodes[other]))
+    successor = cluster.nodes[next_name].replica
+    known_index = successor.commit_index
+    for _ in range(400):
+        for node in cluster.running():
+            cluster.spawn(node, cluster.read(node))
         cluster.advance(0.01)
+        leadership = successor.core.leadership
+        if leadership is not None and successor.commit_index > known_index:
+            assert successor.commit_index >= leadership.first_index
+    assert successor.role is Role.LEADER
+    assert successor.commit_index > known_index
     cluster.close()
--- a/tests/cover/replication/test_membership.py
+++ b/tests/cover/replication/test_membership.py
@@ -64,3 +64,44 @@
     assert not cluster.run(cluster.change(others[1], "remove"))
     assert cluster.run(first)
     cluster.close()
+
+
+@pytest.mark.parametrize("operations", range(13))
+def test_group_forms_despite_crashes(operations: int) -> None:
+    """Guards against a formation that leaves members in different groups after a crash."""
+    cluster = Cluster(seed=operations)
+    for number, node in enumerate(cluster.nodes.values()):
+        node.disk.crash_after = (operations + 5 * number) % 13
+    cluster.advance(1.0)
+    for node in cluster.nodes.values():
+        if not node.is_running:
+            node.kill()
+            node.disk.restart()
+            node.start(cluster)
+        node.disk.crash_after = -1
+    cluster.propose_until_done()
+    cluster.advance(1.0)
+    groups = {node.replica.describe().group_id for node in cluster.nodes.values()}
+    assert len(groups) == 1
+    assert all(len(node.machine.commands) == 1 for node in cluster.nodes.values())
+    cluster.close()
+
+
+@pytest.mark.parametrize("cut_after_ms", range(8))
+def test_disk_lost_during_formation(cut_after_ms: int) -> None:
+    """Guards against a group that begins to work before every member knows all identities."""
+    cluster = Cluster(seed=cut_after_ms)
+    cluster.advance(cut_after_ms / 1000)
+    cluster.cut_off("n3")
+    cluster.advance(0.1)
+    is_formed = bool(cluster.nodes["n1"].replica.describe().group_id)
+    cluster.lose_disk("n2", bootstrap=True)
+    cluster.advance(10.0)
+    assert cluster.leader() is None
+    cluster.network.cuts = set()
+    cluster.propose_until_done()
+    if is_formed:
+        cluster.run(cluster.repair("n2"))
+    cluster.advance(1.0)
+    assert all(node.machine.commands == cluster.agreed for node in cluster.nodes.values())
+    cluster.close()
