--- a/tests/cover/replication/test_membership.py
+++ b/tests/cover/replication/test_membership.py
@@ -105,3 +105,20 @@
     cluster.advance(1.0)
     assert all(node.machine.commands == cluster.agreed for node in cluster.nodes.values())
     cluster.close()
+
+
+def test_learner_that_lags_is_not_promoted() -> None:
+    """Guards against a voter without the entries that its vote must protect."""
+    cluster = Cluster(seed=4)
+    cluster.propose_until_done()
+    cluster.nodes["n4"] = Node(cluster, "n4", bootstrap=False)
+    cluster.nodes["n4"].start(cluster)
+    assert cluster.run(cluster.change("n4", "add"))
+    cluster.cut_off("n4")
+    cluster.propose_until_done()
+    assert not cluster.run(cluster.change("n4", "promote"))
+    members = cluster.wait_leader().replica.describe().members
+    assert [member.is_voter for member in members if member.member_id == "n4"] == [False]
+    cluster.network.cuts = set()
+    assert cluster.run(cluster.change("n4", "promote"))
+    cluster.close()
