--- /dev/null
+++ b/tests/cover/measurement/test_claims.py
@@ -0,0 +1,39 @@
+"""Tests of the blocks that urgent jobs claim."""
+
+from cicadatray.internal.bench.measurement.claims import Claims
+from cicadatray.internal.bench.measurement.job_record import JobRecord
+from cicadatray.scheduling.rules import Guarantee
+from cover.measurement.builders import RACK_16, make_inventory, make_placement, make_plan
+
+
+def test_a_running_job_takes_over_the_block_that_an_earlier_claim_frees() -> None:
+    """Guards against measuring a claim whose account already uses as much as it is guaranteed."""
+    claims = Claims(make_inventory({"a": 3, "b": 3}), (Guarantee("owner", RACK_16),))
+    first, second, third = (
+        JobRecord(make_plan(name, RACK_16, urgent=True)) for name in ("first", "second", "third")
+    )
+    claims.submitted(first, set(), 0.0)
+    claims.placed(first, make_placement(a0=8, a1=8))
+    claims.submitted(second, set(), 10.0)
+    claims.placed(second, make_placement(b0=8, b1=8))
+    claims.check.release("first")
+    claims.ended(first)
+    claims.submitted(third, set(), 20.0)
+    assert claims.measured == [first]
+    # The second job was placed on lent capacity, so it can still be stopped.
+    assert not claims.check.holds("second")
+
+
+def test_claims_near_a_loss_are_not_measured_against_the_target() -> None:
+    """Guards against blaming the scheduler for capacity that is still under a lease."""
+    inventory = make_inventory({"a": 3, "b": 3, "c": 3})
+    claims = Claims(inventory, (Guarantee("owner", RACK_16, 3),))
+    waiting, soon_after, later = (
+        JobRecord(make_plan(name, RACK_16, urgent=True)) for name in ("waiting", "soon", "later")
+    )
+    claims.submitted(waiting, set(), 0.0)
+    assert not waiting.disturbed
+    claims.worker_lost(5.0)
+    claims.submitted(soon_after, set(), 10.0)
+    claims.submitted(later, set(), 20.0)
+    assert [record.disturbed for record in claims.measured] == [True, True, False]
