--- a/src/cicadatray/internal/control/configuration_state.py
+++ b/src/cicadatray/internal/control/configuration_state.py
@@ -5,13 +5,12 @@
 import msgspec
 
 from cicadatray.internal.control.command_registry import applies
+from cicadatray.internal.control.configuration_record import OperationOutcome
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.configuration_messages import (
     ChangeConfiguration,
     ChangeRecord,
-    ConfigurationChanged,
-    VersionConflict,
 )
 
 # Three days at the design size of 9,000 changes a day, so that a late resend is recognised.
@@ -40,17 +39,24 @@
         if known.digest != digest:
             detail = "this operation ID was used for another change"
             return Failure(code=OPERATION_REUSED_CODE, detail=detail)
-        return ConfigurationChanged(version=known.version)
-    if command.replaces_version != configuration.version:
-        return VersionConflict(
-            version_in_effect=configuration.version, operator=configuration.operator
+        return known.reply()
+    if command.replaces_version == configuration.version:
+        outcome = _accept(state, command, digest)
+    else:
+        # A refusal is recorded too: the version that it names may come into effect before a resend.
+        outcome = OperationOutcome(
+            configuration.version,
+            digest,
+            accepted=False,
+            conflicting_operator=configuration.operator,
         )
-    return _accept(state, command, operation_key, digest)
+    configuration.operations[operation_key] = outcome
+    while len(configuration.operations) > OPERATION_LIMIT:
+        del configuration.operations[next(iter(configuration.operations))]
+    return outcome.reply()
 
 
-def _accept(
-    state: ControlState, command: ChangeConfiguration, operation_key: str, digest: bytes
-) -> MessageStruct:
+def _accept(state: ControlState, command: ChangeConfiguration, digest: bytes) -> OperationOutcome:
     configuration = state.configuration
     configuration.version += 1
     configuration.operator = command.operator
@@ -58,11 +64,7 @@
     record = ChangeRecord(configuration.version, kind, command.operator, command.operation_id)
     configuration.history.append(record)
     del configuration.history[:-HISTORY_LIMIT]
-    outcome = configuration.operation_outcome(configuration.version, digest)
-    configuration.operations[operation_key] = outcome
-    while len(configuration.operations) > OPERATION_LIMIT:
-        del configuration.operations[next(iter(configuration.operations))]
-    return ConfigurationChanged(version=configuration.version)
+    return OperationOutcome(configuration.version, digest, accepted=True)
 
 
 def _replace_document(state: ControlState, command: ChangeConfiguration) -> str:
