Join idle blocks for waiting gangs and rank large gangs first

Cause: fences that wait for running jobs left capacity idle and lengthened the completions they were meant to shorten. Change: jobs are moved to idle capacity elsewhere when that makes a waiting job fit; fences are only for jobs that have waited hours; gangs count as submitted earlier by their size; victims' gains are computed per worker.

--- a/src/cicadatray/scheduling/compaction.py
+++ b/src/cicadatray/scheduling/compaction.py
@@ -8,18 +8,19 @@
 from cicadatray.scheduling.placement_search import PlacementSearch
 from cicadatray.scheduling.run_estimates import RunEstimates
 from cicadatray.scheduling.scheduling_state import SchedulingState
-from cicadatray.scheduling.shape import Scope
 from cicadatray.scheduling.unit import Unit
 
-INTERVAL_S = 30.0
-UNITS_LOOKED_AT = 16
-JOBS_PER_MOVE = 3
-SHORTEST_RUN_S = 300.0  # a job is not moved again before it has run this long
-MOST_STOPS = 4  # and not more often than this, so that it ends
-# A move costs its job the time to checkpoint, requeue and restart on all its accelerators.
-MOVE_COST_S = 60.0
+INTERVAL_S = 5.0
+UNITS_LOOKED_AT = 12
+JOBS_PER_MOVE = 6
+SHORTEST_RUN_S = 60.0  # a job is not moved again before it has run this long
+# A move costs its job the time to checkpoint, requeue and restart on all its accelerators, and more
+# for a job that was stopped before, so that moves do not add up on one job.
+MOVE_COST_S = 10.0
 # A joined block is not counted as useful for longer than this: arrivals soon fill what is idle.
 BENEFIT_HORIZON_S = 3600.0
+# What an accelerator of a waiting job gains by starting now, compared with the cost of moves.
+WAIT_VALUE_S = 300.0
 
 Lent = Callable[[Job], bool]
 
@@ -58,48 +59,83 @@
             job.state = JobState.STOPPING
         return [MoveJob(job.request.job_id) for job in best[1]]
 
+    def make_room(self, job: Job, lent: Lent, now_s: float) -> tuple[Unit, list[Decision]] | None:
+        """Moves jobs to idle capacity elsewhere so that a waiting job fits in one unit.
+
+        Returns the unit and the moves, or None where no set of moves suffices or pays.
+        """
+        shape = job.request.shape
+        best: tuple[float, Unit, list[Job]] | None = None
+        units = self.state.fleet.units_with_most_idle(shape.scope, UNITS_LOOKED_AT)
+        for unit in units:
+            found = self._clear(unit, shape.accelerators - unit.idle, lent, now_s)
+            if found is not None and (best is None or found[0] < best[0]):
+                best = (found[0], unit, found[1])
+        if best is None or best[0] > WAIT_VALUE_S * shape.accelerators:
+            return None
+        for moved in best[2]:
+            moved.state = JobState.STOPPING
+        return best[1], [MoveJob(moved.request.job_id) for moved in best[2]]
+
+    def _clear(
+        self, unit: Unit, missing: int, lent: Lent, now_s: float
+    ) -> tuple[float, list[Job]] | None:
+        """Returns jobs whose moves free the missing accelerators of a unit, with their cost."""
+        inside = {worker.key for worker in unit.workers()}
+        chosen: list[Job] = []
+        taken: list[Placement] = []
+        for job in self._movable(unit, inside, lent, now_s):
+            if missing <= 0:
+                break
+            destination = self.search.find(job.request.shape, inside | job.failed_workers)
+            if destination is not None:
+                self.state.fleet.occupy(destination)
+                taken.append(destination)
+                chosen.append(job)
+                missing -= self._gain(job, inside)
+        for placement in taken:
+            self.state.fleet.vacate(placement)
+        if missing > 0 or not chosen:
+            return None
+        return sum(move_cost(job) for job in chosen), chosen
+
     def _units(self) -> list[Unit]:
         """Returns units whose idle remnant is the largest."""
         large = self.search.large_job
-        fleet = self.state.fleet
-        if large.scope is Scope.DATA_CENTRE:
-            units = list(fleet.data_centres.values())
-        else:
-            indexes = fleet.indexes.values()
-            units = [rack for index in indexes for rack in index.descending(2 * UNITS_LOOKED_AT)]
-        if large.scope is Scope.WORKER:
-            units = [worker for rack in units for worker in rack.children.values()]
+        units = self.state.fleet.units_with_most_idle(large.scope, 2 * UNITS_LOOKED_AT)
         units = [unit for unit in units if unit.idle % large.accelerators > 0]
         units.sort(key=lambda unit: (-(unit.idle % large.accelerators), unit.order))
         return units[:UNITS_LOOKED_AT]
 
     def _moves(self, unit: Unit, lent: Lent, now_s: float) -> tuple[float, list[Job]] | None:
-        size = self.search.large_job.accelerators
-        remnant = unit.idle % size
-        missing = size - remnant
-        if unit.capacity < unit.idle + missing:
-            return None
+        """Returns the best number of jobs to move out of a unit, with gain minus cost."""
         inside = {worker.key for worker in unit.workers()}
         chosen: list[Job] = []
-        taken: list[Placement] = []
+        taken: list[tuple[Placement, Placement]] = []
+        best: tuple[float, list[Job]] | None = None
+        change = 0
+        lasts_s = BENEFIT_HORIZON_S
         for job in self._movable(unit, inside, lent, now_s):
-            if missing <= 0 or len(chosen) >= JOBS_PER_MOVE:
+            if len(chosen) >= JOBS_PER_MOVE:
                 break
             destination = self.search.find(job.request.shape, inside | job.failed_workers)
-            if destination is None or self.search.large_jobs_lost(destination) > 0:
+            if destination is None or job.placement is None:
                 continue
+            change += self.search.stranded_change(destination)
             self.state.fleet.occupy(destination)
-            taken.append(destination)
+            change += self.search.stranded_change(job.placement, -1)
+            self.state.fleet.vacate(job.placement)
+            taken.append((destination, job.placement))
             chosen.append(job)
-            missing -= self._gain(job, inside)
-        for placement in taken:
-            self.state.fleet.vacate(placement)
-        if missing > 0:
-            return None
-        lasts_s = min(self.estimates.remaining_s(job, now_s) for job in chosen)
-        gain = self.weight * remnant * min(BENEFIT_HORIZON_S, lasts_s)
-        cost = MOVE_COST_S * sum(job.request.shape.accelerators for job in chosen)
-        return (gain - cost, chosen) if gain > cost else None
+            lasts_s = min(lasts_s, self.estimates.remaining_s(job, now_s))
+            cost = sum(move_cost(job) for job in chosen)
+            value = -self.weight * change * lasts_s - cost
+            if value > 0 and (best is None or value > best[0]):
+                best = (value, list(chosen))
+        for destination, origin in taken:
+            self.state.fleet.vacate(destination)
+            self.state.fleet.occupy(origin)
+        return best
 
     def _movable(self, unit: Unit, inside: set[str], lent: Lent, now_s: float) -> list[Job]:
         jobs: dict[str, Job] = {}
@@ -111,7 +147,6 @@
             if job.state is JobState.RUNNING
             and job.request.checkpointable
             and lent(job)
-            and job.stops < MOST_STOPS
             and now_s - job.placed_s >= SHORTEST_RUN_S
         ]
         return sorted(
@@ -126,3 +161,8 @@
     def _gain(self, job: Job, inside: set[str]) -> int:
         shares = job.placement.shares if job.placement is not None else ()
         return sum(share.accelerators for share in shares if share.worker_id in inside)
+
+
+def move_cost(job: Job) -> float:
+    """Returns the accelerator-seconds that a move costs."""
+    return MOVE_COST_S * (1 + job.stops) * job.request.shape.accelerators
--- a/src/cicadatray/scheduling/fault_tracker.py
+++ b/src/cicadatray/scheduling/fault_tracker.py
@@ -7,7 +7,7 @@
 
 JOB_RACKS = 3  # a job is at fault once it failed in so many racks that are not quarantined
 JOB_ATTEMPTS = 3
-JOB_ATTEMPTS_ANYWHERE = 6  # for a job that fits in fewer racks
+JOB_ATTEMPTS_ANYWHERE = 10  # for a job that fits in fewer racks
 WORKER_EVIDENCE = 2  # distinct accounts, or jobs that ran elsewhere, that failed on a worker
 CONFIRMED_RUN_S = 60.0  # a job that ran this long elsewhere was not at fault before
 QUARANTINE_S = 60.0
@@ -21,10 +21,11 @@
 
     Failures of one account count once per worker until one of its jobs has run elsewhere, so that
     a hundred faulty jobs of one account quarantine nothing. Failures on quarantined workers do not
-    count against jobs, so that a faulty rack does not look like a hundred faulty jobs.
+    count against jobs, so that a faulty rack does not look like a hundred faulty jobs. Nor do those
+    on workers where no job has ended well yet or where other accounts fail too.
     """
 
-    __slots__ = ("accounts", "confirmed", "fleet", "probation", "strikes", "until_s")
+    __slots__ = ("accounts", "confirmed", "fleet", "probation", "proven", "strikes", "until_s")
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
@@ -33,6 +34,7 @@
         self.until_s: dict[str, float] = {}
         self.probation: dict[str, str] = {}
         self.strikes: dict[str, int] = {}
+        self.proven: set[str] = set()
 
     def failed(self, job: Job, worker: Unit, now_s: float) -> bool:
         """Notes a failed task; returns whether the worker must be quarantined now."""
@@ -58,6 +60,7 @@
             self.accounts.pop(share.worker_id, None)
             self.confirmed.pop(share.worker_id, None)
             self.strikes.pop(share.worker_id, None)
+            self.proven.add(share.worker_id)
             if self.probation.pop(share.worker_id, None) is not None:
                 self.until_s.pop(share.worker_id, None)
                 trusted.append(self.fleet.workers[share.worker_id])
@@ -65,15 +68,15 @@
 
     def verdict(self, job: Job) -> str | None:
         """Returns why a job is at fault, or None while other causes are possible."""
-        counted = [w for attempt in job.failures for w in attempt if not self._excused(w)]
-        attempts = [a for a in job.failures if not any(self._excused(w) for w in a)]
+        tried = [a for a in job.failures if not any(w in self.until_s for w in a)]
+        counted = [w for attempt in tried for w in attempt if self._blames(w, job)]
         known = [self.fleet.workers[w] for w in counted if w in self.fleet.workers]
         racks = {worker.around(Scope.RACK).key for worker in known}
         enough = len(racks) >= min(JOB_RACKS, len(self.fleet.racks))
-        if len(attempts) >= JOB_ATTEMPTS_ANYWHERE or (len(attempts) >= JOB_ATTEMPTS and enough):
+        if len(tried) >= JOB_ATTEMPTS_ANYWHERE or (len(tried) >= JOB_ATTEMPTS and enough):
             return (
-                f"its tasks failed in {len(attempts)} attempts on {len(set(counted))} workers "
-                f"in {len(racks)} racks that are not known to be faulty"
+                f"its tasks failed in {len(tried)} attempts, on {len(set(counted))} workers "
+                f"in {len(racks)} racks where jobs of others end well"
             )
         return None
 
@@ -109,6 +112,9 @@
         lasts_s = min(QUARANTINE_LONGEST_S, QUARANTINE_S * float(2 ** min(strikes, 10)))
         self.until_s[worker.key] = now_s + lasts_s
         self.accounts.pop(worker.key, None)
+        self.proven.discard(worker.key)
 
-    def _excused(self, worker_id: str) -> bool:
-        return worker_id in self.until_s
+    def _blames(self, worker_id: str, job: Job) -> bool:
+        """Whether a failure on this worker counts against the job."""
+        others = self.accounts.get(worker_id, {}).keys() - {job.request.client_account}
+        return worker_id in self.proven and not others
--- a/src/cicadatray/scheduling/fence_keeper.py
+++ b/src/cicadatray/scheduling/fence_keeper.py
@@ -11,12 +11,13 @@
 from cicadatray.scheduling.shape import Scope
 from cicadatray.scheduling.unit import Unit
 
-RACKS_PER_FENCE = 8  # one fence for so many racks, and at least one
+RACKS_PER_FENCE = 1  # one fence for so many racks, and at least one
 RACKS_LOOKED_AT = 32
-# A fenced job that has waited this many times the fence's delay has checkpointable jobs moved out
-# of its way; declared or learned run times cannot make it wait longer than that.
-DRAIN_FACTOR = 4.0
-SHORTEST_RUN_BEFORE_MOVE_S = 300.0
+# A job moved out of a fence waits again; that a fence needs no moves is worth this much delay.
+MOVE_DELAY_S = 30.0
+HOLD_S = 10.0  # checkpoint, stop and release of moved jobs take about 3 s
+# Jobs younger than this are left alone, so that a job that was moved makes progress.
+SHORTEST_RUN_BEFORE_MOVE_S = 60.0
 
 Place = Callable[[Job, Placement], None]
 
@@ -28,26 +29,37 @@
     one another.
     """
 
-    __slots__ = ("delay_s", "estimates", "fences", "state")
+    __slots__ = ("estimates", "fences", "lent", "state")
 
-    def __init__(self, state: SchedulingState, estimates: RunEstimates, delay_s: float) -> None:
+    def __init__(
+        self,
+        state: SchedulingState,
+        estimates: RunEstimates,
+        lent: Callable[[Job], bool],
+    ) -> None:
         self.state = state
         self.estimates = estimates
-        self.delay_s = delay_s
+        self.lent = lent
         self.fences: dict[str, Fence] = {}
 
-    def place_ready(self, place: Place) -> None:
+    def place_ready(self, place: Place, now_s: float) -> None:
         """Places jobs whose fenced workers have become idle and drops fences without purpose."""
         for fence in list(self.fences.values()):
             job = fence.job
             needed = job.request.shape.accelerators
             room = sum(worker.total for worker in fence.workers if worker.in_service)
-            if job.state is not JobState.WAITING or job.cancelled or room < needed:
+            expired = now_s >= fence.until_s
+            if job.state is not JobState.WAITING or job.cancelled or room < needed or expired:
                 self.drop(fence)
             elif sum(worker.unclaimed for worker in fence.workers) >= needed:
                 self.drop(fence)
                 place(job, take_unclaimed(fence.workers, needed))
 
+    def hold(self, job: Job, unit: Unit, now_s: float) -> None:
+        """Keeps a unit for a short time while jobs are moved out of it."""
+        workers = [worker for worker in unit.workers() if worker.fence is None]
+        self._set(Fence(job, workers, now_s + HOLD_S))
+
     def drop(self, fence: Fence) -> None:
         """Shows the workers to all jobs again."""
         del self.fences[fence.job.request.job_id]
@@ -55,24 +67,20 @@
             self.state.fleet.set_fence(worker, None)
 
     def fence_oldest(self, candidates: list[Job], now_s: float) -> None:
-        """Makes fences for jobs that did not fit and have waited too long, in this order."""
+        """Makes fences for jobs that have waited too long, in this order."""
         limit = max(1, len(self.state.fleet.racks) // RACKS_PER_FENCE)
         for job in candidates:
             if len(self.fences) >= limit:
                 return
-            waited_s = now_s - job.waiting_since_s
-            if waited_s >= self.delay_s and job.request.job_id not in self.fences:
+            if job.request.job_id not in self.fences:
                 self._fence(job, now_s)
 
-    def backfill(self, job: Job, now_s: float) -> Placement | None:
-        """Finds room for a short checkpointable job on a fenced worker."""
+    def backfill(self, job: Job) -> Placement | None:
+        """Lets a checkpointable job run on a fenced worker until the fence is drained."""
         request = job.request
         if not request.checkpointable or request.shape.scope is not Scope.WORKER:
             return None
-        ends_s = now_s + self.estimates.run_s(job)
         for fence in self.fences.values():
-            if ends_s > fence.expected_s:
-                continue
             for worker in fence.workers:
                 if worker.unclaimed >= request.shape.accelerators:
                     fence.backfilled[request.job_id] = job
@@ -80,36 +88,38 @@
                     return Placement((share,))
         return None
 
-    def drain(self, lent: Callable[[Job], bool], now_s: float) -> list[Decision]:
+    def drain(self, now_s: float) -> list[Decision]:
         """Moves checkpointable jobs out of fences that wait for nothing else."""
         decisions: list[Decision] = []
         for fence in self.fences.values():
-            starving = now_s - fence.job.waiting_since_s >= DRAIN_FACTOR * self.delay_s
             movable: dict[str, Job] = {}
-            releasing = 0
+            missing = fence.job.request.shape.accelerators
             for worker in fence.workers:
+                missing -= worker.unclaimed
                 for job_id, job in self.state.on_worker.get(worker.key, {}).items():
                     if job.state is JobState.STOPPING:
-                        releasing += accelerators_on(job, worker)
-                    ran_s = now_s - job.placed_s
-                    allowed = starving and ran_s >= SHORTEST_RUN_BEFORE_MOVE_S
-                    if job_id in fence.backfilled or allowed:
+                        missing -= accelerators_on(job, worker)
+                    elif job_id in fence.backfilled or self._gives_way(job, fence.job, now_s):
                         movable[job_id] = job
-            idle = sum(worker.unclaimed for worker in fence.workers)
-            missing = fence.job.request.shape.accelerators - idle - releasing
-            chosen = self._choose(fence, movable, lent, missing)
-            for job in chosen:
+            for job in self._choose(fence, movable, missing):
                 job.state = JobState.STOPPING
                 decisions.append(MoveJob(job.request.job_id))
         return decisions
 
-    def _choose(
-        self, fence: Fence, movable: dict[str, Job], lent: Callable[[Job], bool], missing: int
-    ) -> list[Job]:
+    def _gives_way(self, job: Job, fenced: Job, now_s: float) -> bool:
+        """Whether a running job may be moved for a fenced one: it is smaller or came later."""
+        smaller = 2 * job.request.shape.accelerators <= fenced.request.shape.accelerators
+        return (
+            job.request.checkpointable
+            and (smaller or job.sequence > fenced.sequence)
+            and now_s - job.placed_s >= SHORTEST_RUN_BEFORE_MOVE_S
+            and self.lent(job)
+        )
+
+    def _choose(self, fence: Fence, movable: dict[str, Job], missing: int) -> list[Job]:
         """Returns jobs that free the missing accelerators, or none if they do not suffice."""
         chosen: list[Job] = []
-        usable = [job for job in movable.values() if job.live and job.request.checkpointable]
-        usable = [job for job in usable if lent(job)]
+        usable = [job for job in movable.values() if job.live and self.lent(job)]
         for job in sorted(usable, key=lambda job: -self._gain(fence, job)):
             if missing <= 0:
                 break
@@ -123,15 +133,17 @@
     def _fence(self, job: Job, now_s: float) -> None:
         best: tuple[float, list[Unit]] | None = None
         for workers in self._areas(job.request.shape.scope):
-            found = self._soonest(workers, job.request.shape.accelerators, now_s)
+            found = self._soonest(workers, job, now_s)
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
         if best is None:
             return
-        fence = Fence(job, best[1], now_s + best[0])
-        self.fences[job.request.job_id] = fence
+        self._set(Fence(job, best[1]))
+
+    def _set(self, fence: Fence) -> None:
+        self.fences[fence.job.request.job_id] = fence
         for worker in fence.workers:
-            self.state.fleet.set_fence(worker, job.request.job_id)
+            self.state.fleet.set_fence(worker, fence.job.request.job_id)
 
     def _areas(self, scope: Scope) -> list[list[Unit]]:
         """Returns the workers of units to choose from, those with the most idle racks first."""
@@ -149,7 +161,7 @@
         return areas
 
     def _soonest(
-        self, workers: list[Unit], needed: int, now_s: float
+        self, workers: list[Unit], fenced: Job, now_s: float
     ) -> tuple[float, list[Unit]] | None:
         """Returns when enough of the workers should be idle, and which ones."""
         usable = [w for w in workers if w.in_service and w.fence is None]
@@ -158,6 +170,8 @@
             ends.append((0.0, position, worker.unclaimed))
             for job in self.state.on_worker.get(worker.key, {}).values():
                 remaining_s = self.estimates.remaining_s(job, now_s)
+                if self._gives_way(job, fenced, now_s):
+                    remaining_s = min(MOVE_DELAY_S, remaining_s)
                 ends.append((remaining_s, position, accelerators_on(job, worker)))
         chosen: dict[int, Unit] = {}
         reached = 0
@@ -166,7 +180,7 @@
                 continue
             chosen[position] = usable[position]
             reached += accelerators
-            if reached >= needed:
+            if reached >= fenced.request.shape.accelerators:
                 return wait_s, list(chosen.values())
         return None
 
--- a/src/cicadatray/scheduling/fleet.py
+++ b/src/cicadatray/scheduling/fleet.py
@@ -56,6 +56,17 @@
             return self.workers.values()
         return self.racks.values() if scope is Scope.RACK else self.data_centres.values()
 
+    def units_with_most_idle(self, scope: Scope, count: int) -> list[Unit]:
+        """Returns units of the racks with the most idle capacity, looking at few racks only."""
+        if scope is Scope.DATA_CENTRE:
+            units = list(self.data_centres.values())
+        else:
+            indexes = self.indexes.values()
+            units = [rack for index in indexes for rack in index.descending(count)]
+        if scope is Scope.WORKER:
+            units = [worker for rack in units for worker in rack.children.values()]
+        return sorted(units, key=lambda unit: (-unit.idle, unit.order))[:count]
+
     def largest_shape(self, scope: Scope) -> Shape:
         """Returns the largest shape that any unit could hold with all its workers in service."""
         if scope not in self.largest_shapes:
--- a/src/cicadatray/scheduling/ordinary_round.py
+++ b/src/cicadatray/scheduling/ordinary_round.py
@@ -1,7 +1,7 @@
 """One round of placing ordinary jobs on idle capacity."""
 
 from collections.abc import Callable
-from heapq import heapify, heappop, heappush
+from heapq import heappop, heappush
 
 from cicadatray.scheduling.fence_keeper import FenceKeeper
 from cicadatray.scheduling.job import Job
@@ -15,7 +15,7 @@
 
 
 class OrdinaryRound:
-    """Serves the account with the lowest standing first, and its jobs by the policy's rank.
+    """Serves jobs by the policy's rank, those of accounts beyond their share as if submitted later.
 
     A shape that does not fit is not tried again in the round, so a full fleet costs one search per
     shape and not one per waiting job.
@@ -43,18 +43,26 @@
 
     def run(self, place: Callable[[Job, Placement], None]) -> None:
         """Places jobs until none fits."""
-        order = [(self.ledger.standing(a, self.now_s), a) for a in self.queue.accounts]
-        heapify(order)
+        delays = self.ledger.delays(self.queue, self.now_s)
+        order: list[tuple[float, int, str]] = []
+        for account in self.queue.accounts:
+            self._offer(account, delays, order)
         while order:
-            standing, account = heappop(order)
-            job = self._next(account)
-            if job is None:
-                continue
-            placement = self.find(job)
-            if placement is not None:
-                place(job, placement)
-                standing = self.ledger.standing(account, self.now_s)
-            heappush(order, (standing, account))
+            _, sequence, account = heappop(order)
+            job = self.queue.jobs[sequence]
+            if job.request.shape not in self.full:
+                placement = self.find(job)
+                if placement is not None:
+                    place(job, placement)
+            self._offer(account, delays, order)
+
+    def _offer(
+        self, account: str, delays: dict[str, float], order: list[tuple[float, int, str]]
+    ) -> None:
+        job = self._next(account)
+        if job is not None:
+            rank = self.rank(job, self.now_s) + delays[account]
+            heappush(order, (rank, job.sequence, account))
 
     def find(self, job: Job) -> Placement | None:
         """Returns a placement, away from workers where the job failed if there are others."""
@@ -63,7 +71,7 @@
         if placement is None and avoided:
             placement = self.search.find(job.request.shape, set())
         if placement is None:
-            placement = self.fences.backfill(job, self.now_s)
+            placement = self.fences.backfill(job)
         if placement is None:
             self.full.add(job.request.shape)
         return placement
--- a/src/cicadatray/scheduling/placement_search.py
+++ b/src/cicadatray/scheduling/placement_search.py
@@ -11,7 +11,7 @@
 
 
 class PlacementSearch:
-    """Best fit that counts how many large jobs each placement would keep from fitting."""
+    """Best fit that counts the idle accelerators each placement would strand."""
 
     __slots__ = ("fleet", "large_job")
 
@@ -23,21 +23,24 @@
         """Returns a placement on idle capacity; workers in `avoided` are left out."""
         best: tuple[tuple[int, int, int], Placement] | None = None
         for placement, unit in self._candidates(shape, avoided):
-            rank = (self.large_jobs_lost(placement), unit.idle - shape.accelerators, unit.order)
+            rank = (self.stranded_change(placement), unit.idle - shape.accelerators, unit.order)
             if best is None or rank < best[0]:
                 best = (rank, placement)
         return best[1] if best is not None else None
 
-    def large_jobs_lost(self, placement: Placement) -> int:
-        """Returns how many more large jobs would fit if the placement stayed idle."""
+    def stranded_change(self, placement: Placement, sign: int = 1) -> int:
+        """Returns how many more idle accelerators no large job could use with the placement taken.
+
+        With `sign` -1 the placement is given back instead. Stranded are the accelerators beyond
+        whole multiples of the large job in each unit of its scope.
+        """
         size = self.large_job.accelerators
-        before: dict[str, int] = {}
-        after: dict[str, int] = {}
+        units: dict[str, tuple[int, int]] = {}
         for worker, accelerators in self.fleet.located(placement):
             unit = worker.around(self.large_job.scope)
-            before.setdefault(unit.key, unit.idle)
-            after[unit.key] = after.get(unit.key, unit.idle) - accelerators
-        return sum(before[key] // size - max(0, after[key]) // size for key in before)
+            idle, left = units.get(unit.key, (unit.idle, unit.idle))
+            units[unit.key] = (idle, left - sign * accelerators)
+        return sum(left % size - idle % size for idle, left in units.values())
 
     def _candidates(self, shape: Shape, avoided: set[str]) -> Iterable[tuple[Placement, Unit]]:
         needed = shape.accelerators
--- a/src/cicadatray/scheduling/policies/compact.py
+++ b/src/cicadatray/scheduling/policies/compact.py
@@ -6,6 +6,7 @@
 
 @scheduling_policy("compact")
 class CompactPolicy(ProductPolicy):
-    """Guarantees, shares and whole blocks."""
+    """Serves large gangs long before small ones, which then fill the remnants between them."""
 
     __slots__ = ()
+    size_bonus_s = 800.0
--- a/src/cicadatray/scheduling/policies/product.py
+++ b/src/cicadatray/scheduling/policies/product.py
@@ -16,17 +16,22 @@
 from cicadatray.scheduling.policies.waiting_explanation import explain_waiting
 from cicadatray.scheduling.run_estimates import RunEstimates
 from cicadatray.scheduling.scheduling_state import SchedulingState
+from cicadatray.scheduling.shape import Scope
 from cicadatray.scheduling.share_ledger import ShareLedger
 from cicadatray.scheduling.unit import Unit
 from cicadatray.scheduling.urgent_claims import UrgentClaims
 from cicadatray.scheduling.waiting_queue import WaitingQueue
 
+ROOM_INTERVAL_S = 5.0
+ROOM_JOBS = 4
+
 
 class ProductPolicy(SchedulingPolicy):
     """Keeps guarantees, shares what remains and protects large blocks.
 
     `fence_delay_s` is how long a job waits before workers are kept for it; `compaction_weight`
-    scales the gain of moving jobs.
+    scales the gain of moving jobs. `size_bonus_s` is how much earlier each accelerator of a gang
+    lets it count as submitted.
     """
 
     __slots__ = (
@@ -37,12 +42,14 @@
         "faults",
         "fences",
         "ledger",
+        "next_room_s",
         "plan",
         "queue",
         "search",
     )
-    fence_delay_s = 900.0
-    compaction_weight = 1.0
+    fence_delay_s = 3 * 3600.0
+    size_bonus_s = 400.0
+    compaction_weight = 4.0
 
     def __init__(self, state: SchedulingState) -> None:
         super().__init__(state)
@@ -53,8 +60,9 @@
         self.ledger = ShareLedger(state.rules)
         self.estimates = RunEstimates()
         self.failing: dict[str, str] = {}
+        self.next_room_s = 0.0
         self.faults = FaultResponse(state, self.plan)
-        self.fences = FenceKeeper(state, self.estimates, self.fence_delay_s)
+        self.fences = FenceKeeper(state, self.estimates, self._is_lent)
         self.compaction = Compaction(state, self.search, self.estimates, self.compaction_weight)
 
     def decide(self, now_s: float) -> list[Decision]:
@@ -70,11 +78,12 @@
         decisions += self.claims.decide(now_s)
         for job, placement in self.faults.trials(self.queue, now_s):
             place(job, placement)
-        self.fences.place_ready(place)
+        self.fences.place_ready(place, now_s)
         search = self.search
         OrdinaryRound(self.queue, self.ledger, search, self.fences, self.rank, now_s).run(place)
         self.fences.fence_oldest(self._overdue(now_s), now_s)
-        decisions += self.fences.drain(self._is_lent, now_s)
+        decisions += self.fences.drain(now_s)
+        self._make_room(now_s, decisions)
         decisions += self.compaction.decide(self._is_lent, now_s)
         return decisions
 
@@ -182,8 +191,8 @@
         return Explanation(job.request.job_id, job.state.value, reason)
 
     def rank(self, job: Job, now_s: float) -> float:
-        """Orders the waiting jobs of one account; the lowest is tried first."""
-        return job.sequence
+        """Orders waiting jobs, in seconds; the lowest is tried first."""
+        return job.request.submitted_s - self.size_bonus_s * job.request.shape.accelerators
 
     def _place(
         self, job: Job, placement: Placement, now_s: float, decisions: list[Decision]
@@ -194,14 +203,30 @@
         self._bind_or_charge(job, now_s)
         decisions.append(PlaceJob(job.request.job_id, placement))
 
+    def _make_room(self, now_s: float, decisions: list[Decision]) -> None:
+        """Joins idle blocks for the first waiting jobs that enough scattered ones could serve."""
+        if now_s < self.next_room_s:
+            return
+        self.next_room_s = now_s + ROOM_INTERVAL_S
+        fenced = self.fences.fences
+        waiting = [job for job in self.queue.oldest() if job.request.job_id not in fenced]
+        waiting = [job for job in waiting if job.held_until_s <= now_s]
+        waiting.sort(key=lambda job: self.rank(job, now_s))
+        for job in waiting[:ROOM_JOBS]:
+            found = self.compaction.make_room(job, self._is_lent, now_s)
+            if found is not None:
+                unit, moves = found
+                decisions += moves
+                if job.request.shape.scope is not Scope.DATA_CENTRE:
+                    self.fences.hold(job, unit, now_s)
+
     def _overdue(self, now_s: float) -> list[Job]:
-        """Returns jobs that wait too long, in the order in which their accounts are served."""
+        """Returns jobs that wait too long, in the order in which they are served."""
         late = [j for j in self.queue.oldest() if now_s - j.waiting_since_s >= self.fence_delay_s]
         late = [job for job in late if job.held_until_s <= now_s]
-        standing = {j.request.client_account: 0.0 for j in late}
-        for account in standing:
-            standing[account] = self.ledger.standing(account, now_s)
-        late.sort(key=lambda job: (standing[job.request.client_account], job.sequence))
+        if late:
+            delays = self.ledger.delays(self.queue, now_s)
+            late.sort(key=lambda j: self.rank(j, now_s) + delays[j.request.client_account])
         return late
 
     def _is_lent(self, job: Job) -> bool:
--- a/src/cicadatray/scheduling/policies/swift.py
+++ b/src/cicadatray/scheduling/policies/swift.py
@@ -6,6 +6,7 @@
 
 @scheduling_policy("swift")
 class SwiftPolicy(ProductPolicy):
-    """Guarantees, shares and whole blocks."""
+    """Stays nearer to the order of arrival, so that small jobs wait less for large ones."""
 
     __slots__ = ()
+    size_bonus_s = 400.0
--- a/src/cicadatray/scheduling/reclaim_search.py
+++ b/src/cicadatray/scheduling/reclaim_search.py
@@ -83,9 +83,7 @@
         while reached < needed:
             best: tuple[float, int, Job] | None = None
             for job in candidates.values():
-                add(rooms, job, 1)
-                gain = min(needed, total(racks, limits, rooms)) - reached
-                add(rooms, job, -1)
+                gain = min(needed - reached, gained(limits, rooms, job))
                 if gain > 0:
                     rank = (self.cost(job, now_s) / gain, job.sequence, job)
                     best = rank if best is None or rank[:2] < best[:2] else best
@@ -170,6 +168,17 @@
     return reachable
 
 
+def gained(limits: dict[str, int], rooms: dict[str, int], job: Job) -> int:
+    """Returns what stopping a job adds on its workers, before the limits of their racks."""
+    added = 0
+    for share in job.placement.shares if job.placement is not None else ():
+        room = rooms.get(share.worker_id)
+        if room is not None:
+            limit = limits[share.worker_id]
+            added += max(0, min(limit, room + share.accelerators)) - max(0, min(limit, room))
+    return added
+
+
 def add(rooms: dict[str, int], job: Job, sign: int) -> None:
     """Counts a job's accelerators as room, or no longer."""
     assert job.placement is not None
--- a/src/cicadatray/scheduling/share_ledger.py
+++ b/src/cicadatray/scheduling/share_ledger.py
@@ -3,12 +3,16 @@
 import math
 
 from cicadatray.scheduling.rules import DEFAULT_SHARE_WEIGHT, Rules
+from cicadatray.scheduling.waiting_queue import WaitingQueue
 
 # An account that used more than its share is held back for some hours, not for ever.
 USAGE_HALF_LIFE_S = 4 * 3600.0
 # Gangs just granted count as if they had run this long, so that one burst cannot take everything
 # before any time has passed.
 GRANT_CHARGE_S = 1800.0
+DELAY_RANGE = 4.0
+# Larger parts follow the shares more closely but lengthen the longest completions.
+DELAY_PART = 0.3
 
 
 class ShareLedger:
@@ -33,6 +37,23 @@
         used = self.used[account] + self.granted.get(account, 0) * GRANT_CHARGE_S
         return used / self.weights.get(account, DEFAULT_SHARE_WEIGHT)
 
+    def delays(self, queue: WaitingQueue, now_s: float) -> dict[str, float]:
+        """Returns how much later than its arrival each waiting account's jobs count.
+
+        The delay is a part of the longest present wait: without a backlog, order of arrival keeps
+        the longest completions short, and with one the shares decide. An account at `DELAY_RANGE`
+        times the mean use is delayed by `DELAY_PART` of it, one far below the mean gains as much.
+        """
+        standings = {account: self.standing(account, now_s) for account in queue.accounts}
+        mean = sum(standings.values()) / max(1, len(standings))
+        waits = [now_s - job.request.submitted_s for job in queue.oldest()]
+        longest_s = max(waits, default=0.0)
+        delays = {}
+        for account, standing in standings.items():
+            excess = math.log(max(standing, 1.0) / max(mean, 1.0)) / math.log(DELAY_RANGE)
+            delays[account] = DELAY_PART * longest_s * min(1.0, max(-1.0, excess))
+        return delays
+
     def _update(self, account: str, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self.updated_s.get(account, now_s))
         left = math.exp2(-elapsed_s / USAGE_HALF_LIFE_S)
--- a/src/cicadatray/scheduling/urgent_claims.py
+++ b/src/cicadatray/scheduling/urgent_claims.py
@@ -13,7 +13,7 @@
 from cicadatray.scheduling.waiting_queue import WaitingQueue
 
 # Alternatives to a block's own unit that are looked at when jobs would have to stop there.
-ALTERNATIVES = 16
+ALTERNATIVES = 4
 
 
 class UrgentClaims:
