--- a/src/cicadatray/internal/bench/capacity_runs/wire_costs.py
+++ b/src/cicadatray/internal/bench/capacity_runs/wire_costs.py
@@ -26,8 +26,8 @@
 class WireCosts(msgspec.Struct, frozen=True):
     """Processor time of a request and its reply, both sides together, and threads in use.
 
-    `pynng_calls` is below `CALL_COUNT` when a call got no answer in time: with pynng 0.9.0 a wake-up
-    of the event loop was lost in one of two runs on a busy machine.
+    `pynng_calls` is below `CALL_COUNT` when a call got no answer in time: with pynng 0.9.0 a call
+    stalled for ever in one of two runs on a busy machine.
     """
 
     streams_us: float
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -1,6 +1,7 @@
 """A control instance as a process."""
 
 import asyncio
+import math
 from pathlib import Path
 
 import structlog
@@ -10,11 +11,13 @@
 from cicadatray.internal.control.control_description import ControlDescription, describe_control
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.errors import ControlError, LeadershipLostError
+from cicadatray.internal.control.fragmentation import present_fragmentation
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.observability.standard_metrics import fragmentation_ratio
 from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
@@ -78,6 +81,7 @@
         self.dump = StateDump(Path(settings.dump_folder), settings.name)
         self.dump.register("control", self.describe)
         self.metrics = MetricsRegistry()
+        fragmentation_ratio(self.metrics).read_from(self._fragmentation)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
         self.loop: SchedulingLoop | None = None
@@ -134,6 +138,9 @@
         if self.loop is not None:
             self.loop.notify()
 
+    def _fragmentation(self) -> float:
+        return present_fragmentation(self.session) if self.session is not None else math.nan
+
     async def _wait_for_end(self, stop: asyncio.Event) -> None:
         stopping = asyncio.create_task(stop.wait())
         failing = asyncio.create_task(self.replica.wait_stopped())
--- a/src/cicadatray/internal/entry/http_application.py
+++ b/src/cicadatray/internal/entry/http_application.py
@@ -28,6 +28,11 @@
         Route("/v1/configuration/history", http_operators.show_history, methods=["GET"]),
         Route("/v1/configuration/{kind}", http_operators.change_configuration, methods=["PUT"]),
         Route("/v1/processes/{name}/dump", http_diagnostics.show_dump, methods=["GET"]),
+        Route(
+            "/v1/processes/{name}/metrics",
+            http_diagnostics.show_process_metrics,
+            methods=["GET"],
+        ),
         Route("/v1/members", http_diagnostics.change_member, methods=["POST"]),
         Route("/v1/directory", http_operators.show_directory, methods=["GET"]),
         Route("/metrics", http_metrics.show_metrics, methods=["GET"]),
--- a/src/cicadatray/internal/entry/http_diagnostics.py
+++ b/src/cicadatray/internal/entry/http_diagnostics.py
@@ -10,12 +10,14 @@
 from cicadatray.internal.entry.http_answer import JSON_TYPE, json_answer
 from cicadatray.internal.entry.http_body import read_document
 from cicadatray.internal.observability.state_dump import StateDump
+from cicadatray.internal.observability.text_format import TEXT_CONTENT_TYPE
 from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.diagnostic_messages import (
     ChangeMember,
     MemberAction,
     ReadDump,
+    ReadMetrics,
     TextReply,
 )
 
@@ -49,14 +51,19 @@
     if name == context.settings.name:
         dump: StateDump = request.app.state.dump
         return Response(dump.render(), media_type=JSON_TYPE)
-    try:
-        reply = await _read_dump(context, name)
-    except WireError as error:
-        detail = f"{name} does not answer: {error}"
-        raise EntryError(503, "process_unreachable", detail, PROCESS_RETRY_AFTER_S) from error
-    if not isinstance(reply, TextReply):
-        raise EntryError(503, "process_unreachable", f"{name} answered {type(reply).__name__}")
-    return Response(reply.text, media_type=JSON_TYPE)
+    text = await _read_text(context, name, ReadDump())
+    return Response(text, media_type=JSON_TYPE)
+
+
+async def show_process_metrics(request: Request) -> Response:
+    """Shows the metrics of a control instance."""
+    context: EntryContext = request.app.state.context
+    authenticate_operator(request, context.directory)
+    name = request.path_params["name"]
+    if name not in context.control.clients:
+        raise EntryError(404, "process_unknown", f"no control instance is named {name!r}")
+    text = await _read_text(context, name, ReadMetrics())
+    return Response(text, media_type=TEXT_CONTENT_TYPE)
 
 
 async def change_member(request: Request) -> Response:
@@ -69,10 +76,26 @@
     return json_answer(ChangeDone(change.name, change.action))
 
 
-async def _read_dump(context: EntryContext, name: str) -> MessageStruct:
+async def _read_text(context: EntryContext, name: str, call: MessageStruct) -> str:
+    """Returns the text that a process answers.
+
+    Raises:
+        EntryError: the process is not known or does not answer.
+    """
+    try:
+        reply = await _call_process(context, name, call)
+    except WireError as error:
+        detail = f"{name} does not answer: {error}"
+        raise EntryError(503, "process_unreachable", detail, PROCESS_RETRY_AFTER_S) from error
+    if not isinstance(reply, TextReply):
+        raise EntryError(503, "process_unreachable", f"{name} answered {type(reply).__name__}")
+    return reply.text
+
+
+async def _call_process(context: EntryContext, name: str, call: MessageStruct) -> MessageStruct:
     if name in context.control.clients:
-        return await context.control.call_member(name, ReadDump(), DUMP_TIMEOUT_S)
+        return await context.control.call_member(name, call, DUMP_TIMEOUT_S)
     peer = context.directory.peers.get(name)
     if peer is None:
         raise EntryError(404, "process_unknown", f"no process named {name!r} is known here")
-    return await peer.client.call(ReadDump(), DUMP_TIMEOUT_S)
+    return await peer.client.call(call, DUMP_TIMEOUT_S)
