Renew leases with a short message, and send fields by position

Change: an unchanged announcement is repeated as RenewLease with a session number and a digest of the tasks; messages are encoded as arrays; run times reach the scheduler with the full announcements.

--- a/src/cicadatray/internal/agent/announcer.py
+++ b/src/cicadatray/internal/agent/announcer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import structlog
 
 from cicadatray.internal.agent.task_table import TaskTable
@@ -12,11 +13,17 @@
     AgentRecord,
     Announce,
     AnnounceReply,
+    LeaseRenewed,
+    RenewLease,
+    TaskReference,
     Withdraw,
 )
+from cicadatray.internal.wire.messages.task_digest import task_digest
 
 # The worker is asked for the states of running tasks this often.
 REFRESH_INTERVAL_S = 0.25
+# Run times of tasks reach the leader this often.
+FULL_ANNOUNCE_INTERVAL_S = 10.0
 WITHDRAW_TIMEOUT_S = 2.0
 
 log = structlog.get_logger(__name__)
@@ -25,7 +32,17 @@
 class Announcer:
     """One task that announces the agent every second, and at once when something has changed."""
 
-    __slots__ = ("backoff", "changed", "confirmed_at_s", "control", "record", "tasks")
+    __slots__ = (
+        "announced_at_s",
+        "backoff",
+        "changed",
+        "confirmed_at_s",
+        "control",
+        "last_record",
+        "last_reply",
+        "record",
+        "tasks",
+    )
 
     def __init__(
         self, record: AgentRecord, control: ControlClient, tasks: TaskTable | None
@@ -36,6 +53,9 @@
         self.backoff = Backoff()
         self.changed = tasks.changed if tasks else asyncio.Event()
         self.confirmed_at_s = float("-inf")
+        self.announced_at_s = float("-inf")
+        self.last_record: AgentRecord | None = None
+        self.last_reply: AnnounceReply | None = None
 
     async def run(self) -> None:
         """Announces until cancelled."""
@@ -56,22 +76,47 @@
             log.info("not withdrawn, the leader will miss the announcements")
 
     async def _announce(self) -> bool:
-        loop = asyncio.get_running_loop()
-        sent_at_s = loop.time()
+        sent_at_s = asyncio.get_running_loop().time()
         reports = self.tasks.reports() if self.tasks else ()
+        announce = Announce(agent=self.record, tasks=reports)
         try:
-            reply = await self.control.call(Announce(agent=self.record, tasks=reports), LEASE_S)
+            reply = await self._renew_or_announce(announce, sent_at_s)
         except ControlUnavailableError as error:
             log.warning("announcement failed", reason=str(error))
             return False
-        if not isinstance(reply, AnnounceReply):
-            log.warning("announcement refused", reply=reply)
+        if reply is None:
             return False
+        self.last_reply = reply
         self.confirmed_at_s = sent_at_s
         if self.tasks is not None:
             await self.tasks.renew(reports, reply, sent_at_s)
         return True
 
+    async def _renew_or_announce(
+        self, announce: Announce, sent_at_s: float
+    ) -> AnnounceReply | None:
+        """Sends the short form while it tells all that a full announcement would.
+
+        Raises:
+            ControlUnavailableError: no leader answered in time.
+        """
+        last = self.last_reply
+        is_fresh = sent_at_s < self.announced_at_s + FULL_ANNOUNCE_INTERVAL_S
+        if last is not None and is_fresh and self.last_record == announce.agent:
+            renewal = RenewLease(
+                term=last.term, session=last.session, tasks_digest=task_digest(announce.tasks)
+            )
+            if isinstance(await self.control.call(renewal, LEASE_S), LeaseRenewed):
+                continuing = tuple(TaskReference(t.job_id, t.epoch) for t in announce.tasks)
+                return msgspec.structs.replace(last, continuing=continuing)
+        reply = await self.control.call(announce, LEASE_S)
+        if not isinstance(reply, AnnounceReply):
+            log.warning("announcement refused", reply=reply)
+            return None
+        self.announced_at_s = sent_at_s
+        self.last_record = announce.agent
+        return reply
+
     async def _wait(self, limit_s: float) -> None:
         deadline_s = asyncio.get_running_loop().time() + limit_s
         while not self.changed.is_set():
--- a/src/cicadatray/internal/bench/capacity_runs/control_slopes.py
+++ b/src/cicadatray/internal/bench/capacity_runs/control_slopes.py
@@ -14,7 +14,12 @@
 from cicadatray.internal.control.leases import ANNOUNCE_INTERVAL_S
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.messages.diagnostic_messages import ReadDump, TextReply
-from cicadatray.internal.wire.messages.directory_messages import AgentRecord, Announce
+from cicadatray.internal.wire.messages.directory_messages import (
+    AgentRecord,
+    Announce,
+    AnnounceReply,
+    RenewLease,
+)
 from cicadatray.internal.wire.messages.key_messages import (
     ClaimKey,
     KeyState,
@@ -22,6 +27,7 @@
     StoredAnswer,
 )
 from cicadatray.internal.wire.messages.registry import message_codec
+from cicadatray.internal.wire.messages.task_digest import task_digest
 from cicadatray.internal.wire.traffic import TrafficTotals
 
 AGENT_COUNTS = (0, 50, 100, 200, 400)
@@ -100,9 +106,14 @@
     async def _announce_forever(self, number: int) -> None:
         client = self._client()
         try:
+            reply = await client.call(_announce(number), CALL_TIMEOUT_S)
+            assert isinstance(reply, AnnounceReply)
+            renewal = RenewLease(
+                term=reply.term, session=reply.session, tasks_digest=task_digest(())
+            )
             while True:
-                await client.call(_announce(number), CALL_TIMEOUT_S)
                 await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+                await client.call(renewal, CALL_TIMEOUT_S)
         finally:
             await client.close()
 
--- a/src/cicadatray/internal/control/agent_session.py
+++ b/src/cicadatray/internal/control/agent_session.py
@@ -2,15 +2,18 @@
 
 from cicadatray.internal.control.leases import AGENT_GONE_S, LEASE_END_S
 from cicadatray.internal.wire.messages.directory_messages import AgentRecord, Announce, TaskReport
+from cicadatray.internal.wire.messages.task_digest import task_digest
 
 
 class AgentSession:
     """Soft state, rebuilt from announcements by a new leader. Times are those of the event loop."""
 
-    __slots__ = ("last_heard_s", "record", "reports")
+    __slots__ = ("last_heard_s", "number", "record", "reports", "tasks_digest")
 
-    def __init__(self, announce: Announce, now_s: float) -> None:
+    def __init__(self, number: int, announce: Announce, now_s: float) -> None:
+        self.number = number
         self.record: AgentRecord = announce.agent
+        self.tasks_digest = b""
         self.last_heard_s = now_s
         self.reports: dict[str, TaskReport] = {}
         self.refresh(announce, now_s)
@@ -20,6 +23,7 @@
         self.record = announce.agent
         self.last_heard_s = now_s
         self.reports = {report.job_id: report for report in announce.tasks}
+        self.tasks_digest = task_digest(announce.tasks)
 
     def is_gone(self, now_s: float) -> bool:
         """Tells whether the endpoint should get no more requests."""
--- a/src/cicadatray/internal/control/directory_calls.py
+++ b/src/cicadatray/internal/control/directory_calls.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from cicadatray.internal.control.handler_registry import answers
+from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.leases import AGENT_GONE_S, LEASE_S
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.configuration_messages import (
@@ -15,9 +16,12 @@
 from cicadatray.internal.wire.messages.directory_messages import (
     Acknowledged,
     Announce,
+    AnnounceAgain,
     AnnounceReply,
     DirectoryReply,
+    LeaseRenewed,
     ReadDirectory,
+    RenewLease,
     TaskReference,
     TaskReport,
     Withdraw,
@@ -35,20 +39,40 @@
 async def announce(daemon: "ControlDaemon", call: Announce) -> MessageStruct:
     """Renews the agent's lease. A leader that cannot confirm its leadership grants nothing."""
     session = await daemon.leading_session()
-    session.directory.announce(call, session.now_s())
+    agent = session.directory.announce(call, session.now_s())
+    _report_usage(session, call)
     daemon.notify()
     return AnnounceReply(
         lease_s=LEASE_S,
         term=session.term,
+        session=agent.number,
         continuing=tuple(
             TaskReference(report.job_id, report.epoch)
             for report in call.tasks
             if _may_continue(daemon, report)
         ),
-        configuration_version=daemon.state.configuration.version,
     )
 
 
+@answers(RenewLease)
+async def renew_lease(daemon: "ControlDaemon", call: RenewLease) -> MessageStruct:
+    """Renews the lease of an agent that has nothing new to tell and whose tasks all continue."""
+    session = await daemon.leading_session()
+    agent = session.directory.by_number.get(call.session)
+    if call.term != session.term or agent is None:
+        return AnnounceAgain()
+    if not all(_may_continue(daemon, report) for report in agent.reports.values()):
+        return AnnounceAgain()
+    renewed = session.directory.renew(call, session.now_s())
+    return LeaseRenewed() if renewed is not None else AnnounceAgain()
+
+
+def _report_usage(session: LeaderSession, call: Announce) -> None:
+    now_s = session.scheduling_time_s()
+    for report in call.tasks:
+        session.scheduler.usage_reported(report.job_id, report.run_s, now_s)
+
+
 def _may_continue(daemon: "ControlDaemon", report: TaskReport) -> bool:
     entry = daemon.state.jobs.get(report.job_id)
     gang = entry.gang if entry is not None else None
--- a/src/cicadatray/internal/entry/http_jobs.py
+++ b/src/cicadatray/internal/entry/http_jobs.py
@@ -57,6 +57,16 @@
     epoch: int
 
 
+class ExplanationDocument(msgspec.Struct, frozen=True):
+    """Why a job waits or runs where it does."""
+
+    job_id: str
+    state: str
+    reason: str
+    needs: str
+    would_displace: tuple[str, ...]
+
+
 class JobsDocument(msgspec.Struct, frozen=True):
     """The list of an account's jobs."""
 
@@ -152,7 +162,11 @@
     call = ExplainJob(job_id=request.path_params["job_id"], client_account=account.client_account)
     reply = await context.ask_control(call)
     assert isinstance(reply, ExplanationReply)
-    return json_answer(reply)
+    return json_answer(
+        ExplanationDocument(
+            reply.job_id, reply.state, reply.reason, reply.needs, reply.would_displace
+        )
+    )
 
 
 def _job_answer(reply: object, status_code: int) -> Response:
--- a/src/cicadatray/internal/entry/http_operators.py
+++ b/src/cicadatray/internal/entry/http_operators.py
@@ -12,7 +12,10 @@
 from cicadatray.internal.wire.messages.configuration_messages import (
     Accounts,
     ChangeConfiguration,
+    ChangeRecord,
     ConfigurationChanged,
+    ConfigurationReply,
+    HistoryReply,
     ReadConfiguration,
     ReadHistory,
     VersionConflict,
@@ -36,6 +39,21 @@
     version: int
 
 
+class ConfigurationDocument(msgspec.Struct, frozen=True):
+    """The configuration in effect; credentials are shown as digests only."""
+
+    version: int
+    inventory: Inventory
+    rules: Rules
+    accounts: Accounts
+
+
+class HistoryDocument(msgspec.Struct, frozen=True):
+    """The accepted changes that are kept, oldest first."""
+
+    changes: tuple[ChangeRecord, ...]
+
+
 class DirectoryDocument(msgspec.Struct, frozen=True):
     """What this entry knows: the configuration version in effect here, and the agents."""
 
@@ -47,14 +65,20 @@
     """Shows the configuration in effect."""
     context: EntryContext = request.app.state.context
     authenticate_operator(request, context.directory)
-    return json_answer(await context.ask_control(ReadConfiguration()))
+    reply = await context.ask_control(ReadConfiguration())
+    assert isinstance(reply, ConfigurationReply)
+    return json_answer(
+        ConfigurationDocument(reply.version, reply.inventory, reply.rules, reply.accounts)
+    )
 
 
 async def show_history(request: Request) -> Response:
     """Lists the accepted changes."""
     context: EntryContext = request.app.state.context
     authenticate_operator(request, context.directory)
-    return json_answer(await context.ask_control(ReadHistory()))
+    reply = await context.ask_control(ReadHistory())
+    assert isinstance(reply, HistoryReply)
+    return json_answer(HistoryDocument(reply.changes))
 
 
 async def change_configuration(request: Request) -> Response:
--- a/src/cicadatray/internal/wire/message.py
+++ b/src/cicadatray/internal/wire/message.py
@@ -6,8 +6,12 @@
 IN_DOUBT_CODE = "in_doubt"
 
 
-class MessageStruct(msgspec.Struct, frozen=True, tag=True, kw_only=True, omit_defaults=True):
-    """A message on the wire; the class name is its tag."""
+class MessageStruct(msgspec.Struct, frozen=True, tag=True, kw_only=True, array_like=True):
+    """A message on the wire; the class name is its tag.
+
+    Fields go by position: field names were most of the bytes of the frequent small messages. New
+    fields are added at the end, with a default.
+    """
 
 
 class Failure(MessageStruct, frozen=True):
--- a/src/cicadatray/internal/wire/messages/directory_messages.py
+++ b/src/cicadatray/internal/wire/messages/directory_messages.py
@@ -51,8 +51,27 @@
 
     lease_s: float
     term: int
+    session: int
     continuing: tuple[TaskReference, ...]
-    configuration_version: int
+
+
+class RenewLease(MessageStruct, frozen=True):
+    """Repeats the last announcement of a session of this term, while nothing has changed.
+
+    `tasks_digest` is that of `task_digest`.
+    """
+
+    term: int
+    session: int
+    tasks_digest: bytes
+
+
+class LeaseRenewed(MessageStruct, frozen=True):
+    """Answers `RenewLease` as `AnnounceReply` with every task continuing."""
+
+
+class AnnounceAgain(MessageStruct, frozen=True):
+    """The leader does not know the session, or its tasks have changed."""
 
 
 class Withdraw(MessageStruct, frozen=True):
--- a/tests/cover/agent/test_task_table.py
+++ b/tests/cover/agent/test_task_table.py
@@ -54,7 +54,7 @@
 
 def reply(term: int, *epochs: int) -> AnnounceReply:
     continuing = tuple(TaskReference(JOB, epoch) for epoch in epochs)
-    return AnnounceReply(lease_s=LEASE_S, term=term, continuing=continuing, configuration_version=1)
+    return AnnounceReply(lease_s=LEASE_S, term=term, session=1, continuing=continuing)
 
 
 def prepare(epoch: int, term: int = 1) -> PrepareTask:
