--- a/src/cicadatray/scheduling/fault_tracker.py
+++ b/src/cicadatray/scheduling/fault_tracker.py
@@ -11,7 +11,7 @@
 WORKER_EVIDENCE = 2  # distinct accounts, or jobs that ran elsewhere, that failed on a worker
 CONFIRMED_RUN_S = 60.0  # a job that ran this long elsewhere was not at fault before
 QUARANTINE_S = 60.0
-QUARANTINE_LONGEST_S = 3600.0
+QUARANTINE_LONGEST_S = 600.0
 RETRY_DELAY_S = 5.0
 RETRY_DELAY_LONGEST_S = 300.0
 
--- a/src/cicadatray/scheduling/fence_keeper.py
+++ b/src/cicadatray/scheduling/fence_keeper.py
@@ -11,7 +11,7 @@
 from cicadatray.scheduling.shape import Scope
 from cicadatray.scheduling.unit import Unit
 
-RACKS_PER_FENCE = 1  # one fence for so many racks, and at least one
+RACKS_PER_FENCE = 3  # one fence for so many racks, and at least one
 RACKS_LOOKED_AT = 32
 # A job moved out of a fence waits again; that a fence needs no moves is worth this much delay.
 MOVE_DELAY_S = 30.0
--- a/src/cicadatray/scheduling/job.py
+++ b/src/cicadatray/scheduling/job.py
@@ -39,6 +39,7 @@
         "stops",
         "task_failed",
         "unreachable",
+        "waited_before_s",
         "waiting_since_s",
     )
 
@@ -55,6 +56,7 @@
         self.unreachable = False
         self.stops = 0
         self.held_until_s = 0.0
+        self.waited_before_s = 0.0
         self.waiting_since_s = request.submitted_s
         self.failures: list[list[str]] = []
 
@@ -73,6 +75,10 @@
         """Workers on which a task of this job has failed."""
         return {worker_id for attempt in self.failures for worker_id in attempt}
 
+    def waited_s(self, now_s: float) -> float:
+        """Returns how long a waiting job has waited, over all its times in the queue."""
+        return self.waited_before_s + now_s - self.waiting_since_s
+
     def uses(self, worker_id: str) -> bool:
         """Whether the job's placement has a share on this worker."""
         if self.placement is None:
--- a/src/cicadatray/scheduling/policies/product.py
+++ b/src/cicadatray/scheduling/policies/product.py
@@ -47,7 +47,7 @@
         "queue",
         "search",
     )
-    fence_delay_s = 3 * 3600.0
+    fence_delay_s = 2 * 3600.0
     size_bonus_s = 400.0
     compaction_weight = 4.0
 
@@ -221,13 +221,10 @@
                     self.fences.hold(job, unit, now_s)
 
     def _overdue(self, now_s: float) -> list[Job]:
-        """Returns jobs that wait too long, in the order in which they are served."""
-        late = [j for j in self.queue.oldest() if now_s - j.waiting_since_s >= self.fence_delay_s]
+        """Returns jobs that wait too long, the longest wait first."""
+        late = [j for j in self.queue.oldest() if j.waited_s(now_s) >= self.fence_delay_s]
         late = [job for job in late if job.held_until_s <= now_s]
-        if late:
-            delays = self.ledger.delays(self.queue, now_s)
-            late.sort(key=lambda j: self.rank(j, now_s) + delays[j.request.client_account])
-        return late
+        return sorted(late, key=lambda job: -job.waited_s(now_s))
 
     def _is_lent(self, job: Job) -> bool:
         return job.request.job_id not in self.plan.slot_of and not job.request.urgent
--- a/src/cicadatray/scheduling/policies/swift.py
+++ b/src/cicadatray/scheduling/policies/swift.py
@@ -9,4 +9,5 @@
     """Stays nearer to the order of arrival, so that small jobs wait less for large ones."""
 
     __slots__ = ()
+    fence_delay_s = 3600.0
     size_bonus_s = 400.0
--- a/src/cicadatray/scheduling/scheduling_state.py
+++ b/src/cicadatray/scheduling/scheduling_state.py
@@ -38,6 +38,7 @@
         """Grants a placement to a waiting job."""
         self.waiting.pop(job.request.job_id, None)
         job.state = JobState.STARTING
+        job.waited_before_s = job.waited_s(now_s)
         job.placement = placement
         job.placed_s = now_s
         job.started_s = None
--- /dev/null
+++ b/tests/cover/scheduling/test_faults.py
@@ -0,0 +1,108 @@
+"""Tests of faulty workers and faulty jobs."""
+
+import pytest
+
+from cicadatray.scheduling.decision import FailJob
+from cicadatray.scheduling.gang_outcome import GangOutcome
+from cicadatray.scheduling.scheduler import Scheduler
+from scheduling_helpers import inventory, job, place_all, rules
+
+FLEET = inventory((4, 4, 4), (4, 4, 4), (4, 4, 4), (4, 4, 4))
+
+
+class Driver:
+    """Runs jobs to their end at once; tasks fail for bad jobs and on bad workers."""
+
+    __slots__ = ("bad_jobs", "bad_workers", "completed", "failed", "now_s", "scheduler")
+
+    def __init__(self, bad_jobs: set[str], bad_workers: set[str]) -> None:
+        self.scheduler = Scheduler(FLEET, rules(large="4w"))
+        self.bad_jobs = bad_jobs
+        self.bad_workers = bad_workers
+        self.completed: set[str] = set()
+        self.failed: dict[str, str] = {}
+        self.now_s = 0.0
+
+    def run(self, rounds: int) -> None:
+        """Decides, lets every placed gang fail or complete, and lets a minute pass."""
+        for _ in range(rounds):
+            self.now_s += 60.0
+            decisions = self.scheduler.decide(self.now_s)
+            self.failed.update({d.job_id: d.reason for d in decisions if isinstance(d, FailJob)})
+            held = [j for j in self.scheduler.state.jobs.values() if j.holds_capacity]
+            for known in held:
+                self.end(known.request.job_id)
+
+    def end(self, job_id: str) -> None:
+        """Reports the end of one gang."""
+        placement = self.scheduler.state.jobs[job_id].placement
+        assert placement is not None
+        workers = [share.worker_id for share in placement.shares]
+        bad = workers if job_id in self.bad_jobs else [w for w in workers if w in self.bad_workers]
+        self.scheduler.gang_started(job_id, self.now_s)
+        for worker_id in bad:
+            self.scheduler.task_failed(job_id, worker_id, self.now_s)
+        outcome = GangOutcome.FAILED if bad else GangOutcome.COMPLETED
+        self.scheduler.gang_released(job_id, self.now_s, outcome)
+        if not bad:
+            self.completed.add(job_id)
+
+    def quarantined(self) -> set[str]:
+        """Returns the workers out of service."""
+        return {w.key for w in self.scheduler.state.fleet.workers.values() if w.quarantined}
+
+
+@pytest.mark.parametrize("bad_jobs", [1, 20])
+def test_bad_jobs_stop_with_a_reason_and_quarantine_nothing(bad_jobs: int) -> None:
+    """Guards against a faulty account that takes healthy workers out of service."""
+    bad = {f"bad{i}" for i in range(bad_jobs)}
+    driver = Driver(bad, set())
+    for i in range(12):
+        driver.scheduler.submit(job(f"warm{i}", "4w", "b"), 0.0)
+    driver.run(1)
+    for name in sorted(bad):
+        driver.scheduler.submit(job(name, "4w", "a"), driver.now_s)
+    for i in range(20):
+        driver.scheduler.submit(job(f"good{i}", "4w", "b"), driver.now_s)
+    driver.run(60)
+    assert set(driver.failed) == bad
+    assert "attempts" in driver.failed["bad0"]
+    assert driver.quarantined() == set()
+    assert len(driver.completed) == 32
+
+
+def test_bad_rack_is_quarantined_and_no_job_is_blamed() -> None:
+    """Guards against a rack that fails every task and looks like many faulty jobs."""
+    rack = {"d0r1w0", "d0r1w1", "d0r1w2"}
+    driver = Driver(set(), rack)
+    for i in range(60):
+        driver.scheduler.submit(job(f"j{i}", "4w", "ab"[i % 2]), 0.0)
+    driver.run(30)
+    assert driver.failed == {}
+    assert len(driver.completed) == 60
+    assert driver.quarantined() <= rack
+
+
+def test_quarantined_worker_returns_after_a_good_trial() -> None:
+    """Guards against a repaired worker that stays out of service."""
+    driver = Driver(set(), {"d0r0w0"})
+    for i in range(40):
+        driver.scheduler.submit(job(f"j{i}", "4w", "ab"[i % 2]), 0.0)
+    driver.run(6)
+    assert driver.quarantined() == {"d0r0w0"}
+    driver.bad_workers.clear()
+    for i in range(200):
+        driver.scheduler.submit(job(f"k{i}", "4w", "ab"[i % 2]), driver.now_s)
+    driver.run(20)
+    assert driver.quarantined() == set()
+
+
+def test_retry_avoids_the_worker_that_failed() -> None:
+    """Guards against retrying on the same worker while others are idle."""
+    scheduler = Scheduler(FLEET, rules(large="4w"))
+    scheduler.submit(job("j", "4w"), 0.0)
+    first = place_all(scheduler)["j"].placement.shares[0].worker_id
+    scheduler.task_failed("j", first, 1.0)
+    scheduler.gang_released("j", 1.0, GangOutcome.FAILED)
+    assert place_all(scheduler, 1.0) == {}
+    assert place_all(scheduler, 100.0)["j"].placement.shares[0].worker_id != first
--- a/tests/cover/scheduling/test_guarantees.py
+++ b/tests/cover/scheduling/test_guarantees.py
@@ -112,3 +112,21 @@
     scheduler.submit(job("j", "16r"), 0.0)
     scheduler.replace_configuration(inventory((8,), (8,)), rules(large="8r"), 1.0)
     assert "no rack has more than 8" in str(scheduler.decide(1.0))
+
+
+def test_unplaced_claim_gives_way_to_a_guarantee_at_risk() -> None:
+    """Guards against a claim that keeps another account's block from being placed.
+
+    Found by the state machine: the claim sat on the only worker of 4 after a loss.
+    """
+    wanted = rules(("a", "4w", 1), ("c", "4d", 1), large="4w")
+    scheduler = Scheduler(inventory((4,), (4,), (2, 2)), wanted)
+    for name, text in (("x", "4w"), ("y", "4w"), ("z", "4r")):
+        scheduler.submit(job(name, text, "b", checkpointable=name == "x"), 0.0)
+    place_all(scheduler)
+    scheduler.submit(job("u", "4d", "c", urgent=True), 100.0)
+    scheduler.decide(100.0)
+    for worker_id in ("d0r0w0", "d0r1w0"):
+        scheduler.worker_lost(worker_id, 100.0)
+        assert scheduler.guarantees_at_risk() == []
+        scheduler.worker_returned(worker_id, 100.0)
