Retry urgent jobs elsewhere and hold workers that are being cleared

Cause: an urgent job was retried at once on the worker where it had failed and was then stopped as faulty; capacity freed by moves for a gang in a data centre was taken by other jobs. Change: claims respect the retry delay and avoid workers where the job failed; the workers cleared for a gang are held for it in all scopes.

--- a/src/cicadatray/scheduling/compaction.py
+++ b/src/cicadatray/scheduling/compaction.py
@@ -59,10 +59,10 @@
             job.state = JobState.STOPPING
         return [MoveJob(job.request.job_id) for job in best[1]]
 
-    def make_room(self, job: Job, lent: Lent, now_s: float) -> tuple[Unit, list[Decision]] | None:
+    def make_room(self, job: Job, lent: Lent, now_s: float) -> tuple[Unit, list[Job]] | None:
         """Moves jobs to idle capacity elsewhere so that a waiting job fits in one unit.
 
-        Returns the unit and the moves, or None where no set of moves suffices or pays.
+        Returns the unit and the jobs to move, or None where no set of moves suffices or pays.
         """
         shape = job.request.shape
         best: tuple[float, Unit, list[Job]] | None = None
@@ -75,7 +75,7 @@
             return None
         for moved in best[2]:
             moved.state = JobState.STOPPING
-        return best[1], [MoveJob(moved.request.job_id) for moved in best[2]]
+        return best[1], best[2]
 
     def _clear(
         self, unit: Unit, missing: int, lent: Lent, now_s: float
--- a/src/cicadatray/scheduling/fence_keeper.py
+++ b/src/cicadatray/scheduling/fence_keeper.py
@@ -55,10 +55,20 @@
                 self.drop(fence)
                 place(job, take_unclaimed(fence.workers, needed))
 
-    def hold(self, job: Job, unit: Unit, now_s: float) -> None:
-        """Keeps a unit for a short time while jobs are moved out of it."""
-        workers = [worker for worker in unit.workers() if worker.fence is None]
-        self._set(Fence(job, workers, now_s + HOLD_S))
+    def hold(self, job: Job, unit: Unit, moved: list[Job], now_s: float) -> None:
+        """Keeps workers for a short time while jobs are moved out of them."""
+        rooms = [
+            (worker.unclaimed + sum(accelerators_on(other, worker) for other in moved), worker)
+            for worker in unit.workers()
+            if worker.fence is None
+        ]
+        chosen: list[Unit] = []
+        reached = 0
+        for room, worker in sorted(rooms, key=lambda pair: (-pair[0], pair[1].order)):
+            if reached < job.request.shape.accelerators:
+                chosen.append(worker)
+                reached += room
+        self._set(Fence(job, chosen, now_s + HOLD_S))
 
     def drop(self, fence: Fence) -> None:
         """Shows the workers to all jobs again."""
--- a/src/cicadatray/scheduling/policies/product.py
+++ b/src/cicadatray/scheduling/policies/product.py
@@ -1,7 +1,7 @@
 """What the two production policies have in common."""
 
 from cicadatray.scheduling.compaction import Compaction
-from cicadatray.scheduling.decision import Decision, FailJob, PlaceJob
+from cicadatray.scheduling.decision import Decision, FailJob, MoveJob, PlaceJob
 from cicadatray.scheduling.explanation import Explanation
 from cicadatray.scheduling.fence_keeper import FenceKeeper
 from cicadatray.scheduling.gang_outcome import GangOutcome
@@ -16,7 +16,6 @@
 from cicadatray.scheduling.policies.waiting_explanation import explain_waiting
 from cicadatray.scheduling.run_estimates import RunEstimates
 from cicadatray.scheduling.scheduling_state import SchedulingState
-from cicadatray.scheduling.shape import Scope
 from cicadatray.scheduling.share_ledger import ShareLedger
 from cicadatray.scheduling.unit import Unit
 from cicadatray.scheduling.urgent_claims import UrgentClaims
@@ -215,10 +214,9 @@
         for job in waiting[:ROOM_JOBS]:
             found = self.compaction.make_room(job, self._is_lent, now_s)
             if found is not None:
-                unit, moves = found
-                decisions += moves
-                if job.request.shape.scope is not Scope.DATA_CENTRE:
-                    self.fences.hold(job, unit, now_s)
+                unit, moved = found
+                decisions += [MoveJob(other.request.job_id) for other in moved]
+                self.fences.hold(job, unit, moved, now_s)
 
     def _overdue(self, now_s: float) -> list[Job]:
         """Returns jobs that wait too long, the longest wait first."""
--- a/src/cicadatray/scheduling/reclaim_search.py
+++ b/src/cicadatray/scheduling/reclaim_search.py
@@ -19,6 +19,7 @@
 UNREACHABLE_COST = 1e7
 LENT_URGENT_COST = 1e8
 RACKS_PER_OPTION = 16
+NOTHING: frozenset[str] = frozenset()
 
 
 class ReclaimSearch:
@@ -30,9 +31,13 @@
         self.state = state
         self.plan = plan
 
-    def best(self, request: JobRequest, unit: Unit, now_s: float) -> ReclaimOption | None:
+    def best(
+        self, request: JobRequest, unit: Unit, now_s: float, avoided: frozenset[str] = NOTHING
+    ) -> ReclaimOption | None:
         """Returns the cheapest option inside the unit that keeps a block of the job's account."""
-        options = [self._option(request, part, unit, now_s) for part in parts(request, unit)]
+        options = [
+            self._option(request, part, unit, now_s, avoided) for part in parts(request, unit)
+        ]
         found = [option for option in options if option is not None]
         return min(found, key=lambda option: option.cost, default=None)
 
@@ -50,12 +55,18 @@
         return cost
 
     def _option(
-        self, request: JobRequest, part: Unit, block_unit: Unit, now_s: float
+        self,
+        request: JobRequest,
+        part: Unit,
+        block_unit: Unit,
+        now_s: float,
+        avoided: frozenset[str],
     ) -> ReclaimOption | None:
         """Tries idle capacity, then capacity about to be released, then victims."""
         needed = request.shape.accelerators
         racks = self._racks(part, block_unit, needed)
         limits = {w.key: self._limit(w, block_unit, needed) for _, ws in racks for w in ws}
+        limits.update({worker_id: 0 for worker_id in avoided if worker_id in limits})
         rooms = {w.key: w.unclaimed for _, workers in racks for w in workers}
         if total(racks, limits, rooms) >= needed:
             return ReclaimOption(allocate(racks, limits, rooms, needed), [], 0.0, True)
--- a/src/cicadatray/scheduling/urgent_claims.py
+++ b/src/cicadatray/scheduling/urgent_claims.py
@@ -41,6 +41,8 @@
             self._continue(job, now_s, decisions)
         for job in sorted(self.waiting.values(), key=lambda job: job.sequence):
             key = (job.request.client_account, job.request.shape)
+            if job.held_until_s > now_s:
+                continue
             if self.refused.get(key) == self.plan.version:
                 continue
             slot = self._find_block(job.request)
@@ -100,9 +102,12 @@
         self, job: Job, slot: GuaranteeSlot, now_s: float, decisions: list[Decision]
     ) -> None:
         assert slot.unit is not None
-        option = self.search.best(job.request, slot.unit, now_s)
+        avoided = frozenset(job.failed_workers)
+        option = self.search.best(job.request, slot.unit, now_s, avoided)
         if not slot.bound and (option is None or option.cost > 0):
-            option = self._cheapest_elsewhere(job.request, slot, option, now_s)
+            option = self._cheapest_elsewhere(job, slot, option, now_s)
+        if option is None and avoided:
+            option = self.search.best(job.request, slot.unit, now_s)
         if option is None:
             return
         del self.waiting[job.request.job_id]
@@ -147,20 +152,21 @@
 
     def _cheapest_elsewhere(
         self,
-        request: JobRequest,
+        job: Job,
         slot: GuaranteeSlot,
         best: ReclaimOption | None,
         now_s: float,
     ) -> ReclaimOption | None:
         """Keeps the block elsewhere when fewer jobs have to stop there."""
         chosen: Unit | GuaranteeSlot | None = None
+        avoided = frozenset(job.failed_workers)
         places: list[Unit | GuaranteeSlot] = [*self._free_units(slot)]
         places.extend(self._equal_blocks(slot))
         for place in places:
             unit = place if isinstance(place, Unit) else place.unit
             if unit is None:
                 continue
-            option = self.search.best(request, unit, now_s)
+            option = self.search.best(job.request, unit, now_s, avoided)
             if option is not None and (best is None or option.cost < best.cost):
                 best = option
                 chosen = place
