Store a vote and its term with one save

Cause: a vote in a new term took two saves of two syncs each; on a disk with syncs of 124 ms, as seen on the busy build machine, that is half a second of the 0.8 s a candidate waits. Change: adopt_term takes the vote that is given in the new term.

--- a/src/cicadatray/replication/core.py
+++ b/src/cicadatray/replication/core.py
@@ -127,11 +127,14 @@
         )
         self.election_deadline_s = self.now_s() + timeout_s
 
-    def adopt_term(self, term: int) -> None:
-        """Moves to a higher term, which ends any candidacy or leadership."""
+    def adopt_term(self, term: int, voted_for: str = "") -> None:
+        """Moves to a higher term, which ends any candidacy or leadership.
+
+        A vote in the new term is stored together with it: each save takes two syncs.
+        """
         if term <= self.term:
             return
-        self.storage.state_file.save_vote(term, "")
+        self.storage.state_file.save_vote(term, voted_for)
         self.step_down(None, f"term {term} has begun")
 
     def follow_leader(self, term: int, leader_id: str) -> None:
--- a/src/cicadatray/replication/message_handler.py
+++ b/src/cicadatray/replication/message_handler.py
@@ -93,11 +93,12 @@
         # A bound member ignores the term too, so that the candidate cannot depose the leader.
         if request.term < core.term or is_bound:
             return self._vote_reply(False)
-        core.adopt_term(request.term)
-        voted_for = core.storage.state.voted_for
-        if not is_recent or voted_for not in ("", request.identity):
+        voted_for = core.storage.state.voted_for if request.term == core.term else ""
+        is_granted = is_recent and voted_for in ("", request.identity)
+        core.adopt_term(request.term, request.identity if is_granted else "")
+        if not is_granted:
             return self._vote_reply(False)
-        if not voted_for:
+        if core.storage.state.voted_for != request.identity:
             core.storage.state_file.save_vote(request.term, request.identity)
         core.reset_election_deadline()
         return self._vote_reply(True)
