Answer messages with a refusal after a stop

Cause: handle raised on a stopped replica, and the RPC server logs each exception with its traceback. Change: a stopped replica returns a Refusal, which the caller treats like an unreachable member.

--- a/src/cicadatray/replication/replica.py
+++ b/src/cicadatray/replication/replica.py
@@ -122,8 +122,8 @@
         core.stopped = self.stopped
         elections = Elections(core)
         formation = Formation(core)
-        self.handler = MessageHandler(core, elections, formation)
         self.core_or_none = core
+        self.handler = MessageHandler(core, elections, formation)
         core.spawn(formation.run())
         core.spawn(elections.run())
 
@@ -201,13 +201,13 @@
         await MembershipChanges(self.core).remove(member_id)
 
     async def handle(self, message: ReplicaMessage) -> ReplicaMessage:
-        """Answers a message of another member.
+        """Answers a message of another member; after a stop with a `Refusal`.
 
         Raises:
-            ReplicaStoppedError: the replica does not run.
+            ReplicaStoppedError: the replica was not started, or failed on this message.
         """
-        self.core.require_running()
-        assert self.handler is not None
+        if self.handler is None:
+            raise ReplicaStoppedError("the replica was not started")
         try:
             return self.handler.handle(message)
         except Exception as error:
