--- a/src/cicadatray/internal/bench/measurement/workload_settings.py
+++ b/src/cicadatray/internal/bench/measurement/workload_settings.py
@@ -108,7 +108,7 @@
 
 TUNED = "tuned"
 HELD_OUT = "held_out"
-# Both without failing workers and jobs. The baselines do not avoid failing workers and so drop up to
+# Both without failing workers and jobs. Baselines do not avoid failing workers and so drop up to
 # a tenth of the work; only here the comparison with them is about placement alone.
 HEALTHY = "healthy"
 HELD_OUT_HEALTHY = "held_out_healthy"
