--- a/tests/cover/entry/test_request_machine.py
+++ b/tests/cover/entry/test_request_machine.py
@@ -11,6 +11,7 @@
 from cicadatray.internal.bench.requests_simulation.simulated_agent import SimulatedAgent
 from cicadatray.internal.bench.requests_simulation.simulated_entry import SimulatedEntry
 from cicadatray.internal.bench.virtual_time_loop import VirtualTimeLoop
+from cicadatray.internal.entry.directory_cache import POLL_INTERVAL_S
 
 AGENTS = 3
 KEYS = 4
@@ -92,6 +93,12 @@
             answering.cancel()
         del self.open_sends[subject][trace_id]
 
+    @rule(key=keys, entry=entries, pause_s=sampled_from([0.0, 0.002, 0.1, 0.5]))
+    def send_twice(self, key: int, entry: int, pause_s: float) -> None:
+        self.run(self._start(f"once-{key}", True, entry, 10.0, None))
+        self.run(asyncio.sleep(pause_s))
+        self.run(self._start(f"once-{key}", True, 1 - entry, 10.0, None))
+
     @rule(pause_s=sampled_from([0.001, 0.01, 0.1, 0.5, 4.0]))
     def advance(self, pause_s: float) -> None:
         self.run(asyncio.sleep(pause_s))
@@ -149,8 +156,11 @@
             self.run(self._settle())
         self.loop.close()
 
-    async def _settle(self) -> None:
-        """Repairs everything; then nothing may be left in progress, and resends must agree."""
+    @rule()
+    def repair(self) -> None:
+        self.run(self._repair())
+
+    async def _repair(self) -> None:
         self.deployment.control.available, self.deployment.control.lose_replies = True, 0
         self.deployment.control.unlisted.clear()
         for number, agent in enumerate(self.deployment.agents):
@@ -159,6 +169,11 @@
             agent.endpoint.service_s = 0.3
             if not agent.up or agent.runner.gate.draining:
                 await self._start_agent(number)
+        await asyncio.sleep(POLL_INTERVAL_S * 2)
+
+    async def _settle(self) -> None:
+        """After a repair nothing may be left in progress, and resends must agree."""
+        await self._repair()
         await asyncio.sleep(SETTLING_S)
         assert not any(self.open_sends.values()), "a send has no answer"
         for entry in self.deployment.entries:
@@ -177,4 +192,4 @@
 
 
 TestRequestMachine = RequestMachine.TestCase
-TestRequestMachine.settings = settings(max_examples=250, stateful_step_count=30)
+TestRequestMachine.settings = settings(max_examples=500, stateful_step_count=40)
