--- a/src/cicadatray/internal/control/job_lifecycle.py
+++ b/src/cicadatray/internal/control/job_lifecycle.py
@@ -1,7 +1,6 @@
 """The life cycle of a job as a table of transitions."""
 
-from transitions import Machine
-
+from cicadatray.internal.lifecycle_table import LifecycleTable
 from cicadatray.internal.wire.messages.job_messages import JobState
 
 PLACE = "place"
@@ -15,12 +14,10 @@
 HOLDING_CAPACITY = ["starting", "running", "stopping"]
 ACTIVE = ["waiting", *HOLDING_CAPACITY]
 
-JOB_LIFECYCLE = Machine(
-    model=None,
-    states=[state.value for state in JobState],
-    initial=JobState.WAITING.value,
-    auto_transitions=False,
-    transitions=[
+JOB_LIFECYCLE = LifecycleTable(
+    JobState,
+    JobState.WAITING,
+    [
         [PLACE, "waiting", "starting"],
         [START, "starting", "running"],
         [STOP, ["starting", "running", "stopping"], "stopping"],
@@ -32,17 +29,6 @@
 )
 
 
-def _transition_table() -> dict[str, dict[JobState, JobState]]:
-    table: dict[str, dict[JobState, JobState]] = {}
-    for name, event in JOB_LIFECYCLE.events.items():
-        moves = [move for moves in event.transitions.values() for move in moves]
-        table[name] = {JobState(move.source): JobState(move.dest) for move in moves}
-    return table
-
-
-TRANSITION_TABLE = _transition_table()
-
-
 def next_state(state: JobState, trigger: str) -> JobState | None:
     """Returns the state after a trigger, or None where the trigger is not allowed."""
-    return TRANSITION_TABLE[trigger].get(state)
+    return JOB_LIFECYCLE.next_state(state, trigger)
--- a/src/cicadatray/internal/control/key_state.py
+++ b/src/cicadatray/internal/control/key_state.py
@@ -57,12 +57,9 @@
 @applies(ReassignKey)
 def reassign_key(state: ControlState, index: int, command: ReassignKey) -> MessageStruct:
     """Gives the next attempt to another agent unless that has already been done."""
-    name = key_name(command.client_account, command.key)
-    known = state.keys.get(name)
+    known = _attempt_in_effect(state, command)
     if known is None:
-        return Failure(code=KEY_UNKNOWN_CODE, detail="the key is not recorded")
-    if known.state is not KeyState.ASSIGNED or known.attempt != command.attempt:
-        return known
+        return _recorded(state, command)
     record = msgspec.structs.replace(
         known,
         agent_id=command.agent_id,
@@ -70,24 +67,37 @@
         attempt=known.attempt + 1,
         claim_index=index,
     )
-    state.keys[name] = record
+    state.keys[key_name(command.client_account, command.key)] = record
     return record
 
 
 @applies(ResolveKey)
 def resolve_key(state: ControlState, index: int, command: ResolveKey) -> MessageStruct:
     """Records the final outcome of the attempt in effect; the first outcome stays."""
-    name = key_name(command.client_account, command.key)
-    known = state.keys.get(name)
+    known = _attempt_in_effect(state, command)
     if known is None:
-        return Failure(code=KEY_UNKNOWN_CODE, detail="the key is not recorded")
-    if known.state is not KeyState.ASSIGNED or known.attempt != command.attempt:
-        return known
+        return _recorded(state, command)
     record = msgspec.structs.replace(known, state=command.state, answer=command.answer)
-    state.keys[name] = record
+    state.keys[key_name(command.client_account, command.key)] = record
     return record
 
 
+def _attempt_in_effect(state: ControlState, command: ReassignKey | ResolveKey) -> KeyRecord | None:
+    """Returns the record if it is still assigned with the attempt that the command names."""
+    known = state.keys.get(key_name(command.client_account, command.key))
+    if known is None or known.state is not KeyState.ASSIGNED:
+        return None
+    return known if known.attempt == command.attempt else None
+
+
+def _recorded(state: ControlState, command: ReassignKey | ResolveKey) -> MessageStruct:
+    """Answers a command that changes nothing with what is recorded."""
+    known = state.keys.get(key_name(command.client_account, command.key))
+    if known is not None:
+        return known
+    return Failure(code=KEY_UNKNOWN_CODE, detail="the key is not recorded")
+
+
 @applies(ExpireKeys)
 def expire_keys(state: ControlState, index: int, command: ExpireKeys) -> MessageStruct:
     """Forgets old keys. Keys are kept in order of their first claim."""
--- a/src/cicadatray/internal/entry/health_lifecycle.py
+++ b/src/cicadatray/internal/entry/health_lifecycle.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from transitions import Machine
+from cicadatray.internal.lifecycle_table import LifecycleTable
 
 EJECT = "eject"
 PROBE = "probe"
@@ -18,12 +18,10 @@
     PROBING = "probing"
 
 
-HEALTH_LIFECYCLE = Machine(
-    model=None,
-    states=[state.value for state in HealthState],
-    initial=HealthState.HEALTHY.value,
-    auto_transitions=False,
-    transitions=[
+HEALTH_LIFECYCLE = LifecycleTable(
+    HealthState,
+    HealthState.HEALTHY,
+    [
         [EJECT, ["healthy", "probing"], "ejected"],
         [PROBE, "ejected", "probing"],
         [POSTPONE, "probing", "ejected"],
@@ -32,17 +30,6 @@
 )
 
 
-def _transition_table() -> dict[str, dict[HealthState, HealthState]]:
-    table: dict[str, dict[HealthState, HealthState]] = {}
-    for name, event in HEALTH_LIFECYCLE.events.items():
-        moves = [move for moves in event.transitions.values() for move in moves]
-        table[name] = {HealthState(move.source): HealthState(move.dest) for move in moves}
-    return table
-
-
-TRANSITION_TABLE = _transition_table()
-
-
 def next_health(state: HealthState, trigger: str) -> HealthState | None:
     """Returns the state after a trigger, or None where the trigger is not allowed."""
-    return TRANSITION_TABLE[trigger].get(state)
+    return HEALTH_LIFECYCLE.next_state(state, trigger)
--- a/src/cicadatray/internal/standins/endpoint.py
+++ b/src/cicadatray/internal/standins/endpoint.py
@@ -1,9 +1,6 @@
 """A stand-in for a caller's endpoint: a plain HTTP service with limited slots."""
 
-import argparse
 import asyncio
-import signal
-from pathlib import Path
 
 import msgspec
 from starlette.applications import Starlette
@@ -11,7 +8,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.standins.http_standin import serve_until_stopped, standin_parser
 from cicadatray.internal.standins.journal import Journal
 
 
@@ -63,30 +60,15 @@
         return Response(body, work.fail_with or 200, media_type="text/plain")
 
 
-async def serve(host: str, port: int, standin: EndpointStandin) -> None:
-    """Serves until a stop signal."""
-    stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-    application = Starlette(routes=[Route("/", standin.handle, methods=["POST"])])
-    server = HttpServer(application, host, port)
-    await server.start()
-    await stop.wait()
-    await server.stop()
-
-
 def main() -> None:
     """Entry point."""
-    parser = argparse.ArgumentParser(description="Stand-in endpoint")
-    parser.add_argument("--host", default="127.0.0.1")
-    parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--name", required=True)
-    parser.add_argument("--journal", type=Path, required=True)
+    parser = standin_parser("Stand-in endpoint")
     parser.add_argument("--slots", type=int, default=8)
-    parser.add_argument("--fail-all", action="store_true")
     arguments = parser.parse_args()
     journal = Journal(arguments.journal, arguments.name)
     standin = EndpointStandin(journal, arguments.slots, arguments.fail_all)
-    asyncio.run(serve(arguments.host, arguments.port, standin))
+    application = Starlette(routes=[Route("/", standin.handle, methods=["POST"])])
+    asyncio.run(serve_until_stopped(application, arguments.host, arguments.port))
 
 
 if __name__ == "__main__":
--- a/src/cicadatray/internal/standins/worker.py
+++ b/src/cicadatray/internal/standins/worker.py
@@ -1,9 +1,6 @@
 """A stand-in for the platform's worker: runs tasks under leases."""
 
-import argparse
 import asyncio
-import signal
-from pathlib import Path
 
 import msgspec
 from starlette.applications import Starlette
@@ -17,7 +14,7 @@
     WorkerTask,
     WorkerTasks,
 )
-from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.standins.http_standin import serve_until_stopped, standin_parser
 from cicadatray.internal.standins.journal import Journal
 from cicadatray.internal.standins.worker_task import (
     FAILED,
@@ -140,31 +137,21 @@
 
 
 async def serve(host: str, port: int, standin: WorkerStandin) -> None:
-    """Serves until a stop signal."""
-    stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    """Serves and watches leases until a stop signal."""
     routes = [
         Route("/tasks", standin.list_tasks, methods=["GET"]),
         Route("/tasks/{task_id}", standin.reserve, methods=["PUT"]),
         Route("/tasks/{task_id}/{verb}", standin.order, methods=["POST"]),
     ]
-    server = HttpServer(Starlette(routes=routes), host, port)
     watching = asyncio.create_task(standin.watch_leases())
-    await server.start()
-    await stop.wait()
+    await serve_until_stopped(Starlette(routes=routes), host, port)
     watching.cancel()
-    await server.stop()
 
 
 def main() -> None:
     """Entry point."""
-    parser = argparse.ArgumentParser(description="Stand-in worker")
-    parser.add_argument("--host", default="127.0.0.1")
-    parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--name", required=True)
-    parser.add_argument("--journal", type=Path, required=True)
+    parser = standin_parser("Stand-in worker")
     parser.add_argument("--accelerators", type=int, default=8)
-    parser.add_argument("--fail-all", action="store_true")
     arguments = parser.parse_args()
     journal = Journal(arguments.journal, arguments.name)
     standin = WorkerStandin(journal, arguments.accelerators, arguments.fail_all)
