--- a/src/cicadatray/internal/bench/measurement/workload_settings.py
+++ b/src/cicadatray/internal/bench/measurement/workload_settings.py
@@ -108,8 +108,8 @@
 
 TUNED = "tuned"
 HELD_OUT = "held_out"
-# Both without failing workers and jobs. The baselines do not avoid failing workers and so drop up to
-# a tenth of the work; only here the comparison with them is about placement alone.
+# Both without failing workers and jobs. The baselines do not avoid failing workers and so drop up
+# to a tenth of the work; only here the comparison with them is about placement alone.
 HEALTHY = "healthy"
 HELD_OUT_HEALTHY = "held_out_healthy"
 # The tuned parameters with guarantees for most of the fleet, and more claims.
