Look at the whole fleet at most twice a second

Cause: the scheduling loop compared every worker with the directory in each round (four times a second and at each announcement) and searched all gangs for each silent worker. Change: the comparison runs at once when agents come or go and otherwise twice a second; workers that hold gangs are collected once. The cost at 6,100 workers was not measured.

--- a/src/cicadatray/internal/control/scheduling_loop.py
+++ b/src/cicadatray/internal/control/scheduling_loop.py
@@ -15,6 +15,7 @@
 from cicadatray.scheduling.gang_outcome import GangOutcome
 
 DECISION_INTERVAL_S = 0.25
+SYNC_INTERVAL_S = 0.5
 
 log = structlog.get_logger(__name__)
 
@@ -22,7 +23,16 @@
 class SchedulingLoop:
     """Owns the gang drivers of one leader session."""
 
-    __slots__ = ("available", "configuration_version", "drivers", "expiry", "session", "tasks")
+    __slots__ = (
+        "available",
+        "configuration_version",
+        "drivers",
+        "expiry",
+        "next_sync_s",
+        "session",
+        "synced_version",
+        "tasks",
+    )
 
     def __init__(self, session: LeaderSession) -> None:
         self.session = session
@@ -30,6 +40,8 @@
         self.tasks: asyncio.TaskGroup | None = None
         self.available: set[str] = set()
         self.expiry = KeyExpiry(session)
+        self.next_sync_s = 0.0
+        self.synced_version = -1
         self.configuration_version = session.state.configuration.version
 
     async def run(self) -> None:
@@ -164,18 +176,30 @@
     def _lose_all_workers(self) -> None:
         """Makes `_sync_workers` report each worker anew."""
         now_s = self.session.scheduling_time_s()
+        holding = self._workers_with_gangs()
         self.available = set()
         for worker in self.session.state.configuration.inventory.workers:
-            if not self._is_alive(worker.worker_id):
-                self.session.scheduler.worker_lost(worker.worker_id, now_s)
-            else:
+            if self._is_alive(worker.worker_id, holding):
                 self.available.add(worker.worker_id)
+            else:
+                self.session.scheduler.worker_lost(worker.worker_id, now_s)
 
     def _sync_workers(self) -> None:
+        """Tells the scheduler which workers came and went.
+
+        Looks at the whole fleet, so it runs at most twice a second while no agent comes or goes.
+        """
+        directory_version = self.session.directory.version
+        is_due = self.session.now_s() >= self.next_sync_s
+        if not is_due and directory_version == self.synced_version:
+            return
+        self.synced_version = directory_version
+        self.next_sync_s = self.session.now_s() + SYNC_INTERVAL_S
         now_s = self.session.scheduling_time_s()
+        holding = self._workers_with_gangs()
         for worker in self.session.state.configuration.inventory.workers:
             worker_id = worker.worker_id
-            alive = self._is_alive(worker_id)
+            alive = self._is_alive(worker_id, holding)
             if alive and worker_id not in self.available:
                 self.available.add(worker_id)
                 self.session.scheduler.worker_returned(worker_id, now_s)
@@ -183,16 +207,16 @@
                 self.available.discard(worker_id)
                 self.session.scheduler.worker_lost(worker_id, now_s)
 
-    def _is_alive(self, worker_id: str) -> bool:
+    def _is_alive(self, worker_id: str, holding: set[str]) -> bool:
         agent = self.session.directory.by_worker.get(worker_id)
         now_s = self.session.now_s()
         if agent is None:
-            return self._holds_gang(worker_id) and now_s - self.session.started_s < LEASE_END_S
+            return worker_id in holding and now_s - self.session.started_s < LEASE_END_S
         return not agent.lease_is_over(now_s) and not agent.record.draining
 
-    def _holds_gang(self, worker_id: str) -> bool:
-        for driver in self.drivers.values():
-            gang = driver.entry.gang
-            if gang and any(share.worker_id == worker_id for share in gang.placement.shares):
-                return True
-        return False
+    def _workers_with_gangs(self) -> set[str]:
+        return {
+            share.worker_id
+            for driver in self.drivers.values()
+            for share in (driver.entry.gang.placement.shares if driver.entry.gang else ())
+        }
