Use each HTTP connection for one request

The HTTP client aiosonic 1.3.3 puts a kept-alive connection back into its pool when a request on it times out or is cancelled, and the next request reads the late answer of the one that was given up. The agents' clients to endpoints and workers had the same fault, so a caller could have received another caller's answer. Change: one factory for HTTP clients, with one request for each connection.

--- a/src/cicadatray/internal/agent/endpoint_client.py
+++ b/src/cicadatray/internal/agent/endpoint_client.py
@@ -5,17 +5,14 @@
 import aiosonic
 import msgspec
 from aiosonic.exceptions import ConnectionPoolAcquireTimeout, ConnectTimeout
-from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
 from cicadatray.internal.agent.errors import EndpointFailedError, EndpointUnreachableError
+from cicadatray.internal.http_client import build_http_client
 from cicadatray.internal.settings.agent_settings import EndpointSettings
 
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_LIMIT_BYTES = 512 * 1024
-# Below the keep-alive time of common HTTP servers: a request sent on a connection that the server
-# is closing would have an unknown outcome.
-IDLE_LIMIT_MS = 2_000
 # Longer than any request: the caller's deadline ends a request, not the HTTP library.
 REQUEST_LIMIT_S = 24 * 3600.0
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
@@ -36,14 +33,12 @@
     __slots__ = ("client", "url")
 
     def __init__(self, settings: EndpointSettings) -> None:
-        pool = PoolConfig(size=settings.connections, max_conn_idle_ms=IDLE_LIMIT_MS)
         timeouts = Timeouts(
             sock_connect=CONNECT_TIMEOUT_S,
             sock_read=REQUEST_LIMIT_S,
             request_timeout=REQUEST_LIMIT_S,
         )
-        connector = aiosonic.TCPConnector(pool_configs={":default": pool}, timeouts=timeouts)
-        self.client = aiosonic.HTTPClient(connector)
+        self.client = build_http_client(timeouts, settings.connections)
         self.url = f"http://{settings.address.host}:{settings.address.port}/"
 
     async def send(self, body: bytes, content_type: str, headers: dict[str, str]) -> EndpointAnswer:
--- a/src/cicadatray/internal/agent/worker_client.py
+++ b/src/cicadatray/internal/agent/worker_client.py
@@ -1,14 +1,15 @@
 """HTTP calls to the platform's worker beside the agent."""
 
-import aiosonic
 import msgspec
 from aiosonic.timeout import Timeouts
 
 from cicadatray.internal.agent.errors import WorkerFailedError
+from cicadatray.internal.http_client import build_http_client
 from cicadatray.internal.settings.agent_settings import WorkerSettings
 
 CONNECT_TIMEOUT_S = 1.0
 REQUEST_TIMEOUT_S = 2.0
+CONNECTION_LIMIT = 8
 FIRST_ERROR_STATUS = 400
 
 
@@ -58,7 +59,7 @@
             sock_read=REQUEST_TIMEOUT_S,
             request_timeout=REQUEST_TIMEOUT_S,
         )
-        self.client = aiosonic.HTTPClient(aiosonic.TCPConnector(timeouts=timeouts))
+        self.client = build_http_client(timeouts, CONNECTION_LIMIT)
         self.base_url = f"http://{settings.address.host}:{settings.address.port}/tasks"
 
     async def reserve(self, task_id: str, order: ReserveOrder) -> None:
--- a/src/cicadatray/internal/bench/deployment/caller.py
+++ b/src/cicadatray/internal/bench/deployment/caller.py
@@ -3,11 +3,13 @@
 import asyncio
 import random
 
-import aiosonic
 import msgspec
 from aiosonic.timeout import Timeouts
 
+from cicadatray.internal.http_client import build_http_client
+
 CONNECT_TIMEOUT_S = 1.0
+CONNECTION_LIMIT = 100
 # The balancer takes a frozen entry out after a few failed checks; the caller stands in for it here.
 ANSWER_TIMEOUT_S = 12.0
 RESEND_LIMIT = 40
@@ -54,7 +56,7 @@
             sock_read=ANSWER_TIMEOUT_S,
             request_timeout=ANSWER_TIMEOUT_S,
         )
-        self.client = aiosonic.HTTPClient(aiosonic.TCPConnector(timeouts=timeouts))
+        self.client = build_http_client(timeouts, CONNECTION_LIMIT)
 
     async def send_once(
         self,
--- a/src/cicadatray/internal/cli/http_transport.py
+++ b/src/cicadatray/internal/cli/http_transport.py
@@ -3,15 +3,17 @@
 import asyncio
 import socket
 
-from aiosonic import HTTPClient, HttpResponse
+from aiosonic import HttpResponse
 from aiosonic.exceptions import AiosonicError, ConnectTimeout
 from aiosonic.timeout import Timeouts
 
 from cicadatray.internal.cli.entry_request import EntryRequest
 from cicadatray.internal.cli.entry_response import EntryResponse
 from cicadatray.internal.cli.errors import AnswerLostError, EntryUnreachableError
+from cicadatray.internal.http_client import build_http_client
 
 CONNECT_TIMEOUT_S = 3.0
+CONNECTION_LIMIT = 4
 RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
 NOT_SENT = (ConnectTimeout, ConnectionRefusedError, socket.gaierror)
 
@@ -23,7 +25,8 @@
 
     def __init__(self, credential: str) -> None:
         self.credential = credential
-        self.client = HTTPClient()
+        timeouts = Timeouts(sock_connect=CONNECT_TIMEOUT_S)
+        self.client = build_http_client(timeouts, CONNECTION_LIMIT)
 
     async def close(self) -> None:
         """Closes all connections."""
