Keep workers for old gangs earlier under swift

Cause: gangs of 24 accelerators in one data centre starved in port_louis. Change: swift fences after 20 min and allows one fence for two racks.

--- a/src/cicadatray/scheduling/fence_keeper.py
+++ b/src/cicadatray/scheduling/fence_keeper.py
@@ -11,7 +11,6 @@
 from cicadatray.scheduling.shape import Scope
 from cicadatray.scheduling.unit import Unit
 
-RACKS_PER_FENCE = 3  # one fence for so many racks, and at least one
 RACKS_LOOKED_AT = 32
 # A job moved out of a fence waits again; that a fence needs no moves is worth this much delay.
 MOVE_DELAY_S = 30.0
@@ -25,21 +24,24 @@
 class FenceKeeper:
     """Hides the idle capacity of fenced workers from all other jobs until their job fits.
 
-    Fences have disjoint workers and each waits for no other, so half-drained fences cannot block
-    one another.
+    There is at most one fence for `racks_per_fence` racks, and one in the smallest fleet. Fences
+    have disjoint workers and each waits for no other, so half-drained fences cannot block one
+    another.
     """
 
-    __slots__ = ("estimates", "fences", "lent", "state")
+    __slots__ = ("estimates", "fences", "lent", "racks_per_fence", "state")
 
     def __init__(
         self,
         state: SchedulingState,
         estimates: RunEstimates,
         lent: Callable[[Job], bool],
+        racks_per_fence: int,
     ) -> None:
         self.state = state
         self.estimates = estimates
         self.lent = lent
+        self.racks_per_fence = racks_per_fence
         self.fences: dict[str, Fence] = {}
 
     def place_ready(self, place: Place, now_s: float) -> None:
@@ -78,7 +80,7 @@
 
     def fence_oldest(self, candidates: list[Job], now_s: float) -> None:
         """Makes fences for jobs that have waited too long, in this order."""
-        limit = max(1, len(self.state.fleet.racks) // RACKS_PER_FENCE)
+        limit = max(1, len(self.state.fleet.racks) // self.racks_per_fence)
         for job in candidates:
             if len(self.fences) >= limit:
                 return
--- a/src/cicadatray/scheduling/policies/product.py
+++ b/src/cicadatray/scheduling/policies/product.py
@@ -28,9 +28,9 @@
 class ProductPolicy(SchedulingPolicy):
     """Keeps guarantees, shares what remains and protects large blocks.
 
-    `fence_delay_s` is how long a job waits before workers are kept for it; `compaction_weight`
-    scales the gain of moving jobs. `size_bonus_s` is how much earlier each accelerator of a gang
-    lets it count as submitted.
+    `fence_delay_s` is how long a job waits before workers are kept for it, at one time for one job
+    in `racks_per_fence` racks. `compaction_weight` scales the gain of moving jobs. `size_bonus_s`
+    is how much earlier each accelerator of a gang lets it count as submitted.
     """
 
     __slots__ = (
@@ -47,6 +47,7 @@
         "search",
     )
     fence_delay_s = 2 * 3600.0
+    racks_per_fence = 3
     size_bonus_s = 400.0
     compaction_weight = 4.0
 
@@ -61,7 +62,7 @@
         self.failing: dict[str, str] = {}
         self.next_room_s = 0.0
         self.faults = FaultResponse(state, self.plan)
-        self.fences = FenceKeeper(state, self.estimates, self._is_lent)
+        self.fences = FenceKeeper(state, self.estimates, self._is_lent, self.racks_per_fence)
         self.compaction = Compaction(state, self.search, self.estimates, self.compaction_weight)
 
     def decide(self, now_s: float) -> list[Decision]:
--- a/src/cicadatray/scheduling/policies/swift.py
+++ b/src/cicadatray/scheduling/policies/swift.py
@@ -9,5 +9,6 @@
     """Stays nearer to the order of arrival, so that small jobs wait less for large ones."""
 
     __slots__ = ()
-    fence_delay_s = 3600.0
+    fence_delay_s = 1200.0
+    racks_per_fence = 2
     size_bonus_s = 400.0
