Bound the cost of clearing large units

Cause: moves out of a data centre ranked all of its jobs, which grows with the fleet. Change: units of more than 64 workers are not cleared. Result: lint, tests/cover/scheduling (46 tests) and tests/nocover/scheduling (2 tests) pass.

--- a/src/cicadatray/scheduling/compaction.py
+++ b/src/cicadatray/scheduling/compaction.py
@@ -13,6 +13,9 @@
 INTERVAL_S = 5.0
 UNITS_LOOKED_AT = 12
 JOBS_PER_MOVE = 6
+# Larger units are not cleared: ranking all jobs of a large data centre every few seconds costs time
+# that grows with the fleet.
+MOST_WORKERS_CLEARED = 64
 SHORTEST_RUN_S = 60.0  # a job is not moved again before it has run this long
 # A move costs its job the time to checkpoint, requeue and restart on all its accelerators, and more
 # for a job that was stopped before, so that moves do not add up on one job.
@@ -139,6 +142,8 @@
 
     def _movable(self, unit: Unit, inside: set[str], lent: Lent, now_s: float) -> list[Job]:
         jobs: dict[str, Job] = {}
+        if len(inside) > MOST_WORKERS_CLEARED:
+            return []
         for worker_id in inside:
             jobs.update(self.state.on_worker.get(worker_id, {}))
         movable = [
