--- a/src/cicadatray/internal/entry/key_attempt.py
+++ b/src/cicadatray/internal/entry/key_attempt.py
@@ -112,10 +112,13 @@
                     return reply
                 self.sending = None
             peer = self.peer()
-            if peer is None and await self.is_agent_gone():
-                return None
+            if peer is None:
+                if await self.is_agent_gone():
+                    return None
+                await asyncio.sleep(RECONNECT_PAUSE_S)
+                continue
             told = await self.cancel()
-            if isinstance(told, AttemptFailed) and told.code == CANCELLED_CODE and peer is not None:
+            if isinstance(told, AttemptFailed) and told.code == CANCELLED_CODE:
                 self.sending = self._send(peer, BACKGROUND_CALL_S)
             elif told is not None:
                 return told
--- a/src/cicadatray/internal/entry/non_idempotent_runner.py
+++ b/src/cicadatray/internal/entry/non_idempotent_runner.py
@@ -87,12 +87,14 @@
     async def _admit_and_run(self) -> RequestOutcome:
         """Waits for a turn, then claims the key, which was not in use when it was read."""
         admission = self.resources.admission
+        loop = asyncio.get_running_loop()
+        read_s = loop.time()
         refusal = await admission.enter(self.request)
+        entered_s = loop.time()
         if refusal is not None:
             status_code = 504 if refusal.code == DEADLINE_CODE else 503
-            return not_run(status_code, refusal.code, refusal.detail, refusal.retry_after_s)
-        loop = asyncio.get_running_loop()
-        entered_s = loop.time()
+            outcome = not_run(status_code, refusal.code, refusal.detail, refusal.retry_after_s)
+            return outcome if entered_s == read_s else await self._unless_claimed(outcome)
         try:
             return await self._claim_and_run()
         finally:
@@ -101,15 +103,25 @@
     async def _claim_and_run(self) -> RequestOutcome:
         if not self.request.is_open():
             detail = "not started before the deadline"
-            return not_run(504, DEADLINE_CODE, detail, NO_ENDPOINT_RETRY_AFTER_S)
+            outcome = not_run(504, DEADLINE_CODE, detail, NO_ENDPOINT_RETRY_AFTER_S)
+            return await self._unless_claimed(outcome)
         self.choice = self._choose()
         if self.choice is None:
-            return self._not_run()
+            return await self._unless_claimed(self._not_run())
         record = await self.key.claim(self.choice.peer)
         if isinstance(record, Failure) and record.code == KEY_LIMIT_CODE:
             return not_run(503, record.code, record.detail, record.retry_after_s)
         return await self._follow(record)
 
+    async def _unless_claimed(self, outcome: RequestOutcome) -> RequestOutcome:
+        """Reads the key again: while this request waited, another send may have claimed it."""
+        record = await self.key.read()
+        if isinstance(record, KeyAbsent):
+            return outcome
+        if isinstance(record, KeyRecord) and record.state is KeyState.NOT_RUN:
+            return outcome
+        return await self._follow(record)
+
     async def _follow(self, record: MessageStruct) -> RequestOutcome:
         """Follows a key's records to a final outcome."""
         while isinstance(record, KeyRecord):
--- a/tests/cover/entry/test_crossed_outcomes.py
+++ b/tests/cover/entry/test_crossed_outcomes.py
@@ -63,3 +63,20 @@
         assert deployment.executions("invoice") == 1
 
     run_virtual(main())
+
+
+def test_a_key_claimed_while_a_send_waited_is_not_reported_as_not_run() -> None:
+    """Guards against `not_run` from a key that was read before the wait in the queue."""
+
+    async def main() -> None:
+        deployment = Deployment(agents=1, slots=1, entries=2, service_s=2.0)
+        await deployment.poll()
+        admission = deployment.entries[1].requests.resources.admission
+        admission.service("meters").in_use = 99  # no turn is free at this entry
+        waiting = deployment.send("invoice", non_idempotent=True, deadline_s=1.0, entry=1)
+        await asyncio.sleep(0.01)
+        first = deployment.send("invoice", non_idempotent=True, deadline_s=9.0)
+        assert (await waiting).kind is OutcomeKind.UNKNOWN
+        assert (await first).kind is OutcomeKind.COMPLETED
+
+    run_virtual(main())
