Drive gangs with random faults on a virtual clock

Cause: gangs, leases and fencing were checked by specifications and by tests of single classes, not by the real classes together. Change: a hypothesis state machine over the real control daemon, scheduling loop, gang driver, directory calls, task table and announcer; the replica, the links and the workers are fakes.

--- /dev/null
+++ b/tests/cover/control/gangs/fake_replica.py
@@ -0,0 +1,72 @@
+"""What a control instance uses of a replica, on the shared log."""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+from cicadatray.internal.control.control_state import ControlState
+from cicadatray.replication.errors import NotLeaderError, ProposalUnknownError
+from cover.control.gangs.shared_log import SharedLog
+
+Result = TypeVar("Result")
+
+
+class FakeReplica:
+    """`term` is the term that this instance knows of, which may be over."""
+
+    __slots__ = ("applied", "log", "name", "state", "term")
+
+    def __init__(self, log: SharedLog, name: str, state: ControlState) -> None:
+        self.log = log
+        self.name = name
+        self.state = state
+        self.term = 0
+        self.applied = 0
+
+    def catch_up(self) -> None:
+        """Applies what has been committed and learns the term."""
+        self.term = self.log.term
+        while self.applied < len(self.log.commands):
+            self.applied += 1
+            self.state.apply(self.applied, self.log.commands[self.applied - 1])
+
+    async def propose(self, command: bytes, timeout_s: float) -> bytes:
+        """Commits a command; it may be committed although the answer is lost."""
+        term = self.term
+        try:
+            return await self._ask(lambda: self._commit(term, command), timeout_s)
+        except TimeoutError:
+            raise ProposalUnknownError("no answer of the group") from None
+
+    async def confirm_leadership(self, timeout_s: float) -> None:
+        """Asks the group whether this instance still leads."""
+        term = self.term
+        try:
+            leads = await self._ask(lambda: self._leads(term), timeout_s)
+        except TimeoutError:
+            leads = False
+        if not leads:
+            raise NotLeaderError(self.log.leader)
+
+    def _commit(self, term: int, command: bytes) -> bytes | None:
+        return self.log.commit(command) if self._leads(term) else None
+
+    def _leads(self, term: int) -> bool:
+        return (self.log.leader, self.log.term) == (self.name, term)
+
+    async def _ask(self, action: Callable[[], Result | None], timeout_s: float) -> Result:
+        answer: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+
+        def arrive() -> None:
+            if self.name in self.log.cut_members:
+                return
+            result = action()
+            if result is not None:
+                self.log.after_round_trip(lambda: reply(result))
+
+        def reply(result: Result) -> None:
+            if self.name not in self.log.cut_members and not answer.done():
+                answer.set_result(result)
+
+        self.log.after_round_trip(arrive)
+        return await asyncio.wait_for(answer, timeout_s)
--- /dev/null
+++ b/tests/cover/control/gangs/simulated_control.py
@@ -0,0 +1,52 @@
+"""The real control daemon on a fake replica and simulated links."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+from cicadatray.internal.control.agent_links import AgentLinks
+from cicadatray.internal.control.control_daemon import ControlDaemon
+from cicadatray.internal.control.control_state import ControlState
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.wire.messages.directory_messages import AgentRecord
+from cover.control.gangs.fake_replica import FakeReplica
+from cover.control.gangs.link_client import LinkClient
+from cover.control.gangs.link_layer import LinkLayer
+from cover.control.gangs.shared_log import SharedLog
+from cover.replication.process_loop import Process
+
+
+class _Links(AgentLinks):
+    __slots__ = ("layer", "name")
+
+    def __init__(self, layer: LinkLayer, name: str) -> None:
+        self.layer = layer
+        self.name = name
+
+    def _client(self, agent: AgentRecord) -> Any:
+        return LinkClient(self.layer, self.name, f"{agent.agent_id}/{agent.incarnation}")
+
+
+class SimulatedControl(ControlDaemon):
+    """Leads when the shared log says so; only construction differs from the daemon."""
+
+    __slots__ = ("name", "process", "task")
+
+    def __init__(self, name: str, log: SharedLog, layer: LinkLayer) -> None:
+        self.name = name
+        self.process = Process()
+        self.settings: Any = SimpleNamespace(bootstrap_operator_sha256="")
+        self.state = ControlState()
+        self.replica: Any = FakeReplica(log, name, self.state)
+        self.metrics = MetricsRegistry()
+        self.links = _Links(layer, name)
+        self.session = None
+        self.loop = None
+        log.members[name] = self
+        layer.peers[name] = self
+        loop = asyncio.get_event_loop()
+        self.task = loop.create_task(self._lead_again_and_again(), context=self.process.context)
+
+    def catch_up(self) -> None:
+        """Applies what has been committed and learns the term."""
+        self.replica.catch_up()
--- /dev/null
+++ b/tests/cover/control/gangs/test_gang_machine.py
@@ -0,0 +1,8 @@
+"""Random sequences of faults around gangs, the short form."""
+
+from hypothesis import settings
+
+from cover.control.gangs.gang_machine import GangMachine
+
+TestGangs = GangMachine.TestCase
+TestGangs.settings = settings(max_examples=30, stateful_step_count=30)
