Move only jobs that run, and close workers while they are cleared

A job that filled a fence could be placed and moved in the same decision, then stopped while it started and placed there again. Jobs are now moved only after they ran for a multiple of the cost of a move, fenced workers that wait for stopping jobs take no other job, and a clearing that takes longer than 10 s is given up with a back-off. Workers fenced for one job no longer count as room that compaction could clear for another.

--- a/src/cicadatray/scheduling/compaction.py
+++ b/src/cicadatray/scheduling/compaction.py
@@ -4,6 +4,7 @@
 
 from cicadatray.scheduling.decision import Decision, MoveJob
 from cicadatray.scheduling.job import Job, JobState
+from cicadatray.scheduling.move_rules import has_run_enough, move_cost_s
 from cicadatray.scheduling.placement import Placement
 from cicadatray.scheduling.placement_search import PlacementSearch
 from cicadatray.scheduling.run_estimates import RunEstimates
@@ -16,10 +17,6 @@
 # Larger units are not cleared: ranking all jobs of a large data centre every few seconds costs time
 # that grows with the fleet.
 MOST_WORKERS_CLEARED = 64
-SHORTEST_RUN_S = 60.0  # a job is not moved again before it has run this long
-# A move costs its job the time to checkpoint, requeue and restart on all its accelerators, and more
-# for a job that was stopped before, so that moves do not add up on one job.
-MOVE_COST_S = 10.0
 # A joined block is not counted as useful for longer than this: arrivals soon fill what is idle.
 BENEFIT_HORIZON_S = 3600.0
 # What an accelerator of a waiting job gains by starting now, compared with the cost of moves.
@@ -84,7 +81,7 @@
         self, unit: Unit, missing: int, lent: Lent, now_s: float
     ) -> tuple[float, list[Job]] | None:
         """Returns jobs whose moves free the missing accelerators of a unit, with their cost."""
-        inside = {worker.key for worker in unit.workers()}
+        inside = usable_workers(unit)
         chosen: list[Job] = []
         taken: list[Placement] = []
         for job in self._movable(unit, inside, lent, now_s):
@@ -112,7 +109,7 @@
 
     def _moves(self, unit: Unit, lent: Lent, now_s: float) -> tuple[float, list[Job]] | None:
         """Returns the best number of jobs to move out of a unit, with gain minus cost."""
-        inside = {worker.key for worker in unit.workers()}
+        inside = usable_workers(unit)
         chosen: list[Job] = []
         taken: list[tuple[Placement, Placement]] = []
         best: tuple[float, list[Job]] | None = None
@@ -149,10 +146,7 @@
         movable = [
             job
             for job in jobs.values()
-            if job.state is JobState.RUNNING
-            and job.request.checkpointable
-            and lent(job)
-            and now_s - job.placed_s >= SHORTEST_RUN_S
+            if job.request.checkpointable and lent(job) and has_run_enough(job, now_s)
         ]
         return sorted(
             movable,
@@ -170,4 +164,9 @@
 
 def move_cost(job: Job) -> float:
     """Returns the accelerator-seconds that a move costs."""
-    return MOVE_COST_S * (1 + job.stops) * job.request.shape.accelerators
+    return move_cost_s(job) * job.request.shape.accelerators
+
+
+def usable_workers(unit: Unit) -> set[str]:
+    """Returns the workers whose capacity a waiting job can use, so none fenced for another."""
+    return {w.key for w in unit.workers() if w.in_service and w.fence is None}
--- a/src/cicadatray/scheduling/fence.py
+++ b/src/cicadatray/scheduling/fence.py
@@ -1,7 +1,5 @@
 """Workers kept for one job that has waited long."""
 
-from math import inf
-
 from cicadatray.scheduling.job import Job
 from cicadatray.scheduling.unit import Unit
 
@@ -9,14 +7,16 @@
 class Fence:
     """The workers together have room for the job.
 
-    `backfilled` holds checkpointable jobs that run inside the fence in the meantime. It is
-    dropped at `until_s` at the latest.
+    `backfilled` holds checkpointable jobs that run inside the fence in the meantime. From
+    `clearing_since_s` on the fence waits only for jobs that were told to stop, and takes no other.
     """
 
-    __slots__ = ("backfilled", "job", "until_s", "workers")
+    __slots__ = ("backfilled", "clearing_since_s", "job", "workers")
 
-    def __init__(self, job: Job, workers: list[Unit], until_s: float = inf) -> None:
+    def __init__(
+        self, job: Job, workers: list[Unit], clearing_since_s: float | None = None
+    ) -> None:
         self.job = job
         self.workers = workers
-        self.until_s = until_s
+        self.clearing_since_s = clearing_since_s
         self.backfilled: dict[str, Job] = {}
--- a/src/cicadatray/scheduling/fence_keeper.py
+++ b/src/cicadatray/scheduling/fence_keeper.py
@@ -5,6 +5,7 @@
 from cicadatray.scheduling.decision import Decision, MoveJob
 from cicadatray.scheduling.fence import Fence
 from cicadatray.scheduling.job import Job, JobState
+from cicadatray.scheduling.move_rules import has_run_enough
 from cicadatray.scheduling.placement import Placement, WorkerShare
 from cicadatray.scheduling.run_estimates import RunEstimates
 from cicadatray.scheduling.scheduling_state import SchedulingState
@@ -14,9 +15,12 @@
 RACKS_LOOKED_AT = 32
 # A job moved out of a fence waits again; that a fence needs no moves is worth this much delay.
 MOVE_DELAY_S = 30.0
-HOLD_S = 10.0  # checkpoint, stop and release of moved jobs take about 3 s
-# Jobs younger than this are left alone, so that a job that was moved makes progress.
-SHORTEST_RUN_BEFORE_MOVE_S = 60.0
+# Checkpoint, stop and release of moved jobs take about 3 s; a clearing that takes longer than this
+# is given up, since the workers stay idle meanwhile.
+CLEARING_LIMIT_S = 10.0
+# Wait after a clearing that was given up, doubled with each one up to the limit.
+CLEARING_RETRY_S = 60.0
+LONGEST_CLEARING_RETRY_S = 1800.0
 
 Place = Callable[[Job, Placement], None]
 
@@ -50,12 +54,13 @@
             job = fence.job
             needed = job.request.shape.accelerators
             room = sum(worker.total for worker in fence.workers if worker.in_service)
-            expired = now_s >= fence.until_s
-            if job.state is not JobState.WAITING or job.cancelled or room < needed or expired:
+            if job.state is not JobState.WAITING or job.cancelled or room < needed:
                 self.drop(fence)
             elif sum(worker.unclaimed for worker in fence.workers) >= needed:
                 self.drop(fence)
                 place(job, take_unclaimed(fence.workers, needed))
+            elif is_overdue(fence, now_s):
+                self._give_up(fence, now_s)
 
     def hold(self, job: Job, unit: Unit, moved: list[Job], now_s: float) -> None:
         """Keeps workers for a short time while jobs are moved out of them."""
@@ -70,7 +75,7 @@
             if reached < job.request.shape.accelerators:
                 chosen.append(worker)
                 reached += room
-        self._set(Fence(job, chosen, now_s + HOLD_S))
+        self._set(Fence(job, chosen, now_s))
 
     def drop(self, fence: Fence) -> None:
         """Shows the workers to all jobs again."""
@@ -84,7 +89,7 @@
         for job in candidates:
             if len(self.fences) >= limit:
                 return
-            if job.request.job_id not in self.fences:
+            if job.request.job_id not in self.fences and job.no_clearing_until_s <= now_s:
                 self._fence(job, now_s)
 
     def backfill(self, job: Job) -> Placement | None:
@@ -93,6 +98,8 @@
         if not request.checkpointable or request.shape.scope is not Scope.WORKER:
             return None
         for fence in self.fences.values():
+            if fence.clearing_since_s is not None:
+                continue
             for worker in fence.workers:
                 if worker.unclaimed >= request.shape.accelerators:
                     fence.backfilled[request.job_id] = job
@@ -111,20 +118,36 @@
                 for job_id, job in self.state.on_worker.get(worker.key, {}).items():
                     if job.state is JobState.STOPPING:
                         missing -= accelerators_on(job, worker)
-                    elif job_id in fence.backfilled or self._gives_way(job, fence.job, now_s):
+                    elif self._may_leave(job, fence, now_s):
                         movable[job_id] = job
-            for job in self._choose(fence, movable, missing):
+            chosen = self._choose(fence, movable, missing)
+            if (chosen or missing <= 0) and fence.clearing_since_s is None:
+                fence.clearing_since_s = now_s
+            for job in chosen:
                 job.state = JobState.STOPPING
                 decisions.append(MoveJob(job.request.job_id))
         return decisions
 
+    def _give_up(self, fence: Fence, now_s: float) -> None:
+        """Lets the job wait before workers are cleared for it again."""
+        job = fence.job
+        delay_s = CLEARING_RETRY_S * 2.0 ** min(job.clearings_failed, 10)
+        job.no_clearing_until_s = now_s + min(delay_s, LONGEST_CLEARING_RETRY_S)
+        job.clearings_failed += 1
+        self.drop(fence)
+
+    def _may_leave(self, job: Job, fence: Fence, now_s: float) -> bool:
+        if job.request.job_id in fence.backfilled:
+            return has_run_enough(job, now_s)
+        return self._gives_way(job, fence.job, now_s)
+
     def _gives_way(self, job: Job, fenced: Job, now_s: float) -> bool:
         """Whether a running job may be moved for a fenced one: it is smaller or came later."""
         smaller = 2 * job.request.shape.accelerators <= fenced.request.shape.accelerators
         return (
             job.request.checkpointable
             and (smaller or job.sequence > fenced.sequence)
-            and now_s - job.placed_s >= SHORTEST_RUN_BEFORE_MOVE_S
+            and has_run_enough(job, now_s)
             and self.lent(job)
         )
 
@@ -197,6 +220,12 @@
         return None
 
 
+def is_overdue(fence: Fence, now_s: float) -> bool:
+    """Whether the clearing of the fence takes too long."""
+    since_s = fence.clearing_since_s
+    return since_s is not None and now_s - since_s >= CLEARING_LIMIT_S
+
+
 def accelerators_on(job: Job, worker: Unit) -> int:
     """Returns how many accelerators of the worker the job holds."""
     shares = job.placement.shares if job.placement is not None else ()
--- a/src/cicadatray/scheduling/job.py
+++ b/src/cicadatray/scheduling/job.py
@@ -20,16 +20,19 @@
     """A job with its present placement; `sequence` orders jobs by arrival.
 
     `failures` lists, for each attempt in which a task failed, the workers on which it failed.
-    `held_until_s` delays the next attempt. `stops` counts the runs that
-    were ended for others. `charged` tells that the job counts against its
-    account's share.
+    `held_until_s` delays the next attempt. `clearings_failed` counts the attempts to clear workers
+    for the job that were given up, and `no_clearing_until_s` delays the next one. `stops` counts
+    the runs that were ended for others. `charged` tells that the job counts against its account's
+    share.
     """
 
     __slots__ = (
         "cancelled",
         "charged",
+        "clearings_failed",
         "failures",
         "held_until_s",
+        "no_clearing_until_s",
         "placed_s",
         "placement",
         "request",
@@ -55,6 +58,8 @@
         self.charged = False
         self.unreachable = False
         self.stops = 0
+        self.clearings_failed = 0
+        self.no_clearing_until_s = 0.0
         self.held_until_s = 0.0
         self.waited_before_s = 0.0
         self.waiting_since_s = request.submitted_s
--- a/src/cicadatray/scheduling/policies/product.py
+++ b/src/cicadatray/scheduling/policies/product.py
@@ -210,7 +210,7 @@
         self.next_room_s = now_s + ROOM_INTERVAL_S
         fenced = self.fences.fences
         waiting = [job for job in self.queue.oldest() if job.request.job_id not in fenced]
-        waiting = [job for job in waiting if job.held_until_s <= now_s]
+        waiting = [j for j in waiting if max(j.held_until_s, j.no_clearing_until_s) <= now_s]
         waiting.sort(key=lambda job: self.rank(job, now_s))
         for job in waiting[:ROOM_JOBS]:
             found = self.compaction.make_room(job, self._is_lent, now_s)
--- /dev/null
+++ b/tests/cover/scheduling/test_clearing.py
@@ -0,0 +1,89 @@
+"""Tests of clearing workers for a waiting gang."""
+
+import pytest
+
+from cicadatray.scheduling.decision import MoveJob, PlaceJob
+from cicadatray.scheduling.fence_keeper import CLEARING_LIMIT_S, CLEARING_RETRY_S
+from cicadatray.scheduling.gang_outcome import GangOutcome
+from cicadatray.scheduling.job import Job, JobState
+from cicadatray.scheduling.move_rules import has_run_enough
+from cicadatray.scheduling.scheduler import Scheduler
+from scheduling_helpers import inventory, job, place_all, rules
+
+FENCED_S = 1300.0
+
+
+def moves(scheduler: Scheduler, now_s: float) -> list[str]:
+    return [d.job_id for d in scheduler.decide(now_s) if isinstance(d, MoveJob)]
+
+
+def fenced_scheduler() -> Scheduler:
+    """Returns a fleet of two workers kept for `large`, with `filler` starting on one of them."""
+    scheduler = Scheduler(inventory((4, 4)), rules(large="4w", policy="swift"))
+    scheduler.submit(job("first", "4w", "b", checkpointable=False), 0.0)
+    place_all(scheduler)
+    scheduler.submit(job("large", "8r"), 0.0)
+    place_all(scheduler, FENCED_S)
+    scheduler.submit(job("filler", "4w", "b", submitted_s=FENCED_S), FENCED_S)
+    placed = [d.job_id for d in scheduler.decide(FENCED_S) if isinstance(d, PlaceJob)]
+    assert placed == ["filler"]
+    scheduler.gang_released("first", FENCED_S, GangOutcome.COMPLETED)
+    return scheduler
+
+
+def test_starting_job_is_not_moved() -> None:
+    """Guards against a job that is placed and moved over and over without ever running."""
+    scheduler = fenced_scheduler()
+    assert moves(scheduler, FENCED_S + 1.0) == []
+    assert moves(scheduler, FENCED_S + 100.0) == []
+    scheduler.gang_started("filler", FENCED_S + 100.0)
+    assert moves(scheduler, FENCED_S + 101.0) == []
+    assert moves(scheduler, FENCED_S + 200.0) == ["filler"]
+
+
+def test_workers_being_cleared_take_no_other_job() -> None:
+    """Guards against new jobs on workers whose jobs were just moved out for a gang."""
+    scheduler = fenced_scheduler()
+    scheduler.gang_started("filler", FENCED_S)
+    now_s = FENCED_S + 200.0
+    assert moves(scheduler, now_s) == ["filler"]
+    scheduler.submit(job("late", "4w", "b", submitted_s=now_s), now_s)
+    assert scheduler.decide(now_s + 1.0) == []
+    scheduler.gang_released("filler", now_s + 2.0, GangOutcome.CHECKPOINTED)
+    assert set(place_all(scheduler, now_s + 2.0)) == {"large"}
+
+
+def test_clearing_that_takes_too_long_is_given_up_for_a_while() -> None:
+    """Guards against workers that stay idle behind a job that does not stop."""
+    scheduler = fenced_scheduler()
+    scheduler.gang_started("filler", FENCED_S)
+    now_s = FENCED_S + 200.0
+    assert moves(scheduler, now_s) == ["filler"]
+    scheduler.submit(job("late", "4w", "b", submitted_s=now_s), now_s)
+    now_s += CLEARING_LIMIT_S
+    assert set(place_all(scheduler, now_s)) == {"late"}
+    scheduler.gang_released("filler", now_s, GangOutcome.STOPPED)
+    assert set(place_all(scheduler, now_s)) == {"filler"}
+    assert moves(scheduler, now_s + CLEARING_RETRY_S - 1.0) == []
+
+
+@pytest.mark.parametrize(
+    ("state", "stops", "run_s", "movable"),
+    [
+        (JobState.STARTING, 0, 1000.0, False),
+        (JobState.STOPPING, 0, 1000.0, False),
+        (JobState.RUNNING, 0, 59.0, False),
+        (JobState.RUNNING, 0, 60.0, True),
+        (JobState.RUNNING, 3, 239.0, False),
+        (JobState.RUNNING, 3, 240.0, True),
+    ],
+)
+def test_moved_job_runs_before_it_is_moved_again(
+    state: JobState, stops: int, run_s: float, movable: bool
+) -> None:
+    """Guards against a job that spends most of its time on moves."""
+    moved = Job(job("j", "4w"), 1)
+    moved.state = state
+    moved.stops = stops
+    moved.started_s = 100.0
+    assert has_run_enough(moved, 100.0 + run_s) is movable
