--- a/build.sh
+++ b/build.sh
@@ -5,6 +5,8 @@
 VENV="${CICADATRAY_VENV:-$PWD/.venv}"
 export PYTHONPATH="$PWD/src"
 export PYTHONDONTWRITEBYTECODE=1
+# The order of sets of texts must not differ between two runs of the same tests.
+export PYTHONHASHSEED=0
 
 setup() {
   if [ ! -x "$VENV/bin/python" ]; then
