Keep restored urgent gangs inside their guarantees

After a change of leader the new plan may keep another block on the workers of a restored gang, or bind an ordinary job of the account to the only block. The gang then counted as lent and could be reclaimed. Its block is now kept at its place, and blocks without urgent jobs move away; an attempt that costs another block or urgent gang its place is undone.

--- a/src/cicadatray/scheduling/guarantee_plan.py
+++ b/src/cicadatray/scheduling/guarantee_plan.py
@@ -132,38 +132,6 @@
                 return True
         return False
 
-    def bind_by_moving(self, job: Job, jobs: dict[str, Job]) -> bool:
-        """Binds a running job to a block that is kept at its location for it.
-
-        Used after a change of leader, whose new plan does not know where the old one kept blocks.
-        A job for which no other block may lose its place stays lent.
-        """
-        assert job.placement is not None
-        if self.bind_where_possible(job):
-            return True
-        missing_before = len(self.missing)
-        for slot in self.by_account.get(job.request.client_account, ()):
-            unit = self._common_unit(job.placement, slot.shape.scope)
-            if slot.bound or slot.free < job.request.shape.accelerators or unit is None:
-                continue
-            if slot.unit is not None:
-                self.evict(slot)
-            self.search.attach(slot, unit)
-            del self.missing[slot.key]
-            if self.can_bind(slot, job.placement):
-                self.bind(slot, job.request.job_id, job.placement)
-            self.stale = True
-            self.repair(jobs)
-            if job.request.job_id in self.slot_of and len(self.missing) <= missing_before:
-                return True
-            self.evict(slot)
-            self.repair(jobs)
-        return False
-
-    def _common_unit(self, placement: Placement, scope: Scope) -> Unit | None:
-        units = {w.around(scope).key: w.around(scope) for w, _ in self.fleet.located(placement)}
-        return next(iter(units.values())) if len(units) == 1 else None
-
     def move(self, slot: GuaranteeSlot, unit: Unit) -> None:
         """Keeps a block without bound jobs at another unit that has room for it."""
         self.search.detach(slot)
--- a/src/cicadatray/scheduling/policies/product.py
+++ b/src/cicadatray/scheduling/policies/product.py
@@ -14,6 +14,7 @@
 from cicadatray.scheduling.policies.fault_response import FaultResponse
 from cicadatray.scheduling.policies.policy import SchedulingPolicy
 from cicadatray.scheduling.policies.waiting_explanation import explain_waiting
+from cicadatray.scheduling.restored_bindings import bind_by_moving
 from cicadatray.scheduling.run_estimates import RunEstimates
 from cicadatray.scheduling.scheduling_state import SchedulingState
 from cicadatray.scheduling.share_ledger import ShareLedger
@@ -124,7 +125,7 @@
     def restored(self, job: Job, now_s: float) -> None:
         """Binds a running gang to a block of its account where that is possible."""
         self.plan.repair(self.state.jobs)
-        if job.request.urgent and self.plan.bind_by_moving(job, self.state.jobs):
+        if job.request.urgent and bind_by_moving(self.plan, job, self.state.jobs):
             return
         self._bind_or_charge(job, now_s)
 
--- a/tests/cover/scheduling/test_guarantees.py
+++ b/tests/cover/scheduling/test_guarantees.py
@@ -4,6 +4,7 @@
 
 from cicadatray.scheduling.decision import PlaceJob, ReclaimJob
 from cicadatray.scheduling.gang_outcome import GangOutcome
+from cicadatray.scheduling.placement import Placement, WorkerShare
 from cicadatray.scheduling.scheduler import Scheduler
 from scheduling_helpers import inventory, job, place_all, rules
 
@@ -104,6 +105,38 @@
         assert [type(decision) for decision in second.decide(1.0)] == [PlaceJob]
 
 
+@pytest.mark.parametrize("policy", POLICIES)
+def test_restored_gang_keeps_its_guarantee_where_the_new_plan_keeps_other_blocks(
+    policy: str,
+) -> None:
+    """Guards against a victim inside its guarantee because a free block lies on its workers.
+
+    Found by the measurement: the new plan kept a worker block inside the rack of the gang.
+    """
+    wanted = rules(("a", "8w", 1), ("b", "16r", 1), policy=policy)
+    for names in (("d0r0w0", "d0r0w1"), ("d0r0w1", "d0r0w2"), ("d0r0w0", "d0r0w2")):
+        scheduler = Scheduler(inventory((8, 8, 8)), wanted)
+        placement = Placement(tuple(WorkerShare(name, 8) for name in names))
+        scheduler.restore_running(job("gang", "16r", "b", urgent=True), placement, 0.0)
+        scheduler.submit(job("claim", "8w", "a", urgent=True), 1.0)
+        assert scheduler.block_of("gang") is not None
+        assert [type(decision) for decision in scheduler.decide(1.0)] == [PlaceJob]
+
+
+@pytest.mark.parametrize("workers", [("d0r0w0", "d0r1w0"), ("d0r1w0", "d0r0w0")])
+def test_restored_urgent_gang_takes_its_block_from_ordinary_jobs_of_the_account(
+    workers: tuple[str, str],
+) -> None:
+    """Guards against an order of restoring in which an ordinary job holds the guarantee."""
+    scheduler = Scheduler(inventory((8,), (8,)), rules(("a", "8w", 1), ("b", "8w", 1)))
+    for name, worker_id in zip(("ordinary", "urgent"), workers, strict=True):
+        request = job(name, "8w", "b", urgent=name == "urgent")
+        scheduler.restore_running(request, Placement((WorkerShare(worker_id, 8),)), 0.0)
+    assert scheduler.block_of("urgent") is not None
+    scheduler.submit(job("claim", "8w", "a", urgent=True), 1.0)
+    assert reclaimed(scheduler, 1.0) == ["ordinary"]
+
+
 def test_configuration_change_fails_a_job_that_can_no_longer_run() -> None:
     """Guards against a job that waits for ever since its only rack left the inventory."""
     scheduler = Scheduler(inventory((8, 8), (8,)), rules(large="8r"))
