Keep keys of accounts with a slash apart, and end drivers of gangs that another leader released

Cause: account a/b with key c and account a with key b/c had one record and one job. A deposed leader's gang driver failed with an assertion when the next leader's release was applied (found by a trial of the gang state machine).

--- a/src/cicadatray/internal/control/gang_driver.py
+++ b/src/cicadatray/internal/control/gang_driver.py
@@ -5,6 +5,7 @@
 import structlog
 
 from cicadatray.internal.control.agent_session import AgentSession
+from cicadatray.internal.control.errors import LeadershipLostError
 from cicadatray.internal.control.job_entry import JobEntry
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.leases import ANNOUNCE_INTERVAL_S, LEASE_END_S
@@ -264,8 +265,11 @@
         return self.session.directory.by_worker.get(worker_id)
 
     def _shares(self) -> tuple[WorkerShare, ...]:
-        assert self.entry.gang is not None
-        return self.entry.gang.placement.shares
+        gang = self.entry.gang
+        if gang is None or gang.epoch != self.epoch:
+            # A deposed leader also applies what the next leader commits.
+            raise LeadershipLostError("another leader has released the gang")
+        return gang.placement.shares
 
     def _job_id(self) -> str:
         return self.entry.request.job_id
--- a/src/cicadatray/internal/control/key_state.py
+++ b/src/cicadatray/internal/control/key_state.py
@@ -22,8 +22,11 @@
 
 
 def key_name(client_account: str, key: str) -> str:
-    """Returns the name under which a client account's key is stored."""
-    return f"{client_account}/{key}"
+    """Returns the name under which a client account's key is stored.
+
+    The length keeps account `a/b` with key `c` apart from account `a` with key `b/c`.
+    """
+    return f"{len(client_account)}:{client_account}/{key}"
 
 
 @applies(ClaimKey)
--- a/src/cicadatray/internal/entry/http_jobs.py
+++ b/src/cicadatray/internal/entry/http_jobs.py
@@ -175,8 +175,12 @@
 
 
 def _job_id(client_account: str, key: str) -> str:
-    """The same key always makes the same job, through whichever entry it comes."""
-    digest = hashlib.sha256(f"{client_account}/{key}".encode()).hexdigest()
+    """The same key always makes the same job, through whichever entry it comes.
+
+    The length keeps account `a/b` with key `c` apart from account `a` with key `b/c`.
+    """
+    name = f"{len(client_account)}:{client_account}/{key}"
+    digest = hashlib.sha256(name.encode()).hexdigest()
     return f"job-{digest[:JOB_ID_HEX_DIGITS]}"
 
 
