--- a/tests/cover/entry/test_crossed_outcomes.py
+++ b/tests/cover/entry/test_crossed_outcomes.py
@@ -6,6 +6,7 @@
 from deployment import Deployment
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.control.key_state import key_name
 from cicadatray.internal.entry.request_outcome import OutcomeKind
 
 
@@ -44,7 +45,7 @@
         agent.lose_requests = 0
         await asyncio.sleep(5.0)
         assert deployment.executions("invoice") == 0
-        record = deployment.control.state.keys["acueducto/invoice"]
+        record = deployment.control.state.keys[key_name("acueducto", "invoice")]
         assert record.state.value == ("not_run" if listed else "unknown")
 
     run_virtual(main())
--- a/tests/cover/entry/test_non_idempotent.py
+++ b/tests/cover/entry/test_non_idempotent.py
@@ -6,6 +6,7 @@
 from deployment import Deployment
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.control.key_state import key_name
 from cicadatray.internal.entry.request_outcome import OutcomeKind
 from cicadatray.internal.wire.messages.key_messages import KeyState
 
@@ -13,7 +14,7 @@
 
 
 def recorded_state(deployment: Deployment, key: str) -> KeyState:
-    return deployment.control.state.keys[f"{ACCOUNT}/{key}"].state
+    return deployment.control.state.keys[key_name(ACCOUNT, key)].state
 
 
 @pytest.mark.parametrize("answer_bytes", [20, 4096, 4097, 100_000])
