--- a/src/cicadatray/internal/control/scheduling_loop.py
+++ b/src/cicadatray/internal/control/scheduling_loop.py
@@ -86,7 +86,13 @@
         await asyncio.gather(*(self._carry_out(decision) for decision in decisions))
 
     async def _carry_out(self, decision: Decision) -> None:
-        log.info("decision", decision=type(decision).__name__, job_id=decision.job_id)
+        entry = self.session.state.jobs.get(decision.job_id)
+        log.info(
+            "decision",
+            decision=type(decision).__name__,
+            job_id=decision.job_id,
+            trace_id=entry.trace_id if entry is not None else "",
+        )
         if isinstance(decision, PlaceJob):
             await self._place(decision)
         elif isinstance(decision, ReclaimJob):
