--- /dev/null
+++ b/src/cicadatray/internal/agent/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of graphs on the worker beside an agent."""
--- a/src/cicadatray/internal/control/calls.py
+++ b/src/cicadatray/internal/control/calls.py
@@ -7,5 +7,13 @@
     key_calls,
     replica_calls,
 )
+from cicadatray.internal.control.graphs import graph_calls
 
-CALL_MODULES = (diagnostic_calls, directory_calls, job_calls, key_calls, replica_calls)
+CALL_MODULES = (
+    diagnostic_calls,
+    directory_calls,
+    graph_calls,
+    job_calls,
+    key_calls,
+    replica_calls,
+)
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -12,6 +12,9 @@
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.errors import ControlError, LeadershipLostError
 from cicadatray.internal.control.fragmentation import present_fragmentation
+from cicadatray.internal.control.graphs.graph_loop import GraphLoop
+from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.replica_link import ReplicaLink
@@ -20,6 +23,7 @@
 from cicadatray.internal.observability.standard_metrics import fragmentation_ratio
 from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.control_settings import ControlSettings
+from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
 from cicadatray.internal.wire.messages.configuration_messages import (
     AccountRecord,
@@ -27,6 +31,7 @@
     ChangeConfiguration,
 )
 from cicadatray.internal.wire.messages.directory_messages import NotLeader
+from cicadatray.internal.wire.messages.graph_messages import JoinGroup, MemberAddress
 from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.internal.wire.rpc_server import RpcServer
 from cicadatray.replication.errors import NotLeaderError, ReplicationError
@@ -36,6 +41,10 @@
 
 CONFIRM_TIMEOUT_S = 1.0
 LEADERSHIP_POLL_S = 0.1
+# An instance that no leader has called for this long asks to join: longer than an election.
+JOIN_SILENCE_S = 1.5
+JOIN_INTERVAL_S = 0.4
+JOIN_TIMEOUT_S = 1.5
 FIRST_OPERATOR = "operator"
 UNKNOWN_CALL_CODE = "unknown_call"
 IN_DOUBT_RETRY_AFTER_S = 1.0
@@ -52,6 +61,7 @@
         data_folder=settings.data_folder,
         initial_members=members,
         bootstrap=settings.bootstrap,
+        group_size=settings.group_size,
     )
 
 
@@ -60,7 +70,9 @@
 
     __slots__ = (
         "codec",
+        "control_client",
         "dump",
+        "graphs",
         "links",
         "loop",
         "metrics",
@@ -84,6 +96,9 @@
         fragmentation_ratio(self.metrics).read_from(self._fragmentation)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
+        self.graphs: GraphSession | None = None
+        others = tuple(m for m in settings.control if m.name != settings.name)
+        self.control_client = ControlClient(others or settings.control, self.codec, secret)
         self.loop: SchedulingLoop | None = None
         listen = settings.listen
         self.server = RpcServer(listen.host, listen.port, self.codec, self.answer, secret)
@@ -94,10 +109,13 @@
         await self.server.start()
         log.info("control listens", port=self.server.port)
         leading = asyncio.create_task(self._lead_again_and_again())
+        joining = asyncio.create_task(self._join_while_outside())
         await self._wait_for_end(stop)
         await self.replica.stop()
         leading.cancel()
-        await asyncio.gather(leading, return_exceptions=True)
+        joining.cancel()
+        await asyncio.gather(leading, joining, return_exceptions=True)
+        await self.control_client.close()
         await self.links.close()
         await self.replica_link.close()
         await self.server.stop()
@@ -112,7 +130,7 @@
         try:
             return await handler(self, call)
         except NotLeaderError as error:
-            return NotLeader(leader_name=error.leader_id or "")
+            return self._not_leader(error.leader_id)
         except (LeadershipLostError, ReplicationError) as error:
             return Failure(
                 code=IN_DOUBT_CODE, detail=str(error), retry_after_s=IN_DOUBT_RETRY_AFTER_S
@@ -129,6 +147,16 @@
             raise NotLeaderError(None)
         return self.session
 
+    def require_graphs(self, session: LeaderSession) -> GraphSession:
+        """Returns the task graphs of a leader session.
+
+        Raises:
+            NotLeaderError: the session has ended.
+        """
+        if self.graphs is None or self.session is not session:
+            raise NotLeaderError(None)
+        return self.graphs
+
     def describe(self) -> ControlDescription:
         """Returns what a state dump shows."""
         return describe_control(self.state, self.replica.describe(), self.session)
@@ -163,6 +191,7 @@
             finally:
                 self.state.listeners = []
                 self.session = None
+                self.graphs = None
                 self.loop = None
 
     async def _lead(self) -> None:
@@ -173,14 +202,42 @@
         self.state.listeners = [self.session.take_applied]
         await self._add_first_operator(self.session)
         self.loop = SchedulingLoop(self.session)
+        self.graphs = GraphSession(self.session, TaskLeases(self.settings.longest_task_lease_s))
         try:
             async with asyncio.TaskGroup() as tasks:
-                scheduling = tasks.create_task(self.loop.run())
+                loops = [
+                    tasks.create_task(self.loop.run()),
+                    tasks.create_task(GraphLoop(self.graphs).run()),
+                ]
                 await self._watch_leadership()
-                scheduling.cancel()
+                for loop in loops:
+                    loop.cancel()
         except* LeadershipLostError as errors:
             raise LeadershipLostError(str(errors.exceptions[0])) from None
 
+    async def _join_while_outside(self) -> None:
+        """Asks to be admitted while no leader calls this instance."""
+        listen = self.settings.listen
+        own = MemberAddress(self.settings.name, listen.host, listen.port)
+        while self.settings.group_size:
+            await asyncio.sleep(JOIN_INTERVAL_S)
+            if not self.replica.needs_to_join(JOIN_SILENCE_S):
+                continue
+            try:
+                await self.control_client.call(JoinGroup(member=own), JOIN_TIMEOUT_S)
+                log.info("asked to join the control group", leader=self.control_client.leader_name)
+            except ControlUnavailableError as error:
+                log.info("no leader to join", reason=str(error))
+
+    def _not_leader(self, leader_name: str | None) -> NotLeader:
+        record = self.replica.core.membership.find(leader_name or "")
+        if record is None:
+            return NotLeader(leader_name=leader_name or "")
+        member = record.member
+        return NotLeader(
+            leader_name=member.member_id, leader_host=member.host, leader_port=member.port
+        )
+
     async def _add_first_operator(self, session: LeaderSession) -> None:
         """Gives a new deployment the operator account that its settings name."""
         digest = self.settings.bootstrap_operator_sha256
--- a/src/cicadatray/internal/control/control_state.py
+++ b/src/cicadatray/internal/control/control_state.py
@@ -7,6 +7,7 @@
 from cicadatray.internal.control.command_registry import appliers
 from cicadatray.internal.control.configuration_record import ConfigurationRecord
 from cicadatray.internal.control.errors import StateError
+from cicadatray.internal.control.graphs.graph_store import GraphStore
 from cicadatray.internal.control.job_entry import JobEntry
 from cicadatray.internal.wire.errors import FrameError
 from cicadatray.internal.wire.message import Failure, MessageStruct
@@ -23,12 +24,13 @@
     keys: dict[str, KeyRecord]
     jobs: dict[str, JobEntry]
     ended_jobs: list[str]
+    graphs: GraphStore = msgspec.field(default_factory=GraphStore)
 
 
 class ControlState:
     """Applies commands in log order; the same commands give the same state on every instance."""
 
-    __slots__ = ("codec", "configuration", "ended_jobs", "jobs", "keys", "listeners")
+    __slots__ = ("codec", "configuration", "ended_jobs", "graphs", "jobs", "keys", "listeners")
 
     def __init__(self) -> None:
         self.codec = message_codec()
@@ -36,6 +38,7 @@
         self.keys: dict[str, KeyRecord] = {}
         self.jobs: dict[str, JobEntry] = {}
         self.ended_jobs: list[str] = []
+        self.graphs = GraphStore()
         self.listeners: list[Callable[[MessageStruct], None]] = []
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -55,7 +58,7 @@
     def snapshot(self) -> bytes:
         """Returns the whole state."""
         return msgspec.msgpack.encode(
-            ControlSnapshot(self.configuration, self.keys, self.jobs, self.ended_jobs)
+            ControlSnapshot(self.configuration, self.keys, self.jobs, self.ended_jobs, self.graphs)
         )
 
     def restore(self, snapshot: bytes) -> None:
@@ -72,6 +75,7 @@
         self.keys = restored.keys
         self.jobs = restored.jobs
         self.ended_jobs = restored.ended_jobs
+        self.graphs = restored.graphs
 
     def encode_command(self, command: MessageStruct) -> bytes:
         """Returns the bytes that `apply` takes."""
--- /dev/null
+++ b/src/cicadatray/internal/control/graphs/__init__.py
@@ -0,0 +1,1 @@
+"""Task graphs in the control role."""
--- /dev/null
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -0,0 +1,155 @@
+"""The leader's loop over task graphs: notes ends, places waiting work, makes room."""
+
+import asyncio
+
+import structlog
+
+from cicadatray.internal.control.errors import LeadershipLostError
+from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.placement_input import build_running, build_workers
+from cicadatray.internal.wire.messages.graph_messages import (
+    PlacedEnd,
+    PlacedRun,
+    RecordRuns,
+    RunsRecorded,
+)
+from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
+from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
+from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
+
+# The loop looks again after this time without a reason: for occurrences that become due and
+# leases that end.
+ROUND_INTERVAL_S = 0.25
+# News that arrives within this time is handled in one round, and committed together.
+GATHER_S = 0.01
+# Ended graphs can be read this long.
+KEEP_ENDED_S = 150.0
+
+log = structlog.get_logger(__name__)
+
+
+class GraphLoop:
+    """Owns the placement of task graphs while this instance leads."""
+
+    __slots__ = ("session",)
+
+    def __init__(self, session: GraphSession) -> None:
+        self.session = session
+
+    async def run(self) -> None:
+        """Runs until leadership is lost.
+
+        Raises:
+            LeadershipLostError: as soon as one command could not be committed.
+        """
+        while True:
+            await self._record_ends()
+            await self._place()
+            await self._wait()
+
+    async def _wait(self) -> None:
+        try:
+            async with asyncio.timeout(ROUND_INTERVAL_S):
+                await self.session.wake.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(GATHER_S)
+        self.session.wake.clear()
+
+    async def _record_ends(self) -> None:
+        session = self.session
+        ends, session.new_ends = session.new_ends, []
+        lost = self._take_lost_workers()
+        for worker_id in lost:
+            ends += session.lost_runs(worker_id)
+        forgotten = self._find_forgotten()
+        if ends or forgotten:
+            await self._commit_ends(ends, forgotten)
+        for worker_id in lost:
+            session.forget_worker(worker_id)
+        if ends:
+            session.wake_all()
+
+    async def _commit_ends(self, ends: list[PlacedEnd], forgotten: tuple[str, ...]) -> None:
+        session = self.session
+        now_s = session.wall_s()
+        await session.leader.propose(RecordRuns(now_s=now_s, ends=tuple(ends), forgotten=forgotten))
+        session.record_committed(ends)
+        for placed in ends:
+            log.info(
+                "run ended",
+                graph=placed.end.run.task.graph_id,
+                task=placed.end.run.task.key,
+                run=placed.end.run.run,
+                worker=placed.worker_id,
+                outcome=placed.end.outcome.value,
+                number=placed.end.number,
+            )
+
+    def _take_lost_workers(self) -> list[str]:
+        session = self.session
+        lost = session.find_lost_workers()
+        for worker_id in lost:
+            held = session.workers.get(worker_id)
+            if held is not None:
+                held.is_lost = True
+            log.info(
+                "worker lost",
+                worker=worker_id,
+                silence_s=round(session.now_s() - held.answered_s, 1) if held else None,
+                runs=len(session.ordered.get(worker_id, {})),
+            )
+        ended = [w for w, held in session.workers.items() if held.is_lost and w not in lost]
+        return lost + ended
+
+    def _find_forgotten(self) -> tuple[str, ...]:
+        now_s = self.session.wall_s()
+        return tuple(
+            graph_id
+            for graph_id, progress in self.session.graphs.items()
+            if progress.ended_s
+            and now_s - progress.ended_s > KEEP_ENDED_S
+            and not any(task.worker_id for task in progress.tasks.values())
+        )
+
+    async def _place(self) -> None:
+        session = self.session
+        now_s = session.wall_s()
+        waiting = [
+            work for graph in session.graphs.values() for work in find_ready_work(graph, now_s)
+        ]
+        if not waiting:
+            return
+        workers = build_workers(session)
+        plan = PlacementRound(workers, build_running(session), now_s).run(waiting)
+        self._displace(plan)
+        if not plan.assignments:
+            return
+        starts = tuple(PlacedRun(a.run, a.worker_id) for a in plan.assignments)
+        reply = await session.leader.propose(RecordRuns(now_s=now_s, starts=starts))
+        if not isinstance(reply, RunsRecorded):
+            raise LeadershipLostError(f"starts were answered with {reply}")
+        self._order(reply.started)
+
+    def _order(self, started: tuple[PlacedRun, ...]) -> None:
+        session = self.session
+        for start in started:
+            session.ordered.setdefault(start.worker_id, {})[start.run] = session.now_s()
+            log.info(
+                "run placed",
+                graph=start.run.task.graph_id,
+                task=start.run.task.key,
+                run=start.run.run,
+                worker=start.worker_id,
+            )
+            held = session.workers.get(start.worker_id)
+            if held is not None:
+                held.wake.set()
+
+    def _displace(self, plan: PlacementPlan) -> None:
+        session = self.session
+        for run in plan.displaced:
+            session.revoked.add(run)
+            log.info("run displaced", graph=run.task.graph_id, task=run.task.key, run=run.run)
+        if plan.displaced:
+            session.wake_all()
--- /dev/null
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -0,0 +1,224 @@
+"""The leader's view of task graphs and workers during one term."""
+
+import asyncio
+import time
+
+import structlog
+
+from cicadatray.internal.control.graphs.task_leases import TaskLeases
+from cicadatray.internal.control.graphs.worker_session import WorkerSession
+from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.internal.wire.messages.graph_messages import (
+    PlacedEnd,
+    RunEnd,
+    RunOrder,
+    SyncWorker,
+    WorkerOrders,
+)
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress, TaskProgress
+from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
+
+log = structlog.get_logger(__name__)
+
+
+class GraphSession:
+    """Soft state; a new leader builds it from the replicated graphs and the calls of agents.
+
+    `workers` is by worker, `ordered` holds the runs that may exist on each worker as the replicated
+    state has them, and `revoked` those that are being stopped to make room.
+    """
+
+    __slots__ = (
+        "agent_calls",
+        "former_lives",
+        "leader",
+        "leases",
+        "new_ends",
+        "ordered",
+        "revoked",
+        "wake",
+        "workers",
+    )
+
+    def __init__(self, leader: LeaderSession, leases: TaskLeases) -> None:
+        self.leader = leader
+        self.leases = leases
+        self.workers: dict[str, WorkerSession] = {}
+        self.agent_calls: dict[str, tuple[str, int]] = {}
+        self.former_lives: set[str] = set()
+        self.new_ends: list[PlacedEnd] = []
+        self.ordered: dict[str, dict[TaskRun, float]] = {}
+        self.revoked: set[TaskRun] = set()
+        self.wake = asyncio.Event()
+        self._adopt_ordered()
+
+    @property
+    def graphs(self) -> dict[str, GraphProgress]:
+        """The replicated graphs."""
+        return self.leader.state.graphs.graphs
+
+    def now_s(self) -> float:
+        """Returns the event loop's time, by which leases are measured."""
+        return self.leader.now_s()
+
+    def wall_s(self) -> float:
+        """Returns the seconds since 1970, by which occurrences are due."""
+        return time.time()
+
+    def take_call(self, call: SyncWorker) -> WorkerSession | None:
+        """Takes up what an agent reports; returns None while it has no worker to offer."""
+        if not self._is_latest(call):
+            return None
+        if call.gone_worker_id:
+            self._end_worker(call.agent_id, call.gone_worker_id)
+        if call.offer is None:
+            return None
+        worker_id = call.offer.worker_id
+        now_s = self.now_s()
+        for former_id in [w for w in self.workers if w != worker_id]:
+            self._end_worker(call.agent_id, former_id)
+        session = self.workers.get(worker_id)
+        if session is None:
+            session = WorkerSession(call.agent_id, call.offer, now_s)
+            self.workers[worker_id] = session
+            log.info(
+                "worker joined",
+                worker=worker_id,
+                agent=call.agent_id,
+                pool=call.offer.pool,
+                capacity=call.offer.capacity,
+            )
+        elif call.offer.is_draining and not session.offer.is_draining:
+            log.info("worker drains", worker=worker_id, remaining_s=call.offer.remaining_s)
+        if session.is_lost:
+            return None
+        ends = session.take(call, now_s)
+        if ends:
+            self.new_ends += ends
+        self.wake.set()
+        return session
+
+    def orders_for(self, session: WorkerSession) -> WorkerOrders:
+        """Returns what the agent should know and do now."""
+        worker_id = session.offer.worker_id
+        ordered = self.ordered.get(worker_id, {})
+        starts: list[RunOrder] = []
+        stops = [run for run in session.reports if run not in ordered]
+        for run in ordered:
+            if not self.is_wanted(run):
+                stops.append(run)
+            elif run not in session.reports:
+                starts.append(self._order(run))
+        return WorkerOrders(
+            term=self.leader.term,
+            worker_id=worker_id,
+            lease_s=self.leases.lease_s,
+            ends_noted=session.noted_number,
+            starts=tuple(starts),
+            stops=tuple(stops),
+            cleared_noted=tuple(session.cleared_noted),
+        )
+
+    def is_wanted(self, run: TaskRun) -> bool:
+        """Returns whether a run that may exist should go on."""
+        graph = self.graphs.get(run.task.graph_id)
+        if graph is None or run in self.revoked or graph.is_cancelled or graph.failure:
+            return False
+        task = run.task
+        progress = graph.tasks.get(task.key)
+        if progress is None or progress.run != run.run:
+            return False
+        step = graph.graph.steps[task.step]
+        if not step.is_gang or progress.is_done:
+            return True
+        members = (graph.task(task.occurrence, task.step, i) for i in range(step.count))
+        return all(m is not None and m.worker_id and m.run == run.run for m in members)
+
+    def record_committed(self, ends: list[PlacedEnd]) -> None:
+        """Takes note of ends that are durable."""
+        by_worker: dict[str, list[PlacedEnd]] = {}
+        for placed in ends:
+            by_worker.setdefault(placed.worker_id, []).append(placed)
+            self.revoked.discard(placed.end.run)
+            self.ordered.get(placed.worker_id, {}).pop(placed.end.run, None)
+        for worker_id, own in by_worker.items():
+            session = self.workers.get(worker_id)
+            if session is not None:
+                session.note_durable(own)
+
+    def find_lost_workers(self) -> list[str]:
+        """Returns workers whose leases have surely ended."""
+        now_s = self.now_s()
+        lost = []
+        for worker_id in {*self.ordered, *self.workers}:
+            session = self.workers.get(worker_id)
+            heard_s = session.answered_s if session else self.leader.started_s
+            if now_s >= heard_s + self.leases.end_s:
+                lost.append(worker_id)
+        return lost
+
+    def lost_runs(self, worker_id: str) -> list[PlacedEnd]:
+        """Returns an end for every run that may have existed on a worker that is gone."""
+        session = self.workers.get(worker_id)
+        ends = []
+        for run in self.ordered.get(worker_id, {}):
+            report = session.reports.get(run) if session else None
+            checkpoint = report.checkpoint if report else ""
+            end = RunEnd(run, RunOutcome.LOST, checkpoint=checkpoint)
+            ends.append(PlacedEnd(end, worker_id))
+        return ends
+
+    def forget_worker(self, worker_id: str) -> None:
+        """Removes a worker after the ends of its runs are durable."""
+        self.workers.pop(worker_id, None)
+        self.ordered.pop(worker_id, None)
+
+    def wake_all(self) -> None:
+        """Lets every waiting agent look for new orders."""
+        for session in self.workers.values():
+            session.wake.set()
+
+    def _is_latest(self, call: SyncWorker) -> bool:
+        """Returns whether the call is newer than every other one of its agent."""
+        if call.life in self.former_lives:
+            return False
+        life, sequence = self.agent_calls.get(call.agent_id, ("", 0))
+        if life == call.life and call.sequence <= sequence:
+            return False
+        if life and life != call.life:
+            self.former_lives.add(life)
+        self.agent_calls[call.agent_id] = (call.life, call.sequence)
+        return True
+
+    def _end_worker(self, agent_id: str, worker_id: str) -> None:
+        """An agent offers one worker at a time; any other it had has ended with all its runs."""
+        session = self.workers.get(worker_id)
+        if session is None or session.agent_id != agent_id or session.is_lost:
+            return
+        session.is_lost = True
+        log.info("worker ended", worker=worker_id, agent=agent_id)
+        self.wake.set()
+
+    def _order(self, run: TaskRun) -> RunOrder:
+        graph = self.graphs[run.task.graph_id]
+        progress = graph.tasks[run.task.key]
+        return RunOrder(run, graph.graph.spec, progress.checkpoint)
+
+    def _adopt_ordered(self) -> None:
+        for graph in self.graphs.values():
+            for key, progress in graph.tasks.items():
+                if progress.worker_id:
+                    run = TaskRun(_parse_key(graph.graph.graph_id, key), progress.run)
+                    self.ordered.setdefault(progress.worker_id, {})[run] = self.leader.started_s
+
+
+def _parse_key(graph_id: str, key: str) -> TaskId:
+    occurrence, step, index = key.split(".")
+    return TaskId(graph_id, int(occurrence), int(step), int(index))
+
+
+def progress_of(graphs: dict[str, GraphProgress], run: TaskRun) -> TaskProgress | None:
+    """Returns the record of a run's task."""
+    graph = graphs.get(run.task.graph_id)
+    return graph.tasks.get(run.task.key) if graph else None
--- /dev/null
+++ b/src/cicadatray/internal/control/graphs/graph_state.py
@@ -0,0 +1,77 @@
+"""Applies commands about task graphs and queues."""
+
+from cicadatray.internal.control.command_registry import applies
+from cicadatray.internal.control.control_state import ControlState
+from cicadatray.internal.control.graphs.graph_view import view_graph
+from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.graph_messages import (
+    AcceptGraph,
+    EndGraph,
+    PlacedRun,
+    QueuesReply,
+    RecordRuns,
+    RunsRecorded,
+    SetQueues,
+)
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+
+GRAPH_UNKNOWN_CODE = "graph_unknown"
+
+
+@applies(SetQueues)
+def set_queues(state: ControlState, index: int, command: SetQueues) -> MessageStruct:
+    """Stores a higher version; any other changes nothing and is answered with what is in force."""
+    store = state.graphs
+    if command.configuration.version > store.queues.version:
+        store.queues = command.configuration
+        store.source = command.source
+    return QueuesReply(version=store.queues.version)
+
+
+@applies(AcceptGraph)
+def accept_graph(state: ControlState, index: int, command: AcceptGraph) -> MessageStruct:
+    """Stores a new graph; the first one under an identifier stays."""
+    graphs = state.graphs.graphs
+    known = graphs.get(command.graph.graph_id)
+    if known is None:
+        known = GraphProgress(command.graph, command.now_s)
+        graphs[command.graph.graph_id] = known
+    return view_graph(known)
+
+
+@applies(EndGraph)
+def cancel_graph(state: ControlState, index: int, command: EndGraph) -> MessageStruct:
+    """Cancels a graph that has not ended."""
+    progress = state.graphs.graphs.get(command.graph_id)
+    if progress is None:
+        return Failure(code=GRAPH_UNKNOWN_CODE, detail="no such graph")
+    if progress.is_active:
+        progress.is_cancelled = True
+        progress.ended_s = command.now_s
+    return view_graph(progress)
+
+
+@applies(RecordRuns)
+def record_runs(state: ControlState, index: int, command: RecordRuns) -> MessageStruct:
+    """Notes ends, then starts, then forgets graphs."""
+    graphs = state.graphs.graphs
+    for placed in command.ends:
+        task = placed.end.run.task
+        progress = graphs.get(task.graph_id)
+        if progress is None:
+            continue
+        end = placed.end
+        progress.record_end(task, end.run.run, placed.worker_id, end.outcome, end.checkpoint)
+        if progress.failure and not progress.ended_s:
+            progress.ended_s = command.now_s
+        progress.finish_if_done(command.now_s)
+    started: list[PlacedRun] = []
+    for start in command.starts:
+        progress = graphs.get(start.run.task.graph_id)
+        if progress is not None and progress.record_start(
+            start.run.task, start.run.run, start.worker_id
+        ):
+            started.append(start)
+    for graph_id in command.forgotten:
+        graphs.pop(graph_id, None)
+    return RunsRecorded(started=tuple(started))
--- /dev/null
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -0,0 +1,76 @@
+"""Shows the leader's workers and runs to the placement of the scheduling library."""
+
+from cicadatray.internal.control.graphs.graph_session import GraphSession, progress_of
+from cicadatray.internal.control.graphs.worker_session import WorkerSession
+from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+from cicadatray.scheduling.taskgraphs.worker_room import WorkerRoom
+
+# A worker that was not heard for this long is probably cut off: it gets no new work, although what
+# runs there may go on until its lease ends. Two missed calls of an agent.
+SILENT_S = 2.5
+
+
+def build_workers(session: GraphSession) -> list[WorkerRoom]:
+    """Returns the workers that may take new work, with what is free on them."""
+    now_s = session.now_s()
+    rooms = []
+    for worker_id, held in session.workers.items():
+        offer = held.offer
+        is_silent = now_s - held.answered_s > SILENT_S
+        if held.is_lost or offer.is_draining or is_silent:
+            continue
+        labels = frozenset(offer.labels)
+        worker = WorkerRoom(worker_id, offer.pool, offer.rack, labels, offer.capacity)
+        worker.is_suspect = now_s < held.suspect_until_s
+        if not _occupy(session, held, worker):
+            continue
+        rooms.append(worker)
+    return rooms
+
+
+def _occupy(session: GraphSession, held: WorkerSession, worker: WorkerRoom) -> bool:
+    """Counts all runs that may exist; returns False when the room of one is not known."""
+    ordered = session.ordered.get(worker.worker_id, {})
+    for run in {*ordered, *held.reports}:
+        room = room_of(session, run)
+        if room is None:
+            return False
+        worker.occupy(room, is_stopping=run not in ordered or not session.is_wanted(run))
+    return True
+
+
+def room_of(session: GraphSession, run: TaskRun) -> Resources | None:
+    """Returns what a run takes of its worker; None when its graph is no longer known."""
+    graph = session.graphs.get(run.task.graph_id)
+    return graph.graph.steps[run.task.step].room if graph else None
+
+
+def build_running(session: GraphSession) -> list[RunningWork]:
+    """Returns what runs and is not being stopped, gangs as a whole."""
+    works: dict[tuple[str, int, int, int], RunningWork] = {}
+    for worker_id, ordered in session.ordered.items():
+        for run, ordered_s in ordered.items():
+            progress = progress_of(session.graphs, run)
+            if progress is None or progress.is_done or not session.is_wanted(run):
+                continue
+            task = run.task
+            graph = session.graphs[task.graph_id].graph
+            step = graph.steps[task.step]
+            key = (task.graph_id, task.occurrence, task.step, -1 if step.is_gang else task.index)
+            held = session.workers.get(worker_id)
+            seen_s = held.first_seen_s.get(run, ordered_s) if held else ordered_s
+            report = held.reports.get(run) if held else None
+            work = works.get(key)
+            if work is None:
+                work = RunningWork(
+                    graph.policy.priority,
+                    step.is_checkpointable,
+                    step.estimate_s,
+                    session.now_s() - seen_s,
+                    report.percent if report else -1,
+                )
+                works[key] = work
+            work.add(run, worker_id, step.room)
+    return list(works.values())
--- a/src/cicadatray/internal/settings/common.py
+++ b/src/cicadatray/internal/settings/common.py
@@ -14,6 +14,7 @@
 Name = Annotated[str, formatted("name")]
 PathText = Annotated[str, formatted("path")]
 OptionalSha256 = Annotated[str, formatted("optional_sha256")]
+NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0)]
 PositiveInteger = Annotated[int, msgspec.Meta(ge=1)]
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
 
--- a/src/cicadatray/internal/settings/control_settings.py
+++ b/src/cicadatray/internal/settings/control_settings.py
@@ -1,6 +1,12 @@
 """Settings of a control instance."""
 
-from cicadatray.internal.settings.common import OptionalSha256, PathText, SettingsStruct
+from cicadatray.internal.settings.common import (
+    NonNegativeInteger,
+    OptionalSha256,
+    PathText,
+    PositiveNumber,
+    SettingsStruct,
+)
 
 
 class ControlSettings(SettingsStruct, frozen=True, kw_only=True, tag="control"):
@@ -10,5 +16,9 @@
     """Folder of the replicated log, votes and snapshots; on a disk of the instance."""
     bootstrap: bool = False
     """Forms a new group when the data folder is empty; true only for the first start ever."""
+    group_size: NonNegativeInteger = 0
+    """Voters that the leader keeps by itself, replacing lost ones; 0 leaves that to an operator."""
+    longest_task_lease_s: PositiveNumber = 6.0
+    """Longest lease, in seconds, that the workers of task graphs grant."""
     bootstrap_operator_sha256: OptionalSha256 = ""
     """SHA-256 digest, in hexadecimal, of the credential that may set the first accounts."""
--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -25,16 +25,25 @@
     Every call may be repeated: control recognises repeated commands by their identifiers.
     """
 
-    __slots__ = ("clients", "leader_name", "names")
+    __slots__ = ("clients", "codec", "leader_name", "names", "secret")
 
     def __init__(self, members: tuple[ControlMember, ...], codec: Codec, secret: bytes) -> None:
+        self.codec = codec
+        self.secret = secret
         self.clients = {m.name: RpcClient(m.host, m.port, codec, secret) for m in members}
         self.names = [member.name for member in members]
         self.leader_name = random.choice(self.names)
 
-    async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
+    async def call(
+        self,
+        message: MessageStruct,
+        timeout_s: float,
+        attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
+    ) -> MessageStruct:
         """Returns the leader's answer, which may be a `Failure`.
 
+        A call that the leader may answer late on purpose needs a longer `attempt_timeout_s`.
+
         Raises:
             ControlUnavailableError: no answer in time.
         """
@@ -43,7 +52,7 @@
         last_error = "no leader is known"
         while (remaining_s := deadline_s - loop.time()) > 0:
             name = self.leader_name
-            attempt_s = min(remaining_s, ATTEMPT_TIMEOUT_S)
+            attempt_s = min(remaining_s, attempt_timeout_s)
             try:
                 reply = await self.clients[name].call(message, attempt_s)
             except WireError as error:
@@ -53,6 +62,7 @@
                     await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             if isinstance(reply, NotLeader):
+                self._learn_leader(reply)
                 await self._follow(name, reply.leader_name)
             elif isinstance(reply, Failure) and reply.code == IN_DOUBT_CODE:
                 last_error = reply.detail
@@ -61,6 +71,15 @@
                 return reply
         raise ControlUnavailableError(f"control did not answer in time: {last_error}")
 
+    def learn(self, name: str, host: str, port: int) -> None:
+        """Notes a control instance that the settings do not name, for example a replacement."""
+        known = self.clients.get(name)
+        if known is not None and (known.host, known.port) == (host, port):
+            return
+        self.clients[name] = RpcClient(host, port, self.codec, self.secret)
+        if name not in self.names:
+            self.names.append(name)
+
     async def call_member(
         self, name: str, message: MessageStruct, timeout_s: float
     ) -> MessageStruct:
@@ -77,6 +96,10 @@
         for client in self.clients.values():
             await client.close()
 
+    def _learn_leader(self, reply: NotLeader) -> None:
+        if reply.leader_name and reply.leader_host:
+            self.learn(reply.leader_name, reply.leader_host, reply.leader_port)
+
     async def _follow(self, name: str, leader_name: str) -> None:
         if leader_name in self.clients and leader_name != name:
             self.leader_name = leader_name
--- a/src/cicadatray/internal/wire/messages/directory_messages.py
+++ b/src/cicadatray/internal/wire/messages/directory_messages.py
@@ -105,6 +105,8 @@
     """The control instance does not lead; `leader_name` is empty while none is known."""
 
     leader_name: str = ""
+    leader_host: str = ""
+    leader_port: int = 0
 
 
 class Acknowledged(MessageStruct, frozen=True):
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -29,6 +29,7 @@
         "backoff",
         "codec",
         "connect_lock",
+        "heard_s",
         "host",
         "next_call_id",
         "pending",
@@ -48,6 +49,7 @@
         self.secret = secret
         self.backoff = backoff or Backoff()
         self.connect_lock = asyncio.Lock()
+        self.heard_s = 0.0
         self.next_call_id = 1
         self.pending: dict[int, asyncio.Future[MessageStruct]] = {}
         self.reading: asyncio.Task[None] | None = None
@@ -75,6 +77,10 @@
                 await writer.drain()
                 return await reply
         except TimeoutError as error:
+            if self.heard_s < deadline_s - timeout_s:
+                # Nothing at all came during the call: a connection that has gone silent is never
+                # reset, and every later call on it would wait in vain.
+                writer.transport.abort()
             raise PeerLostError(f"no reply from {self.host}:{self.port} in time") from error
         except OSError as error:
             raise PeerLostError(f"connection to {self.host}:{self.port} lost") from error
@@ -114,6 +120,7 @@
         except BaseException:
             writer.close()
             raise
+        self.heard_s = asyncio.get_running_loop().time()
         self.reading = asyncio.create_task(self._read_replies(reader, writer))
         return writer
 
@@ -123,6 +130,7 @@
         try:
             while True:
                 call_id, message = self.codec.decode(await read_frame(reader))
+                self.heard_s = asyncio.get_running_loop().time()
                 reply = self.pending.get(call_id)
                 if reply is not None and not reply.done():
                     reply.set_result(message)
--- a/src/cicadatray/replication/elections.py
+++ b/src/cicadatray/replication/elections.py
@@ -57,6 +57,9 @@
         self.core.lifecycle.change("campaign")
         self.core.leader_id = None
         self.core.storage.state_file.save_vote(term, self.core.identity)
+        await self.core.storage.flush()
+        if self.core.role is not Role.CANDIDATE or self.core.term != term:
+            return
         is_elected = await self._collect(self._request(term, is_hand_over=is_hand_over))
         if self.core.role is not Role.CANDIDATE or self.core.term != term:
             return
--- a/src/cicadatray/replication/formation.py
+++ b/src/cicadatray/replication/formation.py
@@ -100,6 +100,7 @@
         if len(holders) < len(others) or not self._is_willing():
             return False
         self.core.join_group(group_id, membership)
+        await self.core.storage.flush()
         complete = self._request(group_id, membership, is_complete=True)
         # A lost notice does no harm: any request of the group to a bound member repeats it.
         await self._ask_all(others, complete)
--- a/src/cicadatray/replication/leadership.py
+++ b/src/cicadatray/replication/leadership.py
@@ -11,6 +11,8 @@
 from cicadatray.replication.proposal import Proposal
 
 QUORUM_CHECKS = 2
+# Longest wait for the disk before the next batch of commands is sent to the other members.
+GATHER_LIMIT_S = 0.03
 
 
 class Leadership:
@@ -25,6 +27,7 @@
     __slots__ = (
         "appended",
         "core",
+        "durable_index",
         "first_index",
         "held_bytes",
         "is_closed",
@@ -44,6 +47,7 @@
         self.term = core.term
         self.started_s = core.now_s()
         self.first_index = core.storage.log.last_index + 1
+        self.durable_index = core.storage.log.last_index
         self.is_closed = False
         self.is_handing_over = False
         self.lease_usable = True
@@ -151,7 +155,7 @@
 
     def _commit(self) -> None:
         matches = [float(peer.match_index) for peer in self._voting_peers()]
-        index = int(self._quorum_value(matches, self.core.storage.log.last_index))
+        index = int(self._quorum_value(matches, self.durable_index))
         applier = self.core.applier
         # An entry of an earlier term commits only together with one of this term (Raft 5.4.2).
         if index <= applier.commit_index or index < self.first_index:
@@ -165,10 +169,27 @@
     async def _append_proposals(self) -> None:
         while True:
             await self.queued.wait()
+            await self._wait_for_disk()
             self._append_queued()
 
+    async def _wait_for_disk(self) -> None:
+        """Lets commands gather while a sync is in progress; a stalled disk does not stop them.
+
+        The other members can commit without this one's disk.
+        """
+        try:
+            async with asyncio.timeout(GATHER_LIMIT_S):
+                await self.core.storage.flush()
+        except TimeoutError:
+            pass
+
+    def _entries_durable(self, index: int) -> None:
+        self.durable_index = index
+        if not self.is_closed:
+            self.peer_acknowledged()
+
     def _append_queued(self) -> None:
-        """Writes all queued commands with one sync."""
+        """Writes all queued commands with one sync, while the other members receive them."""
         self.queued.clear()
         withdrawn = [proposal for proposal in self.queue if proposal.result.done()]
         self.held_bytes -= sum(len(proposal.data) for proposal in withdrawn)
@@ -188,7 +209,7 @@
         if any(proposal.is_membership for proposal in batch):
             self._update_peers()
         self.wake_peers()
-        self.peer_acknowledged()
+        self.core.storage.when_durable(lambda: self._entries_durable(index))
 
     def _update_peers(self) -> None:
         """Starts and ends peer tasks after a change of the membership in effect."""
--- a/src/cicadatray/replication/local_data_folder.py
+++ b/src/cicadatray/replication/local_data_folder.py
@@ -1,13 +1,17 @@
 """The data folder of a replica on a local disk."""
 
+import errno
 import fcntl
 import os
+import time
 from collections.abc import Callable
 from typing import TypeVar
 
 from cicadatray.replication.errors import StorageError
 
 LOCK_NAME = "lock"
+# A full disk is asked again this often; the caller is the thread that writes.
+FULL_DISK_RETRY_S = 0.2
 Result = TypeVar("Result")
 
 
@@ -110,7 +114,11 @@
             offset += written
 
     def _translate(self, operation: Callable[[], Result]) -> Result:
-        try:
-            return operation()
-        except OSError as error:
-            raise StorageError(f"data folder {self.path}: {error}") from error
+        """Runs an operation, and waits while the disk is full: nothing written is lost by that."""
+        while True:
+            try:
+                return operation()
+            except OSError as error:
+                if error.errno != errno.ENOSPC:
+                    raise StorageError(f"data folder {self.path}: {error}") from error
+            time.sleep(FULL_DISK_RETRY_S)
--- a/src/cicadatray/replication/replica.py
+++ b/src/cicadatray/replication/replica.py
@@ -15,6 +15,7 @@
     ReplicaStoppedError,
 )
 from cicadatray.replication.formation import Formation
+from cicadatray.replication.group_keeper import GroupKeeper
 from cicadatray.replication.hand_over import hand_over
 from cicadatray.replication.limits import COMMAND_LIMIT_BYTES
 from cicadatray.replication.local_data_folder import LocalDataFolder
@@ -28,6 +29,7 @@
 from cicadatray.replication.state_machine import ReplicatedStateMachine
 from cicadatray.replication.storage import ReplicaStorage
 from cicadatray.replication.transport import ReplicaTransport
+from cicadatray.replication.write_queue import QueuedDataFolder
 
 
 class Replica:
@@ -41,6 +43,7 @@
         "core_or_none",
         "data_folder",
         "handler",
+        "keeper",
         "random",
         "settings",
         "state_machine",
@@ -64,6 +67,7 @@
         self.random = random_source or random.SystemRandom()
         self.core_or_none: ReplicaCore | None = None
         self.handler: MessageHandler | None = None
+        self.keeper: GroupKeeper | None = None
         self.stopped = asyncio.Event()
 
     @property
@@ -110,9 +114,17 @@
             StorageDamagedError: acknowledged data is damaged or missing.
             StorageError: the data folder cannot be used.
         """
-        folder = self.data_folder or LocalDataFolder(self.settings.data_folder)
+        folder: DataFolder
+        if self.data_folder is None:
+            # A slow or full disk must not keep the process from answering signals.
+            folder = await asyncio.to_thread(self._open_local_folder)
+        else:
+            folder = self.data_folder
         try:
-            storage = ReplicaStorage(folder, self.settings.segment_bytes, self.random)
+            if isinstance(folder, QueuedDataFolder):
+                storage = await asyncio.to_thread(self._load, folder)
+            else:
+                storage = self._load(folder)
             core = ReplicaCore(
                 self.settings, storage, self.state_machine, self.transport, self.random
             )
@@ -120,12 +132,23 @@
             folder.close()
             raise
         core.stopped = self.stopped
+        if isinstance(folder, QueuedDataFolder):
+            folder.begin(core.fail)
         elections = Elections(core)
         formation = Formation(core)
         self.core_or_none = core
         self.handler = MessageHandler(core, elections, formation)
         core.spawn(formation.run())
         core.spawn(elections.run())
+        self.keeper = GroupKeeper(core, self.settings.group_size)
+        if self.settings.group_size:
+            core.spawn(self.keeper.run())
+
+    def _open_local_folder(self) -> QueuedDataFolder:
+        return QueuedDataFolder(LocalDataFolder(self.settings.data_folder))
+
+    def _load(self, folder: DataFolder) -> ReplicaStorage:
+        return ReplicaStorage(folder, self.settings.segment_bytes, self.random)
 
     async def stop(self) -> None:
         """Hands over leadership if possible, then ends; callers still waiting get an error."""
@@ -188,6 +211,27 @@
         except TimeoutError as error:
             raise NotLeaderError(None, "leadership not confirmed in time") from error
 
+    def needs_to_join(self, silence_s: float) -> bool:
+        """Returns whether no leader has called this member for `silence_s`."""
+        core = self.core
+        if core.leadership is not None:
+            return False
+        is_outside = not core.storage.state.group_id
+        return is_outside or core.now_s() - core.last_leader_contact_s >= silence_s
+
+    def request_join(self, member: Member) -> None:
+        """Has the leader admit a member as a learner, and later as a voter.
+
+        Raises:
+            NotLeaderError: this member does not lead, or changes are left to an operator.
+        """
+        self.core.require_running()
+        if self.core.leadership is None:
+            raise NotLeaderError(self.core.leader_id)
+        if self.keeper is None or not self.settings.group_size:
+            raise NotLeaderError(None, "members are changed by an operator")
+        self.keeper.request_join(member)
+
     async def add_learner(self, member: Member) -> None:
         """Adds a member, or the new data folder of one; see `MembershipChanges.add_learner`."""
         await MembershipChanges(self.core).add_learner(member)
@@ -209,7 +253,12 @@
         if self.handler is None:
             raise ReplicaStoppedError("the replica was not started")
         try:
-            return self.handler.handle(message)
+            reply = self.handler.handle(message)
+            # A vote, a term or entries must be on disk before another member may count on them.
+            await self.core.storage.flush()
+            return reply
+        except ReplicaStoppedError:
+            raise
         except Exception as error:
             self.core.fail(error)
             raise ReplicaStoppedError("the replica failed") from error
--- a/src/cicadatray/replication/replica_settings.py
+++ b/src/cicadatray/replication/replica_settings.py
@@ -17,6 +17,9 @@
     Messages that make the receiver write get `store_timeout_s`: syncs of up to 0.5 s were seen on a
     busy disk, and a reply that comes too late must be asked for again.
 
+    `group_size` is the number of voters that the leader keeps by admitting members that ask to join
+    and by replacing lost ones; 0 leaves every change to an operator.
+
     A leader that has no contact with a majority steps down after `election_timeout_min_s`. The
     ratio to `heartbeat_s` and `call_timeout_s` leaves room for one lost message.
     """
@@ -38,3 +41,4 @@
     append_batch_bytes: int = 256 * KIB
     snapshot_chunk_bytes: int = 256 * KIB
     pending_limit_bytes: int = 8192 * KIB
+    group_size: int = 0
--- a/src/cicadatray/replication/snapshot_store.py
+++ b/src/cicadatray/replication/snapshot_store.py
@@ -19,11 +19,16 @@
 class SnapshotStore:
     """Keeps one snapshot; a new one is written beside it, synced and renamed."""
 
-    __slots__ = ("folder", "position")
+    __slots__ = ("folder", "latest")
 
     def __init__(self, folder: DataFolder) -> None:
         self.folder = folder
-        self.position: SnapshotPosition | None = None
+        self.latest: Snapshot | None = None
+
+    @property
+    def position(self) -> SnapshotPosition | None:
+        """Where the latest snapshot stands in the log."""
+        return self.latest.position if self.latest else None
 
     @property
     def last_index(self) -> int:
@@ -47,7 +52,7 @@
         for name in names[:-1]:
             self.folder.delete(name)
         snapshot = self._read(names[-1])
-        self.position = snapshot.position
+        self.latest = snapshot
         return snapshot
 
     def save(self, index: int, term: int, membership: Membership, data: bytes) -> None:
@@ -58,18 +63,22 @@
         name = f"{SNAPSHOT_PREFIX}{index:020d}"
         self.folder.rename(SNAPSHOT_TEMPORARY_NAME, name)
         self.folder.sync_folder()
-        self.position = position
+        self.latest = Snapshot(position, data)
         for other in self._names():
             if other != name:
                 self.folder.delete(other)
 
     def read(self) -> Snapshot:
-        """Returns the stored snapshot for another member.
+        """Returns the latest snapshot for another member, from memory.
+
+        The file may still be in the queue of writes.
 
         Raises:
-            StorageDamagedError: it is damaged.
+            StorageDamagedError: there is none.
         """
-        return self._read(f"{SNAPSHOT_PREFIX}{self.last_index:020d}")
+        if self.latest is None:
+            raise StorageDamagedError("the log begins behind entry 1, but there is no snapshot")
+        return self.latest
 
     def _names(self) -> list[str]:
         return sorted(name for name in self.folder.names() if name.startswith(SNAPSHOT_PREFIX))
--- a/src/cicadatray/replication/storage.py
+++ b/src/cicadatray/replication/storage.py
@@ -1,6 +1,7 @@
 """Everything that a replica keeps in its data folder."""
 
 import random
+from collections.abc import Callable
 
 from cicadatray.replication.data_folder import DataFolder
 from cicadatray.replication.entry_log import EntryLog
@@ -17,6 +18,7 @@
     load_state,
 )
 from cicadatray.replication.sync_marker import MARKER_NAME
+from cicadatray.replication.write_queue import QueuedDataFolder
 
 IDENTITY_BITS = 64
 
@@ -56,6 +58,22 @@
         """Identity, group, term and vote."""
         return self.state_file.state
 
+    def when_durable(self, callback: Callable[[], None]) -> None:
+        """Calls back once every change made so far is on disk, at once without a queue."""
+        if isinstance(self.folder, QueuedDataFolder):
+            self.folder.when_written(callback)
+        else:
+            callback()
+
+    async def flush(self) -> None:
+        """Returns once every change made so far is on disk.
+
+        Raises:
+            ReplicaStoppedError: a write failed, or the replica ended.
+        """
+        if isinstance(self.folder, QueuedDataFolder):
+            await self.folder.flush()
+
     def compact(
         self, index: int, term: int, membership: Membership, data: bytes, keep: int
     ) -> None:
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/graph_progress.py
@@ -0,0 +1,133 @@
+"""How far a graph has come."""
+
+import msgspec
+
+from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.task_graph import TaskGraph
+from cicadatray.scheduling.taskgraphs.task_id import TaskId
+
+
+class TaskProgress(msgspec.Struct, array_like=True):
+    """`worker_id` names the worker on which run `run` may exist; empty once it has surely ended."""
+
+    run: int = 0
+    worker_id: str = ""
+    is_done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+
+
+class StepProgress(msgspec.Struct, array_like=True):
+    """Counts of one step of one occurrence; `failed_run` is the last run counted as a failure."""
+
+    done: int = 0
+    gang_failures: int = 0
+    failed_run: int = 0
+
+
+class GraphProgress(msgspec.Struct):
+    """The durable record of one accepted graph. Times are in seconds since 1970.
+
+    `tasks` holds the tasks that were started, by `TaskId.key`; `steps` is keyed by occurrence and
+    step.
+    """
+
+    graph: TaskGraph
+    accepted_s: float
+    tasks: dict[str, TaskProgress] = {}
+    steps: dict[str, StepProgress] = {}
+    is_cancelled: bool = False
+    failure: str = ""
+    has_begun: bool = False
+    ended_s: float = 0.0
+
+    @property
+    def is_active(self) -> bool:
+        """Whether tasks may still be started."""
+        return not self.is_cancelled and not self.failure and not self.ended_s
+
+    def task(self, occurrence: int, step: int, index: int) -> TaskProgress | None:
+        """Returns the record of a task that was started."""
+        return self.tasks.get(f"{occurrence}.{step}.{index}")
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Returns whether all tasks of a step have ended as done."""
+        progress = self.steps.get(f"{occurrence}.{step}")
+        return progress is not None and progress.done >= self.graph.steps[step].count
+
+    def is_occurrence_done(self, occurrence: int) -> bool:
+        """Returns whether all steps of an occurrence are done."""
+        return all(self.is_step_done(occurrence, step) for step in range(len(self.graph.steps)))
+
+    def record_start(self, task: TaskId, run: int, worker_id: str) -> bool:
+        """Notes that a run is about to be ordered; returns False where that is not allowed."""
+        if not self.is_active:
+            return False
+        progress = self.tasks.setdefault(task.key, TaskProgress())
+        if progress.worker_id or progress.is_done or run <= progress.run:
+            return False
+        progress.run = run
+        progress.worker_id = worker_id
+        self.has_begun = True
+        return True
+
+    def record_end(
+        self, task: TaskId, run: int, worker_id: str, outcome: RunOutcome, checkpoint: str
+    ) -> bool:
+        """Notes the end of a run; returns False for one that is not the task's present run."""
+        progress = self.tasks.get(task.key)
+        if progress is None or progress.run != run or progress.worker_id != worker_id:
+            return False
+        progress.worker_id = ""
+        if checkpoint:
+            self._keep_checkpoint(task, checkpoint)
+        if outcome is RunOutcome.DONE:
+            self._record_done(task)
+        elif outcome is RunOutcome.FAILED:
+            self._record_failure(task, progress, run)
+        return True
+
+    def finish_if_done(self, now_s: float) -> None:
+        """Ends the graph when every task of every occurrence is done."""
+        if not self.is_active or any(step.is_long_running for step in self.graph.steps):
+            return
+        if all(self.is_occurrence_done(k) for k in range(self.graph.occurrences)):
+            self.ended_s = now_s
+
+    def _keep_checkpoint(self, task: TaskId, checkpoint: str) -> None:
+        """All members of a gang start again from the same checkpoint."""
+        if not self.graph.steps[task.step].is_gang:
+            self.tasks[task.key].checkpoint = checkpoint
+            return
+        for index in range(self.graph.steps[task.step].count):
+            member = self.tasks.get(f"{task.occurrence}.{task.step}.{index}")
+            if member is not None:
+                member.checkpoint = checkpoint
+
+    def _record_done(self, task: TaskId) -> None:
+        step = self.graph.steps[task.step]
+        if step.is_long_running:
+            return
+        indexes = range(step.count) if step.is_gang else (task.index,)
+        counts = self.steps.setdefault(f"{task.occurrence}.{task.step}", StepProgress())
+        for index in indexes:
+            member = self.tasks.setdefault(f"{task.occurrence}.{task.step}.{index}", TaskProgress())
+            if not member.is_done:
+                member.is_done = True
+                counts.done += 1
+
+    def _record_failure(self, task: TaskId, progress: TaskProgress, run: int) -> None:
+        step = self.graph.steps[task.step]
+        if step.is_long_running or progress.is_done:
+            return
+        counts = self.steps.setdefault(f"{task.occurrence}.{task.step}", StepProgress())
+        if step.is_gang:
+            if run > counts.failed_run:
+                counts.failed_run = run
+                counts.gang_failures += 1
+            attempts = counts.gang_failures
+        else:
+            progress.failures += 1
+            attempts = progress.failures
+        if attempts >= self.graph.policy.max_attempts and not self.failure:
+            self.failure = f"task {task.key} failed {attempts} times"
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/ready_work.py
@@ -0,0 +1,49 @@
+"""Finds the tasks of a graph that may be started."""
+
+from collections.abc import Iterator
+
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+
+
+def find_ready_work(graph: GraphProgress, now_s: float) -> Iterator[WaitingWork]:
+    """Yields every gang and task whose turn has come and that surely does not run."""
+    if not graph.is_active:
+        return
+    for occurrence in range(graph.graph.occurrences):
+        due_s = graph.graph.due_s(occurrence)
+        if due_s > now_s:
+            return
+        ready_s = max(graph.accepted_s, due_s)
+        for number, step in enumerate(graph.graph.steps):
+            is_due = all(graph.is_step_done(occurrence, earlier) for earlier in step.depends_on)
+            if not is_due or graph.is_step_done(occurrence, number):
+                continue
+            if step.is_gang:
+                yield from _ready_gang(graph, occurrence, number, ready_s)
+            else:
+                yield from _ready_tasks(graph, occurrence, number, ready_s)
+
+
+def _ready_gang(
+    graph: GraphProgress, occurrence: int, number: int, ready_s: float
+) -> Iterator[WaitingWork]:
+    """A gang starts again only when none of its former runs can still exist."""
+    indexes = tuple(range(graph.graph.steps[number].count))
+    members = [graph.task(occurrence, number, index) for index in indexes]
+    started = [member for member in members if member is not None]
+    if any(member.worker_id for member in started):
+        return
+    run = 1 + max((member.run for member in started), default=0)
+    yield WaitingWork(graph, occurrence, number, indexes, run, ready_s)
+
+
+def _ready_tasks(
+    graph: GraphProgress, occurrence: int, number: int, ready_s: float
+) -> Iterator[WaitingWork]:
+    for index in range(graph.graph.steps[number].count):
+        progress = graph.task(occurrence, number, index)
+        if progress is None:
+            yield WaitingWork(graph, occurrence, number, (index,), 1, ready_s)
+        elif not progress.worker_id and not progress.is_done:
+            yield WaitingWork(graph, occurrence, number, (index,), progress.run + 1, ready_s)
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/running_work.py
@@ -0,0 +1,62 @@
+"""What runs: a gang or one task, as a candidate for displacement."""
+
+from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+
+# Below this percentage a run's speed says less than the estimate of its step.
+SPEED_FROM_PERCENT = 5
+
+
+class RunningWork:
+    """`rooms` holds what each run occupies, by worker. `percent` is -1 while it is unknown."""
+
+    __slots__ = (
+        "elapsed_s",
+        "estimate_s",
+        "is_checkpointable",
+        "percent",
+        "priority",
+        "rooms",
+        "runs",
+    )
+
+    def __init__(
+        self,
+        priority: int,
+        is_checkpointable: bool,
+        estimate_s: float,
+        elapsed_s: float,
+        percent: int,
+    ) -> None:
+        self.priority = priority
+        self.is_checkpointable = is_checkpointable
+        self.estimate_s = estimate_s
+        self.elapsed_s = elapsed_s
+        self.percent = percent
+        self.runs: list[TaskRun] = []
+        self.rooms: list[tuple[str, Resources]] = []
+
+    def add(self, run: TaskRun, worker_id: str, room: Resources) -> None:
+        """Adds one run of the gang."""
+        self.runs.append(run)
+        self.rooms.append((worker_id, room))
+
+    def remaining_s(self) -> float:
+        """Returns how long the work will still take, from its speed so far or its estimate."""
+        if self.percent >= SPEED_FROM_PERCENT:
+            return self.elapsed_s * (100 - self.percent) / self.percent
+        return max(0.0, self.estimate_s - self.elapsed_s)
+
+    def loss(self) -> float:
+        """Returns what a stop throws away, in weighted seconds of all its workers' share."""
+        lost_s = 0.5 if self.is_checkpointable else self.elapsed_s
+        weight = sum(
+            room.cpu_millis / 1000 + ACCELERATOR_CORES * room.accelerators for _, room in self.rooms
+        )
+        return lost_s * weight + STOP_COST * len(self.runs)
+
+
+# The platform's operators price an accelerator like this many cores.
+ACCELERATOR_CORES = 8
+# Core-seconds that a stop and a new start cost in any case: half a second of one small task.
+STOP_COST = 4.0
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/task_id.py
@@ -0,0 +1,27 @@
+"""Names of tasks."""
+
+import msgspec
+
+
+class TaskId(msgspec.Struct, frozen=True, array_like=True):
+    """One task of one occurrence of a graph; `occurrence` is 0 for a graph that is not repeated."""
+
+    graph_id: str
+    occurrence: int
+    step: int
+    index: int
+
+    @property
+    def key(self) -> str:
+        """Name of the task inside its graph."""
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
+    def __str__(self) -> str:
+        return f"{self.graph_id}.{self.key}"
+
+
+class TaskRun(msgspec.Struct, frozen=True, array_like=True):
+    """One start of a task; `run` rises with every start."""
+
+    task: TaskId
+    run: int
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -0,0 +1,62 @@
+"""What waits to be placed: a whole gang, or one task."""
+
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.step import Step
+from cicadatray.scheduling.taskgraphs.task_id import TaskId
+
+# A job that ends later than this many times its objective is worth nothing any more.
+LATE_LIMIT = 3.0
+
+
+class WaitingWork:
+    """`indexes` are all tasks of a gang, or one. `run` is the number of the next run.
+
+    `ready_s` is when it could have started first. Times are in seconds since 1970.
+    """
+
+    __slots__ = ("graph", "indexes", "occurrence", "ready_s", "run", "step_number")
+
+    def __init__(
+        self,
+        graph: GraphProgress,
+        occurrence: int,
+        step_number: int,
+        indexes: tuple[int, ...],
+        run: int,
+        ready_s: float,
+    ) -> None:
+        self.graph = graph
+        self.occurrence = occurrence
+        self.step_number = step_number
+        self.indexes = indexes
+        self.run = run
+        self.ready_s = ready_s
+
+    @property
+    def step(self) -> Step:
+        """The step that the tasks belong to."""
+        return self.graph.graph.steps[self.step_number]
+
+    @property
+    def priority(self) -> int:
+        """The queue's priority; 0 comes first."""
+        return self.graph.graph.policy.priority
+
+    def task(self, index: int) -> TaskId:
+        """Returns the name of one of the tasks."""
+        return TaskId(self.graph.graph.graph_id, self.occurrence, self.step_number, index)
+
+    def rank(self, now_s: float) -> tuple[bool, int, bool, float]:
+        """Orders waiting work; the lowest is tried first.
+
+        Within a priority, work that can still be on time goes before work that is late already, and
+        the one that must start earlier first. Work that is too late to count comes last of all.
+        """
+        graph = self.graph.graph
+        policy = graph.policy
+        begin_s = graph.due_s(self.occurrence) or self.graph.accepted_s
+        objective_s = policy.stretch * graph.chain_s() + policy.target_latency_s
+        chain_s = graph.chain_from_s(self.step_number)
+        start_by_s = begin_s + objective_s - chain_s
+        start_late_by_s = begin_s + LATE_LIMIT * objective_s - chain_s
+        return (now_s > start_late_by_s, policy.priority, now_s > start_by_s, start_by_s)
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/worker_room.py
@@ -0,0 +1,47 @@
+"""A worker as one round of placement sees it."""
+
+from cicadatray.scheduling.taskgraphs.resources import Resources
+
+
+class WorkerRoom:
+    """`free` shrinks as the round places tasks. `soon_free` also counts what is being stopped.
+
+    A closed worker takes no further work in this round, because its room is kept for a job that
+    waits for it. `is_suspect`: tasks have failed on it again and again.
+    """
+
+    __slots__ = (
+        "capacity",
+        "free",
+        "is_closed",
+        "is_suspect",
+        "labels",
+        "pool",
+        "rack",
+        "soon_free",
+        "worker_id",
+    )
+
+    def __init__(
+        self,
+        worker_id: str,
+        pool: str,
+        rack: str,
+        labels: frozenset[str],
+        capacity: Resources,
+    ) -> None:
+        self.worker_id = worker_id
+        self.pool = pool
+        self.rack = rack
+        self.labels = labels
+        self.capacity = capacity
+        self.free = capacity
+        self.soon_free = capacity
+        self.is_closed = False
+        self.is_suspect = False
+
+    def occupy(self, room: Resources, is_stopping: bool = False) -> None:
+        """Counts a run that exists on the worker."""
+        self.free = self.free.minus(room)
+        if not is_stopping:
+            self.soon_free = self.soon_free.minus(room)
