--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -227,7 +227,7 @@
         for run in orders.stops:
             held = self.table.held.get(run)
             if held is None and run not in self.table.finished:
-                # Nothing is known of it here, but an earlier life of this agent may have ordered it.
+                # An earlier life of this agent may have ordered it.
                 held = HeldRun(run, None, RunPhase.RUNNING)
                 self.table.held[run] = held
             if held is not None and held.phase is not RunPhase.STOPPING:
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from cicadatray.internal.control.graphs.graph_state import GRAPH_UNKNOWN_CODE
+from cicadatray.internal.control.graphs import graph_codes
 from cicadatray.internal.control.graphs.graph_view import view_graph
 from cicadatray.internal.control.graphs.task_leases import SYNC_WAIT_S
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
@@ -37,12 +37,6 @@
 if TYPE_CHECKING:
     from cicadatray.internal.control.control_daemon import ControlDaemon
 
-QUEUES_UNSET_CODE = "queues_unset"
-QUEUE_UNKNOWN_CODE = "queue_unknown"
-CREDENTIAL_UNKNOWN_CODE = "credential_unknown"
-ACCOUNT_MISMATCH_CODE = "account_mismatch"
-GRAPH_ID_CODE = "graph_id_malformed"
-WORKER_UNKNOWN_CODE = "worker_unknown"
 GRAPH_ID_DIGITS = 16
 HEXADECIMAL = frozenset("0123456789abcdefABCDEF")
 
@@ -64,13 +58,13 @@
     """Finds queue and account in the configuration that this leader has applied."""
     queues = session.state.graphs.queues
     if not queues.version:
-        return Failure(code=QUEUES_UNSET_CODE, detail="no queues are configured yet")
+        return Failure(code=graph_codes.QUEUES_UNSET, detail="no queues are configured yet")
     queue = queues.find_queue(target.host, target.path)
     if queue is None:
-        return Failure(code=QUEUE_UNKNOWN_CODE, detail="no queue has this host and path")
+        return Failure(code=graph_codes.QUEUE_UNKNOWN, detail="no queue has this host and path")
     account = queues.find_account(target.credential_digest)
     if account is None and not queue.is_public:
-        return Failure(code=CREDENTIAL_UNKNOWN_CODE, detail="the credential is not known")
+        return Failure(code=graph_codes.CREDENTIAL_UNKNOWN, detail="the credential is not known")
     return _Resolved(queue, account, target.path[len(queue.path_prefix) :])
 
 
@@ -83,7 +77,9 @@
         return found
     graph_id = found.graph_id
     if len(graph_id) != GRAPH_ID_DIGITS or not HEXADECIMAL.issuperset(graph_id):
-        return Failure(code=GRAPH_ID_CODE, detail="an identifier has 16 hexadecimal digits")
+        return Failure(
+            code=graph_codes.GRAPH_ID_MALFORMED, detail="an identifier has 16 hexadecimal digits"
+        )
     account = found.account.name if found.account else ""
     known = session.state.graphs.graphs.get(graph_id)
     if known is not None:
@@ -111,7 +107,7 @@
     if isinstance(found, Failure):
         return found
     if found.graph_id not in session.state.graphs.graphs:
-        return Failure(code=GRAPH_UNKNOWN_CODE, detail="no such graph")
+        return Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     graphs = daemon.require_graphs(session)
     command = EndGraph(graph_id=found.graph_id, now_s=graphs.wall_s())
     reply = await session.propose(command)
@@ -139,7 +135,7 @@
         return QueueState(waiting=waiting)
     known = graphs.get(found.graph_id)
     if known is None:
-        return Failure(code=GRAPH_UNKNOWN_CODE, detail="no such graph")
+        return Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     return view_graph(known)
 
 
@@ -191,7 +187,7 @@
     session = graphs.take_call(call)
     if session is None:
         await asyncio.sleep(min(call.wait_s, SYNC_WAIT_S))
-        return Failure(code=WORKER_UNKNOWN_CODE, detail="the agent offers no worker")
+        return Failure(code=graph_codes.WORKER_UNKNOWN, detail="the agent offers no worker")
     session.calls += 1
     number = session.calls
     deadline_s = graphs.now_s() + min(call.wait_s, SYNC_WAIT_S)
@@ -205,7 +201,7 @@
     if (await daemon.leading_session()) is not leader:
         return NotLeader()
     if session.is_lost:
-        return Failure(code=WORKER_UNKNOWN_CODE, detail="the worker was given up")
+        return Failure(code=graph_codes.WORKER_UNKNOWN, detail="the worker was given up")
     session.told = orders
     session.answered_s = graphs.now_s()
     return orders
--- /dev/null
+++ b/src/cicadatray/internal/control/graphs/graph_codes.py
@@ -0,0 +1,9 @@
+"""Codes of refused calls about task graphs."""
+
+QUEUES_UNSET = "queues_unset"
+QUEUE_UNKNOWN = "queue_unknown"
+CREDENTIAL_UNKNOWN = "credential_unknown"
+ACCOUNT_MISMATCH = "account_mismatch"
+GRAPH_ID_MALFORMED = "graph_id_malformed"
+GRAPH_UNKNOWN = "graph_unknown"
+WORKER_UNKNOWN = "worker_unknown"
--- a/src/cicadatray/internal/control/graphs/graph_state.py
+++ b/src/cicadatray/internal/control/graphs/graph_state.py
@@ -2,6 +2,7 @@
 
 from cicadatray.internal.control.command_registry import applies
 from cicadatray.internal.control.control_state import ControlState
+from cicadatray.internal.control.graphs import graph_codes
 from cicadatray.internal.control.graphs.graph_view import view_graph
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -15,8 +16,6 @@
 )
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 
-GRAPH_UNKNOWN_CODE = "graph_unknown"
-
 
 @applies(SetQueues)
 def set_queues(state: ControlState, index: int, command: SetQueues) -> MessageStruct:
@@ -44,7 +43,7 @@
     """Cancels a graph that has not ended."""
     progress = state.graphs.graphs.get(command.graph_id)
     if progress is None:
-        return Failure(code=GRAPH_UNKNOWN_CODE, detail="no such graph")
+        return Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     if progress.is_active:
         progress.is_cancelled = True
         progress.ended_s = command.now_s
--- a/src/cicadatray/internal/entry/http_server.py
+++ b/src/cicadatray/internal/entry/http_server.py
@@ -5,7 +5,7 @@
 from collections.abc import Generator
 
 import uvicorn
-from starlette.applications import Starlette
+from starlette.types import ASGIApp
 
 from cicadatray.internal.entry.guarded_protocol import HEADER_LIMIT_BYTES, GuardedProtocol
 
@@ -28,9 +28,10 @@
 
     __slots__ = ("server", "task")
 
-    def __init__(self, application: Starlette, host: str, port: int) -> None:
+    def __init__(self, application: ASGIApp, host: str, port: int) -> None:
         config = uvicorn.Config(
             application,
+            interface="asgi3",
             host=host,
             port=port,
             http=GuardedProtocol,
--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -16,7 +16,14 @@
 
 
 class ControlUnavailableError(WireError):
-    """No control instance carried out the call in time; the call may still take effect."""
+    """No control instance carried out the call in time.
+
+    `may_have_effect` is False only when no instance can have acted on it.
+    """
+
+    def __init__(self, reason: str, may_have_effect: bool = True) -> None:
+        super().__init__(reason)
+        self.may_have_effect = may_have_effect
 
 
 class ControlClient:
@@ -50,6 +57,7 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
         last_error = "no leader is known"
+        may_have_effect = False
         while (remaining_s := deadline_s - loop.time()) > 0:
             name = self.leader_name
             attempt_s = min(remaining_s, attempt_timeout_s)
@@ -60,16 +68,21 @@
                 self._try_next(name)
                 if isinstance(error, PeerUnreachableError):
                     await asyncio.sleep(RETRY_PAUSE_S)
+                else:
+                    may_have_effect = True
                 continue
             if isinstance(reply, NotLeader):
                 self._learn_leader(reply)
                 await self._follow(name, reply.leader_name)
             elif isinstance(reply, Failure) and reply.code == IN_DOUBT_CODE:
                 last_error = reply.detail
+                may_have_effect = True
                 await asyncio.sleep(RETRY_PAUSE_S)
             else:
                 return reply
-        raise ControlUnavailableError(f"control did not answer in time: {last_error}")
+        raise ControlUnavailableError(
+            f"control did not answer in time: {last_error}", may_have_effect
+        )
 
     def learn(self, name: str, host: str, port: int) -> None:
         """Notes a control instance that the settings do not name, for example a replacement."""
--- /dev/null
+++ b/src/cicadatray/internal/wire/leader_probe.py
@@ -0,0 +1,53 @@
+"""Keeps a process in touch with the control leader."""
+
+import asyncio
+import math
+
+import structlog
+
+from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.messages.graph_messages import MembersReply, ReadMembers
+
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 1.5
+# A process without an answer for two probes and an election's share of a third cannot serve.
+FRESH_S = 2.5
+
+log = structlog.get_logger(__name__)
+
+
+class LeaderProbe:
+    """Learns the members of the control group, and knows when the leader last answered."""
+
+    __slots__ = ("answered_s", "control")
+
+    def __init__(self, control: ControlClient) -> None:
+        self.control = control
+        self.answered_s = -math.inf
+
+    def is_fresh(self) -> bool:
+        """Returns whether the leader has answered lately."""
+        return asyncio.get_running_loop().time() - self.answered_s < FRESH_S
+
+    async def run(self) -> None:
+        """Asks until cancelled."""
+        while True:
+            was_fresh = self.is_fresh()
+            await self._ask()
+            if was_fresh and not self.is_fresh():
+                log.warning("leader lost", known=len(self.control.names))
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def _ask(self) -> None:
+        try:
+            reply = await self.control.call(ReadMembers(), PROBE_TIMEOUT_S)
+        except ControlUnavailableError as error:
+            log.debug("leader did not answer", reason=str(error))
+            return
+        if not isinstance(reply, MembersReply):
+            return
+        if not self.is_fresh():
+            log.info("leader found", leader=self.control.leader_name)
+        self.answered_s = asyncio.get_running_loop().time()
+        for member in reply.members:
+            self.control.learn(member.name, member.host, member.port)
--- /dev/null
+++ b/src/cicadatray/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between cicadatray and the users' platform: names, settings and calls."""
--- /dev/null
+++ b/src/cicadatray/platform/agent_role.py
@@ -0,0 +1,70 @@
+"""The agent role on the platform."""
+
+import asyncio
+
+from aiosonic.timeout import Timeouts
+
+from cicadatray.internal.agent.tasks.task_agent import TaskAgent
+from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.http_client import build_http_client
+from cicadatray.internal.wire.control_client import ControlClient
+from cicadatray.internal.wire.leader_probe import LeaderProbe
+from cicadatray.internal.wire.messages.registry import message_codec
+from cicadatray.platform.errors import PlatformSettingsError
+from cicadatray.platform.members import CLUSTER_SECRET, seed_members
+from cicadatray.platform.roles import RoleProgram, role
+from cicadatray.platform.settings import PlatformSettings
+from cicadatray.platform.worker_api import WorkerApi
+
+# Orders run side by side with the call that waits for an end.
+WORKER_CONNECTIONS = 32
+WORKER_TIMEOUT_S = 4.0
+
+
+class AgentRole:
+    """Drives the worker on its machine."""
+
+    __slots__ = ("agent", "client", "control", "probe", "server")
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        address = settings.control_address
+        if address is None:
+            raise PlatformSettingsError("an agent needs an address for its worker")
+        self.control = ControlClient(seed_members(settings), message_codec(), CLUSTER_SECRET)
+        self.probe = LeaderProbe(self.control)
+        timeouts = Timeouts(
+            sock_connect=WORKER_TIMEOUT_S,
+            sock_read=WORKER_TIMEOUT_S,
+            request_timeout=WORKER_TIMEOUT_S,
+        )
+        self.client = build_http_client(timeouts, WORKER_CONNECTIONS)
+        self.agent = TaskAgent(settings.name, self.control)
+        application = WorkerApi(self.agent, self.client).application()
+        self.server = HttpServer(application, address.host, address.port)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until `stop` is set; the worker's runs go on under their lease."""
+        await self.server.start()
+        tasks = [asyncio.create_task(self.agent.run()), asyncio.create_task(self.probe.run())]
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait((stopping, tasks[0]), return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        for task in tasks:
+            task.cancel()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        await self.server.stop()
+        await self.control.close()
+        failures = [r for r in results if isinstance(r, Exception)]
+        if failures:
+            raise failures[0]
+
+    def reload(self, settings: PlatformSettings) -> None:
+        """Learns other seeds."""
+        for member in seed_members(settings):
+            self.control.learn(member.name, member.host, member.port)
+
+
+@role("agent")
+def build_agent(settings: PlatformSettings) -> RoleProgram:
+    """Returns the program."""
+    return AgentRole(settings)
--- /dev/null
+++ b/src/cicadatray/platform/client_api.py
@@ -0,0 +1,159 @@
+"""The interface of clients: jobs in queues."""
+
+from collections.abc import Mapping
+
+import msgspec
+import structlog
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+from cicadatray.internal.control.graphs import graph_codes
+from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.graph_messages import (
+    CancelGraph,
+    GraphState,
+    QueueState,
+    QueueTarget,
+    ReadGraph,
+    SubmitGraph,
+)
+from cicadatray.platform.configuration_document import digest_credential
+from cicadatray.platform.errors import DocumentError
+from cicadatray.platform.job_document import decode_job
+
+JSON_TYPE = "application/json"
+CREDENTIAL_SCHEME = "Token "
+MS_PER_S = 1000
+# Clients that name no deadline wait at least this long.
+DEFAULT_DEADLINE_S = 3.0
+# The share of the client's deadline that control may use; the rest is for the way back.
+DEADLINE_SHARE = 0.85
+LONGEST_WAIT_S = 10.0
+# An election takes up to 2 s, so that a client that comes back after this often finds a leader.
+RETRY_AFTER_S = "1"
+STATUS_OF_CODE = {
+    graph_codes.QUEUES_UNSET: 503,
+    graph_codes.QUEUE_UNKNOWN: 404,
+    graph_codes.CREDENTIAL_UNKNOWN: 401,
+    graph_codes.ACCOUNT_MISMATCH: 403,
+    graph_codes.GRAPH_ID_MALFORMED: 400,
+    graph_codes.GRAPH_UNKNOWN: 410,
+}
+
+log = structlog.get_logger(__name__)
+
+
+class ClientApi:
+    """An ASGI application; every path belongs to some queue, which control resolves."""
+
+    __slots__ = ("body_limit_bytes", "control")
+
+    def __init__(self, control: ControlClient, body_limit_bytes: int) -> None:
+        self.control = control
+        self.body_limit_bytes = body_limit_bytes
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        request = Request(scope, receive)
+        try:
+            response = await self._answer(request)
+        except ClientDisconnect:
+            return
+        await response(scope, receive, send)
+
+    async def _answer(self, request: Request) -> Response:
+        try:
+            call = await self._decode(request)
+        except DocumentError as error:
+            log.info("request refused", path=request.url.path, reason=str(error))
+            return _error(400, str(error))
+        if call is None:
+            return _error(405, "POST, GET and DELETE are answered")
+        try:
+            reply = await self.control.call(call, _time_left_s(request.headers))
+        except ControlUnavailableError as error:
+            return self._unavailable(request, error)
+        response = _render(reply)
+        if response.status_code >= 400:
+            log.info(
+                "request refused",
+                method=request.method,
+                path=request.url.path,
+                status=response.status_code,
+                reason=str(reply),
+            )
+        return response
+
+    async def _decode(self, request: Request) -> MessageStruct | None:
+        target = QueueTarget(
+            host=request.headers.get("host", "").partition(":")[0].lower(),
+            path=request.url.path,
+            credential_digest=_credential_digest(request.headers),
+        )
+        if request.method == "GET":
+            return ReadGraph(target=target)
+        if request.method == "DELETE":
+            return CancelGraph(target=target)
+        if request.method != "POST":
+            return None
+        body = await self._read_body(request)
+        job = decode_job(body)
+        return SubmitGraph(target=target, spec=job.spec, steps=job.steps, repetition=job.repetition)
+
+    async def _read_body(self, request: Request) -> bytes:
+        body = bytearray()
+        async for chunk in request.stream():
+            body += chunk
+            if len(body) > self.body_limit_bytes:
+                raise DocumentError(f"at most {self.body_limit_bytes} bytes are allowed")
+        return bytes(body)
+
+    def _unavailable(self, request: Request, error: ControlUnavailableError) -> Response:
+        """503 says that the job was not accepted; 504 leaves it open."""
+        is_in_doubt = request.method != "GET" and error.may_have_effect
+        status = 504 if is_in_doubt else 503
+        log.warning(
+            "control unavailable",
+            method=request.method,
+            path=request.url.path,
+            status=status,
+            reason=str(error),
+        )
+        return _error(status, "control did not answer in time")
+
+
+def _credential_digest(headers: Mapping[str, str]) -> bytes:
+    value = headers.get("authorization", "")
+    if not value.startswith(CREDENTIAL_SCHEME):
+        return b""
+    return digest_credential(value[len(CREDENTIAL_SCHEME) :].strip())
+
+
+def _time_left_s(headers: Mapping[str, str]) -> float:
+    try:
+        deadline_s = float(headers.get("deadline-ms", "")) / MS_PER_S
+    except ValueError:
+        deadline_s = DEFAULT_DEADLINE_S
+    return min(max(deadline_s, 0.0) * DEADLINE_SHARE, LONGEST_WAIT_S)
+
+
+def _render(reply: MessageStruct) -> Response:
+    if isinstance(reply, GraphState):
+        return _json(200, {"State": reply.state})
+    if isinstance(reply, QueueState):
+        return _json(200, {"Pending": reply.waiting})
+    if isinstance(reply, Failure):
+        return _error(STATUS_OF_CODE.get(reply.code, 503), reply.detail)
+    return _error(503, "unexpected answer of control")
+
+
+def _json(status: int, body: object) -> Response:
+    return Response(msgspec.json.encode(body), status, media_type=JSON_TYPE)
+
+
+def _error(status: int, detail: str) -> Response:
+    response = _json(status, {"Error": detail})
+    if status >= 500:
+        response.headers["Retry-After"] = RETRY_AFTER_S
+    return response
--- /dev/null
+++ b/src/cicadatray/platform/control_role.py
@@ -0,0 +1,75 @@
+"""The control role on the platform."""
+
+import asyncio
+
+from cicadatray.internal.control.control_daemon import ControlDaemon
+from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.settings.common import Address, ControlMember
+from cicadatray.internal.settings.control_settings import ControlSettings
+from cicadatray.internal.wire.control_client import ControlClient
+from cicadatray.internal.wire.leader_probe import LeaderProbe
+from cicadatray.platform.errors import PlatformSettingsError
+from cicadatray.platform.members import CLUSTER_SECRET, control_port, member_name, seed_members
+from cicadatray.platform.operator_api import OperatorApi
+from cicadatray.platform.roles import RoleProgram, role
+from cicadatray.platform.settings import PlatformSettings
+
+
+class ControlRole:
+    """A control instance with the operators' interface."""
+
+    __slots__ = ("client", "daemon", "probe", "server")
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        address = settings.control_address
+        if address is None or not settings.data_folder:
+            raise PlatformSettingsError("control needs a disk and an address for operators")
+        seeds = seed_members(settings)
+        self.daemon = ControlDaemon(_product_settings(settings, seeds), CLUSTER_SECRET)
+        own = ControlMember(member_name(settings.ip), settings.ip, control_port(settings))
+        members = tuple(dict.fromkeys((*seeds, own)))
+        self.client = ControlClient(members, self.daemon.codec, CLUSTER_SECRET)
+        self.probe = LeaderProbe(self.client)
+        application = OperatorApi(self.client).application()
+        self.server = HttpServer(application, address.host, address.port)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until `stop` is set, then hands over leadership and ends."""
+        await self.server.start()
+        probing = asyncio.create_task(self.probe.run())
+        try:
+            await self.daemon.run(stop)
+        finally:
+            probing.cancel()
+            await self.server.stop()
+            await self.client.close()
+
+    def reload(self, settings: PlatformSettings) -> None:
+        """Learns other seeds."""
+        for member in seed_members(settings):
+            self.client.learn(member.name, member.host, member.port)
+            if member.name != self.daemon.settings.name:
+                self.daemon.control_client.learn(member.name, member.host, member.port)
+
+
+def _product_settings(
+    settings: PlatformSettings, seeds: tuple[ControlMember, ...]
+) -> ControlSettings:
+    return ControlSettings(
+        name=member_name(settings.ip),
+        data_centre=settings.data_centre,
+        listen=Address(settings.ip, control_port(settings)),
+        secret_file="",
+        control=seeds,
+        data_folder=settings.data_folder,
+        bootstrap=settings.is_first_start,
+        group_size=len(seeds),
+        longest_task_lease_s=settings.longest_lease_s,
+        dump_folder="/tmp",
+    )
+
+
+@role("control")
+def build_control(settings: PlatformSettings) -> RoleProgram:
+    """Returns the program."""
+    return ControlRole(settings)
--- /dev/null
+++ b/src/cicadatray/platform/main.py
@@ -0,0 +1,74 @@
+"""Entry point of every process on the platform."""
+
+import asyncio
+import importlib
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+
+import structlog
+
+from cicadatray.internal.boot_time_loop import BootTimeLoop
+from cicadatray.internal.observability.logging import configure_logging
+from cicadatray.internal.settings.common import LoggingSettings
+from cicadatray.internal.wire.source_address import SOURCE_ADDRESS
+from cicadatray.platform.errors import PlatformSettingsError
+from cicadatray.platform.roles import role_factories
+from cicadatray.platform.settings import PlatformSettings, load_platform_settings
+
+SETTINGS_VARIABLE = "CICADATRAY_CONFIG"
+SETTINGS_EXIT_CODE = 2
+ROLE_MODULES = {
+    "control": "cicadatray.platform.control_role",
+    "entry": "cicadatray.platform.entry_role",
+    "agent": "cicadatray.platform.agent_role",
+}
+
+log = structlog.get_logger(__name__)
+
+
+async def serve(settings: PlatformSettings, path: Path) -> None:
+    """Runs the role until SIGTERM; SIGHUP reads the settings again."""
+    # Each role imports only the libraries that it uses.
+    importlib.import_module(ROLE_MODULES[settings.role])
+    program = role_factories[settings.role](settings)
+    stop = asyncio.Event()
+
+    def on_stop() -> None:
+        log.info("stopping")
+        stop.set()
+
+    def on_reload() -> None:
+        try:
+            program.reload(load_platform_settings(path))
+        except PlatformSettingsError as error:
+            log.error("settings not reloaded", reason=str(error))
+            return
+        log.info("settings reloaded")
+
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, on_stop)
+    loop.add_signal_handler(signal.SIGINT, on_stop)
+    loop.add_signal_handler(signal.SIGHUP, on_reload)
+    log.info("started", ip=settings.ip, first_start=settings.is_first_start)
+    await program.run(stop)
+    log.info("stopped")
+
+
+def main() -> None:
+    """Reads the settings and runs the role that they name."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = load_platform_settings(path)
+        if settings.role not in ROLE_MODULES:
+            raise PlatformSettingsError(f"unknown role {settings.role}")
+        configure_logging(LoggingSettings(), settings.role, settings.name, sys.stdout)
+        logging.getLogger("transitions").setLevel(logging.WARNING)
+        SOURCE_ADDRESS.bind(settings.ip)
+        with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
+            runner.run(serve(settings, path))
+    except PlatformSettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(SETTINGS_EXIT_CODE)
--- /dev/null
+++ b/src/cicadatray/platform/operator_api.py
@@ -0,0 +1,77 @@
+"""The interface of operators: the configuration."""
+
+import msgspec
+import structlog
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.messages.graph_messages import QueuesReply, ReadQueues, SetQueues
+from cicadatray.platform.configuration_document import decode_configuration
+from cicadatray.platform.errors import DocumentError
+
+JSON_TYPE = "application/json"
+# An operator moves on to another instance after a second, so waiting longer helps nobody.
+ORDER_TIMEOUT_S = 2.0
+RETRY_AFTER_S = "1"
+
+log = structlog.get_logger(__name__)
+
+
+class OperatorApi:
+    """Any control instance takes orders; the leader carries them out."""
+
+    __slots__ = ("control",)
+
+    def __init__(self, control: ControlClient) -> None:
+        self.control = control
+
+    def application(self) -> Starlette:
+        """Returns the application with all routes."""
+        return Starlette(
+            routes=[
+                Route("/cicadatray/config", self.set_configuration, methods=["PUT"]),
+                Route("/cicadatray/config", self.read_configuration, methods=["GET"]),
+            ]
+        )
+
+    async def set_configuration(self, request: Request) -> Response:
+        """Answers 200 once the configuration, or a newer one, is in force."""
+        body = await request.body()
+        try:
+            configuration = decode_configuration(body)
+        except DocumentError as error:
+            log.info("configuration refused", reason=str(error), bytes=len(body))
+            return _error(400, str(error))
+        try:
+            reply = await self.control.call(
+                SetQueues(configuration=configuration, source=body), ORDER_TIMEOUT_S
+            )
+        except ControlUnavailableError as error:
+            log.warning("configuration in doubt", version=configuration.version, reason=str(error))
+            return _error(503, "no leader confirmed the configuration in time")
+        if not isinstance(reply, QueuesReply):
+            log.warning("configuration in doubt", version=configuration.version, reply=str(reply))
+            return _error(503, "the configuration was not confirmed")
+        log.info("configuration confirmed", version=configuration.version, in_force=reply.version)
+        return Response(b"{}", 200, media_type=JSON_TYPE)
+
+    async def read_configuration(self, request: Request) -> Response:
+        """Answers with the newest configuration, or 503 when this cannot be known."""
+        try:
+            reply = await self.control.call(ReadQueues(), ORDER_TIMEOUT_S)
+        except ControlUnavailableError as error:
+            log.warning("configuration not readable", reason=str(error))
+            return _error(503, "no leader answered in time")
+        if not isinstance(reply, QueuesReply) or not reply.version:
+            return _error(503, "there is no configuration yet")
+        return Response(reply.source, 200, media_type=JSON_TYPE)
+
+
+def _error(status: int, detail: str) -> Response:
+    response = Response(msgspec.json.encode({"Error": detail}), status, media_type=JSON_TYPE)
+    if status >= 500:
+        response.headers["Retry-After"] = RETRY_AFTER_S
+    return response
--- /dev/null
+++ b/src/cicadatray/platform/settings.py
@@ -0,0 +1,97 @@
+"""The platform's settings file."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from cicadatray.platform.errors import DocumentError, PlatformSettingsError
+from cicadatray.platform.fields import (
+    read_flag,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
+
+MS_PER_S = 1000
+
+
+class HostPort(msgspec.Struct, frozen=True):
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+
+class PlatformSettings(msgspec.Struct, frozen=True):
+    """What a process reads from the file; times in seconds.
+
+    `seeds` are the operators' addresses of control instances. `longest_lease_s` is the longest
+    that workers run without an extension. `grace_s` passes between SIGTERM and SIGKILL.
+    """
+
+    name: str
+    role: str
+    ip: str
+    data_centre: str
+    inner_ports: range
+    seeds: tuple[HostPort, ...]
+    is_first_start: bool
+    data_folder: str
+    client_address: HostPort | None
+    readiness_address: HostPort | None
+    control_address: HostPort | None
+    longest_lease_s: float
+    grace_s: float
+    body_limit_bytes: int = 262144
+
+
+def load_platform_settings(path: Path) -> PlatformSettings:
+    """Reads the settings file.
+
+    Raises:
+        PlatformSettingsError: it cannot be read or lacks a needed field.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+        return _decode(document)
+    except (OSError, ValueError, DocumentError) as error:
+        raise PlatformSettingsError(f"{path}: {error}") from error
+
+
+def _decode(document: dict[str, Any]) -> PlatformSettings:
+    listen = read_object(document, "Listen")
+    bounds = read_object(document, "Bounds")
+    ports = read_list(document, "InternalPorts", int)
+    if len(ports) != 2:
+        raise DocumentError("field InternalPorts: two ports are needed")
+    return PlatformSettings(
+        name=read_text(document, "NodeName"),
+        role=read_text(document, "Role"),
+        ip=read_text(document, "Ip"),
+        data_centre=read_text(document, "Zone"),
+        inner_ports=range(ports[0], ports[1] + 1),
+        seeds=tuple(_decode_address(seed) for seed in read_list(document, "Seeds", str)),
+        is_first_start=read_flag(document, "Bootstrap"),
+        data_folder=read_text(document, "DataDir", ""),
+        client_address=_listen_address(listen, "Front"),
+        readiness_address=_listen_address(listen, "Ready"),
+        control_address=_listen_address(listen, "Control"),
+        longest_lease_s=read_number(bounds, "MaxHoldMs", 6000) / MS_PER_S,
+        grace_s=read_integer(bounds, "GraceS", 6),
+    )
+
+
+def _listen_address(listen: dict[str, Any], name: str) -> HostPort | None:
+    text = read_text(listen, name, "")
+    return _decode_address(text) if text else None
+
+
+def _decode_address(text: str) -> HostPort:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal():
+        raise DocumentError(f"{text!r} is not an address")
+    return HostPort(host, int(port))
--- /dev/null
+++ b/src/cicadatray/platform/worker_api.py
@@ -0,0 +1,69 @@
+"""The interface of the worker beside an agent: its announcements."""
+
+import asyncio
+
+import structlog
+from aiosonic import HTTPClient
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from cicadatray.internal.agent.tasks.task_agent import TaskAgent
+from cicadatray.platform.errors import DocumentError
+from cicadatray.platform.worker_document import WorkerAnnouncement, decode_announcement
+from cicadatray.platform.worker_http_port import WorkerHttpPort
+
+JSON_TYPE = "application/json"
+
+log = structlog.get_logger(__name__)
+
+
+class WorkerApi:
+    """Takes announcements; `latest` is the highest sequence number of each incarnation."""
+
+    __slots__ = ("agent", "client", "latest")
+
+    def __init__(self, agent: TaskAgent, client: HTTPClient) -> None:
+        self.agent = agent
+        self.client = client
+        self.latest: dict[str, int] = {}
+
+    def application(self) -> Starlette:
+        """Returns the application with all routes."""
+        path = "/cicadatray/instances/{worker_id}"
+        return Starlette(
+            routes=[
+                Route(path, self.take_announcement, methods=["PUT"]),
+                Route(path, self.take_departure, methods=["DELETE"]),
+            ]
+        )
+
+    async def take_announcement(self, request: Request) -> Response:
+        """Answers 200 once the agent acts on the announcement."""
+        worker_id = request.path_params["worker_id"]
+        try:
+            announcement = decode_announcement(worker_id, await request.body())
+        except DocumentError as error:
+            log.info("announcement refused", worker=worker_id, reason=str(error))
+            return Response(b"{}", 400, media_type=JSON_TYPE)
+        if announcement.sequence < self.latest.get(worker_id, 0):
+            return Response(b"{}", 200, media_type=JSON_TYPE)
+        self.latest[worker_id] = announcement.sequence
+        is_taken = await self.agent.offer_worker(announcement.offer, self._port(announcement))
+        return Response(b"{}", 200 if is_taken else 503, media_type=JSON_TYPE)
+
+    async def take_departure(self, request: Request) -> Response:
+        """Notes that a worker ends."""
+        await self.agent.withdraw_worker(request.path_params["worker_id"])
+        return Response(b"{}", 200, media_type=JSON_TYPE)
+
+    def _port(self, announcement: WorkerAnnouncement) -> WorkerHttpPort:
+        current = self.agent.port
+        worker_id = announcement.offer.worker_id
+        if isinstance(current, WorkerHttpPort) and current.worker_id == worker_id:
+            return current
+        port = WorkerHttpPort(self.client, worker_id, announcement.host, announcement.port)
+        if announcement.clock_s:
+            port.clock.observe(announcement.clock_s, asyncio.get_running_loop().time())
+        return port
--- /dev/null
+++ b/src/cicadatray/platform/worker_http_port.py
@@ -0,0 +1,128 @@
+"""Calls to the worker beside an agent over the platform's interface."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from aiosonic import HTTPClient
+
+from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
+from cicadatray.internal.agent.tasks.worker_clock import WorkerClock
+from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
+from cicadatray.internal.wire.messages.graph_messages import RunOrder
+from cicadatray.platform.errors import DocumentError
+from cicadatray.platform.fields import parse_json, read_number, read_text
+from cicadatray.platform.worker_document import decode_view
+from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+
+# The worker is on the same machine and answers orders within milliseconds.
+ORDER_TIMEOUT_S = 0.8
+MS_PER_S = 1000
+WRONG_INCARNATION = 421
+CONFLICT = 409
+UNHEALTHY_STATUSES = (429, 503)
+# The reason in a 409 that says that the order's lease is over on the worker's clock.
+REASON_LATE = "late"
+
+
+class WorkerHttpPort:
+    """One incarnation of a worker at one address."""
+
+    __slots__ = ("base_url", "client", "clock", "worker_id")
+
+    def __init__(self, client: HTTPClient, worker_id: str, host: str, port: int) -> None:
+        self.client = client
+        self.worker_id = worker_id
+        self.base_url = f"http://{host}:{port}/cicadatray"
+        self.clock = WorkerClock()
+
+    def clock_s(self) -> float:
+        return self.clock.lower_bound_s(_now_s())
+
+    async def start(self, order: RunOrder, token: int, lease_until_s: float) -> StartAnswer:
+        body: dict[str, Any] = {
+            "Task": str(order.run.task),
+            "Run": order.run.run,
+            "Spec": order.spec,
+            "UntilMs": int(lease_until_s * MS_PER_S),
+            "FencingToken": token,
+        }
+        if order.checkpoint:
+            body["Checkpoint"] = order.checkpoint
+        status, content = await self._send("run-start", body, ORDER_TIMEOUT_S)
+        if status == 200:
+            return StartAnswer.ACCEPTED
+        if status in UNHEALTHY_STATUSES:
+            return StartAnswer.UNHEALTHY
+        if status == CONFLICT and _reason(content) == REASON_LATE:
+            return StartAnswer.LEASE_OVER
+        if 400 <= status < 500:
+            return StartAnswer.REFUSED
+        raise WorkerUnansweredError(f"start was answered with status {status}")
+
+    async def stop(self, run: TaskRun, token: int) -> None:
+        body = {"Task": str(run.task), "Run": run.run, "FencingToken": token}
+        status, content = await self._send("run-stop", body, ORDER_TIMEOUT_S)
+        if status != 200:
+            raise WorkerUnansweredError(
+                f"stop was answered with status {status}, {_reason(content)}"
+            )
+
+    async def observe(
+        self, token: int, noted: int, lease_until_s: float, wait_s: float
+    ) -> WorkerView:
+        body: dict[str, Any] = {"FencingToken": token, "SeenUpto": noted}
+        if lease_until_s:
+            body["UntilMs"] = int(lease_until_s * MS_PER_S)
+        if wait_s:
+            body["WaitMs"] = int(wait_s * MS_PER_S)
+        status, content = await self._send("hold", body, ORDER_TIMEOUT_S + wait_s)
+        if status != 200:
+            raise WorkerUnansweredError(f"hold was answered with status {status}")
+        try:
+            view, _ = decode_view(content)
+        except DocumentError as error:
+            raise WorkerUnansweredError(str(error)) from error
+        return view
+
+    async def close(self) -> None:
+        """The client is shared by all incarnations and closed with the agent."""
+
+    async def _send(self, call: str, body: dict[str, Any], timeout_s: float) -> tuple[int, bytes]:
+        headers = {"Content-Type": "application/json", "Expect-Instance": self.worker_id}
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self.client.request(
+                    f"{self.base_url}/{call}",
+                    "POST",
+                    headers=headers,
+                    data=msgspec.json.encode(body),
+                )
+                content: bytes = await response.content()
+        except Exception as error:
+            # The library raises many unrelated types for broken answers.
+            raise WorkerUnansweredError(f"{call}: {type(error).__name__} {error}") from error
+        if response.status_code == WRONG_INCARNATION:
+            raise WorkerReplacedError(f"{call}: another incarnation than {self.worker_id}")
+        self._take_clock(content)
+        return response.status_code, content
+
+    def _take_clock(self, content: bytes) -> None:
+        try:
+            clock_s = read_number(parse_json(content), "ClockMs", 0) / MS_PER_S
+        except DocumentError:
+            # Not every refusal has a body; the clock is known from other answers.
+            return
+        if clock_s:
+            self.clock.observe(clock_s, _now_s())
+
+
+def _reason(content: bytes) -> str:
+    try:
+        return read_text(parse_json(content), "Reason", "")
+    except DocumentError:
+        return ""
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
