Learn the leader's term before a worker is adopted, and keep connections to it

Ruled out: the election (leader 2 s after the kill) and the routes of the agents (leader found). Change: the agent asks the leader for its term first. One kept client for each worker, discarded after its first failed request. Reconnects to control within 0.5 s.

--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -13,6 +13,8 @@
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
+    MembersReply,
+    ReadMembers,
     RunOrder,
     SyncWorker,
     WorkerOffer,
@@ -24,6 +26,8 @@
 # A leader that does not answer within its wait and this much more is frozen or cut off.
 SYNC_ATTEMPT_S = 1.6
 SYNC_TIMEOUT_S = 3.0
+# An announcement must be answered within a second.
+LEARN_TERM_TIMEOUT_S = 0.6
 # Pause after control has refused or not answered.
 SYNC_RETRY_S = 0.2
 # News that arrives within this time goes into one call.
@@ -126,8 +130,9 @@
 
     async def _adopt(self, offer: WorkerOffer, port: WorkerPort) -> bool:
         try:
+            await self._learn_term()
             view = await port.observe(self.term, 0, 0.0, 0.0)
-        except (WorkerUnansweredError, WorkerReplacedError) as error:
+        except (WorkerUnansweredError, WorkerReplacedError, ControlUnavailableError) as error:
             log.info("worker not adopted", worker=offer.worker_id, reason=str(error))
             return False
         if self.offer is not None:
@@ -149,6 +154,18 @@
         self.work.set()
         return True
 
+    async def _learn_term(self) -> None:
+        """A worker that has seen a leader's term refuses calls with a lower one.
+
+        Raises:
+            ControlUnavailableError: no leader answered.
+        """
+        if self.term:
+            return
+        reply = await self.control.call(ReadMembers(), LEARN_TERM_TIMEOUT_S)
+        if isinstance(reply, MembersReply):
+            self.term = max(self.term, reply.term)
+
     def _drop_worker(self) -> None:
         if self.offer is not None:
             self.gone_worker_id = self.offer.worker_id
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -162,12 +162,13 @@
 @answers(ReadMembers)
 async def read_members(daemon: "ControlDaemon", call: ReadMembers) -> MessageStruct:
     """Answers with the members of the control group."""
-    await daemon.leading_session()
+    session = await daemon.leading_session()
     members = daemon.replica.core.membership.records
     return MembersReply(
         members=tuple(
             MemberAddress(r.member.member_id, r.member.host, r.member.port) for r in members
-        )
+        ),
+        term=session.term,
     )
 
 
--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -4,6 +4,7 @@
 import random
 
 from cicadatray.internal.settings.common import ControlMember
+from cicadatray.internal.wire.backoff import Backoff
 from cicadatray.internal.wire.codec import Codec
 from cicadatray.internal.wire.errors import PeerUnreachableError, WireError
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
@@ -13,6 +14,8 @@
 # A leader that has not answered by then is frozen or cut off, and another one may lead.
 ATTEMPT_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.1
+# Control must be found again within the bound of a configuration after a partition has healed.
+RECONNECT_LIMIT_S = 0.5
 
 
 class ControlUnavailableError(WireError):
@@ -37,7 +40,7 @@
     def __init__(self, members: tuple[ControlMember, ...], codec: Codec, secret: bytes) -> None:
         self.codec = codec
         self.secret = secret
-        self.clients = {m.name: RpcClient(m.host, m.port, codec, secret) for m in members}
+        self.clients = {m.name: self._new_client(m.host, m.port) for m in members}
         self.names = [member.name for member in members]
         self.leader_name = random.choice(self.names)
 
@@ -89,7 +92,7 @@
         known = self.clients.get(name)
         if known is not None and (known.host, known.port) == (host, port):
             return
-        self.clients[name] = RpcClient(host, port, self.codec, self.secret)
+        self.clients[name] = self._new_client(host, port)
         if name not in self.names:
             self.names.append(name)
 
@@ -109,6 +112,10 @@
         for client in self.clients.values():
             await client.close()
 
+    def _new_client(self, host: str, port: int) -> RpcClient:
+        backoff = Backoff(limit_s=RECONNECT_LIMIT_S)
+        return RpcClient(host, port, self.codec, self.secret, backoff)
+
     def _learn_leader(self, reply: NotLeader) -> None:
         if reply.leader_name and reply.leader_host:
             self.learn(reply.leader_name, reply.leader_host, reply.leader_port)
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -160,9 +160,10 @@
 
 
 class MembersReply(MessageStruct, frozen=True):
-    """All voters and learners."""
+    """All voters and learners, and the leader's term."""
 
     members: tuple[MemberAddress, ...]
+    term: int
 
 
 class JoinGroup(MessageStruct, frozen=True):
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -86,6 +86,9 @@
             raise PeerLostError(f"connection to {self.host}:{self.port} lost") from error
         finally:
             self.pending.pop(call_id, None)
+            if reply.done() and not reply.cancelled():
+                # Marks an error as seen that came while the request was still being written.
+                reply.exception()
 
     async def close(self) -> None:
         """Closes the connection; calls in progress fail with `PeerLostError`."""
--- a/src/cicadatray/platform/agent_role.py
+++ b/src/cicadatray/platform/agent_role.py
@@ -2,11 +2,8 @@
 
 import asyncio
 
-from aiosonic.timeout import Timeouts
-
 from cicadatray.internal.agent.tasks.task_agent import TaskAgent
 from cicadatray.internal.entry.http_server import HttpServer
-from cicadatray.internal.http_client import build_http_client
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.messages.registry import message_codec
@@ -16,15 +13,11 @@
 from cicadatray.platform.settings import PlatformSettings
 from cicadatray.platform.worker_api import WorkerApi
 
-# Orders run side by side with the call that waits for an end.
-WORKER_CONNECTIONS = 32
-WORKER_TIMEOUT_S = 4.0
-
 
 class AgentRole:
     """Drives the worker on its machine."""
 
-    __slots__ = ("agent", "client", "control", "probe", "server")
+    __slots__ = ("agent", "control", "probe", "server")
 
     def __init__(self, settings: PlatformSettings) -> None:
         address = settings.control_address
@@ -32,14 +25,8 @@
             raise PlatformSettingsError("an agent needs an address for its worker")
         self.control = ControlClient(seed_members(settings), message_codec(), CLUSTER_SECRET)
         self.probe = LeaderProbe(self.control)
-        timeouts = Timeouts(
-            sock_connect=WORKER_TIMEOUT_S,
-            sock_read=WORKER_TIMEOUT_S,
-            request_timeout=WORKER_TIMEOUT_S,
-        )
-        self.client = build_http_client(timeouts, WORKER_CONNECTIONS)
         self.agent = TaskAgent(settings.name, self.control)
-        application = WorkerApi(self.agent, self.client).application()
+        application = WorkerApi(self.agent).application()
         self.server = HttpServer(application, address.host, address.port)
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/src/cicadatray/platform/main.py
+++ b/src/cicadatray/platform/main.py
@@ -65,7 +65,8 @@
         if settings.role not in ROLE_MODULES:
             raise PlatformSettingsError(f"unknown role {settings.role}")
         configure_logging(LoggingSettings(), settings.role, settings.name, sys.stdout)
-        logging.getLogger("transitions").setLevel(logging.WARNING)
+        for library in ("transitions", "uvicorn"):
+            logging.getLogger(library).setLevel(logging.WARNING)
         SOURCE_ADDRESS.bind(settings.ip)
         with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
             runner.run(serve(settings, path))
--- a/src/cicadatray/platform/worker_api.py
+++ b/src/cicadatray/platform/worker_api.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import structlog
-from aiosonic import HTTPClient
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -22,11 +21,10 @@
 class WorkerApi:
     """Takes announcements; `latest` is the highest sequence number of each incarnation."""
 
-    __slots__ = ("agent", "client", "latest")
+    __slots__ = ("agent", "latest")
 
-    def __init__(self, agent: TaskAgent, client: HTTPClient) -> None:
+    def __init__(self, agent: TaskAgent) -> None:
         self.agent = agent
-        self.client = client
         self.latest: dict[str, int] = {}
 
     def application(self) -> Starlette:
@@ -63,7 +61,7 @@
         worker_id = announcement.offer.worker_id
         if isinstance(current, WorkerHttpPort) and current.worker_id == worker_id:
             return current
-        port = WorkerHttpPort(self.client, worker_id, announcement.host, announcement.port)
+        port = WorkerHttpPort(worker_id, announcement.host, announcement.port)
         if announcement.clock_s:
             port.clock.observe(announcement.clock_s, asyncio.get_running_loop().time())
         return port
--- a/src/cicadatray/platform/worker_http_port.py
+++ b/src/cicadatray/platform/worker_http_port.py
@@ -5,10 +5,12 @@
 
 import msgspec
 from aiosonic import HTTPClient
+from aiosonic.timeout import Timeouts
 
 from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
 from cicadatray.internal.agent.tasks.worker_clock import WorkerClock
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
+from cicadatray.internal.http_client import build_keep_alive_client
 from cicadatray.internal.wire.messages.graph_messages import RunOrder
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.fields import parse_json, read_number, read_text
@@ -17,6 +19,10 @@
 
 # The worker is on the same machine and answers orders within milliseconds.
 ORDER_TIMEOUT_S = 0.8
+# Above the longest wait for an end; each call has a shorter limit of its own.
+LONGEST_CALL_S = 4.0
+# Orders run side by side with the call that waits for an end.
+WORKER_CONNECTIONS = 32
 MS_PER_S = 1000
 WRONG_INCARNATION = 421
 CONFLICT = 409
@@ -30,8 +36,8 @@
 
     __slots__ = ("base_url", "client", "clock", "worker_id")
 
-    def __init__(self, client: HTTPClient, worker_id: str, host: str, port: int) -> None:
-        self.client = client
+    def __init__(self, worker_id: str, host: str, port: int) -> None:
+        self.client = _new_client()
         self.worker_id = worker_id
         self.base_url = f"http://{host}:{port}/cicadatray"
         self.clock = WorkerClock()
@@ -86,13 +92,14 @@
         return view
 
     async def close(self) -> None:
-        """The client is shared by all incarnations and closed with the agent."""
+        await self.client.connector.cleanup()
 
     async def _send(self, call: str, body: dict[str, Any], timeout_s: float) -> tuple[int, bytes]:
         headers = {"Content-Type": "application/json", "Expect-Instance": self.worker_id}
+        client = self.client
         try:
             async with asyncio.timeout(timeout_s):
-                response = await self.client.request(
+                response = await client.request(
                     f"{self.base_url}/{call}",
                     "POST",
                     headers=headers,
@@ -101,12 +108,18 @@
                 content: bytes = await response.content()
         except Exception as error:
             # The library raises many unrelated types for broken answers.
+            self._discard(client)
             raise WorkerUnansweredError(f"{call}: {type(error).__name__} {error}") from error
         if response.status_code == WRONG_INCARNATION:
             raise WorkerReplacedError(f"{call}: another incarnation than {self.worker_id}")
         self._take_clock(content)
         return response.status_code, content
 
+    def _discard(self, client: HTTPClient) -> None:
+        """Opens new connections from here on; a failed request makes the kept ones unusable."""
+        if self.client is client:
+            self.client = _new_client()
+
     def _take_clock(self, content: bytes) -> None:
         try:
             clock_s = read_number(parse_json(content), "ClockMs", 0) / MS_PER_S
@@ -117,6 +130,13 @@
             self.clock.observe(clock_s, _now_s())
 
 
+def _new_client() -> HTTPClient:
+    timeouts = Timeouts(
+        sock_connect=ORDER_TIMEOUT_S, sock_read=LONGEST_CALL_S, request_timeout=LONGEST_CALL_S
+    )
+    return build_keep_alive_client(timeouts, WORKER_CONNECTIONS)
+
+
 def _reason(content: bytes) -> str:
     try:
         return read_text(parse_json(content), "Reason", "")
