Free one worker after the other for urgent gangs, fill racks in turn, keep checkpoints in the log

Ruled out: displacement before work ends by itself (no such work within the patience). Change: DisplacementSearch frees the cheapest worker for one more task at a time; single tasks fill racks in turn; checkpoints of running tasks are committed at most once a second.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -11,6 +11,7 @@
     PlacedEnd,
     PlacedRun,
     RecordRuns,
+    RunCheckpoint,
     RunsRecorded,
 )
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
@@ -22,6 +23,8 @@
 ROUND_INTERVAL_S = 0.25
 # News that arrives within this time is handled in one round, and committed together.
 GATHER_S = 0.01
+# At most this much of a checkpointable task's work is done again after a loss of power.
+CHECKPOINT_INTERVAL_S = 1.0
 # Ended graphs can be read this long.
 KEEP_ENDED_S = 150.0
 
@@ -31,10 +34,11 @@
 class GraphLoop:
     """Owns the placement of task graphs while this instance leads."""
 
-    __slots__ = ("session",)
+    __slots__ = ("next_checkpoints_s", "session")
 
     def __init__(self, session: GraphSession) -> None:
         self.session = session
+        self.next_checkpoints_s = 0.0
 
     async def run(self) -> None:
         """Runs until leadership is lost.
@@ -63,17 +67,33 @@
         for worker_id in lost:
             ends += session.lost_runs(worker_id)
         forgotten = self._find_forgotten()
-        if ends or forgotten:
-            await self._commit_ends(ends, forgotten)
+        checkpoints = self._take_checkpoints(bool(ends))
+        if ends or forgotten or checkpoints:
+            await self._commit_ends(ends, forgotten, checkpoints)
         for worker_id in lost:
             session.forget_worker(worker_id)
         if ends:
             session.wake_all()
 
-    async def _commit_ends(self, ends: list[PlacedEnd], forgotten: tuple[str, ...]) -> None:
+    def _take_checkpoints(self, is_committing: bool) -> tuple[RunCheckpoint, ...]:
+        """Returns checkpoints to store: with another commit, or after a while without one."""
+        now_s = self.session.now_s()
+        if not is_committing and now_s < self.next_checkpoints_s:
+            return ()
+        self.next_checkpoints_s = now_s + CHECKPOINT_INTERVAL_S
+        return self.session.new_checkpoints()
+
+    async def _commit_ends(
+        self,
+        ends: list[PlacedEnd],
+        forgotten: tuple[str, ...],
+        checkpoints: tuple[RunCheckpoint, ...],
+    ) -> None:
         session = self.session
         now_s = session.wall_s()
-        await session.leader.propose(RecordRuns(now_s=now_s, ends=tuple(ends), forgotten=forgotten))
+        await session.leader.propose(
+            RecordRuns(now_s=now_s, ends=tuple(ends), forgotten=forgotten, checkpoints=checkpoints)
+        )
         session.record_committed(ends)
         for placed in ends:
             log.info(
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
+    RunCheckpoint,
     RunEnd,
     RunOrder,
     SyncWorker,
@@ -175,6 +176,22 @@
             ends.append(PlacedEnd(end, worker_id))
         return ends
 
+    def new_checkpoints(self) -> tuple[RunCheckpoint, ...]:
+        """Returns reported checkpoints that are not durable yet, one for each gang."""
+        found: dict[tuple[str, int, int, int], RunCheckpoint] = {}
+        for session in self.workers.values():
+            for run, report in session.reports.items():
+                progress = progress_of(self.graphs, run)
+                if progress is None or not report.checkpoint or progress.run != run.run:
+                    continue
+                if report.checkpoint == progress.checkpoint:
+                    continue
+                task = run.task
+                is_gang = self.graphs[task.graph_id].graph.steps[task.step].is_gang
+                key = (task.graph_id, task.occurrence, task.step, -1 if is_gang else task.index)
+                found[key] = RunCheckpoint(run, report.checkpoint)
+        return tuple(found.values())
+
     def forget_worker(self, worker_id: str) -> None:
         """Removes a worker after the ends of its runs are durable."""
         self.workers.pop(worker_id, None)
--- a/src/cicadatray/internal/control/graphs/graph_state.py
+++ b/src/cicadatray/internal/control/graphs/graph_state.py
@@ -54,6 +54,10 @@
 def record_runs(state: ControlState, index: int, command: RecordRuns) -> MessageStruct:
     """Notes ends, then starts, then forgets graphs."""
     graphs = state.graphs.graphs
+    for saved in command.checkpoints:
+        progress = graphs.get(saved.run.task.graph_id)
+        if progress is not None:
+            progress.record_checkpoint(saved.run.task, saved.run.run, saved.checkpoint)
     for placed in command.ends:
         task = placed.end.run.task
         progress = graphs.get(task.graph_id)
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -201,6 +201,13 @@
     worker_id: str
 
 
+class RunCheckpoint(msgspec.Struct, frozen=True, array_like=True):
+    """Where a run that goes on could be resumed."""
+
+    run: TaskRun
+    checkpoint: str
+
+
 class RecordRuns(MessageStruct, frozen=True):
     """Command: runs have ended, runs will be ordered, ended graphs are forgotten; in this order."""
 
@@ -208,6 +215,7 @@
     ends: tuple[PlacedEnd, ...] = ()
     starts: tuple[PlacedRun, ...] = ()
     forgotten: tuple[str, ...] = ()
+    checkpoints: tuple[RunCheckpoint, ...] = ()
 
 
 class RunsRecorded(MessageStruct, frozen=True):
--- a/src/cicadatray/scheduling/taskgraphs/graph_progress.py
+++ b/src/cicadatray/scheduling/taskgraphs/graph_progress.py
@@ -87,6 +87,12 @@
             self._record_failure(task, progress, run)
         return True
 
+    def record_checkpoint(self, task: TaskId, run: int, checkpoint: str) -> None:
+        """Notes where a run that goes on could be resumed if its worker were lost."""
+        progress = self.tasks.get(task.key)
+        if progress is not None and progress.run == run and progress.worker_id:
+            self._keep_checkpoint(task, checkpoint)
+
     def finish_if_done(self, now_s: float) -> None:
         """Ends the graph when every task of every occurrence is done."""
         if not self.is_active or any(step.is_long_running for step in self.graph.steps):
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from cicadatray.scheduling.taskgraphs.displacement import find_displaced
+from cicadatray.scheduling.taskgraphs.displacement import Displacement, DisplacementSearch
 from cicadatray.scheduling.taskgraphs.placement_plan import Assignment, PlacementPlan
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks, present_room, soon_room, total_room
@@ -74,7 +74,10 @@
             racks = self._racks(usable)
             possible = [rack for rack in racks if self._fits_when_empty(work, rack)]
             return possible if is_patient and possible else [*possible, usable]
-        return [usable]
+        if step.is_gang:
+            return [usable]
+        # Single tasks fill one rack after the other, so that others stay whole for gangs.
+        return [*self._racks(usable), usable]
 
     def _racks(self, workers: list[WorkerRoom]) -> list[list[WorkerRoom]]:
         """Returns the workers of each rack, the rack with the least free accelerators first."""
@@ -150,20 +153,20 @@
 
     def _displace(self, work: WaitingWork, groups: list[list[WorkerRoom]]) -> None:
         candidates = [r for r in self.running if r.priority > work.priority]
-        best: tuple[float, list[RunningWork], list[WorkerRoom]] | None = None
+        best: Displacement | None = None
         for group in groups:
             open_workers = [worker for worker in group if not worker.is_closed]
-            found = find_displaced(work, open_workers, candidates, self._limits(work, open_workers))
-            if found is not None and (best is None or found[0] < best[0]):
+            limits = self._limits(work, open_workers)
+            found = DisplacementSearch(work, open_workers, candidates, limits).run()
+            if found is not None and (best is None or found.loss < best.loss):
                 best = found
         if best is None:
             return
-        _, victims, chosen = best
-        for victim in victims:
+        for victim in best.victims:
             self.running.remove(victim)
             self.plan.displaced += victim.runs
             self._release_soon(victim)
-        self._keep(work, chosen)
+        self._keep(work, best.chosen)
 
     def _release_soon(self, victim: RunningWork) -> None:
         rooms = {worker.worker_id: worker for worker in self.workers}
