Weigh displaced work by what its job loses

Ruled out: the order of waiting work (audit-check tasks did start again each time). Change: a victim's loss is its wasted core-seconds plus what its job loses by beginning again; outside an account's guarantee urgent work displaces only what costs less than it gains.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -6,7 +6,11 @@
 
 from cicadatray.internal.control.errors import LeadershipLostError
 from cicadatray.internal.control.graphs.graph_session import GraphSession
-from cicadatray.internal.control.graphs.placement_input import build_running, build_workers
+from cicadatray.internal.control.graphs.placement_input import (
+    build_running,
+    build_workers,
+    mark_guaranteed,
+)
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
     PlacedRun,
@@ -170,6 +174,7 @@
         ]
         if not waiting:
             return
+        mark_guaranteed(session, waiting)
         workers = build_workers(session)
         plan = PlacementRound(workers, build_running(session), now_s).run(waiting)
         self._displace(plan)
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -2,9 +2,13 @@
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession, progress_of
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.job_value import LATE_LIMIT
+from cicadatray.scheduling.taskgraphs.placement_round import URGENT_PRIORITY
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
-from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_room import WorkerRoom
 
 # A worker that was not heard for this long is probably cut off: it gets no new work, although what
@@ -47,6 +51,34 @@
     return graph.graph.steps[run.task.step].room if graph else None
 
 
+def _set_deadlines(progress: GraphProgress, task: TaskId, work: RunningWork, now_s: float) -> None:
+    graph = progress.graph
+    follows_s = graph.chain_from_s(task.step) - graph.steps[task.step].estimate_s
+    objective_s = graph.policy.stretch * graph.chain_s() + graph.policy.target_latency_s
+    begin_s = graph.due_s(task.occurrence) or progress.accepted_s
+    left_s = begin_s - now_s - follows_s
+    work.set_deadlines(left_s + objective_s, left_s + LATE_LIMIT * objective_s)
+
+
+def mark_guaranteed(session: GraphSession, waiting: list[WaitingWork]) -> None:
+    """Marks the urgent work of accounts whose urgent jobs need no more than their guarantee."""
+    needed: dict[str, int] = {}
+    for progress in session.graphs.values():
+        graph = progress.graph
+        if progress.is_active and graph.policy.priority == URGENT_PRIORITY:
+            accelerators = sum(step.count * step.needs.accelerators for step in graph.steps)
+            account = graph.client_account
+            needed[account] = needed.get(account, 0) + accelerators * graph.occurrences
+    guarantees = {
+        account.name: account.guaranteed_accelerators
+        for account in session.leader.state.graphs.queues.accounts
+    }
+    for work in waiting:
+        account = work.graph.graph.client_account
+        is_urgent = work.priority == URGENT_PRIORITY
+        work.is_guaranteed = is_urgent and needed[account] <= guarantees.get(account, 0)
+
+
 def build_running(session: GraphSession) -> list[RunningWork]:
     """Returns what runs and is not being stopped, gangs as a whole."""
     works: dict[tuple[str, int, int, int], RunningWork] = {}
@@ -65,6 +97,7 @@
             work = works.get(key)
             if work is None:
                 work = RunningWork(
+                    task.graph_id,
                     graph.policy.priority,
                     step.is_checkpointable,
                     step.estimate_s,
@@ -72,5 +105,6 @@
                     report.percent if report else -1,
                 )
                 works[key] = work
+                _set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s())
             work.add(run, worker_id, step.room)
     return list(works.values())
--- a/src/cicadatray/scheduling/taskgraphs/displacement.py
+++ b/src/cicadatray/scheduling/taskgraphs/displacement.py
@@ -19,7 +19,16 @@
     def __init__(self, victims: list[RunningWork], chosen: list[WorkerRoom]) -> None:
         self.victims = victims
         self.chosen = chosen
-        self.loss = sum(victim.loss() for victim in victims)
+        self.loss = total_loss(victims, set())
+
+
+def total_loss(victims: Sequence[RunningWork], lost_graphs: set[str]) -> float:
+    """Returns the work thrown away and what jobs lose that are not among `lost_graphs` already."""
+    lost: dict[str, float] = {}
+    for victim in victims:
+        if victim.graph_id not in lost_graphs:
+            lost[victim.graph_id] = max(lost.get(victim.graph_id, 0.0), victim.lost_value())
+    return sum(victim.loss() for victim in victims) + sum(lost.values())
 
 
 class DisplacementSearch:
@@ -68,9 +77,10 @@
         """Returns the work whose end makes room for one more task on some worker."""
         best: list[RunningWork] = []
         best_loss = 0.0
+        lost_graphs = {victim.graph_id for victim in self.victims}
         for worker in self.group:
             victims = self._victims_for_one_more(worker)
-            loss = sum(victim.loss() for victim in victims)
+            loss = total_loss(victims, lost_graphs)
             if victims and (not best or loss < best_loss):
                 best, best_loss = victims, loss
         return best
@@ -88,7 +98,7 @@
             for name, occupied in candidate.rooms
             if name == worker.worker_id
         ]
-        here.sort(key=lambda pair: pair[0].loss())
+        here.sort(key=lambda pair: pair[0].loss() + pair[0].lost_value())
         victims: list[RunningWork] = []
         for candidate, occupied in here:
             room = room.plus(occupied)
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from cicadatray.scheduling.taskgraphs.displacement import Displacement, DisplacementSearch
+from cicadatray.scheduling.taskgraphs.job_value import job_value
 from cicadatray.scheduling.taskgraphs.placement_plan import Assignment, PlacementPlan
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks, present_room, soon_room, total_room
@@ -128,7 +129,8 @@
             if chosen is not None:
                 self._keep(work, chosen)
                 return
-        if work.priority == URGENT_PRIORITY and not work.rank(self.now_s)[0]:
+        is_worth_it = work.is_guaranteed or self.now_s < work.start_by_s()
+        if work.priority == URGENT_PRIORITY and is_worth_it:
             if not self._has_room_in_time(work, groups):
                 self._displace(work, groups)
         elif work.step.is_gang and self.kept < KEPT_GANGS:
@@ -136,7 +138,9 @@
 
     def _has_room_in_time(self, work: WaitingWork, groups: list[list[WorkerRoom]]) -> bool:
         """Keeps the room of work that will end by itself before urgent work must start."""
-        latest_s = min(work.start_by_s(), work.graph.accepted_s + URGENT_START_S)
+        latest_s = work.start_by_s()
+        if work.is_guaranteed:
+            latest_s = min(latest_s, work.graph.accepted_s + URGENT_START_S)
         patience_s = latest_s - self.now_s - STOP_AND_START_S
         for group in groups:
             open_workers = [worker for worker in group if not worker.is_closed]
@@ -160,7 +164,7 @@
             found = DisplacementSearch(work, open_workers, candidates, limits).run()
             if found is not None and (best is None or found.loss < best.loss):
                 best = found
-        if best is None:
+        if best is None or not (work.is_guaranteed or best.loss < job_value(work.priority)):
             return
         for victim in best.victims:
             self.running.remove(victim)
--- a/src/cicadatray/scheduling/taskgraphs/running_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/running_work.py
@@ -1,5 +1,6 @@
 """What runs: a gang or one task, as a candidate for displacement."""
 
+from cicadatray.scheduling.taskgraphs.job_value import value_at
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 
@@ -13,7 +14,10 @@
     __slots__ = (
         "elapsed_s",
         "estimate_s",
+        "graph_id",
         "is_checkpointable",
+        "late_by_s",
+        "on_time_by_s",
         "percent",
         "priority",
         "rooms",
@@ -22,13 +26,17 @@
 
     def __init__(
         self,
+        graph_id: str,
         priority: int,
         is_checkpointable: bool,
         estimate_s: float,
         elapsed_s: float,
         percent: int,
     ) -> None:
+        self.graph_id = graph_id
         self.priority = priority
+        self.on_time_by_s = 0.0
+        self.late_by_s = 0.0
         self.is_checkpointable = is_checkpointable
         self.estimate_s = estimate_s
         self.elapsed_s = elapsed_s
@@ -47,8 +55,24 @@
             return self.elapsed_s * (100 - self.percent) / self.percent
         return max(0.0, self.estimate_s - self.elapsed_s)
 
+    def set_deadlines(self, on_time_by_s: float, late_by_s: float) -> None:
+        """Sets until when it must end for its job to be on time, and to be worth anything.
+
+        In seconds from now, both without what follows it in its graph.
+        """
+        self.on_time_by_s = on_time_by_s
+        self.late_by_s = late_by_s
+
+    def lost_value(self) -> float:
+        """Returns what its job loses when it is stopped now and begins again."""
+        remaining_s = self.remaining_s()
+        again_s = remaining_s if self.is_checkpointable else self.elapsed_s + remaining_s
+        end_s = again_s + RESTART_S
+        before = value_at(self.priority, remaining_s, self.on_time_by_s, self.late_by_s)
+        return before - value_at(self.priority, end_s, self.on_time_by_s, self.late_by_s)
+
     def loss(self) -> float:
-        """Returns what a stop throws away, in weighted seconds of all its workers' share."""
+        """Returns what a stop throws away, in core-seconds."""
         lost_s = 0.5 if self.is_checkpointable else self.elapsed_s
         weight = sum(
             room.cpu_millis / 1000 + ACCELERATOR_CORES * room.accelerators for _, room in self.rooms
@@ -56,6 +80,8 @@
         return lost_s * weight + STOP_COST * len(self.runs)
 
 
+# Stopping, noting the end, waiting for other room and starting again.
+RESTART_S = 2.0
 # The platform's operators price an accelerator like this many cores.
 ACCELERATOR_CORES = 8
 # Core-seconds that a stop and a new start cost in any case: half a second of one small task.
--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -1,20 +1,27 @@
 """What waits to be placed: a whole gang, or one task."""
 
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.job_value import LATE_LIMIT
 from cicadatray.scheduling.taskgraphs.step import Step
 from cicadatray.scheduling.taskgraphs.task_id import TaskId
 
-# A job that ends later than this many times its objective is worth nothing any more.
-LATE_LIMIT = 3.0
-
 
 class WaitingWork:
     """`indexes` are all tasks of a gang, or one. `run` is the number of the next run.
 
-    `ready_s` is when it could have started first. Times are in seconds since 1970.
+    `ready_s` is when it could have started first. Times are in seconds since 1970. `is_guaranteed`:
+    the urgent jobs of its account need no more than the account's guarantee.
     """
 
-    __slots__ = ("graph", "indexes", "occurrence", "ready_s", "run", "step_number")
+    __slots__ = (
+        "graph",
+        "indexes",
+        "is_guaranteed",
+        "occurrence",
+        "ready_s",
+        "run",
+        "step_number",
+    )
 
     def __init__(
         self,
@@ -31,6 +38,7 @@
         self.indexes = indexes
         self.run = run
         self.ready_s = ready_s
+        self.is_guaranteed = False
 
     @property
     def step(self) -> Step:
