Pass on calls of processes that are cut off from control

Ruled out: longer leases (workers cut them at their own maximum). Change: entries pass on encoded calls (RelayServer); a client that fails twice in a row without any answer uses a relay until a direct call works again; entries stay ready while any process answers.

--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -169,6 +169,7 @@
             MemberAddress(r.member.member_id, r.member.host, r.member.port) for r in members
         ),
         term=session.term,
+        relays=daemon.require_graphs(session).take_relay(call.relay),
     )
 
 
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -9,6 +9,7 @@
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.wire.messages.graph_messages import (
+    MemberAddress,
     PlacedEnd,
     RunCheckpoint,
     RunEnd,
@@ -20,6 +21,11 @@
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 
+# A process that passes on calls says so with each of its probes.
+RELAY_FRESH_S = 5.0
+# A process needs only a few ways around a partition.
+RELAY_LIMIT = 16
+
 log = structlog.get_logger(__name__)
 
 
@@ -37,6 +43,7 @@
         "leases",
         "new_ends",
         "ordered",
+        "relays",
         "replaced",
         "revoked",
         "wake",
@@ -51,6 +58,7 @@
         self.former_lives: set[str] = set()
         self.new_ends: list[PlacedEnd] = []
         self.ordered: dict[str, dict[TaskRun, float]] = {}
+        self.relays: dict[MemberAddress, float] = {}
         self.replaced: set[str] = set()
         self.revoked: set[TaskRun] = set()
         self.wake = asyncio.Event()
@@ -69,6 +77,15 @@
         """Returns the seconds since 1970, by which occurrences are due."""
         return time.time()
 
+    def take_relay(self, relay: MemberAddress | None) -> tuple[MemberAddress, ...]:
+        """Notes a process that passes on calls, and returns all that said so lately."""
+        now_s = self.now_s()
+        if relay is not None:
+            self.relays[relay] = now_s
+        for known in [r for r, told_s in self.relays.items() if now_s - told_s > RELAY_FRESH_S]:
+            del self.relays[known]
+        return tuple(sorted(self.relays, key=lambda known: known.name))[:RELAY_LIMIT]
+
     def take_call(self, call: SyncWorker) -> WorkerSession | None:
         """Takes up what an agent reports; returns None while it has no worker to offer."""
         if not self._is_latest(call):
--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -1,48 +1,78 @@
 """Calls to whichever control instance leads."""
 
 import asyncio
+import math
 import random
 
 from cicadatray.internal.settings.common import ControlMember
 from cicadatray.internal.wire.backoff import Backoff
+from cicadatray.internal.wire.call_attempt import CallAttempt, ControlUnavailableError
 from cicadatray.internal.wire.codec import Codec
 from cicadatray.internal.wire.errors import PeerUnreachableError, WireError
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
 from cicadatray.internal.wire.messages.directory_messages import NotLeader
+from cicadatray.internal.wire.messages.graph_messages import MemberAddress
+from cicadatray.internal.wire.messages.relay_messages import (
+    RelayedCall,
+    RelayedReply,
+    RelayUnavailable,
+)
+from cicadatray.internal.wire.relay_routes import RelayRoutes
 from cicadatray.internal.wire.rpc_client import RpcClient
 
+__all__ = ["ControlClient", "ControlUnavailableError"]
+
 # A leader that has not answered by then is frozen or cut off, and another one may lead.
 ATTEMPT_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.1
+# A connection inside a region is open after a few milliseconds.
+CONNECT_TIMEOUT_S = 0.5
+# After this many failures in a row without any answer the process is probably cut off itself.
+DIRECT_FAILURES = 2
+# Leaves a relay time to say that control did not answer.
+RELAY_TIME_SHARE = 0.8
 # Control must be found again within the bound of a configuration after a partition has healed.
 RECONNECT_LIMIT_S = 0.5
 
 
-class ControlUnavailableError(WireError):
-    """No control instance carried out the call in time.
-
-    `may_have_effect` is False only when no instance can have acted on it.
-    """
-
-    def __init__(self, reason: str, may_have_effect: bool = True) -> None:
-        super().__init__(reason)
-        self.may_have_effect = may_have_effect
-
-
 class ControlClient:
     """Finds the leader and repeats a call until it is answered or its time is over.
 
     Every call may be repeated: control recognises repeated commands by their identifiers.
     """
 
-    __slots__ = ("clients", "codec", "leader_name", "names", "secret")
-
-    def __init__(self, members: tuple[ControlMember, ...], codec: Codec, secret: bytes) -> None:
+    __slots__ = (
+        "clients",
+        "codec",
+        "direct_failures",
+        "heard_s",
+        "leader_name",
+        "names",
+        "relays",
+        "secret",
+    )
+
+    def __init__(
+        self,
+        members: tuple[ControlMember, ...],
+        codec: Codec,
+        secret: bytes,
+        relays: RelayRoutes | None = None,
+    ) -> None:
+        """With `relays` the calls of a process that is cut off from control go through others."""
         self.codec = codec
         self.secret = secret
         self.clients = {m.name: self._new_client(m.host, m.port) for m in members}
         self.names = [member.name for member in members]
         self.leader_name = random.choice(self.names)
+        self.relays = relays or RelayRoutes("")
+        self.direct_failures = 0
+        self.heard_s = -math.inf
+
+    @property
+    def is_relaying(self) -> bool:
+        """Whether calls go through another process at present."""
+        return self.relays.active is not None
 
     async def call(
         self,
@@ -57,35 +87,83 @@
         Raises:
             ControlUnavailableError: no answer in time.
         """
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + timeout_s
-        last_error = "no leader is known"
-        may_have_effect = False
-        while (remaining_s := deadline_s - loop.time()) > 0:
-            name = self.leader_name
-            attempt_s = min(remaining_s, attempt_timeout_s)
-            try:
-                reply = await self.clients[name].call(message, attempt_s)
-            except WireError as error:
-                last_error = str(error)
-                self._try_next(name)
-                if isinstance(error, PeerUnreachableError):
-                    await asyncio.sleep(RETRY_PAUSE_S)
-                else:
-                    may_have_effect = True
-                continue
-            if isinstance(reply, NotLeader):
-                self._learn_leader(reply)
-                await self._follow(name, reply.leader_name)
-            elif isinstance(reply, Failure) and reply.code == IN_DOUBT_CODE:
-                last_error = reply.detail
-                may_have_effect = True
-                await asyncio.sleep(RETRY_PAUSE_S)
+        attempt = CallAttempt(message, timeout_s, attempt_timeout_s)
+        while attempt.remaining_s() > 0:
+            client = self.relays.active_client()
+            if client is not None:
+                reply = await self._call_relay(client, attempt)
             else:
+                reply = await self._call_leader(attempt)
+                if reply is None and self.direct_failures >= DIRECT_FAILURES:
+                    self.relays.choose()
+            if reply is not None:
                 return reply
-        raise ControlUnavailableError(
-            f"control did not answer in time: {last_error}", may_have_effect
-        )
+        raise attempt.failure()
+
+    async def call_directly(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
+        """Returns the leader's answer without the help of a relay.
+
+        Raises:
+            ControlUnavailableError: no answer in time.
+        """
+        attempt = CallAttempt(message, timeout_s, ATTEMPT_TIMEOUT_S)
+        while attempt.remaining_s() > 0:
+            reply = await self._call_leader(attempt)
+            if reply is not None:
+                return reply
+        raise attempt.failure()
+
+    async def _call_leader(self, attempt: CallAttempt) -> MessageStruct | None:
+        """Calls the instance that is taken for the leader; returns None when it gave no answer."""
+        name = self.leader_name
+        try:
+            reply = await self.clients[name].call(attempt.message, attempt.time_s())
+        except WireError as error:
+            self.direct_failures += 1
+            attempt.note(str(error), not isinstance(error, PeerUnreachableError))
+            self._try_next(name)
+            if isinstance(error, PeerUnreachableError):
+                await asyncio.sleep(RETRY_PAUSE_S)
+            return None
+        self._heard()
+        self.direct_failures = 0
+        if isinstance(reply, NotLeader):
+            attempt.note("no leader is known", False)
+            self._learn_leader(reply)
+            await self._follow(name, reply.leader_name)
+            return None
+        if isinstance(reply, Failure) and reply.code == IN_DOUBT_CODE:
+            attempt.note(reply.detail, True)
+            await asyncio.sleep(RETRY_PAUSE_S)
+            return None
+        return reply
+
+    async def _call_relay(self, client: RpcClient, attempt: CallAttempt) -> MessageStruct | None:
+        payload = self.codec.encode(0, attempt.message)
+        time_s = attempt.time_s()
+        try:
+            call = RelayedCall(payload=payload, timeout_s=time_s * RELAY_TIME_SHARE)
+            reply = await client.call(call, time_s)
+        except WireError as error:
+            attempt.note(str(error), not isinstance(error, PeerUnreachableError))
+            self.relays.active = None
+            return None
+        self._heard()
+        if isinstance(reply, RelayedReply):
+            return self.codec.decode(reply.payload)[1]
+        if isinstance(reply, RelayUnavailable):
+            attempt.note(reply.reason, reply.may_have_effect)
+        self.relays.active = None
+        await asyncio.sleep(RETRY_PAUSE_S)
+        return None
+
+    def _heard(self) -> None:
+        self.heard_s = asyncio.get_running_loop().time()
+
+    def learn_relays(self, relays: tuple[MemberAddress, ...]) -> None:
+        """Notes which processes pass on calls."""
+        for relay in self.relays.missing(relays):
+            self.relays.clients[relay] = self._new_client(relay.host, relay.port)
 
     def learn(self, name: str, host: str, port: int) -> None:
         """Notes a control instance that the settings do not name, for example a replacement."""
@@ -114,7 +192,9 @@
 
     def _new_client(self, host: str, port: int) -> RpcClient:
         backoff = Backoff(limit_s=RECONNECT_LIMIT_S)
-        return RpcClient(host, port, self.codec, self.secret, backoff)
+        return RpcClient(
+            host, port, self.codec, self.secret, backoff, connect_timeout_s=CONNECT_TIMEOUT_S
+        )
 
     def _learn_leader(self, reply: NotLeader) -> None:
         if reply.leader_name and reply.leader_host:
--- a/src/cicadatray/internal/wire/leader_probe.py
+++ b/src/cicadatray/internal/wire/leader_probe.py
@@ -6,10 +6,15 @@
 import structlog
 
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
-from cicadatray.internal.wire.messages.graph_messages import MembersReply, ReadMembers
+from cicadatray.internal.wire.messages.graph_messages import (
+    MemberAddress,
+    MembersReply,
+    ReadMembers,
+)
 
 PROBE_INTERVAL_S = 0.7
-PROBE_TIMEOUT_S = 1.5
+PROBE_TIMEOUT_S = 2.0
+DIRECT_TIMEOUT_S = 0.6
 # A process without a leader looks for one more often.
 RETRY_INTERVAL_S = 0.1
 # A process without an answer for two probes and an election's share of a third cannot serve.
@@ -21,16 +26,25 @@
 class LeaderProbe:
     """Learns the members of the control group, and knows when the leader last answered."""
 
-    __slots__ = ("answered_s", "control")
+    __slots__ = ("answered_s", "control", "own_relay")
 
-    def __init__(self, control: ControlClient) -> None:
+    def __init__(self, control: ControlClient, own_relay: MemberAddress | None = None) -> None:
         self.control = control
+        self.own_relay = own_relay
         self.answered_s = -math.inf
 
     def is_fresh(self) -> bool:
         """Returns whether the leader has answered lately."""
         return asyncio.get_running_loop().time() - self.answered_s < FRESH_S
 
+    def is_connected(self) -> bool:
+        """Returns whether any process of the system has answered lately, with a leader or not.
+
+        Before the first answer of a leader it is False.
+        """
+        silence_s = asyncio.get_running_loop().time() - self.control.heard_s
+        return self.answered_s > -math.inf and silence_s < FRESH_S
+
     async def run(self) -> None:
         """Asks until cancelled."""
         while True:
@@ -41,8 +55,11 @@
             await asyncio.sleep(PROBE_INTERVAL_S if self.is_fresh() else RETRY_INTERVAL_S)
 
     async def _ask(self) -> None:
+        call = ReadMembers(relay=self.own_relay)
         try:
-            reply = await self.control.call(ReadMembers(), PROBE_TIMEOUT_S)
+            if self.control.is_relaying:
+                await self._try_direct(call)
+            reply = await self.control.call(call, PROBE_TIMEOUT_S)
         except ControlUnavailableError as error:
             log.debug("leader did not answer", reason=str(error))
             return
@@ -53,3 +70,13 @@
         self.answered_s = asyncio.get_running_loop().time()
         for member in reply.members:
             self.control.learn(member.name, member.host, member.port)
+        self.control.learn_relays(reply.relays)
+
+    async def _try_direct(self, call: ReadMembers) -> None:
+        """Goes back to direct calls as soon as control can be reached again."""
+        try:
+            await self.control.call_directly(call, DIRECT_TIMEOUT_S)
+        except ControlUnavailableError:
+            return
+        log.info("direct calls regained", relay=str(self.control.relays.active))
+        self.control.relays.active = None
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -147,10 +147,6 @@
     cleared_noted: tuple[TaskRun, ...] = ()
 
 
-class ReadMembers(MessageStruct, frozen=True):
-    """Asks the leader for the members of the control group; also shows that it leads."""
-
-
 class MemberAddress(msgspec.Struct, frozen=True, array_like=True):
     """A member of the control group."""
 
@@ -159,11 +155,21 @@
     port: int
 
 
+class ReadMembers(MessageStruct, frozen=True):
+    """Asks the leader for the members of the control group; also shows that it leads.
+
+    `relay` is where the caller passes on calls of others, if it does.
+    """
+
+    relay: MemberAddress | None = None
+
+
 class MembersReply(MessageStruct, frozen=True):
-    """All voters and learners, and the leader's term."""
+    """All voters and learners, the leader's term, and the processes that pass on calls."""
 
     members: tuple[MemberAddress, ...]
     term: int
+    relays: tuple[MemberAddress, ...] = ()
 
 
 class JoinGroup(MessageStruct, frozen=True):
--- a/src/cicadatray/internal/wire/messages/registry.py
+++ b/src/cicadatray/internal/wire/messages/registry.py
@@ -12,6 +12,7 @@
     graph_messages,
     job_messages,
     key_messages,
+    relay_messages,
     task_messages,
 )
 
@@ -23,6 +24,7 @@
     graph_messages,
     job_messages,
     key_messages,
+    relay_messages,
     task_messages,
 )
 
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -29,6 +29,7 @@
         "backoff",
         "codec",
         "connect_lock",
+        "connect_timeout_s",
         "heard_s",
         "host",
         "next_call_id",
@@ -41,13 +42,20 @@
     )
 
     def __init__(
-        self, host: str, port: int, codec: Codec, secret: bytes, backoff: Backoff | None = None
+        self,
+        host: str,
+        port: int,
+        codec: Codec,
+        secret: bytes,
+        backoff: Backoff | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self.host = host
         self.port = port
         self.codec = codec
         self.secret = secret
         self.backoff = backoff or Backoff()
+        self.connect_timeout_s = connect_timeout_s
         self.connect_lock = asyncio.Lock()
         self.heard_s = 0.0
         self.next_call_id = 1
@@ -65,7 +73,7 @@
         """
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-        writer = await self._connected_writer(min(timeout_s, CONNECT_TIMEOUT_S))
+        writer = await self._connected_writer(min(timeout_s, self.connect_timeout_s))
         call_id = self.next_call_id
         self.next_call_id += 1
         frame = pack_frame(self.codec.encode(call_id, message))
--- a/src/cicadatray/platform/agent_role.py
+++ b/src/cicadatray/platform/agent_role.py
@@ -7,6 +7,7 @@
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.messages.registry import message_codec
+from cicadatray.internal.wire.relay_routes import RelayRoutes
 from cicadatray.platform.errors import PlatformSettingsError
 from cicadatray.platform.members import CLUSTER_SECRET, seed_members
 from cicadatray.platform.roles import RoleProgram, role
@@ -23,7 +24,9 @@
         address = settings.control_address
         if address is None:
             raise PlatformSettingsError("an agent needs an address for its worker")
-        self.control = ControlClient(seed_members(settings), message_codec(), CLUSTER_SECRET)
+        self.control = ControlClient(
+            seed_members(settings), message_codec(), CLUSTER_SECRET, RelayRoutes(settings.name)
+        )
         self.probe = LeaderProbe(self.control)
         self.agent = TaskAgent(settings.name, self.control)
         application = WorkerApi(self.agent).application()
--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -15,7 +15,7 @@
 from cicadatray.platform.settings import PlatformSettings
 
 # Zones are a few milliseconds apart; a leader that is silent this long is not merely slow.
-ELECTION_TIMEOUT_S = 0.6
+ELECTION_TIMEOUT_S = 0.45
 
 
 class ControlRole:
--- a/src/cicadatray/platform/entry_role.py
+++ b/src/cicadatray/platform/entry_role.py
@@ -9,9 +9,11 @@
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.messages.registry import message_codec
+from cicadatray.internal.wire.relay_routes import RelayRoutes
+from cicadatray.internal.wire.relay_server import RelayServer
 from cicadatray.platform.client_api import ClientApi
 from cicadatray.platform.errors import PlatformSettingsError
-from cicadatray.platform.members import CLUSTER_SECRET, seed_members
+from cicadatray.platform.members import CLUSTER_SECRET, relay_address, seed_members
 from cicadatray.platform.roles import RoleProgram, role
 from cicadatray.platform.settings import PlatformSettings
 
@@ -24,7 +26,7 @@
 class EntryRole:
     """Serves clients and answers whether it is ready."""
 
-    __slots__ = ("clients", "control", "grace_s", "is_stopping", "probe", "readiness")
+    __slots__ = ("clients", "control", "grace_s", "is_stopping", "probe", "readiness", "relay")
 
     def __init__(self, settings: PlatformSettings) -> None:
         front, ready = settings.client_address, settings.readiness_address
@@ -32,8 +34,14 @@
             raise PlatformSettingsError("an entry needs addresses for clients and readiness")
         self.grace_s = settings.grace_s
         self.is_stopping = False
-        self.control = ControlClient(seed_members(settings), message_codec(), CLUSTER_SECRET)
-        self.probe = LeaderProbe(self.control)
+        codec = message_codec()
+        own_relay = relay_address(settings)
+        routes = RelayRoutes(own_relay.name)
+        self.control = ControlClient(seed_members(settings), codec, CLUSTER_SECRET, routes)
+        self.probe = LeaderProbe(self.control, own_relay)
+        self.relay = RelayServer(
+            own_relay.host, own_relay.port, self.control, codec, CLUSTER_SECRET
+        )
         api = ClientApi(self.control, self.probe, settings.body_limit_bytes)
         self.clients = HttpServer(api, front.host, front.port)
         self.readiness = HttpServer(self._answer_readiness, ready.host, ready.port)
@@ -41,6 +49,7 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, leaves the rotation and finishes what is open."""
         probing = asyncio.create_task(self.probe.run())
+        await self.relay.server.start()
         await self.clients.start()
         await self.readiness.start()
         await stop.wait()
@@ -53,6 +62,7 @@
             self.clients.abort()
         probing.cancel()
         await self.readiness.stop()
+        await self.relay.server.stop()
         await self.control.close()
 
     def reload(self, settings: PlatformSettings) -> None:
@@ -61,7 +71,7 @@
             self.control.learn(member.name, member.host, member.port)
 
     async def _answer_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:
-        is_ready = not self.is_stopping and self.probe.is_fresh()
+        is_ready = not self.is_stopping and self.probe.is_connected()
         await Response(b"", 200 if is_ready else 503)(scope, receive, send)
 
 
--- a/src/cicadatray/scheduling/taskgraphs/job_value.py
+++ b/src/cicadatray/scheduling/taskgraphs/job_value.py
@@ -1,7 +1,7 @@
 """What jobs are worth to their callers, in core-seconds of work.
 
 The users' sheets price a core-second of wasted work at 0.0023, where a job of the queues with
-priority 0, 1 and 2 is worth 4, 3 and 1 when it is on time, and a fifth to a third of that when late.
+priority 0, 1 and 2 is worth 4, 3 and 1 when it is on time, and a fifth to a third of that later.
 """
 
 CORE_SECONDS_PER_WORTH = 435.0
