Drive task graphs with random faults on a virtual clock

Cause: no test without the bench covered leases, late orders and changes of leader around task graphs. Change: real control daemons and task agents beside simulated workers (slow clocks, late orders, drains, new incarnations), checked for capacity, double runs, order of steps, cancelled runs, graphs that never end. The replica names its members; writes can stay on the event loop for simulated clocks (the embedding example's test needs it: a virtual clock does not see threads; a second test runs threads).

--- a/examples/embedding/replicate_counter.py
+++ b/examples/embedding/replicate_counter.py
@@ -74,8 +74,11 @@
         await asyncio.sleep(POLL_S)
 
 
-async def replicate(folder: Path) -> list[int]:
-    """Forms a group, proposes three numbers and returns the members' sums."""
+async def replicate(folder: Path, writes_in_thread: bool = True) -> list[int]:
+    """Forms a group, proposes three numbers and returns the members' sums.
+
+    A simulated clock does not see threads, so on one the members write on the event loop.
+    """
     transport = LocalTransport()
     machines = [CounterMachine() for _ in MEMBERS]
     for member, machine in zip(MEMBERS, machines, strict=True):
@@ -84,6 +87,7 @@
             data_folder=str(folder / member.member_id),
             initial_members=MEMBERS,
             bootstrap=True,
+            writes_in_thread=writes_in_thread,
         )
         transport.replicas[member.member_id] = Replica(settings, machine, transport)
     replicas = list(transport.replicas.values())
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -236,10 +236,9 @@
                 log.info("no leader to join", reason=str(error))
 
     def _not_leader(self, leader_name: str | None) -> NotLeader:
-        record = self.replica.core.membership.find(leader_name or "")
-        if record is None:
+        member = self.replica.find_member(leader_name) if leader_name else None
+        if member is None:
             return NotLeader(leader_name=leader_name or "")
-        member = record.member
         return NotLeader(
             leader_name=member.member_id, leader_host=member.host, leader_port=member.port
         )
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -163,10 +163,10 @@
 async def read_members(daemon: "ControlDaemon", call: ReadMembers) -> MessageStruct:
     """Answers with the members of the control group."""
     session = await daemon.leading_session()
-    members = daemon.replica.core.membership.records
     return MembersReply(
         members=tuple(
-            MemberAddress(r.member.member_id, r.member.host, r.member.port) for r in members
+            MemberAddress(member.member_id, member.host, member.port)
+            for member in daemon.replica.members()
         ),
         term=session.term,
         relays=daemon.require_graphs(session).take_relay(call.relay),
--- a/src/cicadatray/replication/replica.py
+++ b/src/cicadatray/replication/replica.py
@@ -115,11 +115,13 @@
             StorageError: the data folder cannot be used.
         """
         folder: DataFolder
-        if self.data_folder is None:
+        if self.data_folder is not None:
+            folder = self.data_folder
+        elif self.settings.writes_in_thread:
             # A slow or full disk must not keep the process from answering signals.
             folder = await asyncio.to_thread(self._open_local_folder)
         else:
-            folder = self.data_folder
+            folder = LocalDataFolder(self.settings.data_folder)
         try:
             if isinstance(folder, QueuedDataFolder):
                 storage = await asyncio.to_thread(self._load, folder)
@@ -211,6 +213,15 @@
         except TimeoutError as error:
             raise NotLeaderError(None, "leadership not confirmed in time") from error
 
+    def members(self) -> tuple[Member, ...]:
+        """Returns the addresses of all voters and learners."""
+        return tuple(record.member for record in self.core.membership.records)
+
+    def find_member(self, member_id: str) -> Member | None:
+        """Returns the address of a member, or None."""
+        record = self.core.membership.find(member_id)
+        return record.member if record else None
+
     def needs_to_join(self, silence_s: float) -> bool:
         """Returns whether no leader has called this member for `silence_s`."""
         core = self.core
--- a/src/cicadatray/replication/replica_settings.py
+++ b/src/cicadatray/replication/replica_settings.py
@@ -20,6 +20,8 @@
     `group_size` is the number of voters that the leader keeps by admitting members that ask to join
     and by replacing lost ones; 0 leaves every change to an operator.
 
+    `writes_in_thread` False writes on the event loop, for programs that run on a simulated clock.
+
     A leader that has no contact with a majority steps down after `election_timeout_min_s`. The
     ratio to `heartbeat_s` and `call_timeout_s` leaves room for one lost message.
     """
@@ -42,3 +44,4 @@
     snapshot_chunk_bytes: int = 256 * KIB
     pending_limit_bytes: int = 8192 * KIB
     group_size: int = 0
+    writes_in_thread: bool = True
--- a/tests/cover/control/gangs/fake_replica.py
+++ b/tests/cover/control/gangs/fake_replica.py
@@ -6,6 +6,7 @@
 
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.replication.errors import NotLeaderError, ProposalUnknownError
+from cicadatray.replication.member import Member
 from cover.control.gangs.shared_log import SharedLog
 
 Result = TypeVar("Result")
@@ -30,6 +31,14 @@
             self.applied += 1
             self.state.apply(self.applied, self.log.commands[self.applied - 1])
 
+    def find_member(self, member_id: str) -> Member | None:
+        """Knows no addresses: the calls of these tests go by name."""
+        return None
+
+    def members(self) -> tuple[Member, ...]:
+        """As `find_member`."""
+        return ()
+
     async def propose(self, command: bytes, timeout_s: float) -> bytes:
         """Commits a command; it may be committed although the answer is lost."""
         term = self.term
--- a/tests/cover/control/gangs/gang_world.py
+++ b/tests/cover/control/gangs/gang_world.py
@@ -32,7 +32,7 @@
 from cover.control.gangs.simulated_agent import CONTROL_NAMES, SimulatedAgent
 from cover.control.gangs.simulated_control import SimulatedControl
 from cover.control.gangs.simulated_worker import SimulatedWorker, payload_of
-from cover.replication.process_loop import ProcessLoop
+from cover.replication.process_loop import ProcessLoop, end_other_tasks
 from scheduling_helpers import inventory, rules
 
 ACCELERATORS = 8
@@ -96,7 +96,7 @@
             processes += [agent.process, *agent.ended]
         for process in processes:
             process.thaw()
-        self.loop.run_until_complete(self._end_tasks())
+        self.loop.run_until_complete(end_other_tasks())
         self.loop.close()
         asyncio.set_event_loop(None)
         self.patches.close()
@@ -214,10 +214,3 @@
             self.patches.enter_context(patch.object(module, "log", quiet))
         clock = SimpleNamespace(time=self.loop.time)
         self.patches.enter_context(patch.object(leader_session, "time", clock))
-
-    async def _end_tasks(self) -> None:
-        # In Python 3.11 `wait_for` drops a cancellation that arrives together with its result.
-        while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
-            for task in tasks:
-                task.cancel()
-            await asyncio.wait(tasks, timeout=TICK_S)
--- a/tests/cover/control/gangs/simulated_control.py
+++ b/tests/cover/control/gangs/simulated_control.py
@@ -16,6 +16,9 @@
 from cover.replication.process_loop import Process
 
 
+LONGEST_TASK_LEASE_S = 6.0
+
+
 class _Links(AgentLinks):
     __slots__ = ("layer", "name")
 
@@ -35,12 +38,15 @@
     def __init__(self, name: str, log: SharedLog, layer: LinkLayer) -> None:
         self.name = name
         self.process = Process()
-        self.settings: Any = SimpleNamespace(bootstrap_operator_sha256="")
+        self.settings: Any = SimpleNamespace(
+            bootstrap_operator_sha256="", longest_task_lease_s=LONGEST_TASK_LEASE_S
+        )
         self.state = ControlState()
         self.replica: Any = FakeReplica(log, name, self.state)
         self.metrics = MetricsRegistry()
         self.links = _Links(layer, name)
         self.session = None
+        self.graphs = None
         self.loop = None
         log.members[name] = self
         layer.peers[name] = self
--- a/tests/cover/guides/test_embedding_examples.py
+++ b/tests/cover/guides/test_embedding_examples.py
@@ -1,5 +1,6 @@
 """Tests of the programs that the guide for embedding shows."""
 
+import asyncio
 import importlib.util
 from pathlib import Path
 from types import ModuleType
@@ -29,4 +30,10 @@
 
 def test_replication_example(tmp_path: Path) -> None:
     """Guards against a guide that no longer fits the replication library."""
-    assert run_virtual(load_example("replicate_counter").replicate(tmp_path)) == [6, 6, 6]
+    replicate = load_example("replicate_counter").replicate
+    assert run_virtual(replicate(tmp_path, writes_in_thread=False)) == [6, 6, 6]
+
+
+def test_replication_example_with_threads(tmp_path: Path) -> None:
+    """Guards against writes in a thread that never tell the event loop that they are done."""
+    assert asyncio.run(load_example("replicate_counter").replicate(tmp_path)) == [6, 6, 6]
--- a/tests/cover/replication/process_loop.py
+++ b/tests/cover/replication/process_loop.py
@@ -8,6 +8,9 @@
 from cicadatray.internal.bench.virtual_time_loop import VirtualTimeLoop
 
 
+END_POLL_S = 0.05
+
+
 class _Call:
     __slots__ = ("args", "callback", "context", "handle", "process")
 
@@ -44,6 +47,17 @@
             asyncio.get_event_loop().call_soon(call, context=call.context)
 
 
+async def end_other_tasks() -> None:
+    """Cancels all other tasks until they have ended.
+
+    In Python 3.11 `wait_for` drops a cancellation that arrives together with its result.
+    """
+    while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks, timeout=END_POLL_S)
+
+
 _current: ContextVar[Process | None] = ContextVar("_current", default=None)
 
 
--- /dev/null
+++ b/tests/cover/taskgraphs/graph_world.py
@@ -0,0 +1,315 @@
+"""Real control daemons and task agents, and what must hold whatever fails between them."""
+
+import asyncio
+import random
+import time
+from contextlib import ExitStack
+from typing import Any
+from unittest.mock import patch
+
+from cicadatray.internal.agent.tasks.task_agent import TaskAgent
+from cicadatray.internal.settings.common import ControlMember
+from cicadatray.internal.wire.control_client import ControlClient
+from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.messages.graph_messages import (
+    CancelGraph,
+    GraphState,
+    QueueTarget,
+    ReadGraph,
+    SetQueues,
+    SubmitGraph,
+)
+from cicadatray.internal.wire.messages.queue_configuration import (
+    Pool,
+    Queue,
+    QueueAccount,
+    QueueConfiguration,
+)
+from cicadatray.internal.wire.messages.registry import message_codec
+from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
+from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.step import Step
+from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
+from cover.control.gangs.link_client import LinkClient
+from cover.control.gangs.link_layer import LinkLayer
+from cover.control.gangs.shared_log import SharedLog
+from cover.control.gangs.simulated_control import SimulatedControl
+from cover.replication.process_loop import Process, ProcessLoop, end_other_tasks
+from cover.taskgraphs.graph_worker import CAPACITY, GraphWorker, GraphWorkerPort
+
+CONTROL_NAMES = ("c1", "c2")
+MEMBERS = tuple(ControlMember(name, "127.0.0.1", 1) for name in CONTROL_NAMES)
+TICK_S = 0.05
+ANNOUNCE_S = 1.0
+ELECTION_S = 1.5
+WALL_START_S = 1_700_000_000.0
+KEY_DIGEST = b"k" * 32
+# A stop takes 0.2 s and a call up to 0.8 s; the product promises 3 s after a calm cancellation.
+CANCEL_BOUND_S = 3.5
+
+
+class SimulatedTaskAgent:
+    """A task agent whose process can be frozen or started anew."""
+
+    __slots__ = ("agent", "ended", "layer", "name", "process", "worker")
+
+    def __init__(self, name: str, worker: GraphWorker, layer: LinkLayer) -> None:
+        self.name = name
+        self.worker = worker
+        self.layer = layer
+        self.ended: list[Process] = []
+        self.process = Process()
+        self.start()
+
+    def start(self) -> None:
+        """Starts a new process, which knows nothing."""
+        self.process.is_frozen = True
+        self.ended.append(self.process)
+        self.process = Process()
+        client = ControlClient(MEMBERS, message_codec(), b"")
+        client.leader_name = CONTROL_NAMES[0]
+        client.clients = {
+            name: LinkClient(self.layer, self.name, name)  # type: ignore[misc]
+            for name in CONTROL_NAMES
+        }
+        self.agent = TaskAgent(self.name, client)
+        loop = asyncio.get_event_loop()
+        loop.create_task(self.agent.run(), context=self.process.context)
+        loop.create_task(self._announce(self.agent), context=self.process.context)
+
+    async def _announce(self, agent: TaskAgent) -> None:
+        while True:
+            await agent.offer_worker(self.worker.offer(), GraphWorkerPort(self.worker))
+            await asyncio.sleep(ANNOUNCE_S)
+
+
+class GraphWorld:
+    """`finish_s` is how long a task works once it, or its whole gang, is present."""
+
+    def __init__(self, seed: int, size: int) -> None:
+        self.loop = ProcessLoop()
+        asyncio.set_event_loop(self.loop)
+        self.patches = ExitStack()
+        wall = patch.object(time, "time", lambda: WALL_START_S + self.loop.time())
+        self.patches.enter_context(wall)
+        self.faults: list[str] = []
+        self.outage_s = 0.0
+        self.finish_s = 2.0
+        self.failing: set[str] = set()
+        self.done: set[TaskId] = set()
+        self.starts: dict[TaskRun, float] = {}
+        self.running: dict[TaskId, set[tuple[str, TaskRun]]] = {}
+        self.cancelled_s: dict[str, float] = {}
+        self.graphs: dict[str, SubmitGraph] = {}
+        self.layer = LinkLayer(random.Random(seed))
+        self.log = SharedLog(lambda: None)
+        self.workers = [
+            GraphWorker(f"w{n}", seed + n, self._on_start, self._on_end) for n in range(size)
+        ]
+        self.controls = {
+            name: self._in_loop(lambda name=name: SimulatedControl(name, self.log, self.layer))
+            for name in CONTROL_NAMES
+        }
+        self.log.commit(self.log.state.encode_command(_queues()))
+        self.log.elect(CONTROL_NAMES[0])
+        self.agents = [
+            self._in_loop(lambda n=n, w=w: SimulatedTaskAgent(f"a{n}", w, self.layer))
+            for n, w in enumerate(self.workers)
+        ]
+
+    def close(self) -> None:
+        """Ends all tasks."""
+        ended = [process for agent in self.agents for process in agent.ended]
+        for process in (*self._processes(), *ended):
+            process.thaw()
+        self.loop.run_until_complete(end_other_tasks())
+        self.loop.close()
+        asyncio.set_event_loop(None)
+        self.patches.close()
+
+    def advance(self, duration_s: float) -> None:
+        """Lets everything run for some time."""
+        end_s = self.loop.time() + duration_s
+        while self.loop.time() < end_s and not self.faults:
+            self.loop.run_until_complete(asyncio.sleep(TICK_S))
+            self._watch_leader()
+            self._work()
+            self._check_capacity()
+            self._check_cancelled()
+        assert not self.faults, self.faults
+
+    def submit(self, graph_id: str, steps: tuple[Step, ...], urgent: bool = False) -> None:
+        """A client hands in a graph; a call that is lost is not repeated."""
+        prefix = "/urgent/" if urgent else "/batch/"
+        call = SubmitGraph(target=_target(prefix + graph_id), spec=graph_id, steps=steps)
+        self.graphs[graph_id] = call
+        self._call(call)
+
+    def cancel(self, graph_id: str) -> None:
+        """A client cancels a graph; only a confirmed cancellation binds the system."""
+        leader = self.leader
+
+        async def run() -> None:
+            reply = await leader.answer(CancelGraph(target=self.graphs[graph_id].target))
+            if isinstance(reply, GraphState) and reply.state == "cancelled":
+                self.cancelled_s.setdefault(graph_id, self.loop.time())
+
+        self._in_loop(lambda: self.layer.spawn(leader.process, run))
+
+    def state_of(self, graph_id: str) -> MessageStruct:
+        """Asks the leader for a graph."""
+        call = ReadGraph(target=self.graphs[graph_id].target)
+        return self.loop.run_until_complete(self.leader.answer(call))
+
+    @property
+    def leader(self) -> SimulatedControl:
+        """The instance that the log takes proposals of."""
+        leader: SimulatedControl = self.controls[self.log.leader]
+        return leader
+
+    def change_leader(self) -> None:
+        """Elects the other instance if the group reaches it."""
+        other = next(name for name in CONTROL_NAMES if name != self.log.leader)
+        if self.log.reaches(other):
+            self.outage_s = 0.0
+            self.log.elect(other)
+
+    def restart_agent(self, number: int) -> None:
+        """Kills the process of an agent and starts the next one."""
+        self._in_loop(self.agents[number % len(self.agents)].start)
+
+    def cut_agent(self, number: int) -> None:
+        """Cuts an agent off from control, silently."""
+        name = self.agents[number % len(self.agents)].name
+        self.layer.cuts |= {(name, c) for c in CONTROL_NAMES}
+        self.layer.cuts |= {(c, name) for c in CONTROL_NAMES}
+
+    def heal(self) -> None:
+        """Ends every fault."""
+        self.layer.cuts.clear()
+        self.layer.troubled = False
+        self.log.cut_members.clear()
+        self.failing.clear()
+        for control in self.controls.values():
+            control.process.thaw()
+        self.log.after_round_trip(self.log.tell_members)
+        for agent in self.agents:
+            agent.process.thaw()
+        for worker in self.workers:
+            worker.is_mute = False
+            if worker.is_draining:
+                worker.restart()
+
+    def _processes(self) -> list[Process]:
+        return [c.process for c in self.controls.values()] + [a.process for a in self.agents]
+
+    def _in_loop(self, make: Any) -> Any:
+        async def main() -> Any:
+            return make()
+
+        return self.loop.run_until_complete(main())
+
+    def _call(self, message: MessageStruct) -> None:
+        leader = self.leader
+
+        async def run() -> None:
+            await leader.answer(message)
+
+        self._in_loop(lambda: self.layer.spawn(leader.process, run))
+
+    def _watch_leader(self) -> None:
+        if self.log.reaches(self.log.leader):
+            self.outage_s = 0.0
+            return
+        self.outage_s += TICK_S
+        if self.outage_s >= ELECTION_S:
+            self.change_leader()
+
+    def _work(self) -> None:
+        """Ends tasks that have worked long enough, gangs as a whole."""
+        now_s = self.loop.time()
+        for worker in self.workers:
+            worker.tick()
+            for run, started_s in list(worker.running.items()):
+                if run in worker.stopping or not self._is_whole(run):
+                    continue
+                if worker.name in self.failing:
+                    worker.end(run, RunOutcome.FAILED)
+                elif now_s - max(started_s, self._whole_since_s(run)) >= self.finish_s:
+                    self._finish(run)
+
+    def _members(self, run: TaskRun) -> list[TaskRun]:
+        step = self.graphs[run.task.graph_id].steps[run.task.step]
+        if not step.is_gang:
+            return [run]
+        task = run.task
+        return [
+            TaskRun(TaskId(task.graph_id, task.occurrence, task.step, index), run.run)
+            for index in range(step.count)
+        ]
+
+    def _is_whole(self, run: TaskRun) -> bool:
+        present = {r for worker in self.workers for r in worker.running}
+        return all(member in present for member in self._members(run))
+
+    def _whole_since_s(self, run: TaskRun) -> float:
+        return max(self.starts[member] for member in self._members(run))
+
+    def _finish(self, run: TaskRun) -> None:
+        members = set(self._members(run))
+        self.done |= {member.task for member in members}
+        for worker in self.workers:
+            for other in [r for r in worker.running if r in members]:
+                worker.end(other, RunOutcome.DONE)
+
+    def _on_start(self, worker: GraphWorker, run: TaskRun) -> None:
+        self.starts.setdefault(run, self.loop.time())
+        step = self.graphs[run.task.graph_id].steps[run.task.step]
+        for earlier in step.depends_on:
+            for index in range(self.graphs[run.task.graph_id].steps[earlier].count):
+                task = TaskId(run.task.graph_id, 0, earlier, index)
+                if task not in self.done:
+                    self.faults.append(f"{run} started before {task} was done")
+        others = self.running.setdefault(run.task, set())
+        if others:
+            self.faults.append(f"{run} started on {worker.worker_id} beside {others}")
+        others.add((worker.worker_id, run))
+
+    def _on_end(self, worker: GraphWorker, run: TaskRun, outcome: RunOutcome) -> None:
+        self.running.get(run.task, set()).discard((worker.worker_id, run))
+
+    def _check_capacity(self) -> None:
+        for worker in self.workers:
+            used = Resources()
+            for run in worker.running:
+                used = used.plus(self.graphs[run.task.graph_id].steps[run.task.step].room)
+            if not used.fits_in(CAPACITY):
+                self.faults.append(f"{worker.worker_id} is over its capacity: {used}")
+
+    def _check_cancelled(self) -> None:
+        """A disturbance ends the bound for what was cancelled before it."""
+        if self.layer.cuts or self.layer.troubled or self.outage_s:
+            self.cancelled_s.clear()
+        if any(w.is_mute for w in self.workers) or any(p.is_frozen for p in self._processes()):
+            self.cancelled_s.clear()
+        for graph_id, sent_s in self.cancelled_s.items():
+            if self.loop.time() < sent_s + CANCEL_BOUND_S:
+                continue
+            runs = [r for w in self.workers for r in w.running if r.task.graph_id == graph_id]
+            if runs:
+                self.faults.append(f"{runs} still run after their graph was cancelled")
+
+
+def _target(path: str) -> QueueTarget:
+    return QueueTarget("host", path, KEY_DIGEST)
+
+
+def _queues() -> SetQueues:
+    queues = tuple(
+        Queue("host", f"/{name}/", QueuePolicy(name, "pool", priority, 3, stretch, 1.0))
+        for name, priority, stretch in (("urgent", 0, 2.0), ("batch", 2, 4.0))
+    )
+    account = QueueAccount("account", (KEY_DIGEST,), guaranteed_accelerators=8)
+    configuration = QueueConfiguration(1, queues, (Pool("pool"),), (account,))
+    return SetQueues(configuration=configuration, source=b"{}")
