Test placement, ends, documents, relays, the write queue and the keeper of the group

Cause: the parts of the thin path had no tests of their own. Change: tables and properties for each; a call to control pauses after every failed try: a peer that resets at once was called in a loop without end (found by the test of open outcomes, which hung).

--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -116,14 +116,17 @@
     async def _call_leader(self, attempt: CallAttempt) -> MessageStruct | None:
         """Calls the instance that is taken for the leader; returns None when it gave no answer."""
         name = self.leader_name
+        started_s = asyncio.get_running_loop().time()
         try:
             reply = await self.clients[name].call(attempt.message, attempt.time_s())
         except WireError as error:
             self.direct_failures += 1
             attempt.note(str(error), not isinstance(error, PeerUnreachableError))
             self._try_next(name)
-            if isinstance(error, PeerUnreachableError):
-                await asyncio.sleep(RETRY_PAUSE_S)
+            # A peer that resets every connection at once must not be called without a pause.
+            await asyncio.sleep(
+                max(0.0, started_s + RETRY_PAUSE_S - asyncio.get_running_loop().time())
+            )
             return None
         self._heard()
         self.direct_failures = 0
@@ -147,6 +150,7 @@
         except WireError as error:
             attempt.note(str(error), not isinstance(error, PeerUnreachableError))
             self.relays.active = None
+            await asyncio.sleep(RETRY_PAUSE_S)
             return None
         self._heard()
         if isinstance(reply, RelayedReply):
--- a/tests/cover/control/gangs/simulated_control.py
+++ b/tests/cover/control/gangs/simulated_control.py
@@ -15,7 +15,6 @@
 from cover.control.gangs.shared_log import SharedLog
 from cover.replication.process_loop import Process
 
-
 LONGEST_TASK_LEASE_S = 6.0
 
 
--- /dev/null
+++ b/tests/cover/platform/documents.py
@@ -0,0 +1,65 @@
+"""Documents in the platform's form, made for these tests."""
+
+import copy
+from typing import Any
+
+CONFIGURATION: dict[str, Any] = {
+    "Version": 3,
+    "Routes": [
+        {
+            "Name": "fast",
+            "Host": "Jobs.example",
+            "PathPrefix": "/fast/",
+            "TimeoutMs": 3000,
+            "TargetLatencyMs": 250,
+            "Priority": 0,
+            "Service": "pool",
+            "MaxAttempts": 2,
+            "Stretch": 1.5,
+            "Public": False,
+        },
+        {
+            "Name": "slow",
+            "Host": "jobs.example",
+            "PathPrefix": "/slow/",
+            "TimeoutMs": 3000,
+            "Service": "pool",
+            "Public": True,
+        },
+    ],
+    "Services": [{"Name": "pool", "AdmissionCheck": False}],
+    "Tenants": [
+        {"Name": "one", "ApiKeys": ["k1", "k2"], "Guaranteed": {"Gpus": 16}},
+        {"Name": "two", "ApiKeys": ["k3"]},
+    ],
+}
+JOB: dict[str, Any] = {
+    "Spec": "text",
+    "Steps": [
+        {"Count": 2, "Cpu": 500, "MemMb": 256, "Gpus": 1, "EstimateMs": 900, "Gang": True},
+        {"Count": 1, "Cpu": 2000, "EstimateMs": 7000, "DependsOn": [0], "Requirements": "a"},
+    ],
+}
+ANNOUNCEMENT: dict[str, Any] = {
+    "Service": "pool",
+    "Address": "10.0.0.9:8080",
+    "Zone": "north",
+    "State": "ready",
+    "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpus": 8},
+    "Labels": ["a", "r1"],
+    "ClockMs": 482113,
+    "Seq": 4,
+}
+
+
+def changed(document: dict[str, Any], *path: Any, value: Any) -> dict[str, Any]:
+    """Returns a copy in which the field at `path` has another value, or is absent for None."""
+    result = copy.deepcopy(document)
+    part: Any = result
+    for step in path[:-1]:
+        part = part[step]
+    if value is None:
+        del part[path[-1]]
+    else:
+        part[path[-1]] = value
+    return result
--- /dev/null
+++ b/tests/cover/platform/test_client_api.py
@@ -0,0 +1,121 @@
+"""What clients are told, and whether it is true."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.control.graphs import graph_codes
+from cicadatray.internal.wire.control_client import ControlUnavailableError
+from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.graph_messages import (
+    CancelGraph,
+    GraphState,
+    QueueState,
+    ReadGraph,
+    SubmitGraph,
+)
+from cicadatray.platform.client_api import ClientApi
+from cicadatray.platform.configuration_document import digest_credential
+from cover.platform.asgi import Answer, request
+from cover.platform.documents import JOB
+
+PATH = "/fast/00000000000000aa"
+HEADERS = {"Host": "Jobs.example:80", "Authorization": "Token k1", "Deadline-Ms": "3000"}
+
+
+class FakeControl:
+    """Answers, or raises, what it was made with, and keeps the calls."""
+
+    def __init__(self, *outcomes: MessageStruct | Exception) -> None:
+        self.outcomes = list(outcomes)
+        self.calls: list[tuple[Any, float]] = []
+
+    async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
+        self.calls.append((message, timeout_s))
+        outcome = self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+
+class FakeProbe:
+    def __init__(self, fresh: bool) -> None:
+        self.fresh = fresh
+
+    def is_fresh(self) -> bool:
+        return self.fresh
+
+
+def ask(control: FakeControl, method: str, body: bytes = b"", fresh: bool = True) -> Answer:
+    api = ClientApi(control, FakeProbe(fresh), 4000)  # type: ignore[arg-type]
+    return run_virtual(request(api, method, PATH, body, HEADERS))
+
+
+@pytest.mark.parametrize(
+    ("reply", "status"),
+    [
+        (GraphState(graph_id="a", state="queued"), 200),
+        (Failure(code=graph_codes.QUEUES_UNSET, detail=""), 503),
+        (Failure(code=graph_codes.QUEUE_UNKNOWN, detail=""), 404),
+        (Failure(code=graph_codes.CREDENTIAL_UNKNOWN, detail=""), 401),
+        (Failure(code=graph_codes.ACCOUNT_MISMATCH, detail=""), 403),
+        (Failure(code=graph_codes.GRAPH_UNKNOWN, detail=""), 410),
+        (Failure(code="anything else", detail=""), 503),
+        (ControlUnavailableError("silent", may_have_effect=False), 503),
+        (ControlUnavailableError("silent", may_have_effect=True), 504),
+    ],
+)
+def test_status_of_a_submission(reply: MessageStruct | Exception, status: int) -> None:
+    """503 says that the job never runs, so it must not be said while that is open."""
+    answer = ask(FakeControl(reply), "POST", msgspec.json.encode(JOB))
+    assert answer.status == status
+    assert ("retry-after" in answer.headers) is (status >= 500)
+
+
+def test_unknown_outcome_of_a_first_try_stays_unknown() -> None:
+    """A second try that reached nobody must not turn an open outcome into a refusal."""
+    control = FakeControl(
+        ControlUnavailableError("lost", may_have_effect=True),
+        ControlUnavailableError("unreachable", may_have_effect=False),
+    )
+    assert ask(control, "POST", msgspec.json.encode(JOB)).status == 504
+
+
+@pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
+def test_answers_at_once_without_a_leader(method: str) -> None:
+    """A request that cannot be served must not wait until its client's deadline."""
+    control = FakeControl(GraphState(graph_id="a", state="queued"))
+    answer = ask(control, method, msgspec.json.encode(JOB), fresh=False)
+    assert (answer.status, control.calls) == (503, [])
+    assert answer.headers["retry-after"] == "1"
+
+
+@pytest.mark.parametrize(
+    ("method", "call_type"),
+    [("GET", ReadGraph), ("POST", SubmitGraph), ("DELETE", CancelGraph)],
+)
+def test_what_control_is_asked(method: str, call_type: type) -> None:
+    """A wrong host, path or credential would be answered for another queue or account."""
+    control = FakeControl(GraphState(graph_id="a", state="running"))
+    answer = ask(control, method, msgspec.json.encode(JOB))
+    call, timeout_s = control.calls[0]
+    assert isinstance(call, call_type)
+    assert (call.target.host, call.target.path) == ("jobs.example", PATH)
+    assert call.target.credential_digest == digest_credential("k1")
+    assert timeout_s < 3.0
+    assert answer.json() == {"State": "running"}
+
+
+def test_waiting_jobs_of_a_queue() -> None:
+    """The count of waiting jobs goes by another name on the platform."""
+    assert ask(FakeControl(QueueState(waiting=4)), "GET").json() == {"Pending": 4}
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"x" * 5000])
+def test_unreadable_submission(body: bytes) -> None:
+    """A body that is no job is refused before control is asked."""
+    control = FakeControl(GraphState(graph_id="a", state="queued"))
+    assert ask(control, "POST", body).status == 400
+    assert control.calls == []
--- /dev/null
+++ b/tests/cover/platform/test_documents.py
@@ -0,0 +1,167 @@
+"""Decoding of the platform's documents, also of those from other writers."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cicadatray.platform.configuration_document import decode_configuration, digest_credential
+from cicadatray.platform.errors import DocumentError
+from cicadatray.platform.job_document import decode_job
+from cicadatray.platform.worker_document import decode_announcement, decode_task, decode_view
+from cicadatray.scheduling.taskgraphs.resources import Resources
+from cover.platform.documents import ANNOUNCEMENT, CONFIGURATION, JOB, changed
+
+DECODERS: dict[str, tuple[dict[str, Any], Callable[[bytes], object]]] = {
+    "configuration": (CONFIGURATION, decode_configuration),
+    "job": (JOB, decode_job),
+    "announcement": (ANNOUNCEMENT, lambda body: decode_announcement("i-1", body)),
+    "view": ({"ClockMs": 5, "Running": [], "Ended": []}, decode_view),
+}
+ANY_VALUE = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=6,
+)
+
+
+def encode(document: object) -> bytes:
+    return msgspec.json.encode(document)
+
+
+def test_configuration_in_the_products_words() -> None:
+    """A field that is read under the wrong name silently gets its default."""
+    configuration = decode_configuration(encode(CONFIGURATION))
+    fast = configuration.queues[0]
+    assert (fast.host, fast.policy.priority, fast.policy.max_attempts) == ("jobs.example", 0, 2)
+    assert (fast.policy.stretch, fast.policy.target_latency_s) == (1.5, 0.25)
+    assert configuration.queues[1].is_public
+    account = configuration.find_account(digest_credential("k2"))
+    assert account is not None and account.guaranteed_accelerators == 16
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        changed(CONFIGURATION, "Version", value=None),
+        changed(CONFIGURATION, "Version", value=0),
+        changed(CONFIGURATION, "Routes", 0, "Service", value="unknown"),
+        changed(CONFIGURATION, "Routes", 1, "PathPrefix", value="/fast/"),
+        changed(CONFIGURATION, "Routes", 0, "TimeoutMs", value=0),
+        changed(CONFIGURATION, "Routes", 0, "TimeoutMs", value="soon"),
+        changed(CONFIGURATION, "Tenants", 1, "ApiKeys", value=["k1"]),
+        changed(CONFIGURATION, "Services", value=[]),
+    ],
+    ids=[
+        "no version",
+        "version 0",
+        "unknown service",
+        "same place",
+        "no time-out",
+        "time-out of another type",
+        "shared key",
+        "no services",
+    ],
+)
+def test_invalid_configuration(document: dict[str, Any]) -> None:
+    """An invalid configuration that is confirmed comes into force."""
+    with pytest.raises(DocumentError):
+        decode_configuration(encode(document))
+
+
+def test_configuration_that_is_cut_short() -> None:
+    """A body that was cut in transit must not pass for a smaller configuration."""
+    body = encode(CONFIGURATION)
+    for length in range(0, len(body), 37):
+        with pytest.raises(DocumentError):
+            decode_configuration(body[:length])
+
+
+def test_one_account_may_repeat_its_key() -> None:
+    """Only keys that two accounts share are invalid."""
+    decode_configuration(encode(changed(CONFIGURATION, "Tenants", 0, "ApiKeys", value=["k", "k"])))
+
+
+def test_job_in_the_products_words() -> None:
+    """Units and names of the platform must not leak into the scheduler."""
+    first, second = decode_job(encode(JOB)).steps
+    assert first.needs == Resources(500, 256, 1)
+    assert (first.estimate_s, first.is_gang) == (0.9, True)
+    assert (second.depends_on, second.required_label) == ((0,), "a")
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        changed(JOB, "Steps", value=[]),
+        changed(JOB, "Steps", 0, "DependsOn", value=[0]),
+        changed(JOB, "Steps", 1, "DependsOn", value=[5]),
+        changed(JOB, "Steps", 0, "Cpu", value=-1),
+        changed(JOB, "Steps", 0, "Count", value=1.5),
+        changed(JOB, "Steps", 0, "Count", value=10**9),
+        changed(JOB, "Spec", value="x" * 4001),
+    ],
+)
+def test_invalid_job(document: dict[str, Any]) -> None:
+    """A job that depends on itself, or has no end of tasks, must be refused when it comes."""
+    with pytest.raises(DocumentError):
+        decode_job(encode(document))
+
+
+@pytest.mark.parametrize(
+    "field", ["State", "Address", "Service"], ids=lambda field: f"without {field}"
+)
+def test_announcement_names_no_worker(field: str) -> None:
+    """An announcement of another writer must not make control use a worker it cannot drive."""
+    with pytest.raises(DocumentError):
+        decode_announcement("i-1", encode(changed(ANNOUNCEMENT, field, value=None)))
+
+
+def test_unreadable_rows_leave_the_others() -> None:
+    """One row that cannot be read must not hide the runs beside it."""
+    rows = [["0a.0.1.2", 1, "", 40, 900], ["0a.0", 1, "", 4], [], [None, 1, "", 2]]
+    ends = [[1, "0a.0.1.3", 2, "broken", ""], [2, "0a.0.1.4", 2, "unknown", ""], "row"]
+    ends = [row for row in ends if isinstance(row, list)]
+    view, clock_s = decode_view(encode({"ClockMs": 1500, "Running": rows, "Ended": ends}))
+    assert [str(report.run.task) for report in view.running] == ["0a.0.1.2"]
+    assert [end.number for end in view.ended] == [1]
+    assert clock_s == 1.5
+
+
+@pytest.mark.parametrize("name", sorted(DECODERS))
+@given(data=st.data())
+def test_decoders_refuse_or_decode_anything(name: str, data: st.DataObject) -> None:
+    """A document of another writer must never end the process that reads it."""
+    document, decode = DECODERS[name]
+    field = data.draw(st.sampled_from(sorted(document)))
+    value = data.draw(ANY_VALUE)
+    if isinstance(document[field], list) and document[field] and data.draw(st.booleans()):
+        inner = (
+            data.draw(st.sampled_from(sorted(document[field][0])))
+            if isinstance(document[field][0], dict)
+            else None
+        )
+        broken = (
+            changed(document, field, 0, inner if inner else 0, value=value or 0)
+            if (inner)
+            else changed(document, field, value=[value])
+        )
+    else:
+        broken = {**document, field: value}
+    for body in (encode(broken), encode(value), data.draw(st.binary(max_size=40))):
+        try:
+            decode(body)
+        except DocumentError:
+            continue
+
+
+@given(st.text(max_size=30))
+def test_task_names(text: str) -> None:
+    """A name that is no task must not be taken for one."""
+    try:
+        assert str(decode_task(text)).count(".") == 3
+    except DocumentError:
+        assert text.count(".") != 3 or not all(p.isdecimal() for p in text.split(".")[1:])
--- a/tests/cover/replication/process_loop.py
+++ b/tests/cover/replication/process_loop.py
@@ -7,7 +7,6 @@
 
 from cicadatray.internal.bench.virtual_time_loop import VirtualTimeLoop
 
-
 END_POLL_S = 0.05
 
 
--- /dev/null
+++ b/tests/cover/replication/test_group_keeper.py
@@ -0,0 +1,102 @@
+"""The leader keeps the number of voters without an operator."""
+
+import asyncio
+import random
+
+import pytest
+
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.replication.errors import NotLeaderError
+from cicadatray.replication.member import Member
+from cover.replication.fake_disk import FakeDisk
+from cover.replication.local_group import LocalGroup
+
+NAMES = ("a", "b", "c")
+JOIN_S = 0.4
+# Far above the time that a replacement takes; only the virtual clock spends it.
+LIMIT_S = 60.0
+
+
+async def start_group(group_size: int = 3) -> LocalGroup:
+    group = LocalGroup(NAMES, group_size)
+    for name in NAMES:
+        await group.start(name, FakeDisk(random.Random(name)), bootstrap=True)
+    await group.leader()
+    return group
+
+
+async def keep_joining(group: LocalGroup, name: str) -> None:
+    """Does what a control instance does that no leader calls."""
+    while True:
+        if group.replicas[name].needs_to_join(1.5):
+            try:
+                (await group.leader()).request_join(Member(name, "127.0.0.1", 1))
+            except NotLeaderError:
+                pass
+        await asyncio.sleep(JOIN_S)
+
+
+async def replace(lost: str, successor: str, is_planned: bool) -> None:
+    group = await start_group()
+    leader = await group.leader()
+    await leader.propose(b"before", 5.0)
+    own = leader.settings.member_id
+    lost_name = own if lost == "leader" else next(name for name in NAMES if name != own)
+    name = lost_name if successor == "same" else "d"
+    if not is_planned:
+        group.kill(lost_name)
+    await group.start(name, FakeDisk(random.Random("new")), bootstrap=False)
+    joining = asyncio.create_task(keep_joining(group, name))
+    if is_planned:
+        await asyncio.sleep(4.0)
+        group.kill(lost_name)
+    async with asyncio.timeout(LIMIT_S):
+        await group.voters({*NAMES} - {lost_name} | {name})
+        await (await group.leader()).propose(b"after", 5.0)
+    # The successor counts like the others: one more member may be lost.
+    group.kill(next(other for other in NAMES if other not in (lost_name, name)))
+    async with asyncio.timeout(LIMIT_S):
+        await (await group.leader()).propose(b"later", 5.0)
+        while group.states[name].commands != [b"before", b"after", b"later"]:
+            await asyncio.sleep(0.1)
+    joining.cancel()
+    group.stop()
+
+
+@pytest.mark.parametrize("lost", ["leader", "follower"])
+@pytest.mark.parametrize(
+    ("successor", "is_planned"),
+    [("same", False), ("other", False), ("other", True)],
+    ids=["wiped disk", "replaced", "replaced as planned"],
+)
+def test_lost_member_is_replaced(lost: str, successor: str, is_planned: bool) -> None:
+    """A group that keeps a dead voter bears no further loss."""
+    run_virtual(replace(lost, successor, is_planned))
+
+
+def test_member_that_was_cut_off_stays_a_voter_while_nobody_takes_its_place() -> None:
+    """A short partition must not change the group."""
+
+    async def main() -> None:
+        group = await start_group()
+        leader = await group.leader()
+        other = next(n for n in NAMES if n != leader.settings.member_id)
+        replica = group.replicas.pop(other)
+        await asyncio.sleep(10.0)
+        group.replicas[other] = replica
+        await group.voters(set(NAMES))
+        group.stop()
+
+    run_virtual(main())
+
+
+def test_operator_keeps_the_members_when_no_size_is_set() -> None:
+    """A group whose size an operator keeps must not admit whoever asks."""
+
+    async def main() -> None:
+        group = await start_group(group_size=0)
+        with pytest.raises(NotLeaderError):
+            (await group.leader()).request_join(Member("d", "127.0.0.1", 1))
+        group.stop()
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/cover/replication/test_write_queue.py
@@ -0,0 +1,125 @@
+"""Writes off the event loop: what waits for them and what does not."""
+
+import asyncio
+import errno
+import os
+from pathlib import Path
+
+import pytest
+
+from cicadatray.replication import local_data_folder
+from cicadatray.replication.errors import ReplicaStoppedError, StorageError
+from cicadatray.replication.local_data_folder import LocalDataFolder
+from cicadatray.replication.write_queue import QueuedDataFolder
+from cover.replication.local_group import LocalGroup
+from cover.replication.slow_folder import SlowFolder
+
+NAMES = ("a", "b", "c")
+PROPOSE_TIMEOUT_S = 20.0
+
+
+def test_names_show_queued_changes(tmp_path: Path) -> None:
+    """A log that is reset while a file of it is still to be written would keep that file."""
+
+    async def main() -> None:
+        slow = SlowFolder(str(tmp_path))
+        folder = QueuedDataFolder(slow)
+        folder.begin(lambda error: None)
+        slow.is_answering.clear()
+        folder.create("one", b"1")
+        folder.sync("one")
+        folder.create("two", b"2")
+        folder.rename("one", "three")
+        assert folder.names() == ["three", "two"]
+        slow.is_answering.set()
+        await folder.flush()
+        assert slow.names() == ["three", "two"]
+        folder.close()
+
+    asyncio.run(main())
+
+
+def test_failed_write_stops_all_later_ones(tmp_path: Path) -> None:
+    """A record behind one that could not be written must not be acknowledged."""
+
+    async def main() -> list[Exception]:
+        failures: list[Exception] = []
+        folder = QueuedDataFolder(LocalDataFolder(str(tmp_path)))
+        folder.begin(failures.append)
+        folder.delete("missing")
+        folder.create("later", b"1")
+        with pytest.raises(ReplicaStoppedError):
+            await folder.flush()
+        assert "later" not in folder.folder.names()
+        folder.close()
+        return failures
+
+    assert [type(error) for error in asyncio.run(main())] == [StorageError]
+
+
+def test_full_disk_is_asked_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A disk that was full for a moment must not end the member, nor lose what it wrote."""
+    refusals = iter([OSError(errno.ENOSPC, "full")] * 3)
+    write = os.pwrite
+
+    def refuse_first(descriptor: int, data: memoryview, offset: int) -> int:
+        for error in refusals:
+            raise error
+        return write(descriptor, data, offset)
+
+    monkeypatch.setattr(local_data_folder, "FULL_DISK_RETRY_S", 0.0)
+    monkeypatch.setattr(os, "pwrite", refuse_first)
+    folder = LocalDataFolder(str(tmp_path))
+    folder.create("file", b"content")
+    assert folder.read("file") == b"content"
+    folder.close()
+
+
+@pytest.mark.parametrize("stalled", ["leader", "follower"])
+def test_stalled_disk_of_one_member_stops_nothing(tmp_path: Path, stalled: str) -> None:
+    """A sync on the event loop cost the leader its majority as soon as the disk was slow."""
+
+    async def main() -> None:
+        group = LocalGroup(NAMES, group_size=0)
+        folders = {name: SlowFolder(str(tmp_path / name)) for name in NAMES}
+        for name in NAMES:
+            await group.start(name, QueuedDataFolder(folders[name]), bootstrap=True)
+        leader = await group.leader()
+        await leader.propose(b"before", PROPOSE_TIMEOUT_S)
+        own = leader.settings.member_id
+        other = next(name for name in NAMES if name != own)
+        folder = folders[own if stalled == "leader" else other]
+        folder.is_answering.clear()
+        for number in range(3):
+            await leader.propose(b"%d" % number, PROPOSE_TIMEOUT_S)
+        assert group.states[own].commands == [b"before", b"0", b"1", b"2"]
+        folder.is_answering.set()
+        group.stop()
+
+    asyncio.run(main())
+
+
+def test_member_with_a_stalled_disk_acknowledges_nothing(tmp_path: Path) -> None:
+    """An entry that counts before it is on disk is lost with the power of two members."""
+
+    async def main() -> None:
+        group = LocalGroup(NAMES, group_size=0)
+        folders = {name: SlowFolder(str(tmp_path / name)) for name in NAMES}
+        for name in NAMES:
+            await group.start(name, QueuedDataFolder(folders[name]), bootstrap=True)
+        leader = await group.leader()
+        await leader.propose(b"before", PROPOSE_TIMEOUT_S)
+        for name in NAMES:
+            if name != leader.settings.member_id:
+                folders[name].is_answering.clear()
+        proposal = asyncio.create_task(leader.propose(b"lost", PROPOSE_TIMEOUT_S))
+        await asyncio.sleep(0.5)
+        assert not proposal.done() or proposal.exception() is not None
+        assert b"lost" not in group.states[leader.settings.member_id].commands
+        for folder in folders.values():
+            folder.is_answering.set()
+        proposal.cancel()
+        await asyncio.gather(proposal, return_exceptions=True)
+        group.stop()
+
+    asyncio.run(main())
--- a/tests/cover/taskgraphs/graph_world.py
+++ b/tests/cover/taskgraphs/graph_world.py
@@ -52,7 +52,7 @@
 class SimulatedTaskAgent:
     """A task agent whose process can be frozen or started anew."""
 
-    __slots__ = ("agent", "ended", "layer", "name", "process", "worker")
+    __slots__ = ("agent", "ended", "layer", "name", "process", "tasks", "worker")
 
     def __init__(self, name: str, worker: GraphWorker, layer: LinkLayer) -> None:
         self.name = name
@@ -75,8 +75,10 @@
         }
         self.agent = TaskAgent(self.name, client)
         loop = asyncio.get_event_loop()
-        loop.create_task(self.agent.run(), context=self.process.context)
-        loop.create_task(self._announce(self.agent), context=self.process.context)
+        self.tasks = [
+            loop.create_task(work, context=self.process.context)
+            for work in (self.agent.run(), self._announce(self.agent))
+        ]
 
     async def _announce(self, agent: TaskAgent) -> None:
         while True:
--- /dev/null
+++ b/tests/cover/taskgraphs/test_placement_round.py
@@ -0,0 +1,236 @@
+"""Who starts where, who waits and who gives way, each for the load that it is meant for."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
+from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
+from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.step import Step
+from cover.taskgraphs.placement_helpers import (
+    CAPACITY,
+    HALF,
+    ONE,
+    URGENT,
+    WHOLE,
+    make_running,
+    make_waiting,
+    make_workers,
+)
+
+
+def places(plan: PlacementPlan) -> Counter[str]:
+    return Counter(assignment.worker_id for assignment in plan.assignments)
+
+
+def test_rack_local_gang_stays_in_one_rack() -> None:
+    """A gang across racks takes three times as long, so it must not take the first free workers."""
+    workers = make_workers((1, 3))
+    step = Step(3, WHOLE, 8.0, is_gang=True, is_rack_local=True)
+    plan = PlacementRound(workers, [], 0.0).run(make_waiting(step, 1))
+    assert places(plan) == {"w1": 1, "w2": 1, "w3": 1}
+
+
+def test_rack_local_gang_that_fits_no_rack_starts_anyway() -> None:
+    """A gang larger than any rack must not wait for ever."""
+    step = Step(4, WHOLE, 8.0, is_gang=True, is_rack_local=True)
+    plan = PlacementRound(make_workers((2, 2)), [], 0.0).run(make_waiting(step, 1))
+    assert len(plan.assignments) == 4
+
+
+def test_gang_starts_whole_or_not_at_all() -> None:
+    """A gang whose last task does not fit would wait for its partners and be thrown away."""
+    step = Step(3, WHOLE, 8.0, is_gang=True)
+    plan = PlacementRound(make_workers((2,)), [], 0.0).run(make_waiting(step, 1))
+    assert plan.assignments == []
+
+
+def test_wide_batch_fills_racks_in_turn() -> None:
+    """A batch of many small tasks must leave whole racks for gangs, not a bit of every rack."""
+    plan = PlacementRound(make_workers((3, 3, 3)), [], 0.0).run(make_waiting(Step(20, ONE, 8.0), 2))
+    assert sorted(places(plan).values()) == [4, 8, 8]
+    assert set(places(plan)) in ({"w0", "w1", "w2"}, {"w3", "w4", "w5"}, {"w6", "w7", "w8"})
+
+
+def test_small_tasks_do_not_refill_the_room_of_a_blocked_gang() -> None:
+    """A stream of small tasks must not keep a gang of whole workers from ever starting."""
+    workers = make_workers((2,))
+    running = [
+        make_running(workers, [("w0", HALF)], "first"),
+        make_running(workers, [("w1", HALF)], "second"),
+    ]
+    gang = make_waiting(Step(2, WHOLE, 8.0, is_gang=True), 1, graph_id="gang")
+    small = make_waiting(Step(4, ONE, 8.0), 2, graph_id="small")
+    plan = PlacementRound(workers, running, 0.0).run([*small, *gang])
+    assert plan.assignments == []
+
+
+@pytest.mark.parametrize(
+    ("required", "suspects", "expected"),
+    [
+        ("", (), "w0"),
+        ("", ("w0",), "w1"),
+        ("", ("w0", "w1"), "w0"),
+        ("b", (), None),
+    ],
+    ids=["first", "avoids a failing worker", "all fail alike", "no worker has the label"],
+)
+def test_which_worker_a_task_gets(
+    required: str, suspects: tuple[str, ...], expected: str | None
+) -> None:
+    """A worker that fails all it gets would draw all work, because it is always empty."""
+    workers = make_workers((2,))
+    for worker in workers:
+        worker.is_suspect = worker.worker_id in suspects
+    step = Step(1, ONE, 8.0, required_label=required)
+    plan = PlacementRound(workers, [], 0.0).run(make_waiting(step, 2))
+    assert [a.worker_id for a in plan.assignments] == ([expected] if expected else [])
+
+
+@pytest.mark.parametrize(("now_s", "expected"), [(0.0, []), (30.0, ["w0"])])
+def test_task_waits_for_the_rack_of_its_data(now_s: float, expected: list[str]) -> None:
+    """A task far from its data takes three times as long, so it waits for a while, but not longer
+    than that costs."""
+    workers = make_workers((1, 1))
+    running = [make_running(workers, [("w1", CAPACITY)])]
+    step = Step(1, ONE, 8.0, data_rack="r1")
+    plan = PlacementRound(workers, running, now_s).run(make_waiting(step, 2))
+    assert [a.worker_id for a in plan.assignments] == expected
+
+
+def test_tasks_of_a_step_keep_apart() -> None:
+    """More tasks than allowed on one worker break the step's anti-affinity."""
+    step = Step(4, ONE, 8.0, max_per_worker=2)
+    plan = PlacementRound(make_workers((2,)), [], 0.0).run(make_waiting(step, 2))
+    assert places(plan) == {"w0": 2, "w1": 2}
+
+
+class TestUrgentBurst:
+    """Urgent gangs arrive while batches fill the fleet."""
+
+    @staticmethod
+    def urgent(guaranteed: bool = True, estimate_s: float = 2.5) -> list:
+        step = Step(2, URGENT, estimate_s, is_gang=True, is_rack_local=True)
+        waiting = make_waiting(step, 0, graph_id="urgent")
+        waiting[0].is_guaranteed = guaranteed
+        return waiting
+
+    def test_frees_one_worker_instead_of_a_bit_of_each(self) -> None:
+        """Stopping the cheapest tasks anywhere threw away many and still made no room."""
+        workers = make_workers((3,))
+        running = [
+            make_running(workers, [(name, ONE)], f"{name}-{n}", elapsed_s=2.0 + n, percent=20)
+            for name in ("w0", "w1", "w2")
+            for n in range(8)
+        ]
+        plan = PlacementRound(workers, running, 0.0).run(self.urgent())
+        stopped = {run.task.graph_id.split("-")[0] for run in plan.displaced}
+        assert len(plan.displaced) == 8
+        assert len(stopped) <= 2
+
+    def test_waits_for_work_that_ends_in_time(self) -> None:
+        """Work that is about to end must not be thrown away."""
+        workers = make_workers((1,))
+        running = [make_running(workers, [("w0", WHOLE)], elapsed_s=9.9, percent=99)]
+        plan = PlacementRound(workers, running, 0.0).run(self.urgent())
+        assert plan.displaced == []
+
+    def test_prefers_work_that_saves_its_progress(self) -> None:
+        """A task that can be resumed loses half a second, another one everything."""
+        workers = make_workers((2,))
+        running = [
+            make_running(workers, [("w0", CAPACITY)], "saves", is_checkpointable=True),
+            make_running(workers, [("w1", CAPACITY)], "loses"),
+        ]
+        plan = PlacementRound(workers, running, 0.0).run(self.urgent())
+        assert {run.task.graph_id for run in plan.displaced} == {"saves"}
+
+    def test_prefers_jobs_that_still_end_on_time(self) -> None:
+        """A batch that is stopped again and again is never on time, though each stop is cheap."""
+        workers = make_workers((2,))
+        tight = make_running(workers, [("w0", CAPACITY)], "tight", elapsed_s=4.0, percent=40)
+        tight.set_deadlines(7.0, 8.0)
+        slack = make_running(workers, [("w1", CAPACITY)], "slack", elapsed_s=5.0, percent=40)
+        plan = PlacementRound(workers, [tight, slack], 0.0).run(self.urgent())
+        assert {run.task.graph_id for run in plan.displaced} == {"slack"}
+
+    @pytest.mark.parametrize("guaranteed", [True, False])
+    def test_displaces_beyond_its_value_only_inside_a_guarantee(self, guaranteed: bool) -> None:
+        """A guarantee holds at any price; beyond it more would be thrown away than is gained."""
+        workers = make_workers((3,))
+        rooms = [(worker.worker_id, CAPACITY) for worker in workers]
+        running = [make_running(workers, rooms, "large", 1, elapsed_s=60.0, percent=50)]
+        plan = PlacementRound(workers, running, 0.0).run(self.urgent(guaranteed))
+        assert bool(plan.displaced) is guaranteed
+
+    def test_never_displaces_its_equals(self) -> None:
+        """Two urgent jobs that displaced each other would never end."""
+        workers = make_workers((1,))
+        running = [make_running(workers, [("w0", CAPACITY)], "urgent too", 0)]
+        assert PlacementRound(workers, running, 0.0).run(self.urgent()).displaced == []
+
+    def test_room_that_is_being_freed_is_not_taken_by_others(self) -> None:
+        """Small tasks took the room that was cleared for a gang, and more was displaced for it."""
+        workers = make_workers((1,))
+        for worker in workers:
+            worker.occupy(CAPACITY, is_stopping=True)
+            worker.free = worker.free.plus(ONE)
+        small = make_waiting(Step(1, ONE, 8.0), 2, graph_id="small")
+        plan = PlacementRound(workers, [], 0.0).run([*small, *self.urgent()])
+        assert plan.assignments == []
+        assert plan.displaced == []
+
+
+def test_late_work_goes_behind_work_that_can_still_be_on_time() -> None:
+    """Work that is worth nothing any more must not hold up what is."""
+    workers = make_workers((1,))
+    hopeless = make_waiting(Step(1, WHOLE, 2.0), 0, accepted_s=-500.0, graph_id="hopeless")
+    timely = make_waiting(Step(1, WHOLE, 2.0), 2, graph_id="timely")
+    plan = PlacementRound(workers, [], 0.0).run([*hopeless, *timely])
+    assert [a.run.task.graph_id for a in plan.assignments] == ["timely"]
+
+
+NEEDS = st.builds(Resources, st.integers(0, 64_000), st.integers(0, 128_000), st.integers(0, 8))
+
+
+@given(
+    racks=st.lists(st.integers(1, 3), min_size=1, max_size=4),
+    jobs=st.lists(
+        st.tuples(NEEDS, st.integers(1, 12), st.booleans(), st.booleans(), st.integers(0, 2)),
+        max_size=8,
+    ),
+    load=st.lists(st.tuples(st.integers(0, 11), NEEDS, st.booleans()), max_size=12),
+)
+def test_no_plan_brings_a_worker_over_its_capacity(
+    racks: list[int],
+    jobs: list[tuple[Resources, int, bool, bool, int]],
+    load: list[tuple[int, Resources, bool]],
+) -> None:
+    """Guards against a search that counts room twice, or starts a part of a gang."""
+    workers = make_workers(racks)
+    running = []
+    for number, (place, needs, is_saving) in enumerate(load):
+        worker = workers[place % len(workers)]
+        if needs.fits_in(worker.free):
+            place_of = [(worker.worker_id, needs)]
+            running.append(
+                make_running(workers, place_of, f"runs{number}", is_checkpointable=is_saving)
+            )
+    waiting = []
+    for number, (needs, count, is_gang, is_local, priority) in enumerate(jobs):
+        step = Step(count, needs, 5.0, is_gang=is_gang, is_rack_local=is_local)
+        waiting += make_waiting(step, priority, graph_id=f"job{number}")
+    free = {worker.worker_id: worker.free for worker in workers}
+    plan = PlacementRound(workers, running, 0.0).run(waiting)
+    steps = {work.graph.graph.graph_id: work.step for work in waiting}
+    for assignment in plan.assignments:
+        room = steps[assignment.run.task.graph_id].room
+        free[assignment.worker_id] = free[assignment.worker_id].minus(room)
+    assert all(Resources().fits_in(room) for room in free.values())
+    counts = Counter(a.run.task.graph_id for a in plan.assignments)
+    for graph_id, started in counts.items():
+        assert started == steps[graph_id].count or not steps[graph_id].is_gang
+    assert len({a.run.task for a in plan.assignments}) == len(plan.assignments)
--- /dev/null
+++ b/tests/cover/taskgraphs/test_run_table.py
@@ -0,0 +1,105 @@
+"""What an agent concludes from its worker's lists, and the estimate of the worker's clock."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cicadatray.internal.agent.tasks.held_run import RunPhase
+from cicadatray.internal.agent.tasks.run_table import RunTable
+from cicadatray.internal.agent.tasks.worker_clock import WorkerClock
+from cicadatray.internal.agent.tasks.worker_port import WorkerView
+from cicadatray.internal.wire.messages.graph_messages import RunEnd, RunOrder, RunReport
+from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
+
+RUN = TaskRun(TaskId("g", 0, 0, 0), 1)
+ORDER = RunOrder(RUN, "spec")
+EMPTY = WorkerView((), ())
+LISTED = WorkerView((RunReport(RUN, 40, "saved"),), ())
+ENDED = WorkerView((), (RunEnd(RUN, RunOutcome.DONE, 1),))
+
+
+def running_table() -> RunTable:
+    table = RunTable()
+    held = table.begin(ORDER)
+    assert held is not None
+    held.phase = RunPhase.RUNNING
+    held.settled_s = 1.0
+    return table
+
+
+def test_list_that_was_asked_for_before_the_start_says_nothing() -> None:
+    """A list that overlaps a start lacks the run, which must not count as gone."""
+    table = running_table()
+    for _ in range(3):
+        assert table.take_view(EMPTY, asked_s=1.0) == (False, [])
+
+
+def test_run_that_is_not_listed_again_and_again_is_stopped() -> None:
+    """A run that vanished without an end keeps its room for ever unless a stop settles it."""
+    table = running_table()
+    assert table.take_view(EMPTY, asked_s=2.0) == (False, [])
+    _, unsettled = table.take_view(EMPTY, asked_s=3.0)
+    assert [held.run for held in unsettled] == [RUN]
+    assert RUN in table.held
+
+
+@pytest.mark.parametrize(("settled_s", "is_cleared"), [(0.0, False), (1.0, True)])
+def test_stopped_run_is_cleared_only_after_the_worker_answered_the_stop(
+    settled_s: float, is_cleared: bool
+) -> None:
+    """A start that is carried out late would take room that control has given away."""
+    table = running_table()
+    held = table.held[RUN]
+    held.phase = RunPhase.STOPPING
+    held.settled_s = settled_s
+    table.take_view(EMPTY, asked_s=2.0)
+    assert (RUN not in table.held) is is_cleared
+    assert [end.outcome for end in table.reported_ends()] == [RunOutcome.CLEARED] * is_cleared
+
+
+def test_ended_run_is_not_started_by_a_late_order() -> None:
+    """An order that was overtaken by the end of its run must not run the task twice."""
+    table = running_table()
+    table.take_view(ENDED, asked_s=2.0)
+    assert table.begin(ORDER) is None
+
+
+def test_ends_are_kept_until_they_are_noted() -> None:
+    """An end that is dropped before it is durable is lost with the leader."""
+    table = running_table()
+    table.take_view(ENDED, asked_s=2.0)
+    table.note(0, ())
+    assert len(table.reported_ends()) == 1
+    table.note(1, ())
+    assert table.reported_ends() == ()
+    assert table.take_view(ENDED, asked_s=3.0) == (False, [])
+
+
+def test_runs_of_an_earlier_life_are_taken_over() -> None:
+    """An agent that restarts must not leave runs behind that nobody stops."""
+    table = RunTable()
+    table.take_view(LISTED, asked_s=0.0)
+    assert [report.checkpoint for report in (h.report() for h in table.held.values())] == ["saved"]
+
+
+@given(
+    rate=st.floats(0.98, 1.02),
+    delays=st.lists(st.floats(0.0, 2.0), min_size=1, max_size=6),
+    gaps=st.lists(st.floats(0.0, 5.0), min_size=6, max_size=6),
+    later_s=st.floats(0.0, 20.0),
+)
+def test_clock_estimate_is_never_ahead(
+    rate: float, delays: list[float], gaps: list[float], later_s: float
+) -> None:
+    """A lease computed from a clock that is ahead ends after control takes it for over."""
+    clock = WorkerClock()
+    now_s = 0.0
+    for delay_s, gap_s in zip(delays, gaps, strict=False):
+        now_s += gap_s
+        read_at_s = now_s
+        now_s += delay_s
+        clock.observe(500.0 + rate * read_at_s, now_s)
+        assert clock.lower_bound_s(now_s) <= 500.0 + rate * now_s + 1e-6
+    now_s += later_s
+    assert clock.lower_bound_s(now_s) <= 500.0 + rate * now_s + 1e-6
--- /dev/null
+++ b/tests/cover/test_relays.py
@@ -0,0 +1,111 @@
+"""Calls to control around a partition."""
+
+from typing import Any
+
+import pytest
+
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.settings.common import ControlMember
+from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.errors import PeerLostError, PeerUnreachableError
+from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.messages.directory_messages import Acknowledged, NotLeader
+from cicadatray.internal.wire.messages.graph_messages import MemberAddress, ReadMembers
+from cicadatray.internal.wire.messages.registry import message_codec
+from cicadatray.internal.wire.messages.relay_messages import RelayedCall, RelayedReply
+from cicadatray.internal.wire.relay_routes import RelayRoutes
+from cicadatray.internal.wire.relay_server import RelayServer
+
+MEMBERS = tuple(ControlMember(f"c{n}", "127.0.0.1", 7000 + n) for n in range(3))
+RELAY = MemberAddress("entry", "127.0.0.1", 7100)
+
+
+class FakePeer:
+    """Raises or answers; counts its calls."""
+
+    def __init__(self, outcome: Any) -> None:
+        self.outcome = outcome
+        self.host = "127.0.0.1"
+        self.port = 1
+        self.calls = 0
+
+    async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
+        self.calls += 1
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        if callable(self.outcome):
+            reply: MessageStruct = await self.outcome(message)
+            return reply
+        return self.outcome  # type: ignore[no-any-return]
+
+
+def make_client(outcome: Any) -> ControlClient:
+    client = ControlClient(MEMBERS, message_codec(), b"", RelayRoutes("own"))
+    client.clients = {m.name: FakePeer(outcome) for m in MEMBERS}  # type: ignore[misc]
+    return client
+
+
+def test_cut_off_process_uses_a_relay() -> None:
+    """A process that is cut off from control but not from its peers lost its worker's lease."""
+
+    async def main() -> None:
+        healthy = make_client(Acknowledged())
+        server = RelayServer("127.0.0.1", 0, healthy, message_codec(), b"")
+        client = make_client(PeerUnreachableError("cut"))
+        client.learn_relays((RELAY,))
+        client.relays.clients[RELAY] = FakePeer(server.answer)  # type: ignore[assignment]
+        assert isinstance(await client.call(ReadMembers(), 3.0), Acknowledged)
+        assert client.is_relaying
+        direct = sum(peer.calls for peer in client.clients.values())  # type: ignore[attr-defined]
+        assert isinstance(await client.call(ReadMembers(), 3.0), Acknowledged)
+        later = sum(peer.calls for peer in client.clients.values())  # type: ignore[attr-defined]
+        assert later == direct
+
+    run_virtual(main())
+
+
+def test_relay_that_is_cut_off_as_well_passes_nothing_on() -> None:
+    """Two processes that are cut off would pass a call to each other until its time is over."""
+
+    async def main() -> None:
+        cut = make_client(PeerUnreachableError("cut"))
+        cut.learn_relays((RELAY,))
+        cut.relays.choose()
+        server = RelayServer("127.0.0.1", 0, cut, message_codec(), b"")
+        payload = message_codec().encode(0, ReadMembers())
+        reply = await server.answer(RelayedCall(payload=payload, timeout_s=1.0))
+        assert not isinstance(reply, RelayedReply)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("outcome", "may_have_effect"),
+    [
+        (PeerUnreachableError("refused"), False),
+        (NotLeader(), False),
+        (PeerLostError("sent"), True),
+    ],
+)
+def test_whether_a_failed_call_may_have_had_an_effect(outcome: Any, may_have_effect: bool) -> None:
+    """A caller that is told that nothing happened may hand the job in elsewhere."""
+
+    async def main() -> None:
+        with pytest.raises(ControlUnavailableError) as caught:
+            await make_client(outcome).call(ReadMembers(), 1.0)
+        assert caught.value.may_have_effect is may_have_effect
+
+    run_virtual(main())
+
+
+def test_member_that_answers_shows_that_the_process_is_not_cut_off() -> None:
+    """An election must not send all calls through relays."""
+
+    async def main() -> None:
+        client = make_client(NotLeader())
+        client.learn_relays((RELAY,))
+        with pytest.raises(ControlUnavailableError):
+            await client.call(ReadMembers(), 1.0)
+        assert not client.is_relaying
+
+    run_virtual(main())
