Serve metrics, bound the log, and play the calm path as processes

Change: counters and latency histograms on metrics ports of their own; at most 300 log lines a second, written without blocking, dropped ones counted; a test starts the three programs beside a stand-in worker, an operator and a client on loopback.

--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -10,6 +10,8 @@
 from cicadatray.internal.agent.tasks.run_table import RunTable
 from cicadatray.internal.agent.tasks.worker_clock import SLOWEST_RATE
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerPort
+from cicadatray.internal.observability.graph_metrics import worker_orders
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -53,6 +55,7 @@
 
     __slots__ = (
         "agent_id",
+        "answers",
         "answered_sequence",
         "changed",
         "control",
@@ -73,7 +76,10 @@
         "work",
     )
 
-    def __init__(self, agent_id: str, control: ControlClient) -> None:
+    def __init__(
+        self, agent_id: str, control: ControlClient, metrics: MetricsRegistry | None = None
+    ) -> None:
+        self.answers = worker_orders(metrics or MetricsRegistry())
         self.agent_id = agent_id
         self.life = uuid4().hex
         self.gone_worker_id = ""
@@ -284,6 +290,7 @@
                 self._worker_replaced(port)
                 return
             held.settled_s = loop.time()
+            self.answers.increment(answer=answer.value)
             if answer is StartAnswer.ACCEPTED:
                 if held.phase is RunPhase.STARTING:
                     held.phase = RunPhase.RUNNING
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -11,6 +11,7 @@
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.handler_registry import answers
 from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.internal.observability.graph_metrics import graphs_accepted
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.directory_messages import Acknowledged, NotLeader
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -95,6 +96,7 @@
         configuration=session.state.graphs.queues.version,
         steps=len(call.steps),
     )
+    graphs_accepted(daemon.metrics).increment(queue=found.queue.policy.queue)
     daemon.require_graphs(session).wake.set()
     return reply
 
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -11,6 +11,11 @@
     build_workers,
     mark_guaranteed,
 )
+from cicadatray.internal.observability.graph_metrics import (
+    runs_displaced,
+    runs_ended,
+    start_wait,
+)
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
     PlacedRun,
@@ -38,11 +43,15 @@
 class GraphLoop:
     """Owns the placement of task graphs while this instance leads."""
 
-    __slots__ = ("next_checkpoints_s", "session")
+    __slots__ = ("displaced", "ended", "next_checkpoints_s", "session", "waits")
 
     def __init__(self, session: GraphSession) -> None:
         self.session = session
         self.next_checkpoints_s = 0.0
+        metrics = session.leader.metrics
+        self.ended = runs_ended(metrics)
+        self.displaced = runs_displaced(metrics)
+        self.waits = start_wait(metrics)
 
     async def run(self) -> None:
         """Runs until leadership is lost.
@@ -100,6 +109,7 @@
         )
         session.record_committed(ends)
         for placed in ends:
+            self.ended.increment(outcome=placed.end.outcome.value)
             log.info(
                 "run ended",
                 graph=placed.end.run.task.graph_id,
@@ -155,6 +165,7 @@
                 continue
             for run in work.runs:
                 session.revoked.add(run)
+                self.displaced.increment(reason="evacuated")
                 log.info(
                     "run evacuated",
                     graph=run.task.graph_id,
@@ -180,6 +191,9 @@
         self._displace(plan)
         if not plan.assignments:
             return
+        for work in waiting:
+            if any(a.run.task == work.task(work.indexes[0]) for a in plan.assignments):
+                self.waits.observe(max(0.0, now_s - work.ready_s), priority=str(work.priority))
         starts = tuple(
             PlacedRun(a.run, a.worker_id, session.workers[a.worker_id].agent_id)
             for a in plan.assignments
@@ -208,6 +222,7 @@
         session = self.session
         for run in plan.displaced:
             session.revoked.add(run)
+            self.displaced.increment(reason="displaced")
             log.info("run displaced", graph=run.task.graph_id, task=run.task.key, run=run.run)
         if plan.displaced:
             session.wake_all()
--- a/src/cicadatray/internal/observability/logging.py
+++ b/src/cicadatray/internal/observability/logging.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from collections.abc import MutableMapping
-from typing import Any, TextIO
+from typing import Any, Protocol, TextIO, cast
 
 import msgspec
 import structlog
@@ -14,8 +14,21 @@
 JSON_FORMAT = "json"
 
 
+class LogStream(Protocol):
+    """What log lines are written to."""
+
+    def write(self, text: str, /) -> int:
+        """Takes text."""
+
+    def flush(self) -> None:
+        """Writes what is held back."""
+
+    def isatty(self) -> bool:
+        """Returns whether a person reads along."""
+
+
 def configure_logging(
-    settings: LoggingSettings, role: str, name: str, stream: TextIO | None = None
+    settings: LoggingSettings, role: str, name: str, stream: LogStream | None = None
 ) -> None:
     """Makes every structlog logger of the process write to `stream` (standard error by default).
 
@@ -23,7 +36,7 @@
     Records of the standard library's logging take the same way. A repeated call replaces the
     configuration.
     """
-    output = stream or sys.stderr
+    output: LogStream = stream or sys.stderr
     level = logging.getLevelNamesMapping()[settings.level.upper()]
 
     def add_process(
@@ -42,13 +55,13 @@
             _renderer(settings, output),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.WriteLoggerFactory(file=output),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, output)),
         cache_logger_on_first_use=False,
     )
     _route_standard_logging(level)
 
 
-def _renderer(settings: LoggingSettings, output: TextIO) -> Any:
+def _renderer(settings: LoggingSettings, output: LogStream) -> Any:
     if settings.format == JSON_FORMAT:
         return structlog.processors.JSONRenderer(serializer=_encode)
     return structlog.dev.ConsoleRenderer(colors=output.isatty())
--- a/src/cicadatray/platform/agent_role.py
+++ b/src/cicadatray/platform/agent_role.py
@@ -4,6 +4,7 @@
 
 from cicadatray.internal.agent.tasks.task_agent import TaskAgent
 from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.messages.registry import message_codec
@@ -18,7 +19,7 @@
 class AgentRole:
     """Drives the worker on its machine."""
 
-    __slots__ = ("agent", "control", "probe", "server")
+    __slots__ = ("agent", "control", "metrics", "probe", "server")
 
     def __init__(self, settings: PlatformSettings) -> None:
         address = settings.control_address
@@ -28,7 +29,8 @@
             seed_members(settings), message_codec(), CLUSTER_SECRET, RelayRoutes(settings.name)
         )
         self.probe = LeaderProbe(self.control)
-        self.agent = TaskAgent(settings.name, self.control)
+        self.metrics = MetricsRegistry()
+        self.agent = TaskAgent(settings.name, self.control, self.metrics)
         application = WorkerApi(self.agent).application()
         self.server = HttpServer(application, address.host, address.port)
 
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -1,5 +1,6 @@
 """The interface of clients: jobs in queues."""
 
+import asyncio
 from collections.abc import Mapping
 
 import msgspec
@@ -9,6 +10,8 @@
 from starlette.types import Receive, Scope, Send
 
 from cicadatray.internal.control.graphs import graph_codes
+from cicadatray.internal.observability.graph_metrics import client_calls
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.message import Failure, MessageStruct
@@ -51,19 +54,29 @@
 class ClientApi:
     """An ASGI application; every path belongs to some queue, which control resolves."""
 
-    __slots__ = ("body_limit_bytes", "control", "probe")
+    __slots__ = ("body_limit_bytes", "calls", "control", "probe")
 
-    def __init__(self, control: ControlClient, probe: LeaderProbe, body_limit_bytes: int) -> None:
+    def __init__(
+        self,
+        control: ControlClient,
+        probe: LeaderProbe,
+        body_limit_bytes: int,
+        metrics: MetricsRegistry,
+    ) -> None:
+        self.calls = client_calls(metrics)
         self.control = control
         self.probe = probe
         self.body_limit_bytes = body_limit_bytes
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         request = Request(scope, receive)
+        started_s = asyncio.get_running_loop().time()
         try:
             response = await self._answer(request)
         except ClientDisconnect:
             return
+        duration_s = asyncio.get_running_loop().time() - started_s
+        self.calls.observe(duration_s, method=request.method, status=str(response.status_code))
         await response(scope, receive, send)
 
     async def _answer(self, request: Request) -> Response:
--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -21,7 +21,7 @@
 class ControlRole:
     """A control instance with the operators' interface."""
 
-    __slots__ = ("client", "daemon", "probe", "server")
+    __slots__ = ("client", "daemon", "metrics", "probe", "server")
 
     def __init__(self, settings: PlatformSettings) -> None:
         address = settings.control_address
@@ -29,6 +29,7 @@
             raise PlatformSettingsError("control needs a disk and an address for operators")
         seeds = seed_members(settings)
         self.daemon = ControlDaemon(_product_settings(settings, seeds), CLUSTER_SECRET)
+        self.metrics = self.daemon.metrics
         own = ControlMember(member_name(settings.ip), settings.ip, control_port(settings))
         members = tuple(dict.fromkeys((*seeds, own)))
         self.client = ControlClient(members, self.daemon.codec, CLUSTER_SECRET)
--- a/src/cicadatray/platform/entry_role.py
+++ b/src/cicadatray/platform/entry_role.py
@@ -6,6 +6,7 @@
 from starlette.types import Receive, Scope, Send
 
 from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.messages.registry import message_codec
@@ -26,7 +27,16 @@
 class EntryRole:
     """Serves clients and answers whether it is ready."""
 
-    __slots__ = ("clients", "control", "grace_s", "is_stopping", "probe", "readiness", "relay")
+    __slots__ = (
+        "clients",
+        "control",
+        "grace_s",
+        "is_stopping",
+        "metrics",
+        "probe",
+        "readiness",
+        "relay",
+    )
 
     def __init__(self, settings: PlatformSettings) -> None:
         front, ready = settings.client_address, settings.readiness_address
@@ -42,7 +52,8 @@
         self.relay = RelayServer(
             own_relay.host, own_relay.port, self.control, codec, CLUSTER_SECRET
         )
-        api = ClientApi(self.control, self.probe, settings.body_limit_bytes)
+        self.metrics = MetricsRegistry()
+        api = ClientApi(self.control, self.probe, settings.body_limit_bytes, self.metrics)
         self.clients = HttpServer(api, front.host, front.port)
         self.readiness = HttpServer(self._answer_readiness, ready.host, ready.port)
 
--- a/src/cicadatray/platform/main.py
+++ b/src/cicadatray/platform/main.py
@@ -11,7 +11,11 @@
 import structlog
 
 from cicadatray.internal.boot_time_loop import BootTimeLoop
+from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.observability.bounded_log_stream import BoundedLogStream
+from cicadatray.internal.observability.graph_metrics import log_lines_dropped
 from cicadatray.internal.observability.logging import configure_logging
+from cicadatray.internal.observability.metrics_server import metrics_application
 from cicadatray.internal.settings.common import LoggingSettings
 from cicadatray.internal.wire.source_address import SOURCE_ADDRESS
 from cicadatray.platform.errors import PlatformSettingsError
@@ -20,6 +24,8 @@
 
 SETTINGS_VARIABLE = "CICADATRAY_CONFIG"
 SETTINGS_EXIT_CODE = 2
+# Named in deploy/system.toml too; two roles of one machine need ports of their own.
+METRICS_PORTS = {"control": 9464, "entry": 9465, "agent": 9466}
 ROLE_MODULES = {
     "control": "cicadatray.platform.control_role",
     "entry": "cicadatray.platform.entry_role",
@@ -29,7 +35,7 @@
 log = structlog.get_logger(__name__)
 
 
-async def serve(settings: PlatformSettings, path: Path) -> None:
+async def serve(settings: PlatformSettings, path: Path, stream: BoundedLogStream) -> None:
     """Runs the role until SIGTERM; SIGHUP reads the settings again."""
     # Each role imports only the libraries that it uses.
     importlib.import_module(ROLE_MODULES[settings.role])
@@ -48,12 +54,21 @@
             return
         log.info("settings reloaded")
 
+    metrics = HttpServer(
+        metrics_application(
+            program.metrics, lambda: stream.count_dropped(log_lines_dropped(program.metrics))
+        ),
+        settings.ip,
+        METRICS_PORTS[settings.role],
+    )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, on_stop)
     loop.add_signal_handler(signal.SIGINT, on_stop)
     loop.add_signal_handler(signal.SIGHUP, on_reload)
     log.info("started", ip=settings.ip, first_start=settings.is_first_start)
+    await metrics.start()
     await program.run(stop)
+    await metrics.stop()
     log.info("stopped")
 
 
@@ -64,12 +79,13 @@
         settings = load_platform_settings(path)
         if settings.role not in ROLE_MODULES:
             raise PlatformSettingsError(f"unknown role {settings.role}")
-        configure_logging(LoggingSettings(), settings.role, settings.name, sys.stdout)
+        stream = BoundedLogStream(sys.stdout.fileno())
+        configure_logging(LoggingSettings(), settings.role, settings.name, stream)
         for library in ("transitions", "uvicorn"):
             logging.getLogger(library).setLevel(logging.WARNING)
         SOURCE_ADDRESS.bind(settings.ip)
         with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
-            runner.run(serve(settings, path))
+            runner.run(serve(settings, path, stream))
     except PlatformSettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(SETTINGS_EXIT_CODE)
--- a/src/cicadatray/platform/roles.py
+++ b/src/cicadatray/platform/roles.py
@@ -4,12 +4,15 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.platform.settings import PlatformSettings
 
 
 class RoleProgram(Protocol):
     """One process."""
 
+    metrics: MetricsRegistry
+
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then drains."""
 
--- a/tests/cover/platform/test_client_api.py
+++ b/tests/cover/platform/test_client_api.py
@@ -7,6 +7,7 @@
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control.graphs import graph_codes
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlUnavailableError
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -49,7 +50,7 @@
 
 
 def ask(control: FakeControl, method: str, body: bytes = b"", fresh: bool = True) -> Answer:
-    api = ClientApi(control, FakeProbe(fresh), 4000)  # type: ignore[arg-type]
+    api = ClientApi(control, FakeProbe(fresh), 4000, MetricsRegistry())  # type: ignore[arg-type]
     return run_virtual(request(api, method, PATH, body, HEADERS))
 
 
--- /dev/null
+++ b/tests/nocover/test_platform_processes.py
@@ -0,0 +1,146 @@
+"""The programs of deploy/system.toml as processes, beside stand-ins of worker and callers."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from aiosonic import HTTPClient
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from cicadatray.internal.entry.http_server import HttpServer
+from cover.platform.documents import ANNOUNCEMENT, CONFIGURATION, changed
+
+ROOT = Path(__file__).parents[2]
+HOST = "127.0.0.1"
+# Ports of the processes: inner ones from the first on, then clients, readiness, control, agent.
+FIRST_PORT = 23_480
+CLIENTS, READINESS, CONTROL, AGENT = range(FIRST_PORT + 8, FIRST_PORT + 12)
+WORK_S = 0.3
+JOB = {"Spec": "x", "Steps": [{"Count": 2, "Cpu": 500, "MemMb": 10, "Gpus": 1, "Gang": True}]}
+HEADERS = {"Content-Type": "application/json", "Authorization": "Token k1", "Host": "jobs.example"}
+
+
+def settings_text(role: str, folder: Path) -> str:
+    return f"""
+NodeName = "{role}-1"
+Role = "{role}"
+Ip = "{HOST}"
+Zone = "north"
+InternalPorts = [{FIRST_PORT}, {FIRST_PORT + 7}]
+Seeds = ["{HOST}:{CONTROL}"]
+Bootstrap = true
+DataDir = "{folder}/data"
+[Listen]
+Front = "{HOST}:{CLIENTS}"
+Ready = "{HOST}:{READINESS}"
+Control = "{HOST}:{CONTROL if role == "control" else AGENT}"
+[Bounds]
+MaxHoldMs = 6000
+GraceS = 6
+"""
+
+
+class StandInWorker:
+    """Ends each gang of two a moment after both of its tasks have started."""
+
+    def __init__(self) -> None:
+        self.running: dict[str, int] = {}
+        self.ended: list[list[Any]] = []
+
+    def clock_ms(self) -> int:
+        return int(time.monotonic() * 1000)
+
+    async def answer(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body())
+        reply: dict[str, Any] = {"ClockMs": self.clock_ms()}
+        if request.path_params["call"] == "run-start":
+            self.running[body["Task"]] = body["Run"]
+            if len(self.running) == 2:
+                asyncio.get_running_loop().call_later(WORK_S, self._finish)
+        elif request.path_params["call"] == "hold":
+            seen = body["SeenUpto"]
+            reply["Running"] = [[task, run, "", 50, 1] for task, run in self.running.items()]
+            reply["Ended"] = [row for row in self.ended if row[0] > seen]
+        return Response(msgspec.json.encode(reply))
+
+    def _finish(self) -> None:
+        for task, run in self.running.items():
+            self.ended.append([len(self.ended) + 1, task, run, "done", ""])
+        self.running.clear()
+
+
+async def call(method: str, port: int, path: str, body: Any = None) -> tuple[int, Any]:
+    """Returns status and body; (0, None) while nothing listens."""
+    client = HTTPClient()
+    data = msgspec.json.encode(body) if body is not None else None
+    try:
+        response = await client.request(
+            f"http://{HOST}:{port}{path}", method, headers=HEADERS, data=data
+        )
+        content = await response.content()
+        return response.status_code, msgspec.json.decode(content) if content else None
+    except (OSError, ConnectionError, msgspec.DecodeError):
+        return 0, None
+    except Exception as error:
+        # aiosonic raises types of its own for connections that fail.
+        return 0, str(error)
+    finally:
+        await client.connector.cleanup()
+
+
+async def until(reached: Callable[[Any], bool], *arguments: Any) -> Any:
+    """Repeats a call until its answer is as wanted; the test's own limit ends it otherwise."""
+    while not reached(answer := await call(*arguments)):
+        await asyncio.sleep(0.1)
+    return answer
+
+
+async def run_path() -> None:
+    worker = StandInWorker()
+    route = Route("/cicadatray/{call}", worker.answer, methods=["POST"])
+    server = HttpServer(Starlette(routes=[route]), HOST, 0)
+    await server.start()
+    port = server.server.servers[0].sockets[0].getsockname()[1]
+    announcement = changed(ANNOUNCEMENT, "Address", value=f"{HOST}:{port}")
+    await until(lambda a: a[0] == 200, "PUT", CONTROL, "/cicadatray/config", CONFIGURATION)
+    await until(lambda a: a[0] == 200, "PUT", AGENT, "/cicadatray/instances/i-1", announcement)
+    await until(lambda a: a[0] == 200, "GET", READINESS, "/cicadatray/ready")
+    path = "/fast/00000000000000ab"
+    assert (await call("POST", CLIENTS, path, JOB))[0] == 200
+    await until(lambda a: a == (200, {"State": "done"}), "GET", CLIENTS, path)
+    assert (await call("POST", CLIENTS, path, JOB)) == (200, {"State": "done"})
+    assert (await call("GET", CLIENTS, "/fast/00000000000000ac"))[0] == 410
+    assert (await call("GET", CLIENTS, "/none/00000000000000ac"))[0] == 404
+    assert (await call("GET", CONTROL, "/cicadatray/config")) == (200, CONFIGURATION)
+    await server.stop()
+
+
+def test_calm_path_and_planned_stop(tmp_path: Path) -> None:
+    """Guards against programs that do not start, find each other, or end when they are told to."""
+    processes = []
+    try:
+        for role in ("control", "entry", "agent"):
+            path = tmp_path / f"{role}.toml"
+            path.write_text(settings_text(role, tmp_path), encoding="utf-8")
+            environment = {**os.environ, "CICADATRAY_CONFIG": str(path)}
+            command = [sys.executable, str(ROOT / "deploy" / "launch.py")]
+            log = (tmp_path / f"{role}.log").open("wb")
+            processes.append(subprocess.Popen(command, env=environment, cwd=ROOT, stdout=log))
+        asyncio.run(asyncio.wait_for(run_path(), 60.0))
+        for process in processes:
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+        assert [process.wait(30) for process in processes] == [0, 0, 0]
+    finally:
+        for process in processes:
+            process.kill()
