--- a/src/cicadatray/internal/boot_time_loop.py
+++ b/src/cicadatray/internal/boot_time_loop.py
@@ -7,6 +7,8 @@
 class BootTimeLoop(asyncio.SelectorEventLoop):
     """Leases are compared between machines, so a suspended machine must find its own expired."""
 
+    __slots__ = ()
+
     def time(self) -> float:
         """Returns seconds since boot, including time in suspension."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -25,11 +25,11 @@
 )
 from cicadatray.platform.configuration_document import digest_credential
 from cicadatray.platform.errors import DocumentError
+from cicadatray.platform.fields import MS_PER_S
 from cicadatray.platform.job_document import decode_job
 
 JSON_TYPE = "application/json"
 CREDENTIAL_SCHEME = "Token "
-MS_PER_S = 1000
 # Clients that name no deadline wait at least this long.
 DEFAULT_DEADLINE_S = 3.0
 # The share of the client's deadline that control may use; the rest is for the way back.
--- a/src/cicadatray/platform/configuration_document.py
+++ b/src/cicadatray/platform/configuration_document.py
@@ -11,6 +11,7 @@
 )
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.fields import (
+    MS_PER_S,
     parse_json,
     read_flag,
     read_integer,
@@ -21,8 +22,6 @@
 )
 from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
 
-MS_PER_S = 1000
-
 
 def decode_configuration(body: bytes) -> QueueConfiguration:
     """Returns the configuration in a body.
--- a/src/cicadatray/platform/fields.py
+++ b/src/cicadatray/platform/fields.py
@@ -9,6 +9,8 @@
 Value = TypeVar("Value")
 # Far above every count, size and time that the platform names; larger numbers are damage.
 NUMBER_LIMIT = 10**15
+# The platform gives times in milliseconds, the product keeps seconds.
+MS_PER_S = 1000
 
 
 def parse_json(body: bytes) -> dict[str, Any]:
@@ -78,3 +80,15 @@
     if not isinstance(value, dict):
         raise DocumentError(f"field {name}: an object is needed")
     return value
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Returns IP number and port.
+
+    Raises:
+        DocumentError: the text is not of the form `host:port`.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal():
+        raise DocumentError(f"{text!r} is not an address")
+    return host, int(port)
--- a/src/cicadatray/platform/job_document.py
+++ b/src/cicadatray/platform/job_document.py
@@ -6,6 +6,7 @@
 
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.fields import (
+    MS_PER_S,
     parse_json,
     read_flag,
     read_integer,
@@ -20,7 +21,6 @@
 SPEC_LIMIT_BYTES = 4000
 # A job with more tasks than this would not fit into one record of the log.
 TASK_LIMIT = 20_000
-MS_PER_S = 1000
 
 
 class JobDocument(msgspec.Struct, frozen=True):
--- a/src/cicadatray/platform/settings.py
+++ b/src/cicadatray/platform/settings.py
@@ -8,6 +8,8 @@
 
 from cicadatray.platform.errors import DocumentError, PlatformSettingsError
 from cicadatray.platform.fields import (
+    MS_PER_S,
+    parse_address,
     read_flag,
     read_integer,
     read_list,
@@ -16,8 +18,6 @@
     read_text,
 )
 
-MS_PER_S = 1000
-
 
 class HostPort(msgspec.Struct, frozen=True):
     """An IP number and a TCP port."""
@@ -74,7 +74,7 @@
         ip=read_text(document, "Ip"),
         data_centre=read_text(document, "Zone"),
         inner_ports=range(ports[0], ports[1] + 1),
-        seeds=tuple(_decode_address(seed) for seed in read_list(document, "Seeds", str)),
+        seeds=tuple(HostPort(*parse_address(seed)) for seed in read_list(document, "Seeds", str)),
         is_first_start=read_flag(document, "Bootstrap"),
         data_folder=read_text(document, "DataDir", ""),
         client_address=_listen_address(listen, "Front"),
@@ -87,11 +87,4 @@
 
 def _listen_address(listen: dict[str, Any], name: str) -> HostPort | None:
     text = read_text(listen, name, "")
-    return _decode_address(text) if text else None
-
-
-def _decode_address(text: str) -> HostPort:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
-        raise DocumentError(f"{text!r} is not an address")
-    return HostPort(host, int(port))
+    return HostPort(*parse_address(text)) if text else None
--- a/src/cicadatray/platform/worker_document.py
+++ b/src/cicadatray/platform/worker_document.py
@@ -8,6 +8,8 @@
 from cicadatray.internal.wire.messages.graph_messages import RunEnd, RunReport, WorkerOffer
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.fields import (
+    MS_PER_S,
+    parse_address,
     parse_json,
     read_integer,
     read_list,
@@ -19,7 +21,6 @@
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 
-MS_PER_S = 1000
 READY = "ready"
 DRAINING = "draining"
 OUTCOMES = {
@@ -55,7 +56,7 @@
     if state not in (READY, DRAINING):
         raise DocumentError(f"unknown state {state}")
     labels = tuple(read_list(document, "Labels", str))
-    host, port = _decode_address(read_text(document, "Address"))
+    host, port = parse_address(read_text(document, "Address"))
     offer = WorkerOffer(
         worker_id=worker_id,
         pool=read_text(document, "Service"),
@@ -103,13 +104,6 @@
     return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
 
-def _decode_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        raise DocumentError(f"{address!r} is not an address")
-    return host, int(port)
-
-
 def _decode_resources(capacity: dict[str, Any]) -> Resources:
     return Resources(
         read_integer(capacity, "Cpu", 0),
--- a/src/cicadatray/platform/worker_http_port.py
+++ b/src/cicadatray/platform/worker_http_port.py
@@ -13,7 +13,7 @@
 from cicadatray.internal.http_client import build_keep_alive_client
 from cicadatray.internal.wire.messages.graph_messages import RunOrder
 from cicadatray.platform.errors import DocumentError
-from cicadatray.platform.fields import parse_json, read_number, read_text
+from cicadatray.platform.fields import MS_PER_S, parse_json, read_number, read_text
 from cicadatray.platform.worker_document import decode_view
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 
@@ -23,7 +23,6 @@
 LONGEST_CALL_S = 4.0
 # Orders run side by side with the call that waits for an end.
 WORKER_CONNECTIONS = 32
-MS_PER_S = 1000
 WRONG_INCARNATION = 421
 CONFLICT = 409
 UNHEALTHY_STATUSES = (429, 503)
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Sequence
 
-from cicadatray.scheduling.taskgraphs.displacement import Displacement, DisplacementSearch
+from cicadatray.scheduling.taskgraphs.assignment import Assignment
+from cicadatray.scheduling.taskgraphs.displacement import Displacement
+from cicadatray.scheduling.taskgraphs.displacement_search import DisplacementSearch
 from cicadatray.scheduling.taskgraphs.job_value import job_value
-from cicadatray.scheduling.taskgraphs.placement_plan import Assignment, PlacementPlan
+from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks, present_room, soon_room, total_room
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
