--- a/build.sh
+++ b/build.sh
@@ -26,6 +26,12 @@
   "$VENV/bin/mypy" --cache-dir .mypy_cache --no-error-summary
 }
 
+# Builds the programs of deploy/system.toml as a clean checkout does, and imports what they import.
+deploy() {
+  bash -c "$(run -c 'import tomllib; print(tomllib.load(open("deploy/system.toml", "rb"))["build"])')"
+  PYTHONPATH=target/deps:src python3 -c 'import cicadatray.platform.control_role, cicadatray.platform.entry_role, cicadatray.platform.agent_role'
+}
+
 task="${1:-help}"
 [ $# -gt 0 ] && shift
 case "$task" in
@@ -34,12 +40,13 @@
   lint) setup; lint ;;
   cover) setup; run -m pytest tests/cover "$@" ;;
   nocover) setup; run -m pytest tests/nocover "$@" ;;
-  test) setup; lint; run -m pytest -n 6 tests "$@"; run -m cicadatray.internal.bench.known_red ;;
+  deploy) setup; deploy ;;
+  test) setup; lint; deploy; run -m pytest -n 6 tests "$@"; run -m cicadatray.internal.bench.known_red ;;
   model) setup; run -m cicadatray.internal.models.main "$@" ;;
   quickstart) setup; run -m cicadatray.internal.bench.quickstart "$@" ;;
   measure) setup; run -m cicadatray.internal.bench.measure "$@" ;;
   capacity) setup; run -m cicadatray.internal.bench.capacity "$@" ;;
   faults) setup; run -m cicadatray.internal.bench.faults "$@" ;;
   reference) setup; run -m cicadatray.internal.settings.reference > docs/settings.md ;;
-  *) echo "usage: ./build.sh setup|format|lint|cover|nocover|test|model|quickstart|measure|capacity|faults|reference" ;;
+  *) echo "usage: ./build.sh setup|format|lint|cover|nocover|test|model|deploy|quickstart|measure|capacity|faults|reference" ;;
 esac
--- a/src/cicadatray/internal/observability/standard_metrics.py
+++ b/src/cicadatray/internal/observability/standard_metrics.py
@@ -1,4 +1,4 @@
-"""The metrics that docs/operations.md documents."""
+"""The metrics that docs/OPERATIONS.md documents."""
 
 from cicadatray.internal.observability.counter import Counter
 from cicadatray.internal.observability.gauge import Gauge
--- a/tests/cover/guides/test_pages.py
+++ b/tests/cover/guides/test_pages.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cicadatray.internal.cli.exit_code import ExitCode
-from cicadatray.internal.observability import standard_metrics
+from cicadatray.internal.observability import graph_metrics, standard_metrics
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 
 DOCS = Path(__file__).parents[3] / "docs"
@@ -17,6 +17,13 @@
     standard_metrics.retries_total,
     standard_metrics.ejections_total,
     standard_metrics.refusals_total,
+    graph_metrics.client_calls,
+    graph_metrics.graphs_accepted,
+    graph_metrics.runs_ended,
+    graph_metrics.runs_displaced,
+    graph_metrics.start_wait,
+    graph_metrics.worker_orders,
+    graph_metrics.log_lines_dropped,
 ]
 
 
@@ -26,7 +33,7 @@
     assert callable(maker)
     metric = maker(MetricsRegistry())
     labels = ", ".join(f"`{label}`" for label in metric.sets.label_names)
-    page = (DOCS / "operations.md").read_text(encoding="utf-8")
+    page = (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
     assert f"| `{metric.name}` | {metric.kind} | {labels}".rstrip() in page
 
 
