Keep entries in rotation while control is dark

Ruled out: relays that do not answer (they did, but only one was asked every 2 to 3 s). Change: a process without a leader asks three relays for a sign of life in each round; readiness changes are logged. The test fails without the ping.

--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -11,7 +11,7 @@
 from cicadatray.internal.wire.errors import PeerUnreachableError, WireError
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
 from cicadatray.internal.wire.messages.directory_messages import NotLeader
-from cicadatray.internal.wire.messages.graph_messages import MemberAddress
+from cicadatray.internal.wire.messages.graph_messages import MemberAddress, ReadMembers
 from cicadatray.internal.wire.messages.relay_messages import (
     RelayedCall,
     RelayedReply,
@@ -29,6 +29,9 @@
 CONNECT_TIMEOUT_S = 0.5
 # After this many failures in a row without any answer the process is probably cut off itself.
 DIRECT_FAILURES = 2
+PING_TIMEOUT_S = 0.5
+# Several at a time: some relays stand on the machines that are down.
+PINGED_RELAYS = 3
 # Leaves a relay time to say that control did not answer.
 RELAY_TIME_SHARE = 0.8
 # Control must be found again within the bound of a configuration after a partition has healed.
@@ -161,6 +164,20 @@
         await asyncio.sleep(RETRY_PAUSE_S)
         return None
 
+    async def ping_relays(self) -> None:
+        """Asks some relays for a sign of life, which shows that this process is not cut off."""
+        clients = list(self.relays.clients.values())
+        chosen = random.sample(clients, min(PINGED_RELAYS, len(clients)))
+        await asyncio.gather(*(self._ping(client) for client in chosen))
+
+    async def _ping(self, client: RpcClient) -> None:
+        payload = self.codec.encode(0, ReadMembers())
+        try:
+            await client.call(RelayedCall(payload=payload, timeout_s=0.0), PING_TIMEOUT_S)
+        except WireError:
+            return
+        self._heard()
+
     def _heard(self) -> None:
         self.heard_s = asyncio.get_running_loop().time()
 
--- a/src/cicadatray/internal/wire/leader_probe.py
+++ b/src/cicadatray/internal/wire/leader_probe.py
@@ -14,6 +14,8 @@
 
 PROBE_INTERVAL_S = 0.7
 PROBE_TIMEOUT_S = 2.0
+# While there is no leader, a round must be short enough to hear some relay within `FRESH_S`.
+SEARCH_TIMEOUT_S = 0.8
 DIRECT_TIMEOUT_S = 0.6
 # A process without a leader looks for one more often.
 RETRY_INTERVAL_S = 0.1
@@ -59,9 +61,11 @@
         try:
             if self.control.is_relaying:
                 await self._try_direct(call)
-            reply = await self.control.call(call, PROBE_TIMEOUT_S)
+            timeout_s = PROBE_TIMEOUT_S if self.is_fresh() else SEARCH_TIMEOUT_S
+            reply = await self.control.call(call, timeout_s)
         except ControlUnavailableError as error:
             log.debug("leader did not answer", reason=str(error))
+            await self.control.ping_relays()
             return
         if not isinstance(reply, MembersReply):
             return
--- a/src/cicadatray/platform/entry_role.py
+++ b/src/cicadatray/platform/entry_role.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import structlog
 from starlette.responses import Response
 from starlette.types import Receive, Scope, Send
 
@@ -18,6 +19,8 @@
 from cicadatray.platform.roles import RoleProgram, role
 from cicadatray.platform.settings import PlatformSettings
 
+log = structlog.get_logger(__name__)
+
 # The platform asks once a second and sends no new connections after two bad answers.
 LEAVE_ROTATION_S = 2.5
 # Left at the end of the grace period for closing connections.
@@ -36,6 +39,7 @@
         "probe",
         "readiness",
         "relay",
+        "was_ready",
     )
 
     def __init__(self, settings: PlatformSettings) -> None:
@@ -44,6 +48,7 @@
             raise PlatformSettingsError("an entry needs addresses for clients and readiness")
         self.grace_s = settings.grace_s
         self.is_stopping = False
+        self.was_ready = False
         codec = message_codec()
         own_relay = relay_address(settings)
         routes = RelayRoutes(own_relay.name)
@@ -83,6 +88,10 @@
 
     async def _answer_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:
         is_ready = not self.is_stopping and self.probe.is_connected()
+        if is_ready != self.was_ready:
+            self.was_ready = is_ready
+            silence_s = asyncio.get_running_loop().time() - self.control.heard_s
+            log.info("readiness changed", ready=is_ready, silence_s=round(silence_s, 2))
         await Response(b"", 200 if is_ready else 503)(scope, receive, send)
 
 
--- a/tests/cover/test_relays.py
+++ b/tests/cover/test_relays.py
@@ -1,5 +1,6 @@
 """Calls to control around a partition."""
 
+import asyncio
 from typing import Any
 
 import pytest
@@ -8,6 +9,7 @@
 from cicadatray.internal.settings.common import ControlMember
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.errors import PeerLostError, PeerUnreachableError
+from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.directory_messages import Acknowledged, NotLeader
 from cicadatray.internal.wire.messages.graph_messages import MemberAddress, ReadMembers
@@ -109,3 +111,43 @@
         assert not client.is_relaying
 
     run_virtual(main())
+
+
+def test_process_without_a_leader_hears_its_peers() -> None:
+    """Entries that took themselves for cut off left the rotation while all control was dark, and
+    clients were sent to machines without power."""
+
+    async def main() -> None:
+        client = make_client(PeerUnreachableError("dark"))
+        client.learn_relays((RELAY,))
+        peer = make_client(PeerUnreachableError("dark"))
+        server = RelayServer("127.0.0.1", 0, peer, message_codec(), b"")
+        client.relays.clients[RELAY] = FakePeer(server.answer)  # type: ignore[assignment]
+        client.heard_s = 0.0
+        probe = LeaderProbe(client)
+        probe.answered_s = 0.0
+        running = asyncio.create_task(probe.run())
+        for _ in range(40):
+            await asyncio.sleep(0.5)
+            assert probe.is_connected()
+        assert not probe.is_fresh()
+        running.cancel()
+
+    run_virtual(main())
+
+
+def test_process_that_hears_nobody_is_cut_off() -> None:
+    """An entry that can serve nobody must leave the rotation."""
+
+    async def main() -> None:
+        client = make_client(PeerUnreachableError("cut"))
+        client.learn_relays((RELAY,))
+        client.relays.clients[RELAY] = FakePeer(PeerLostError("cut"))  # type: ignore[assignment]
+        probe = LeaderProbe(client)
+        probe.answered_s = 0.0
+        running = asyncio.create_task(probe.run())
+        await asyncio.sleep(5.0)
+        assert not probe.is_connected()
+        running.cancel()
+
+    run_virtual(main())
