--- a/build.sh
+++ b/build.sh
@@ -14,6 +14,8 @@
   fi
   if ! cmp -s requirements.txt "$VENV/requirements.txt"; then
     "$VENV/bin/pip" install --quiet --disable-pip-version-check -r requirements.txt
+    # Makes `cicadatray` and `cicadatrayd`; the build tool is pinned with the other packages.
+    "$VENV/bin/pip" install --quiet --disable-pip-version-check --no-build-isolation --no-deps -e .
     cp requirements.txt "$VENV/requirements.txt"
   fi
 }
--- a/src/cicadatray/internal/settings/load.py
+++ b/src/cicadatray/internal/settings/load.py
@@ -1,5 +1,6 @@
 """Reading a settings file."""
 
+import re
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +21,7 @@
     merge_checks,
 )
 
+BYTE_OFFSET = re.compile(r"\(byte (\d+)\)")
 SETTINGS_LIMIT_BYTES = 1024 * 1024  # far above any real file; stops a mistaken path to a big file
 
 DaemonSettings = ControlSettings | EntrySettings | AgentSettings
@@ -51,13 +53,25 @@
     try:
         document = remove_comments(msgspec.json.decode(data))
     except (msgspec.MsgspecError, RecursionError) as error:
-        return Failure((DocumentFault("(document)", str(error), "a JSON document"),))
+        fault_text = describe_position(str(error), data)
+        return Failure((DocumentFault("(document)", fault_text, "a JSON document"),))
     checked = check_document(document)
     if isinstance(checked, Failure):
         return Failure(tuple(sorted(set(checked.failure()))))
     return Success(msgspec.convert(document, DaemonSettings))
 
 
+def describe_position(reason: str, data: bytes) -> str:
+    """Returns the decoder's reason with line and column in place of its byte offset."""
+    found = BYTE_OFFSET.search(reason)
+    if found is None:
+        return reason
+    before = data[: int(found[1])]
+    line = before.count(b"\n") + 1
+    column = len(before) - (before.rfind(b"\n") + 1) + 1
+    return BYTE_OFFSET.sub(f"(line {line}, column {column})", reason)
+
+
 def check_document(document: Any) -> Checked:
     """Checks structure and meaning of a decoded settings document."""
     if not isinstance(document, dict):
--- a/tests/cover/settings/test_load_settings.py
+++ b/tests/cover/settings/test_load_settings.py
@@ -219,3 +219,12 @@
         read_secret(settings)
     secret.write_text("s3\n")
     assert read_secret(settings) == b"s3"
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [(b'{"a": }', "line 1, column 7"), (b'{\n "a": 1,\n "b": }\n', "line 3, column 7")],
+)
+def test_syntax_error_names_line_and_column(text: bytes, place: str) -> None:
+    """An offset in bytes is of no help in an editor."""
+    assert place in parse_settings(text).failure()[0].value
