Displace work that began again last, and let only the owner read and cancel a graph

And an account could cancel another one's job, which docs/platform.md denied. Change: a victim's loss is multiplied by its starts; read, cancel and repeated submission of another account's graph are answered 403. The four new tests failed before.

--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -33,6 +33,7 @@
 )
 from cicadatray.internal.wire.messages.queue_configuration import Queue, QueueAccount
 from cicadatray.replication.member import Member
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.task_graph import TaskGraph
 
 if TYPE_CHECKING:
@@ -69,6 +70,16 @@
     return _Resolved(queue, account, target.path[len(queue.path_prefix) :])
 
 
+def _find(found: _Resolved, graphs: dict[str, GraphProgress]) -> GraphProgress | Failure | None:
+    """Returns the graph of a call, None when there is none, or why the caller may not have it."""
+    known = graphs.get(found.graph_id)
+    if known is None or found.account is None:
+        return known
+    if known.graph.client_account not in ("", found.account.name):
+        return Failure(code=graph_codes.ACCOUNT_MISMATCH, detail="another account's graph")
+    return known
+
+
 @answers(SubmitGraph)
 async def submit_graph(daemon: "ControlDaemon", call: SubmitGraph) -> MessageStruct:
     """Accepts a graph once it is durable."""
@@ -82,9 +93,9 @@
             code=graph_codes.GRAPH_ID_MALFORMED, detail="an identifier has 16 hexadecimal digits"
         )
     account = found.account.name if found.account else ""
-    known = session.state.graphs.graphs.get(graph_id)
+    known = _find(found, session.state.graphs.graphs)
     if known is not None:
-        return view_graph(known)
+        return known if isinstance(known, Failure) else view_graph(known)
     graph = TaskGraph(graph_id, account, found.queue.policy, call.spec, call.steps, call.repetition)
     now_s = daemon.require_graphs(session).wall_s()
     reply = await session.propose(AcceptGraph(graph=graph, now_s=now_s))
@@ -108,8 +119,9 @@
     found = _resolve(session, call.target)
     if isinstance(found, Failure):
         return found
-    if found.graph_id not in session.state.graphs.graphs:
-        return Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
+    known = _find(found, session.state.graphs.graphs)
+    if known is None or isinstance(known, Failure):
+        return known or Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     graphs = daemon.require_graphs(session)
     command = EndGraph(graph_id=found.graph_id, now_s=graphs.wall_s())
     reply = await session.propose(command)
@@ -135,9 +147,9 @@
             if progress.graph.policy.queue == name and progress.is_active and not progress.has_begun
         )
         return QueueState(waiting=waiting)
-    known = graphs.get(found.graph_id)
-    if known is None:
-        return Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
+    known = _find(found, graphs)
+    if known is None or isinstance(known, Failure):
+        return known or Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     return view_graph(known)
 
 
--- a/src/cicadatray/scheduling/taskgraphs/running_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/running_work.py
@@ -72,12 +72,16 @@
         return before - value_at(self.priority, end_s, self.on_time_by_s, self.late_by_s)
 
     def loss(self) -> float:
-        """Returns what a stop throws away, in core-seconds."""
+        """Returns what a stop throws away, in core-seconds, times the starts of the work so far.
+
+        Work that has begun again before is the last that should do so once more.
+        """
         lost_s = 0.5 if self.is_checkpointable else self.elapsed_s
         weight = sum(
             room.cpu_millis / 1000 + ACCELERATOR_CORES * room.accelerators for _, room in self.rooms
         )
-        return lost_s * weight + STOP_COST * len(self.runs)
+        starts = max((run.run for run in self.runs), default=1)
+        return (lost_s * weight + STOP_COST * len(self.runs)) * starts
 
 
 # Stopping, noting the end, waiting for other room and starting again.
--- /dev/null
+++ b/tests/cover/taskgraphs/test_graph_calls.py
@@ -0,0 +1,139 @@
+"""Who may hand in, read and cancel which graph."""
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+
+from cicadatray.internal.control.graphs import graph_codes
+from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.graph_messages import (
+    CancelGraph,
+    GraphState,
+    QueueState,
+    QueueTarget,
+    ReadGraph,
+    SetQueues,
+    SubmitGraph,
+)
+from cicadatray.internal.wire.messages.queue_configuration import (
+    Pool,
+    Queue,
+    QueueAccount,
+    QueueConfiguration,
+)
+from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
+from cicadatray.scheduling.taskgraphs.step import Step
+from cover.control.gangs.link_layer import LinkLayer
+from cover.control.gangs.shared_log import SharedLog
+from cover.control.gangs.simulated_control import SimulatedControl
+from cover.replication.process_loop import ProcessLoop, end_other_tasks
+from cover.taskgraphs.placement_helpers import ONE
+
+OWNER, OTHER, STRANGER = b"o" * 32, b"x" * 32, b"s" * 32
+GRAPH = "00000000000000aa"
+STEPS = (Step(1, ONE, 1.0),)
+
+
+def configuration(version: int = 1) -> SetQueues:
+    policy = QueuePolicy("q", "pool", 1, 3, 2.0, 1.0)
+    queues = (
+        Queue("h", "/q/", policy),
+        Queue("h", "/q/deep/", QueuePolicy("deep", "pool", 1, 3, 2.0, 1.0)),
+        Queue("h", "/open/", QueuePolicy("open", "pool", 1, 3, 2.0, 1.0), is_public=True),
+    )
+    accounts = (QueueAccount("owner", (OWNER,)), QueueAccount("other", (OTHER,)))
+    return SetQueues(
+        configuration=QueueConfiguration(version, queues, (Pool("pool"),), accounts), source=b"{}"
+    )
+
+
+def ask(*calls: MessageStruct, configured: bool = True) -> list[Any]:
+    """Answers calls one after the other on one leader."""
+    loop = ProcessLoop()
+    asyncio.set_event_loop(loop)
+    log = SharedLog(lambda: None)
+
+    async def main() -> list[Any]:
+        control = SimulatedControl("c1", log, LinkLayer(random.Random(1)))
+        if configured:
+            log.commit(log.state.encode_command(configuration()))
+        log.elect("c1")
+        await asyncio.sleep(0.5)
+        replies = [await control.answer(call) for call in calls]
+        await end_other_tasks()
+        return replies
+
+    try:
+        return loop.run_until_complete(main())
+    finally:
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+def target(path: str, digest: bytes = OWNER) -> QueueTarget:
+    return QueueTarget("h", path, digest)
+
+
+def submit(path: str = f"/q/{GRAPH}", digest: bytes = OWNER) -> SubmitGraph:
+    return SubmitGraph(target=target(path, digest), spec="s", steps=STEPS)
+
+
+@pytest.mark.parametrize(
+    ("call", "code"),
+    [
+        (submit("/none/" + GRAPH), graph_codes.QUEUE_UNKNOWN),
+        (submit(digest=STRANGER), graph_codes.CREDENTIAL_UNKNOWN),
+        (submit("/q/short"), graph_codes.GRAPH_ID_MALFORMED),
+        (ReadGraph(target=target(f"/q/{GRAPH}")), graph_codes.GRAPH_UNKNOWN),
+        (CancelGraph(target=target(f"/q/{GRAPH}")), graph_codes.GRAPH_UNKNOWN),
+    ],
+)
+def test_refused_calls(call: MessageStruct, code: str) -> None:
+    """A client must be able to tell a wrong key from a queue or job that does not exist."""
+    (reply,) = ask(call)
+    assert isinstance(reply, Failure) and reply.code == code
+
+
+def test_nothing_is_accepted_before_a_configuration() -> None:
+    """Without a configuration no queue is known, which is not the same as an unknown queue."""
+    (reply,) = ask(submit(), configured=False)
+    assert isinstance(reply, Failure) and reply.code == graph_codes.QUEUES_UNSET
+
+
+@pytest.mark.parametrize("call_type", [ReadGraph, CancelGraph])
+@pytest.mark.parametrize(("digest", "is_allowed"), [(OWNER, True), (OTHER, False)])
+def test_only_the_owner_reads_and_cancels(call_type: Any, digest: bytes, is_allowed: bool) -> None:
+    """Whoever learns an identifier must not cancel another account's job."""
+    _, reply = ask(submit(), call_type(target=target(f"/q/{GRAPH}", digest)))
+    if is_allowed:
+        assert isinstance(reply, GraphState)
+    else:
+        assert isinstance(reply, Failure) and reply.code == graph_codes.ACCOUNT_MISMATCH
+
+
+def test_same_identifier_is_the_same_graph() -> None:
+    """A client that got no answer hands the job in again."""
+    replies = ask(submit(), submit(), ReadGraph(target=target("/q/")))
+    assert replies[0].graph_id == replies[1].graph_id == GRAPH
+    assert isinstance(replies[2], QueueState)
+
+
+def test_identifier_of_another_account_is_not_taken_over() -> None:
+    """A job that is answered as accepted although another account's one is meant never runs."""
+    _, reply = ask(submit(), submit(digest=OTHER))
+    assert isinstance(reply, Failure) and reply.code == graph_codes.ACCOUNT_MISMATCH
+
+
+def test_longest_prefix_and_public_queue() -> None:
+    """The most specific queue takes a job; a public one needs no credential."""
+    deep, public = ask(ReadGraph(target=target("/q/deep/")), submit(f"/open/{GRAPH}", digest=b""))
+    assert isinstance(deep, QueueState)
+    assert isinstance(public, GraphState)
+
+
+def test_older_configuration_changes_nothing() -> None:
+    """An older change that arrives again must neither be refused nor come into force."""
+    newer, older = ask(configuration(5), configuration(3))
+    assert (newer.version, older.version) == (5, 5)
--- a/tests/cover/taskgraphs/test_placement_round.py
+++ b/tests/cover/taskgraphs/test_placement_round.py
@@ -10,6 +10,7 @@
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.step import Step
+from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cover.taskgraphs.placement_helpers import (
     CAPACITY,
     HALF,
@@ -157,6 +158,16 @@
         plan = PlacementRound(workers, [tight, slack], 0.0).run(self.urgent())
         assert {run.task.graph_id for run in plan.displaced} == {"slack"}
 
+    def test_prefers_work_that_runs_for_the_first_time(self) -> None:
+        """A long task that was lost with its worker and then displaced kept its job from going on
+        for half a minute (trouble-2 --seed 144002316548 of amc-conexiones)."""
+        workers = make_workers((2,))
+        again = make_running(workers, [("w0", CAPACITY)], "again", elapsed_s=4.0, percent=40)
+        again.runs = [TaskRun(run.task, 3) for run in again.runs]
+        first = make_running(workers, [("w1", CAPACITY)], "first", elapsed_s=5.0, percent=40)
+        plan = PlacementRound(workers, [again, first], 0.0).run(self.urgent())
+        assert {run.task.graph_id for run in plan.displaced} == {"first"}
+
     @pytest.mark.parametrize("guaranteed", [True, False])
     def test_displaces_beyond_its_value_only_inside_a_guarantee(self, guaranteed: bool) -> None:
         """A guarantee holds at any price; beyond it more would be thrown away than is gained."""
