--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -1,11 +1,15 @@
 """All runs that an agent holds for one incarnation of its worker."""
 
+import structlog
+
 from cicadatray.internal.agent.tasks.held_run import HeldRun, RunPhase
 from cicadatray.internal.agent.tasks.worker_port import WorkerView
 from cicadatray.internal.wire.messages.graph_messages import RunEnd, RunOrder
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 
+log = structlog.get_logger(__name__)
+
 # A run that the worker does not list this many times in a row is stopped, which settles it.
 MISSING_VIEWS = 2
 
@@ -86,6 +90,13 @@
             if end.number <= self.noted or end.number in self.ends:
                 continue
             self.ends[end.number] = end
+            log.info(
+                "end listed",
+                run=str(end.run.task),
+                number=end.number,
+                outcome=end.outcome.value,
+                noted=self.noted,
+            )
             self.held.pop(end.run, None)
             self.finished.add(end.run)
             has_ended = True
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -40,11 +40,16 @@
 
     def run(self, waiting: Sequence[WaitingWork]) -> PlacementPlan:
         """Tries all waiting work in the order of its rank."""
+        blocked: set[tuple[str, int, int]] = set()
         for work in sorted(waiting, key=lambda w: w.rank(self.now_s)):
-            self._try(work)
+            step = (work.graph.graph.graph_id, work.occurrence, work.step_number)
+            # What one task of a step finds no room for, its equals do not find either.
+            if step not in blocked and not self._try(work) and work.priority != URGENT_PRIORITY:
+                blocked.add(step)
         return self.plan
 
-    def _try(self, work: WaitingWork) -> None:
+    def _try(self, work: WaitingWork) -> bool:
+        """Places the work; returns False where it must wait."""
         usable = self._usable_workers(work)
         groups = self._groups(work, usable)
         for group in groups:
@@ -55,8 +60,9 @@
             )
             if chosen is not None:
                 self._assign(work, chosen)
-                return
+                return True
         self._make_room(work, groups)
+        return False
 
     def _usable_workers(self, work: WaitingWork) -> list[WorkerRoom]:
         pool = work.graph.graph.policy.pool
--- a/tests/cover/taskgraphs/test_placement_round.py
+++ b/tests/cover/taskgraphs/test_placement_round.py
@@ -1,15 +1,18 @@
 """Who starts where, who waits and who gives way, each for the load that it is meant for."""
 
 from collections import Counter
+from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cicadatray.scheduling.taskgraphs import placement_round
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.step import Step
+from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cover.taskgraphs.placement_helpers import (
     CAPACITY,
@@ -204,6 +207,23 @@
     assert [a.run.task.graph_id for a in plan.assignments] == ["timely"]
 
 
+def test_wide_blocked_step_is_tried_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A round over hundreds of equal tasks held up the event loop of the leader for 0.1 s, and ends
+    that came meanwhile were lost with its power."""
+    calls = []
+
+    def counted(*arguments: Any) -> Any:
+        calls.append(arguments)
+        return fit_tasks(*arguments)
+
+    monkeypatch.setattr(placement_round, "fit_tasks", counted)
+    workers = make_workers((3, 3, 3))
+    running = [make_running(workers, [(w.worker_id, CAPACITY)], w.worker_id) for w in workers]
+    waiting = make_waiting(Step(500, ONE, 8.0), 2)
+    assert PlacementRound(workers, running, 0.0).run(waiting).assignments == []
+    assert len(calls) <= 20
+
+
 NEEDS = st.builds(Resources, st.integers(0, 64_000), st.integers(0, 128_000), st.integers(0, 8))
 
 
