Let guaranteed work displace urgent work of accounts beyond their guarantee

Ruled out: no candidates of lower priority were overlooked (all had been displaced before). Change: work inside its account's guarantee goes first within its priority and displaces equal priority beyond a guarantee; two that are both inside or both beyond never displace each other.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -185,9 +185,10 @@
         ]
         if not waiting:
             return
-        mark_guaranteed(session, waiting)
+        running = build_running(session)
+        mark_guaranteed(session, waiting, running)
         workers = build_workers(session)
-        plan = PlacementRound(workers, build_running(session), now_s).run(waiting)
+        plan = PlacementRound(workers, running, now_s).run(waiting)
         self._displace(plan)
         if not plan.assignments:
             return
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -60,7 +60,9 @@
     work.set_deadlines(left_s + objective_s, left_s + LATE_LIMIT * objective_s)
 
 
-def mark_guaranteed(session: GraphSession, waiting: list[WaitingWork]) -> None:
+def mark_guaranteed(
+    session: GraphSession, waiting: list[WaitingWork], running: list[RunningWork]
+) -> None:
     """Marks the urgent work of accounts whose urgent jobs need no more than their guarantee."""
     needed: dict[str, int] = {}
     for progress in session.graphs.values():
@@ -69,14 +71,17 @@
             accelerators = sum(step.count * step.needs.accelerators for step in graph.steps)
             account = graph.client_account
             needed[account] = needed.get(account, 0) + accelerators * graph.occurrences
-    guarantees = {
-        account.name: account.guaranteed_accelerators
+    within = {
+        account.name
         for account in session.leader.state.graphs.queues.accounts
+        if needed.get(account.name, 0) <= account.guaranteed_accelerators
     }
     for work in waiting:
-        account = work.graph.graph.client_account
         is_urgent = work.priority == URGENT_PRIORITY
-        work.is_guaranteed = is_urgent and needed[account] <= guarantees.get(account, 0)
+        work.is_guaranteed = is_urgent and work.graph.graph.client_account in within
+    for run in running:
+        account_name = session.graphs[run.graph_id].graph.client_account
+        run.is_guaranteed = run.priority == URGENT_PRIORITY and account_name in within
 
 
 def build_running(session: GraphSession) -> list[RunningWork]:
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -164,7 +164,7 @@
             worker.is_closed = True
 
     def _displace(self, work: WaitingWork, groups: list[list[WorkerRoom]]) -> None:
-        candidates = [r for r in self.running if r.priority > work.priority]
+        candidates = [r for r in self.running if r.gives_way_to(work.priority, work.is_guaranteed)]
         best: Displacement | None = None
         for group in groups:
             open_workers = [worker for worker in group if not worker.is_closed]
--- a/src/cicadatray/scheduling/taskgraphs/running_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/running_work.py
@@ -9,13 +9,17 @@
 
 
 class RunningWork:
-    """`rooms` holds what each run occupies, by worker. `percent` is -1 while it is unknown."""
+    """`rooms` holds what each run occupies, by worker. `percent` is -1 while it is unknown.
+
+    `is_guaranteed` as in `WaitingWork`.
+    """
 
     __slots__ = (
         "elapsed_s",
         "estimate_s",
         "graph_id",
         "is_checkpointable",
+        "is_guaranteed",
         "late_by_s",
         "on_time_by_s",
         "percent",
@@ -35,6 +39,7 @@
     ) -> None:
         self.graph_id = graph_id
         self.priority = priority
+        self.is_guaranteed = False
         self.on_time_by_s = 0.0
         self.late_by_s = 0.0
         self.is_checkpointable = is_checkpointable
@@ -55,6 +60,15 @@
             return self.elapsed_s * (100 - self.percent) / self.percent
         return max(0.0, self.estimate_s - self.elapsed_s)
 
+    def gives_way_to(self, priority: int, is_guaranteed: bool) -> bool:
+        """Returns whether urgent work may displace this.
+
+        Work inside a guarantee also displaces urgent work of accounts that use more than theirs.
+        """
+        if self.priority > priority:
+            return True
+        return is_guaranteed and self.priority == priority and not self.is_guaranteed
+
     def set_deadlines(self, on_time_by_s: float, late_by_s: float) -> None:
         """Sets until when it must end for its job to be on time, and to be worth anything.
 
--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -62,15 +62,22 @@
         objective_s = policy.stretch * graph.chain_s() + policy.target_latency_s
         return begin_s + objective_s - graph.chain_from_s(self.step_number)
 
-    def rank(self, now_s: float) -> tuple[bool, int, bool, float]:
+    def rank(self, now_s: float) -> tuple[bool, int, bool, bool, float]:
         """Orders waiting work; the lowest is tried first.
 
-        Within a priority, work that can still be on time goes before work that is late already, and
-        the one that must start earlier first. Work that is too late to count comes last of all.
+        Within a priority guaranteed work goes first; then work that can still be on time goes
+        before work that is late already, and the one that must start earlier first. Work that is
+        too late to count comes last of all.
         """
         graph = self.graph.graph
         policy = graph.policy
         objective_s = policy.stretch * graph.chain_s() + policy.target_latency_s
         start_by_s = self.start_by_s()
         start_late_by_s = start_by_s + (LATE_LIMIT - 1) * objective_s
-        return (now_s > start_late_by_s, policy.priority, now_s > start_by_s, start_by_s)
+        return (
+            now_s > start_late_by_s,
+            policy.priority,
+            not self.is_guaranteed,
+            now_s > start_by_s,
+            start_by_s,
+        )
