Replace silent connections between control members, and log slow commits

The heartbeat on each waits its whole time-out (0.18 s). The call after it then failed at once, because the connection that had just been reset was still taken for open, and the next try came 0.11 s later. Change: a call that is unanswered for 60 ms is repeated on a new connection (ReplicaChannel); the connection state of RpcClient is now a type of its own, and a reset one is never used again. The leader logs commits over 0.1 s with the state of each member, and when a member is lost or reached again. Ruled out: slow disk, processor time, an election (the new lines show none of them).

--- a/src/cicadatray/internal/control/replica_link.py
+++ b/src/cicadatray/internal/control/replica_link.py
@@ -1,5 +1,6 @@
 """Carries messages of the replicated log between control instances."""
 
+from cicadatray.internal.control.replica_channel import ReplicaChannel
 from cicadatray.internal.wire.backoff import Backoff
 from cicadatray.internal.wire.codec import Codec
 from cicadatray.internal.wire.errors import WireError
@@ -18,15 +19,15 @@
 
 
 class ReplicaLink:
-    """The transport of a replica: one connection for each other member."""
+    """The transport of a replica: one channel for each other member."""
 
-    __slots__ = ("clients", "codec", "member_id", "secret")
+    __slots__ = ("channels", "codec", "member_id", "secret")
 
     def __init__(self, member_id: str, codec: Codec, secret: bytes) -> None:
         self.member_id = member_id
         self.codec = codec
         self.secret = secret
-        self.clients: dict[Member, RpcClient] = {}
+        self.channels: dict[Member, ReplicaChannel] = {}
 
     async def call(
         self, member: Member, message: ReplicaMessage, timeout_s: float
@@ -38,7 +39,7 @@
         """
         call = ReplicaCall(member_id=self.member_id, payload=encode_replica_message(message))
         try:
-            reply = await self._client(member).call(call, timeout_s)
+            reply = await self._channel(member).call(call, timeout_s)
         except WireError as error:
             raise ReplicaTransportError(str(error)) from error
         if not isinstance(reply, ReplicaAnswer):
@@ -50,13 +51,16 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        for client in self.clients.values():
-            await client.close()
-
-    def _client(self, member: Member) -> RpcClient:
-        client = self.clients.get(member)
-        if client is None:
-            backoff = Backoff(limit_s=RECONNECT_LIMIT_S)
-            client = RpcClient(member.host, member.port, self.codec, self.secret, backoff)
-            self.clients[member] = client
-        return client
+        for channel in self.channels.values():
+            await channel.close()
+
+    def _channel(self, member: Member) -> ReplicaChannel:
+        channel = self.channels.get(member)
+        if channel is None:
+            channel = ReplicaChannel(lambda: self._connect(member))
+            self.channels[member] = channel
+        return channel
+
+    def _connect(self, member: Member) -> RpcClient:
+        backoff = Backoff(limit_s=RECONNECT_LIMIT_S)
+        return RpcClient(member.host, member.port, self.codec, self.secret, backoff)
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -4,15 +4,10 @@
 
 from cicadatray.internal.wire.backoff import Backoff
 from cicadatray.internal.wire.codec import Codec
-from cicadatray.internal.wire.errors import (
-    FrameError,
-    HandshakeError,
-    PeerLostError,
-    PeerUnreachableError,
-)
-from cicadatray.internal.wire.frame import pack_frame, read_frame
+from cicadatray.internal.wire.errors import HandshakeError, PeerLostError, PeerUnreachableError
 from cicadatray.internal.wire.handshake import authenticate
 from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.rpc_connection import RpcConnection
 from cicadatray.internal.wire.source_address import SOURCE_ADDRESS
 
 CONNECT_TIMEOUT_S = 1.0
@@ -30,15 +25,11 @@
         "codec",
         "connect_lock",
         "connect_timeout_s",
-        "heard_s",
+        "connection",
         "host",
-        "next_call_id",
-        "pending",
         "port",
-        "reading",
         "retry_at_s",
         "secret",
-        "writer",
     )
 
     def __init__(
@@ -57,12 +48,13 @@
         self.backoff = backoff or Backoff()
         self.connect_timeout_s = connect_timeout_s
         self.connect_lock = asyncio.Lock()
-        self.heard_s = 0.0
-        self.next_call_id = 1
-        self.pending: dict[int, asyncio.Future[MessageStruct]] = {}
-        self.reading: asyncio.Task[None] | None = None
+        self.connection: RpcConnection | None = None
         self.retry_at_s = 0.0
-        self.writer: asyncio.StreamWriter | None = None
+
+    @property
+    def heard_s(self) -> float:
+        """When the last bytes came on the present connection; 0 without one."""
+        return self.connection.heard_s if self.connection else 0.0
 
     async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
         """Sends a request and returns its reply, which may be a `Failure`.
@@ -73,86 +65,54 @@
         """
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-        writer = await self._connected_writer(min(timeout_s, self.connect_timeout_s))
-        call_id = self.next_call_id
-        self.next_call_id += 1
-        frame = pack_frame(self.codec.encode(call_id, message))
-        reply: asyncio.Future[MessageStruct] = loop.create_future()
-        self.pending[call_id] = reply
+        connection = await self._connected(min(timeout_s, self.connect_timeout_s))
+        sent_s = loop.time()
         try:
             async with asyncio.timeout_at(deadline_s):
-                writer.write(frame)
-                await writer.drain()
-                return await reply
+                return await connection.call(message)
         except TimeoutError as error:
-            if self.heard_s < deadline_s - timeout_s:
+            if connection.heard_s <= sent_s:
                 # Nothing at all came during the call: a connection that has gone silent is never
                 # reset, and every later call on it would wait in vain.
-                writer.transport.abort()
+                connection.abort()
             raise PeerLostError(f"no reply from {self.host}:{self.port} in time") from error
-        except OSError as error:
+        except (OSError, PeerLostError) as error:
             raise PeerLostError(f"connection to {self.host}:{self.port} lost") from error
-        finally:
-            self.pending.pop(call_id, None)
-            if reply.done() and not reply.cancelled():
-                # Marks an error as seen that came while the request was still being written.
-                reply.exception()
+
+    def abort(self) -> None:
+        """Resets the connection; calls in progress fail with `PeerLostError`."""
+        if self.connection is not None:
+            self.connection.abort()
 
     async def close(self) -> None:
         """Closes the connection; calls in progress fail with `PeerLostError`."""
-        if self.reading is not None:
-            self.reading.cancel()
-            await asyncio.gather(self.reading, return_exceptions=True)
+        if self.connection is not None:
+            await self.connection.close()
 
-    async def _connected_writer(self, timeout_s: float) -> asyncio.StreamWriter:
+    async def _connected(self, timeout_s: float) -> RpcConnection:
         async with self.connect_lock:
-            if self.writer is not None:
-                return self.writer
+            if self.connection is not None and self.connection.is_open:
+                return self.connection
             now_s = asyncio.get_running_loop().time()
             if now_s < self.retry_at_s:
                 raise PeerUnreachableError(f"{self.host}:{self.port} was unreachable just before")
             try:
-                writer = await self._connect(timeout_s)
+                self.connection = await self._connect(timeout_s)
             except (OSError, TimeoutError, HandshakeError) as error:
                 self.retry_at_s = now_s + self.backoff.next_delay_s()
                 raise PeerUnreachableError(f"{self.host}:{self.port}: {error}") from error
             self.backoff.reset()
-            self.writer = writer
-            return writer
+            return self.connection
 
-    async def _connect(self, timeout_s: float) -> asyncio.StreamWriter:
+    async def _connect(self, timeout_s: float) -> RpcConnection:
         async with asyncio.timeout(timeout_s):
             local_address = SOURCE_ADDRESS.local_address()
             reader, writer = await asyncio.open_connection(
                 self.host, self.port, local_addr=local_address
             )
-        try:
-            await authenticate(reader, writer, self.secret, dialer=True)
-        except BaseException:
-            writer.close()
-            raise
-        self.heard_s = asyncio.get_running_loop().time()
-        self.reading = asyncio.create_task(self._read_replies(reader, writer))
-        return writer
-
-    async def _read_replies(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while True:
-                call_id, message = self.codec.decode(await read_frame(reader))
-                self.heard_s = asyncio.get_running_loop().time()
-                reply = self.pending.get(call_id)
-                if reply is not None and not reply.done():
-                    reply.set_result(message)
-        except (EOFError, OSError, FrameError):
-            pass
-        finally:
-            writer.close()
-            self.writer = None
-            self._fail_pending()
-
-    def _fail_pending(self) -> None:
-        for reply in self.pending.values():
-            if not reply.done():
-                reply.set_exception(PeerLostError(f"connection to {self.host}:{self.port} lost"))
+            try:
+                await authenticate(reader, writer, self.secret, dialer=True)
+            except BaseException:
+                writer.close()
+                raise
+        return RpcConnection(reader, writer, self.codec)
--- a/src/cicadatray/replication/leadership.py
+++ b/src/cicadatray/replication/leadership.py
@@ -3,6 +3,8 @@
 import asyncio
 import math
 
+import structlog
+
 from cicadatray.replication.core import ReplicaCore
 from cicadatray.replication.errors import NotLeaderError, ProposalUnknownError
 from cicadatray.replication.limits import CLOCK_DRIFT_MARGIN
@@ -13,6 +15,10 @@
 QUORUM_CHECKS = 2
 # Longest wait for the disk before the next batch of commands is sent to the other members.
 GATHER_LIMIT_S = 0.03
+# A commit usually takes one round trip and two syncs, about 0.03 s; slower ones are logged.
+SLOW_COMMIT_S = 0.1
+
+log = structlog.get_logger(__name__)
 
 
 class Leadership:
@@ -162,9 +168,31 @@
             return
         first_index = applier.commit_index + 1
         applier.advance(index)
+        slowest_s = 0.0
         for committed in range(first_index, index + 1):
             proposal = self.appended.pop(committed, None)
-            self.held_bytes -= len(proposal.data) if proposal else 0
+            if proposal is not None:
+                self.held_bytes -= len(proposal.data)
+                slowest_s = max(slowest_s, self.core.now_s() - proposal.created_s)
+        if slowest_s > SLOW_COMMIT_S:
+            self._log_slow_commit(index, slowest_s)
+
+    def _log_slow_commit(self, index: int, slowest_s: float) -> None:
+        now_s = self.core.now_s()
+        log.info(
+            "commit slow",
+            index=index,
+            took_s=round(slowest_s, 3),
+            own_durable=self.durable_index,
+            peers={
+                peer.record.member.member_id: {
+                    "match_index": peer.match_index,
+                    "silence_s": round(now_s - max(peer.acked_sent_s, self.started_s), 3),
+                    "refusal": peer.refusal,
+                }
+                for peer in self.peers.values()
+            },
+        )
 
     async def _append_proposals(self) -> None:
         while True:
--- a/src/cicadatray/replication/peer_replicator.py
+++ b/src/cicadatray/replication/peer_replicator.py
@@ -4,6 +4,8 @@
 import math
 from typing import TYPE_CHECKING
 
+import structlog
+
 from cicadatray.replication.errors import PeerRefusedError, ReplicaTransportError
 from cicadatray.replication.log_entry import encode_entries
 from cicadatray.replication.membership import MemberRecord
@@ -18,6 +20,8 @@
 if TYPE_CHECKING:
     from cicadatray.replication.leadership import Leadership
 
+log = structlog.get_logger(__name__)
+
 
 class PeerReplicator:
     """One task with one message in flight, which is also the heartbeat.
@@ -68,15 +72,27 @@
             try:
                 has_more = await self._exchange(sent_s)
             except (ReplicaTransportError, PeerRefusedError) as error:
-                self.refusal = str(error)
+                self._note_refusal(str(error))
                 if isinstance(error, PeerRefusedError):
                     self.snapshot = None
                 await asyncio.sleep(sent_s + self.core.settings.heartbeat_s - self.core.now_s())
                 continue
-            self.refusal = ""
+            self._note_refusal("")
             if not has_more:
                 await self._wait_until(sent_s + self.core.settings.heartbeat_s)
 
+    def _note_refusal(self, reason: str) -> None:
+        """Keeps why the last message was not answered, and logs a change between the two states."""
+        if bool(reason) != bool(self.refusal):
+            log.info(
+                "member unreachable" if reason else "member reached again",
+                member=self.record.member.member_id,
+                reason=reason or self.refusal,
+                match_index=self.match_index,
+                silence_s=round(self.core.now_s() - max(self.acked_sent_s, 0.0), 3),
+            )
+        self.refusal = reason
+
     async def _wait_until(self, deadline_s: float) -> None:
         try:
             async with asyncio.timeout_at(deadline_s):
--- a/src/cicadatray/replication/proposal.py
+++ b/src/cicadatray/replication/proposal.py
@@ -4,15 +4,20 @@
 
 
 class Proposal:
-    """`index` is 0 until the command is appended; until then it can be withdrawn."""
+    """`index` is 0 until the command is appended; until then it can be withdrawn.
 
-    __slots__ = ("data", "index", "is_membership", "result")
+    `created_s` is on the event loop's clock.
+    """
+
+    __slots__ = ("created_s", "data", "index", "is_membership", "result")
 
     def __init__(self, data: bytes, is_membership: bool) -> None:
         self.data = data
         self.is_membership = is_membership
         self.index = 0
-        self.result: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self.created_s = loop.time()
+        self.result: asyncio.Future[bytes] = loop.create_future()
 
     def fail(self, error: Exception) -> None:
         """Ends the wait of the proposer unless it has ended already."""
