Propose ends of runs while earlier commits wait

Cause: the leader's loop awaited each commit before it proposed the next ends. With both followers cut off for 0.2 s, an end that was listed 20 ms after another stayed out of the log; the first commit after the cut carried a configuration, power was lost right after its confirmation, and the end with it (LOST). Change: EndRecorder proposes each batch at once. Ends and whatever is proposed later become durable together. Doubtful starts that a stop has settled are proposed once and no longer with each report. Ruled out: whether the agent's report reached the leader (it did: the next end of the same moment committed).

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -10,7 +10,11 @@
 from cicadatray.internal.control.agent_links import AgentLinks
 from cicadatray.internal.control.control_description import ControlDescription, describe_control
 from cicadatray.internal.control.control_state import ControlState
-from cicadatray.internal.control.errors import ControlError, LeadershipLostError
+from cicadatray.internal.control.errors import (
+    ControlError,
+    LeadershipLostError,
+    leadership_lost,
+)
 from cicadatray.internal.control.fragmentation import present_fragmentation
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.control.graphs.graph_session import GraphSession
@@ -219,7 +223,7 @@
                 for loop in loops:
                     loop.cancel()
         except* LeadershipLostError as errors:
-            raise LeadershipLostError(str(errors.exceptions[0])) from None
+            raise leadership_lost(errors) from None
 
     async def _join_while_outside(self) -> None:
         """Asks to be admitted while no leader calls this instance."""
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -4,18 +4,15 @@
 
 import structlog
 
-from cicadatray.internal.control.errors import LeadershipLostError
+from cicadatray.internal.control.errors import LeadershipLostError, leadership_lost
+from cicadatray.internal.control.graphs.end_recorder import EndRecorder
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.placement_input import (
     build_running,
     build_workers,
     mark_guaranteed,
 )
-from cicadatray.internal.observability.graph_metrics import (
-    runs_displaced,
-    runs_ended,
-    start_wait,
-)
+from cicadatray.internal.observability.graph_metrics import runs_displaced, start_wait
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
     PlacedRun,
@@ -43,13 +40,13 @@
 class GraphLoop:
     """Owns the placement of task graphs while this instance leads."""
 
-    __slots__ = ("displaced", "ended", "next_checkpoints_s", "session", "waits")
+    __slots__ = ("displaced", "next_checkpoints_s", "recorder", "session", "waits")
 
     def __init__(self, session: GraphSession) -> None:
         self.session = session
         self.next_checkpoints_s = 0.0
         metrics = session.leader.metrics
-        self.ended = runs_ended(metrics)
+        self.recorder = EndRecorder(session)
         self.displaced = runs_displaced(metrics)
         self.waits = start_wait(metrics)
 
@@ -59,8 +56,16 @@
         Raises:
             LeadershipLostError: as soon as one command could not be committed.
         """
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self.recorder.run())
+                tasks.create_task(self._run_rounds())
+        except* LeadershipLostError as errors:
+            raise leadership_lost(errors) from None
+
+    async def _run_rounds(self) -> None:
         while True:
-            await self._record_ends()
+            await self._record_losses()
             await self._place()
             await self._wait()
 
@@ -73,21 +78,37 @@
         await asyncio.sleep(GATHER_S)
         self.session.wake.clear()
 
-    async def _record_ends(self) -> None:
+    async def _record_losses(self) -> None:
+        """Commits what no agent reports: runs of lost workers and graphs that are forgotten."""
         session = self.session
-        ends, session.new_ends = session.new_ends, []
         lost = self._take_lost_workers()
-        for worker_id in lost:
-            ends += session.lost_runs(worker_id)
+        ends = self._ends_of(lost)
         forgotten = self._find_forgotten()
         checkpoints = self._take_checkpoints(bool(ends))
         if ends or forgotten or checkpoints:
-            await self._commit_ends(ends, forgotten, checkpoints)
+            await session.leader.propose(
+                RecordRuns(
+                    now_s=session.wall_s(),
+                    ends=tuple(ends),
+                    forgotten=forgotten,
+                    checkpoints=checkpoints,
+                )
+            )
+            self.recorder.take_committed(ends)
         for worker_id in lost:
             session.forget_worker(worker_id)
         if ends:
             session.wake_all()
 
+    def _ends_of(self, lost: list[str]) -> list[PlacedEnd]:
+        """Returns an end for every run of lost workers, behind what their agents still reported."""
+        if not lost:
+            return []
+        ends = self.recorder.take_new()
+        for worker_id in lost:
+            ends += self.session.lost_runs(worker_id)
+        return ends
+
     def _take_checkpoints(self, is_committing: bool) -> tuple[RunCheckpoint, ...]:
         """Returns checkpoints to store: with another commit, or after a while without one."""
         now_s = self.session.now_s()
@@ -96,30 +117,6 @@
         self.next_checkpoints_s = now_s + CHECKPOINT_INTERVAL_S
         return self.session.new_checkpoints()
 
-    async def _commit_ends(
-        self,
-        ends: list[PlacedEnd],
-        forgotten: tuple[str, ...],
-        checkpoints: tuple[RunCheckpoint, ...],
-    ) -> None:
-        session = self.session
-        now_s = session.wall_s()
-        await session.leader.propose(
-            RecordRuns(now_s=now_s, ends=tuple(ends), forgotten=forgotten, checkpoints=checkpoints)
-        )
-        session.record_committed(ends)
-        for placed in ends:
-            self.ended.increment(outcome=placed.end.outcome.value)
-            log.info(
-                "run ended",
-                graph=placed.end.run.task.graph_id,
-                task=placed.end.run.task.key,
-                run=placed.end.run.run,
-                worker=placed.worker_id,
-                outcome=placed.end.outcome.value,
-                number=placed.end.number,
-            )
-
     def _take_lost_workers(self) -> list[str]:
         session = self.session
         lost = session.find_lost_workers()
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -38,6 +38,7 @@
 
     __slots__ = (
         "agent_calls",
+        "ends_arrived",
         "former_lives",
         "leader",
         "leases",
@@ -57,6 +58,7 @@
         self.agent_calls: dict[str, tuple[str, int]] = {}
         self.former_lives: set[str] = set()
         self.new_ends: list[PlacedEnd] = []
+        self.ends_arrived = asyncio.Event()
         self.ordered: dict[str, dict[TaskRun, float]] = {}
         self.relays: dict[MemberAddress, float] = {}
         self.replaced: set[str] = set()
@@ -117,6 +119,7 @@
         ends = session.take(call, now_s)
         if ends:
             self.new_ends += ends
+            self.ends_arrived.set()
         self.wake.set()
         return session
 
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -22,8 +22,10 @@
     """Soft state of one incarnation of a worker under one leader.
 
     `queued_number` is the highest end taken up from the agent, `noted_number` the highest one that
-    is durable. `told` is what the last answer contained, so that it is not sent again at once.
-    `answered_s` is when the agent last got an answer, that is a lease. Times are the event loop's.
+    is durable. `cleared_queued` and `cleared_noted` are the same for doubtful starts that a stop
+    has settled, which have no number. `told` is what the last answer contained, so that it is not
+    sent again at once. `answered_s` is when the agent last got an answer, that is a lease. Times
+    are the event loop's.
     """
 
     __slots__ = (
@@ -31,6 +33,7 @@
         "answered_s",
         "calls",
         "cleared_noted",
+        "cleared_queued",
         "failures",
         "first_seen_s",
         "is_lost",
@@ -52,6 +55,7 @@
         self.queued_number = 0
         self.noted_number = 0
         self.cleared_noted: set[TaskRun] = set()
+        self.cleared_queued: set[TaskRun] = set()
         self.told: WorkerOrders | None = None
         self.calls = 0
         self.is_lost = False
@@ -74,13 +78,14 @@
         for end in call.ends:
             if end.number == 0:
                 cleared.add(end.run)
-                if end.run not in self.cleared_noted:
+                if end.run not in self.cleared_queued:
                     ends.append(PlacedEnd(end, self.offer.worker_id))
             elif end.number > self.queued_number:
                 self.queued_number = end.number
                 ends.append(PlacedEnd(end, self.offer.worker_id))
                 self._judge(end, now_s)
         self.cleared_noted &= cleared
+        self.cleared_queued = cleared
         return ends
 
     def _judge(self, end: RunEnd, now_s: float) -> None:
