End quarantines before the guarantee plan is repaired

In one round the plan was repaired, urgent claims were served, and only then a quarantine for which no trial job waits ended. Ordinary jobs took that worker in the same round, and an urgent job of the guarantee waited beside it until they ended. Why it failed in whole runs only: Hypothesis draws constants from the modules that are imported, so a run of the file alone plays other cases; collecting all tests and selecting this one reproduces it in 16 s. Change: trials are chosen, and quarantines end, before the plan is repaired; trial jobs are still placed after the urgent claims. Ruled out: a block without room (its unit was none, the plan could place it), the account's other jobs.

--- a/src/cicadatray/scheduling/policies/product.py
+++ b/src/cicadatray/scheduling/policies/product.py
@@ -74,10 +74,12 @@
             self._place(job, placement, now_s, decisions)
 
         self.faults.observe_runs(now_s)
+        # May return workers to the plan, whose guarantees go before ordinary jobs.
+        trials = self.faults.trials(self.queue, now_s)
         self.plan.repair(self.state.jobs)
         self._fail(decisions)
         decisions += self.claims.decide(now_s)
-        for job, placement in self.faults.trials(self.queue, now_s):
+        for job, placement in trials:
             place(job, placement)
         self.fences.place_ready(place, now_s)
         search = self.search
--- a/tests/cover/scheduling/test_fault_handling.py
+++ b/tests/cover/scheduling/test_fault_handling.py
@@ -3,7 +3,9 @@
 import pytest
 
 from cicadatray.scheduling.decision import FailJob
+from cicadatray.scheduling.fault_tracker import QUARANTINE_S
 from cicadatray.scheduling.gang_outcome import GangOutcome
+from cicadatray.scheduling.policies.fault_response import TRIAL_WAIT_S
 from cicadatray.scheduling.scheduler import Scheduler
 from scheduling_helpers import inventory, job, place_all, rules
 
@@ -120,3 +122,25 @@
     scheduler.gang_released("u", 1.0, GangOutcome.FAILED)
     assert place_all(scheduler, 1.0) == {}
     assert place_all(scheduler, 100.0)["u"].placement.shares[0].worker_id != first
+
+
+def test_worker_whose_quarantine_ends_serves_its_guarantee_first() -> None:
+    """An ordinary job took the worker in the round in which its quarantine ended.
+
+    The plan had been repaired before, so an urgent job of the guarantee waited beside the room.
+    Found by `scheduling/test_any_order_long.py`, whose random draws depend on the modules that
+    are imported.
+    """
+    scheduler = Scheduler(inventory((4,)), rules(("a", "4w", 1), large="4w"))
+    for account in "bc":
+        scheduler.submit(job(account, "4w", account), 0.0)
+        place_all(scheduler)
+        scheduler.task_failed(account, "d0r0w0", 0.0)
+        scheduler.gang_released(account, 0.0, GangOutcome.FAILED)
+        scheduler.cancel(account, 0.0)
+    assert scheduler.guarantees_at_risk()
+    scheduler.submit(job("ordinary", "4d", "b"), 0.0)
+    scheduler.submit(job("urgent", "4w", urgent=True), 0.0)
+    now_s = QUARANTINE_S + TRIAL_WAIT_S
+    assert place_all(scheduler, now_s - 1.0) == {}
+    assert set(place_all(scheduler, now_s)) == {"urgent"}
