Take the promise for urgent work and the time of a stop from the settings

Cause: urgent work inside a guarantee displaced others 1.2 s after its acceptance, a constant. Where less is promised than 2 s the promise would break; where more is, work that ends within the next second was thrown away. Each displaced run is logged with the graph that gets its room. Tried and not kept: room held for the largest urgent job of the last seconds while other work has slack.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -42,6 +42,7 @@
 from cicadatray.replication.member import Member
 from cicadatray.replication.replica import Replica
 from cicadatray.replication.replica_settings import ReplicaSettings
+from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 
 CONFIRM_TIMEOUT_S = 1.0
 LEADERSHIP_POLL_S = 0.1
@@ -212,7 +213,12 @@
         self.state.listeners = [self.session.take_applied]
         await self._add_first_operator(self.session)
         self.loop = SchedulingLoop(self.session)
-        self.graphs = GraphSession(self.session, TaskLeases(self.settings.longest_task_lease_s))
+        settings = self.settings
+        self.graphs = GraphSession(
+            self.session,
+            TaskLeases(settings.longest_task_lease_s),
+            StartLimits(settings.urgent_start_s, settings.longest_task_stop_s),
+        )
         try:
             async with asyncio.TaskGroup() as tasks:
                 loops = [
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -185,7 +185,7 @@
         running = build_running(session)
         mark_guaranteed(session, waiting, running)
         workers = build_workers(session)
-        plan = PlacementRound(workers, running, now_s).run(waiting)
+        plan = PlacementRound(workers, running, now_s, session.start_limits).run(waiting)
         self._displace(plan)
         if not plan.assignments:
             return
@@ -218,9 +218,15 @@
 
     def _displace(self, plan: PlacementPlan) -> None:
         session = self.session
-        for run in plan.displaced:
+        for run, for_graph in plan.displaced.items():
             session.revoked.add(run)
             self.displaced.increment(reason="displaced")
-            log.info("run displaced", graph=run.task.graph_id, task=run.task.key, run=run.run)
+            log.info(
+                "run displaced",
+                graph=run.task.graph_id,
+                task=run.task.key,
+                run=run.run,
+                for_graph=for_graph,
+            )
         if plan.displaced:
             session.wake_all()
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -19,6 +19,7 @@
 )
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress, TaskProgress
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 
 # A process that passes on calls says so with each of its probes.
@@ -47,13 +48,17 @@
         "relays",
         "replaced",
         "revoked",
+        "start_limits",
         "wake",
         "workers",
     )
 
-    def __init__(self, leader: LeaderSession, leases: TaskLeases) -> None:
+    def __init__(
+        self, leader: LeaderSession, leases: TaskLeases, start_limits: StartLimits
+    ) -> None:
         self.leader = leader
         self.leases = leases
+        self.start_limits = start_limits
         self.workers: dict[str, WorkerSession] = {}
         self.agent_calls: dict[str, tuple[str, int]] = {}
         self.former_lives: set[str] = set()
--- a/src/cicadatray/internal/settings/control_settings.py
+++ b/src/cicadatray/internal/settings/control_settings.py
@@ -22,5 +22,9 @@
     """Seconds without a leader after which an instance may stand for election at the earliest."""
     longest_task_lease_s: PositiveNumber = 6.0
     """Longest lease, in seconds, that the workers of task graphs grant."""
+    urgent_start_s: PositiveNumber = 2.5
+    """Seconds within which an urgent task graph inside its account's guarantee has begun."""
+    longest_task_stop_s: PositiveNumber = 0.4
+    """Longest time, in seconds, that a worker takes to stop a task."""
     bootstrap_operator_sha256: OptionalSha256 = ""
     """SHA-256 digest, in hexadecimal, of the credential that may set the first accounts."""
--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -70,6 +70,8 @@
         group_size=len(seeds),
         election_timeout_s=ELECTION_TIMEOUT_S,
         longest_task_lease_s=settings.longest_lease_s,
+        longest_task_stop_s=settings.longest_stop_s,
+        urgent_start_s=settings.urgent_start_s,
         dump_folder="/tmp",
     )
 
--- a/src/cicadatray/platform/settings.py
+++ b/src/cicadatray/platform/settings.py
@@ -45,6 +45,8 @@
     readiness_address: HostPort | None
     control_address: HostPort | None
     longest_lease_s: float
+    longest_stop_s: float
+    urgent_start_s: float
     grace_s: float
     body_limit_bytes: int = 262144
 
@@ -81,6 +83,8 @@
         readiness_address=_listen_address(listen, "Ready"),
         control_address=_listen_address(listen, "Control"),
         longest_lease_s=read_number(bounds, "MaxHoldMs", 6000) / MS_PER_S,
+        longest_stop_s=read_number(bounds, "StopMs", 400) / MS_PER_S,
+        urgent_start_s=read_number(bounds, "ReclaimMs", 2700) / MS_PER_S,
         grace_s=read_integer(bounds, "GraceS", 6),
     )
 
--- a/src/cicadatray/scheduling/taskgraphs/placement_plan.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_plan.py
@@ -5,10 +5,12 @@
 
 
 class PlacementPlan:
-    """`displaced` are runs to stop, so that more urgent work gets their room."""
+    """`displaced` are runs to stop, so that more urgent work gets their room; by run, the
+    graph that gets it.
+    """
 
     __slots__ = ("assignments", "displaced")
 
     def __init__(self) -> None:
         self.assignments: list[Assignment] = []
-        self.displaced: list[TaskRun] = []
+        self.displaced: dict[TaskRun, str] = {}
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -8,6 +8,7 @@
 from cicadatray.scheduling.taskgraphs.job_value import job_value
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks, present_room, soon_room, total_room
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
@@ -16,25 +17,27 @@
 URGENT_PRIORITY = 0
 # Work outside its rack takes this many times as long (a property of the platform's network).
 FAR_FACTOR = 3.0
-# Urgent work inside its account's guarantee must have begun by then.
-URGENT_START_S = 2.0
-# What it takes to stop a run, note its end and start another one there.
-STOP_AND_START_S = 0.8
 # For at most this many blocked gangs room is kept at a time; more would leave workers idle.
 KEPT_GANGS = 2
+DEFAULT_LIMITS = StartLimits()
 
 
 class PlacementRound:
     """Pure: the same input gives the same plan. `now_s` is in seconds since 1970."""
 
-    __slots__ = ("kept", "now_s", "plan", "running", "workers")
+    __slots__ = ("kept", "now_s", "plan", "running", "start_limits", "workers")
 
     def __init__(
-        self, workers: Sequence[WorkerRoom], running: Sequence[RunningWork], now_s: float
+        self,
+        workers: Sequence[WorkerRoom],
+        running: Sequence[RunningWork],
+        now_s: float,
+        start_limits: StartLimits = DEFAULT_LIMITS,
     ) -> None:
         self.workers = list(workers)
         self.running = list(running)
         self.now_s = now_s
+        self.start_limits = start_limits
         self.kept = 0
         self.plan = PlacementPlan()
 
@@ -146,10 +149,10 @@
 
     def _has_room_in_time(self, work: WaitingWork, groups: list[list[WorkerRoom]]) -> bool:
         """Keeps the room of work that will end by itself before urgent work must start."""
-        latest_s = work.start_by_s()
+        latest_s = work.start_by_s() - self.start_limits.make_room_s()
         if work.is_guaranteed:
-            latest_s = min(latest_s, work.graph.accepted_s + URGENT_START_S)
-        patience_s = latest_s - self.now_s - STOP_AND_START_S
+            latest_s = min(latest_s, self.start_limits.displace_by_s(work.graph.accepted_s))
+        patience_s = latest_s - self.now_s
         for group in groups:
             open_workers = [worker for worker in group if not worker.is_closed]
             found = self._earliest_fit(work, open_workers)
@@ -176,7 +179,7 @@
             return
         for victim in best.victims:
             self.running.remove(victim)
-            self.plan.displaced += victim.runs
+            self.plan.displaced.update(dict.fromkeys(victim.runs, work.graph.graph.graph_id))
             self._release_soon(victim)
         self._keep(work, best.chosen)
 
--- a/tests/cover/control/gangs/simulated_control.py
+++ b/tests/cover/control/gangs/simulated_control.py
@@ -38,7 +38,10 @@
         self.name = name
         self.process = Process()
         self.settings: Any = SimpleNamespace(
-            bootstrap_operator_sha256="", longest_task_lease_s=LONGEST_TASK_LEASE_S
+            bootstrap_operator_sha256="",
+            longest_task_lease_s=LONGEST_TASK_LEASE_S,
+            longest_task_stop_s=0.4,
+            urgent_start_s=2.5,
         )
         self.state = ControlState()
         self.replica: Any = FakeReplica(log, name, self.state)
--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -19,6 +19,7 @@
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.step import Step
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 from cover.taskgraphs.placement_helpers import ONE, make_graph
@@ -38,7 +39,7 @@
     leader: Any = SimpleNamespace(
         state=state, started_s=0.0, term=4, now_s=lambda: asyncio.get_running_loop().time()
     )
-    return GraphSession(leader, LEASES), graph
+    return GraphSession(leader, LEASES, StartLimits()), graph
 
 
 def call(worker_id: str = "w-1", sequence: int = 1, **fields: Any) -> SyncWorker:
--- a/tests/cover/taskgraphs/test_placement_round.py
+++ b/tests/cover/taskgraphs/test_placement_round.py
@@ -11,6 +11,7 @@
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.step import Step
 from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
@@ -140,7 +141,30 @@
         workers = make_workers((1,))
         running = [make_running(workers, [("w0", WHOLE)], elapsed_s=9.9, percent=99)]
         plan = PlacementRound(workers, running, 0.0).run(self.urgent())
-        assert plan.displaced == []
+        assert plan.displaced == {}
+
+    @pytest.mark.parametrize(
+        ("urgent_start_s", "longest_stop_s", "remaining_s", "is_displaced"),
+        [
+            (2.9, 0.4, 1.5, False),
+            (2.9, 0.4, 1.9, True),
+            (2.9, 0.8, 1.5, True),
+            (1.2, 0.4, 0.5, True),
+            (0.5, 0.4, 0.1, True),
+        ],
+        ids=["ends in time", "too late", "slow stops", "short promise", "shorter than a stop"],
+    )
+    def test_waits_as_long_as_the_promise_allows(
+        self, urgent_start_s: float, longest_stop_s: float, remaining_s: float, is_displaced: bool
+    ) -> None:
+        """The time of the promise was fixed in the code: too long for a deployment that promises
+        less, and too short elsewhere, so that work with a second left was thrown away."""
+        workers = make_workers((1,))
+        running = make_running(workers, [("w0", WHOLE)], elapsed_s=10.0 - remaining_s, percent=-1)
+        limits = StartLimits(urgent_start_s, longest_stop_s)
+        waiting = self.urgent(estimate_s=5.0)
+        plan = PlacementRound(workers, [running], 0.0, limits).run(waiting)
+        assert bool(plan.displaced) is is_displaced
 
     def test_prefers_work_that_saves_its_progress(self) -> None:
         """A task that can be resumed loses half a second, another one everything."""
@@ -205,7 +229,7 @@
         small = make_waiting(Step(1, ONE, 8.0), 2, graph_id="small")
         plan = PlacementRound(workers, [], 0.0).run([*small, *self.urgent()])
         assert plan.assignments == []
-        assert plan.displaced == []
+        assert plan.displaced == {}
 
 
 def test_late_work_goes_behind_work_that_can_still_be_on_time() -> None:
