Write up the lost end, and show the age of a member's last answer since the leadership began

Change: PeerReplicator.silence_s, used by both lines; GATHER_S is defined once. Ruled out: nothing further; no behaviour changes.

--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -8,7 +8,7 @@
 from cicadatray.internal.observability.graph_metrics import runs_ended
 from cicadatray.internal.wire.messages.graph_messages import PlacedEnd, RecordRuns
 
-# Ends that are reported within this time are committed together.
+# News that arrives within this time is handled in one round, and committed together.
 GATHER_S = 0.01
 
 log = structlog.get_logger(__name__)
@@ -59,7 +59,10 @@
         session.wake.set()
 
     def take_committed(self, ends: list[PlacedEnd]) -> None:
-        """Draws the consequences of ends that are durable."""
+        """Draws the consequences of ends that are durable.
+
+        A run of a lost worker may be among them twice, first as its agent had reported it.
+        """
         self.session.record_committed(ends)
         for placed in ends:
             self.ended.increment(outcome=placed.end.outcome.value)
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -5,7 +5,7 @@
 import structlog
 
 from cicadatray.internal.control.errors import LeadershipLostError, leadership_lost
-from cicadatray.internal.control.graphs.end_recorder import EndRecorder
+from cicadatray.internal.control.graphs.end_recorder import GATHER_S, EndRecorder
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.placement_input import (
     build_running,
@@ -27,8 +27,6 @@
 # The loop looks again after this time without a reason: for occurrences that become due and
 # leases that end.
 ROUND_INTERVAL_S = 0.25
-# News that arrives within this time is handled in one round, and committed together.
-GATHER_S = 0.01
 # At most this much of a checkpointable task's work is done again after a loss of power.
 CHECKPOINT_INTERVAL_S = 1.0
 # Ended graphs can be read this long.
--- a/src/cicadatray/replication/leadership.py
+++ b/src/cicadatray/replication/leadership.py
@@ -178,7 +178,6 @@
             self._log_slow_commit(index, slowest_s)
 
     def _log_slow_commit(self, index: int, slowest_s: float) -> None:
-        now_s = self.core.now_s()
         log.info(
             "commit slow",
             index=index,
@@ -187,7 +186,7 @@
             peers={
                 peer.record.member.member_id: {
                     "match_index": peer.match_index,
-                    "silence_s": round(now_s - max(peer.acked_sent_s, self.started_s), 3),
+                    "silence_s": peer.silence_s(),
                     "refusal": peer.refusal,
                 }
                 for peer in self.peers.values()
--- a/src/cicadatray/replication/peer_replicator.py
+++ b/src/cicadatray/replication/peer_replicator.py
@@ -81,6 +81,11 @@
             if not has_more:
                 await self._wait_until(sent_s + self.core.settings.heartbeat_s)
 
+    def silence_s(self) -> float:
+        """Returns the age of the last answered message, at most that of the leadership."""
+        heard_s = max(self.acked_sent_s, self.leadership.started_s)
+        return round(self.core.now_s() - heard_s, 3)
+
     def _note_refusal(self, reason: str) -> None:
         """Keeps why the last message was not answered, and logs a change between the two states."""
         if bool(reason) != bool(self.refusal):
@@ -89,7 +94,7 @@
                 member=self.record.member.member_id,
                 reason=reason or self.refusal,
                 match_index=self.match_index,
-                silence_s=round(self.core.now_s() - max(self.acked_sent_s, 0.0), 3),
+                silence_s=self.silence_s(),
             )
         self.refusal = reason
 
