Add ./build.sh experiment: placement policies side by side on drawn loads

Change: a small emulator of workers plays drawn jobs (bursts, wrong estimates, cancellations, failures, stops that take time) through PlacementRound and the leader's marking of guarantees; policies are registered by a decorator and compared seed by seed with the standard error of the gain. A plan that overfills a worker is an error. Ruled out: playing whole control processes on the virtual clock (the replicated log adds nothing to a policy).

--- a/build.sh
+++ b/build.sh
@@ -47,8 +47,9 @@
   model) setup; run -m cicadatray.internal.models.main "$@" ;;
   quickstart) setup; run -m cicadatray.internal.bench.quickstart "$@" ;;
   measure) setup; run -m cicadatray.internal.bench.measure "$@" ;;
+  experiment) setup; run -m cicadatray.internal.bench.experiment "$@" ;;
   capacity) setup; run -m cicadatray.internal.bench.capacity "$@" ;;
   faults) setup; run -m cicadatray.internal.bench.faults "$@" ;;
   reference) setup; run -m cicadatray.internal.settings.reference > docs/settings.md ;;
-  *) echo "usage: ./build.sh setup|format|lint|cover|nocover|test|model|deploy|quickstart|measure|capacity|faults|reference" ;;
+  *) echo "usage: ./build.sh setup|format|lint|cover|nocover|test|model|deploy|quickstart|measure|experiment|capacity|faults|reference" ;;
 esac
--- /dev/null
+++ b/src/cicadatray/internal/bench/experiment.py
@@ -0,0 +1,52 @@
+"""Entry of `./build.sh experiment`: policies side by side on the same drawn loads.
+
+Prints a table for each load and, as its last line, one JSON object.
+"""
+
+import cyclopts
+import msgspec
+
+from cicadatray.internal.bench.graph_experiment.comparison import (
+    PolicyFigures,
+    compare,
+    format_rows,
+)
+from cicadatray.internal.bench.graph_experiment.experiment_policy import experiment_policies
+from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
+from cicadatray.internal.bench.graph_experiment.job_stream import draw_jobs
+from cicadatray.internal.bench.graph_experiment.load_sheet import SHEETS
+
+BURSTS = (1.0, 3.0)
+
+app = cyclopts.App()
+
+
+@app.default
+def experiment(*, seeds: int = 40, first_seed: int = 1) -> None:
+    """Plays every policy on every load.
+
+    Parameters
+    ----------
+    seeds
+        How many loads are drawn for each sheet and burst.
+    first_seed
+        The seed of the first of them.
+    """
+    report: dict[str, list[PolicyFigures]] = {}
+    for sheet in SHEETS.values():
+        for burst in BURSTS:
+            results = {
+                name: [
+                    FleetEmulator(sheet, draw_jobs(sheet, seed, burst), make_round).play()
+                    for seed in range(first_seed, first_seed + seeds)
+                ]
+                for name, make_round in experiment_policies.items()
+            }
+            title = f"{sheet.name}, burst x{burst:g}"
+            report[title] = compare(results)
+            print(format_rows(title, report[title]))
+    print(msgspec.json.encode(report).decode())
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/src/cicadatray/internal/bench/graph_experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Loads of task graphs played through the scheduling library without processes."""
--- /dev/null
+++ b/src/cicadatray/internal/bench/graph_experiment/comparison.py
@@ -0,0 +1,62 @@
+"""Compares policies over the same seeds."""
+
+import math
+from statistics import mean, stdev
+
+import msgspec
+
+from cicadatray.internal.bench.graph_experiment.run_result import RunResult
+
+
+class PolicyFigures(msgspec.Struct, frozen=True, kw_only=True):
+    """Means over all seeds. `gain` is against the first policy, seed by seed.
+
+    `gain_error` is the standard error of `gain`: a gain below twice this may be chance.
+    """
+
+    policy: str
+    worth: float
+    gain: float
+    gain_error: float
+    thrown_away: float
+    late: float
+    lost: float
+    longest_urgent_wait_s: float
+
+
+def compare(results: dict[str, list[RunResult]]) -> list[PolicyFigures]:
+    """Returns one row for each policy; the runs of all policies are in the order of the seeds."""
+    first = [result.worth() for result in next(iter(results.values()))]
+    rows = []
+    for policy, runs in results.items():
+        worths = [result.worth() for result in runs]
+        gains = [own - other for own, other in zip(worths, first, strict=True)]
+        error = stdev(gains) / math.sqrt(len(gains)) if len(gains) > 1 else math.inf
+        waits = [wait for result in runs for wait in result.urgent_waits_s]
+        rows.append(
+            PolicyFigures(
+                policy=policy,
+                worth=mean(worths),
+                gain=mean(gains),
+                gain_error=error,
+                thrown_away=mean(result.thrown_away for result in runs),
+                late=mean(result.late for result in runs),
+                lost=mean(result.lost for result in runs),
+                longest_urgent_wait_s=max(waits, default=0.0),
+            )
+        )
+    return rows
+
+
+def format_rows(title: str, rows: list[PolicyFigures]) -> str:
+    """Returns a table for people."""
+    lines = [
+        f"{title:<24}  worth   gain  +/-    thrown away   late   lost  longest urgent wait s",
+    ]
+    for row in rows:
+        lines.append(
+            f"  {row.policy:<22} {row.worth:6.3f} {row.gain:+6.3f} {row.gain_error:5.3f}"
+            f" {row.thrown_away:13.0f} {row.late:6.2f} {row.lost:6.2f}"
+            f" {row.longest_urgent_wait_s:10.2f}"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/src/cicadatray/internal/bench/graph_experiment/emulated_run.py
@@ -0,0 +1,39 @@
+"""A gang, or a task, that runs on emulated workers."""
+
+from cicadatray.scheduling.taskgraphs.running_work import ACCELERATOR_CORES
+from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+
+
+class EmulatedRun:
+    """`saved_s` was done by earlier runs. `stops_s` is set once it is being stopped."""
+
+    __slots__ = ("duration_s", "fails", "places", "saved_s", "started_s", "stops_s", "work")
+
+    def __init__(
+        self, work: WaitingWork, started_s: float, duration_s: float, saved_s: float, fails: bool
+    ) -> None:
+        self.work = work
+        self.started_s = started_s
+        self.duration_s = duration_s
+        self.saved_s = saved_s
+        self.fails = fails
+        self.stops_s: float | None = None
+        self.places: list[tuple[TaskRun, str]] = []
+
+    def end_s(self) -> float:
+        """Returns when it ends, by itself or because it is stopped."""
+        if self.stops_s is not None:
+            return self.stops_s
+        remaining_s = self.duration_s - self.saved_s
+        return self.started_s + (remaining_s / 2 if self.fails else remaining_s)
+
+    def percent(self, now_s: float) -> int:
+        """Returns how much of the work is done."""
+        return min(99, int(100 * (self.saved_s + now_s - self.started_s) / self.duration_s))
+
+    def core_seconds(self, elapsed_s: float) -> float:
+        """Returns what so much time of all its tasks costs."""
+        needs = self.work.step.needs
+        cores = needs.cpu_millis / 1000 + ACCELERATOR_CORES * needs.accelerators
+        return elapsed_s * cores * len(self.places)
--- /dev/null
+++ b/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
@@ -0,0 +1,181 @@
+"""Plays jobs through rounds of placement on emulated workers."""
+
+from types import SimpleNamespace
+from typing import cast
+
+from cicadatray.internal.bench.graph_experiment.emulated_run import EmulatedRun
+from cicadatray.internal.bench.graph_experiment.errors import PlanBrokenError
+from cicadatray.internal.bench.graph_experiment.experiment_policy import MakeRound
+from cicadatray.internal.bench.graph_experiment.load_sheet import LoadSheet
+from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
+from cicadatray.internal.bench.graph_experiment.run_result import RunResult
+from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.placement_input import mark_guaranteed
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.job_value import LATE_LIMIT
+from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
+from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
+from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+from cicadatray.scheduling.taskgraphs.worker_room import WorkerRoom
+
+# Control looks again at least this often; news comes sooner in production.
+ROUND_S = 0.25
+# Stopping a run, noting its end and storing the next start.
+STOP_S = 0.5
+# Jobs may still end this long after the last one came.
+DRAIN_S = 20.0
+WORKERS_PER_RACK = 3
+# What a run that saves its progress loses when it is stopped.
+CHECKPOINT_S = 0.5
+
+
+class FleetEmulator:
+    """Time is a number that each round advances; nothing waits and nothing is random."""
+
+    __slots__ = ("graphs", "jobs", "make_round", "now_s", "result", "runs", "saved_s", "sheet")
+
+    def __init__(self, sheet: LoadSheet, jobs: list[PlannedJob], make_round: MakeRound) -> None:
+        self.sheet = sheet
+        self.jobs = {job.graph.graph_id: job for job in jobs}
+        self.make_round = make_round
+        self.now_s = 0.0
+        self.graphs: dict[str, GraphProgress] = {}
+        self.runs: dict[TaskRun, EmulatedRun] = {}
+        self.saved_s: dict[TaskRun, float] = {}
+        self.result = RunResult()
+
+    def play(self) -> RunResult:
+        """Returns what the jobs earned once the last could have ended."""
+        end_s = max((job.arrival_s for job in self.jobs.values()), default=0.0) + DRAIN_S
+        while self.now_s < end_s:
+            self._arrive()
+            self._finish()
+            self._place()
+            self.now_s += ROUND_S
+        for graph_id, job in self.jobs.items():
+            progress = self.graphs.get(graph_id)
+            if progress is None or not progress.is_cancelled:
+                ended_s = progress.ended_s if progress and progress.ended_s else None
+                self.result.count(job, ended_s)
+        return self.result
+
+    def _arrive(self) -> None:
+        for graph_id, job in self.jobs.items():
+            if graph_id not in self.graphs and job.arrival_s <= self.now_s:
+                self.graphs[graph_id] = GraphProgress(job.graph, job.arrival_s)
+            progress = self.graphs.get(graph_id)
+            if progress and progress.is_active and job.cancelled_s <= self.now_s:
+                progress.is_cancelled = True
+                for run in self._distinct_runs():
+                    if run.work.graph is progress:
+                        self._stop(run)
+
+    def _stop(self, run: EmulatedRun) -> None:
+        if run.stops_s is None:
+            run.stops_s = self.now_s + STOP_S
+
+    def _finish(self) -> None:
+        for run in self._distinct_runs():
+            end_s = run.end_s()
+            if end_s > self.now_s:
+                continue
+            elapsed_s = end_s - run.started_s
+            outcome = RunOutcome.DONE
+            if run.stops_s is not None or run.fails:
+                is_saved = run.work.step.is_checkpointable and not run.fails
+                lost_s = min(elapsed_s, CHECKPOINT_S) if is_saved else elapsed_s
+                self.result.thrown_away += run.core_seconds(lost_s)
+                self.saved_s[run.places[0][0]] = run.saved_s + elapsed_s - lost_s
+                outcome = RunOutcome.FAILED if run.fails else RunOutcome.STOPPED
+            for task_run, worker_id in run.places:
+                del self.runs[task_run]
+                run.work.graph.record_end(task_run.task, task_run.run, worker_id, outcome, "")
+            run.work.graph.finish_if_done(end_s)
+
+    def _place(self) -> None:
+        active = [graph for graph in self.graphs.values() if graph.is_active]
+        waiting = [work for graph in active for work in find_ready_work(graph, self.now_s)]
+        if not waiting:
+            return
+        workers = self._workers()
+        running = self._running()
+        mark_guaranteed(self._session(), waiting, running)
+        plan = self.make_round(list(workers.values()), running, self.now_s).run(waiting)
+        self._carry_out(plan, waiting)
+
+    def _distinct_runs(self) -> list[EmulatedRun]:
+        return list(dict.fromkeys(self.runs.values()))
+
+    def _workers(self) -> dict[str, WorkerRoom]:
+        workers = {}
+        for number in range(self.sheet.workers):
+            rack = f"r{number // WORKERS_PER_RACK}"
+            name = f"w{number}"
+            workers[name] = WorkerRoom(name, "pool", rack, frozenset(), self.sheet.capacity)
+        for run in self._distinct_runs():
+            for _, worker_id in run.places:
+                workers[worker_id].occupy(run.work.step.room, run.stops_s is not None)
+        return workers
+
+    def _session(self) -> GraphSession:
+        """Returns as much of the leader's session as the marking of guarantees reads."""
+        names = {job.graph.client_account for job in self.jobs.values()}
+        accounts = [
+            SimpleNamespace(name=n, guaranteed_accelerators=self.sheet.guaranteed) for n in names
+        ]
+        queues = SimpleNamespace(accounts=accounts)
+        state = SimpleNamespace(graphs=SimpleNamespace(queues=queues))
+        session = SimpleNamespace(graphs=self.graphs, leader=SimpleNamespace(state=state))
+        return cast(GraphSession, session)
+
+    def _running(self) -> list[RunningWork]:
+        shown = []
+        for run in self._distinct_runs():
+            if run.stops_s is not None:
+                continue
+            graph, step = run.work.graph.graph, run.work.step
+            work = RunningWork(
+                graph.graph_id,
+                graph.policy.priority,
+                step.is_checkpointable,
+                step.estimate_s,
+                self.now_s - run.started_s,
+                run.percent(self.now_s),
+            )
+            objective_s = graph.policy.stretch * graph.chain_s() + graph.policy.target_latency_s
+            begun_s = run.work.graph.accepted_s - self.now_s
+            work.set_deadlines(begun_s + objective_s, begun_s + LATE_LIMIT * objective_s)
+            for task_run, worker_id in run.places:
+                work.add(task_run, worker_id, step.room)
+            shown.append(work)
+        return shown
+
+    def _carry_out(self, plan: PlacementPlan, waiting: list[WaitingWork]) -> None:
+        for task_run in plan.displaced:
+            self._stop(self.runs[task_run])
+        by_task = {work.task(index): work for work in waiting for index in work.indexes}
+        started: dict[int, EmulatedRun] = {}
+        for assignment in plan.assignments:
+            task = assignment.run.task
+            work = by_task[task]
+            run = started.get(id(work))
+            if run is None:
+                job = self.jobs[task.graph_id]
+                fails = work.run <= job.failures
+                former = TaskRun(task, assignment.run.run - 1)
+                saved_s = self.saved_s.pop(former, 0.0)
+                run = EmulatedRun(work, self.now_s, job.durations_s[task.index], saved_s, fails)
+                started[id(work)] = run
+                if work.priority == 0 and work.run == 1:
+                    self.result.urgent_waits_s.append(self.now_s - work.ready_s)
+            if not work.graph.record_start(task, assignment.run.run, assignment.worker_id):
+                raise PlanBrokenError(f"{task.key} of {task.graph_id} runs already")
+            run.places.append((assignment.run, assignment.worker_id))
+            self.runs[assignment.run] = run
+        for worker in self._workers().values():
+            if not Resources().fits_in(worker.free):
+                raise PlanBrokenError(f"{worker.worker_id} is over its capacity")
