Play experiments until no job can earn any more

Cause: a play ended 20 s after the last arrival and counted jobs that could still be on time as lost; a run that ended by itself before its stop took effect counted as thrown away. Found when reading the tool again. Change: a play ends when no unfinished job is worth anything; stops take effect only on what still runs.

--- a/src/cicadatray/internal/bench/graph_experiment/emulated_run.py
+++ b/src/cicadatray/internal/bench/graph_experiment/emulated_run.py
@@ -23,8 +23,14 @@
 
     def end_s(self) -> float:
         """Returns when it ends, by itself or because it is stopped."""
-        if self.stops_s is not None:
-            return self.stops_s
+        own_end_s = self._own_end_s()
+        return own_end_s if self.stops_s is None else min(own_end_s, self.stops_s)
+
+    def is_stopped(self) -> bool:
+        """Returns whether a stop ends it before it ends by itself."""
+        return self.stops_s is not None and self.stops_s < self._own_end_s()
+
+    def _own_end_s(self) -> float:
         remaining_s = self.duration_s - self.saved_s
         return self.started_s + (remaining_s / 2 if self.fails else remaining_s)
 
--- a/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
+++ b/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
@@ -13,29 +13,25 @@
 experiment_policies: dict[str, MakeRound] = {}
 
 
-def experiment_policy(name: str) -> Callable[[MakeRound], MakeRound]:
-    """Registers a function that makes one round of placement."""
+def experiment_policy(make_round: MakeRound) -> MakeRound:
+    """Registers a function that makes one round of placement, under its own name."""
+    experiment_policies[make_round.__name__] = make_round
+    return make_round
 
-    def register(make_round: MakeRound) -> MakeRound:
-        experiment_policies[name] = make_round
-        return make_round
 
-    return register
-
-
-@experiment_policy("present")
-def present_round(workers: Workers, running: Running, now_s: float) -> PlacementRound:
+@experiment_policy
+def present(workers: Workers, running: Running, now_s: float) -> PlacementRound:
     """Returns the round as control plays it."""
     return PlacementRound(workers, running, now_s)
 
 
-@experiment_policy("hasty")
-def hasty_round(workers: Workers, running: Running, now_s: float) -> PlacementRound:
+@experiment_policy
+def hasty(workers: Workers, running: Running, now_s: float) -> PlacementRound:
     """Returns a round that displaces at once, without waiting for work that is about to end."""
     return PlacementRound(workers, running, now_s, StartLimits(urgent_start_s=0.1))
 
 
-@experiment_policy("patient")
-def patient_round(workers: Workers, running: Running, now_s: float) -> PlacementRound:
+@experiment_policy
+def patient(workers: Workers, running: Running, now_s: float) -> PlacementRound:
     """Returns a round for a promise of twice the time."""
     return PlacementRound(workers, running, now_s, StartLimits(urgent_start_s=5.0))
--- a/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
+++ b/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
@@ -26,8 +26,6 @@
 ROUND_S = 0.25
 # Stopping a run, noting its end and storing the next start.
 STOP_S = 0.5
-# Jobs may still end this long after the last one came.
-DRAIN_S = 20.0
 WORKERS_PER_RACK = 3
 # What a run that saves its progress loses when it is stopped.
 CHECKPOINT_S = 0.5
@@ -49,8 +47,8 @@
         self.result = RunResult()
 
     def play(self) -> RunResult:
-        """Returns what the jobs earned once the last could have ended."""
-        end_s = max((job.arrival_s for job in self.jobs.values()), default=0.0) + DRAIN_S
+        """Returns what the jobs earned, once none that has not ended could earn any more."""
+        end_s = max((job.worthless_s() for job in self.jobs.values()), default=0.0)
         while self.now_s < end_s:
             self._arrive()
             self._finish()
@@ -85,7 +83,7 @@
                 continue
             elapsed_s = end_s - run.started_s
             outcome = RunOutcome.DONE
-            if run.stops_s is not None or run.fails:
+            if run.is_stopped() or run.fails:
                 is_saved = run.work.step.is_checkpointable and not run.fails
                 lost_s = min(elapsed_s, CHECKPOINT_S) if is_saved else elapsed_s
                 self.result.thrown_away += run.core_seconds(lost_s)
