Log what a replica finds on its disk, its members and why an election was lost

Seen: after a fault control processes run and none leads; the logs show neither whether the disks are empty, nor which members are in effect, nor who refused a vote.

Change: `replica loaded` at the start, `membership in effect` with each change, `votes missing` for an election without a majority.

--- a/src/cicadatray/replication/core.py
+++ b/src/cicadatray/replication/core.py
@@ -172,6 +172,7 @@
         for entry in entries:
             if entry.is_membership:
                 self.history.append(entry.index, decode_membership(entry.data))
+                log.info("membership in effect", index=entry.index, **self._names_of_members())
         self.refresh_role()
 
     def truncate_after(self, index: int) -> None:
@@ -272,3 +273,22 @@
                 self.history.append(entry.index, decode_membership(entry.data))
         if self.storage.state.group_id:
             self.refresh_role()
+        log.info(
+            "replica loaded",
+            member=self.settings.member_id,
+            identity=self.identity,
+            group=self.storage.state.group_id,
+            term=self.term,
+            last_index=self.storage.log.last_index,
+            last_term=self.storage.log.last_term,
+            snapshot_index=self.applier.applied_index,
+            **self._names_of_members(),
+        )
+
+    def _names_of_members(self) -> dict[str, list[str]]:
+        """Returns voters and learners as log lines show them: name and identity."""
+        names: dict[str, list[str]] = {"voters": [], "learners": []}
+        for record in self.membership.records:
+            kind = "voters" if record.voter else "learners"
+            names[kind].append(f"{record.member.member_id}={record.identity}")
+        return names
--- a/src/cicadatray/replication/elections.py
+++ b/src/cicadatray/replication/elections.py
@@ -96,7 +96,8 @@
         membership = self.core.membership
         others = [r for r in membership.voters() if r.identity != self.core.identity]
         missing = membership.quorum() - 1
-        calls = {asyncio.create_task(self._ask(record, request)) for record in others}
+        answers: dict[str, str] = {}
+        calls = {asyncio.create_task(self._ask(record, request, answers)) for record in others}
         try:
             while calls and missing > 0:
                 done, calls = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
@@ -104,14 +105,39 @@
         finally:
             for call in calls:
                 call.cancel()
+        if missing > 0:
+            self._log_missing_votes(request, missing, answers)
         return missing <= 0
 
-    async def _ask(self, record: MemberRecord, request: VoteRequest) -> int:
-        """Returns 1 when the member grants the request, otherwise 0."""
+    async def _ask(
+        self, record: MemberRecord, request: VoteRequest, answers: dict[str, str]
+    ) -> int:
+        """Returns 1 when the member grants the request, otherwise 0; notes the answer."""
+        member_id = record.member.member_id
         try:
             reply = await self.core.call(
                 record, msgspec.structs.replace(request, target_identity=record.identity)
             )
-        except (ReplicaTransportError, PeerRefusedError):
+        except ReplicaTransportError as error:
+            answers[member_id] = f"unreachable: {error}"
             return 0
-        return int(isinstance(reply, VoteReply) and reply.is_granted)
+        except PeerRefusedError as error:
+            answers[member_id] = f"refused: {error}"
+            return 0
+        is_granted = isinstance(reply, VoteReply) and reply.is_granted
+        answers[member_id] = "granted" if is_granted else f"not granted in term {reply.term}"
+        return int(is_granted)
+
+    def _log_missing_votes(
+        self, request: VoteRequest, missing: int, answers: dict[str, str]
+    ) -> None:
+        log.info(
+            "votes missing",
+            member=self.core.settings.member_id,
+            term=request.term,
+            is_pre_vote=request.is_pre_vote,
+            missing=missing,
+            last_index=request.last_index,
+            last_term=request.last_term,
+            answers=answers,
+        )
