Ask the members that the own disk names for admission

Callers saw: a control instance that was cut off while all seeds of its settings were replaced never came back into the group, which then bore one loss less than it promised. Cause: the client that asks for admission knew only the seeds of the settings and leaders that these had named; docs/platform.md says "seeds and known members". The number of ways back was that of the seeds at the start. Evidence: control/test_joining.py failed before: 10 s of "no leader to join", no call to the member that the replica's membership names. Change: before it asks, the instance notes the members of the membership on its own disk.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -239,12 +239,19 @@
             await asyncio.sleep(JOIN_INTERVAL_S)
             if not self.replica.needs_to_join(JOIN_SILENCE_S):
                 continue
+            self._learn_members()
             try:
                 await self.control_client.call(JoinGroup(member=own), JOIN_TIMEOUT_S)
                 log.info("asked to join the control group", leader=self.control_client.leader_name)
             except ControlUnavailableError as error:
                 log.info("no leader to join", reason=str(error))
 
+    def _learn_members(self) -> None:
+        """Notes the members of the group as this disk knows them: all seeds may be gone."""
+        for member in self.replica.members():
+            if member.member_id != self.settings.name:
+                self.control_client.learn(member.member_id, member.host, member.port)
+
     def _not_leader(self, leader_name: str | None) -> NotLeader:
         member = self.replica.find_member(leader_name) if leader_name else None
         if member is None:
