Hear the present life of an agent again after a late call of a former one

Callers saw: the worker beside an agent would get no more work and lose its runs until the next election or the agent's next start. Cause: which lives of an agent are over is known only in the leader's memory. A killed agent's call that a relay still repeats can reach a new leader after the first call of the next life; the leader then took the present life for the former one and refused all its calls for the rest of the term. Evidence: the new test in taskgraphs/test_graph_session.py failed before: call 2 of the present life was refused 2.1 s after the late call. Change: a life that another one has followed is heard again, with higher call numbers only, once the other has been silent for 2 s. The order of lives is in AgentLives. Not covered: a late call that also names a former worker still ends the present one.

--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from cicadatray.internal.control.graphs.agent_lives import AgentLives
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.leader_session import LeaderSession
@@ -38,9 +39,8 @@
     """
 
     __slots__ = (
-        "agent_calls",
+        "agent_lives",
         "ends_arrived",
-        "former_lives",
         "leader",
         "leases",
         "new_ends",
@@ -60,8 +60,7 @@
         self.leases = leases
         self.start_limits = start_limits
         self.workers: dict[str, WorkerSession] = {}
-        self.agent_calls: dict[str, tuple[str, int]] = {}
-        self.former_lives: set[str] = set()
+        self.agent_lives = AgentLives()
         self.new_ends: list[PlacedEnd] = []
         self.ends_arrived = asyncio.Event()
         self.ordered: dict[str, dict[TaskRun, float]] = {}
@@ -95,7 +94,7 @@
 
     def take_call(self, call: SyncWorker) -> WorkerSession | None:
         """Takes up what an agent reports; returns None while it has no worker to offer."""
-        if not self._is_latest(call):
+        if not self.agent_lives.is_latest(call, self.now_s()):
             return None
         if call.gone_worker_id:
             self._end_worker(call.agent_id, call.gone_worker_id)
@@ -228,18 +227,6 @@
         for session in self.workers.values():
             session.wake.set()
 
-    def _is_latest(self, call: SyncWorker) -> bool:
-        """Returns whether the call is newer than every other one of its agent."""
-        if call.life in self.former_lives:
-            return False
-        life, sequence = self.agent_calls.get(call.agent_id, ("", 0))
-        if life == call.life and call.sequence <= sequence:
-            return False
-        if life and life != call.life:
-            self.former_lives.add(life)
-        self.agent_calls[call.agent_id] = (call.life, call.sequence)
-        return True
-
     def _end_worker(self, agent_id: str, worker_id: str) -> None:
         """An agent offers one worker at a time; any other it had has ended with all its runs."""
         session = self.workers.get(worker_id)
--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -8,6 +8,7 @@
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control.control_state import ControlState
+from cicadatray.internal.control.graphs.agent_lives import LIFE_SILENCE_S
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -153,3 +154,18 @@
         assert session.orders_for(held).stops == (stranger,)
 
     run_virtual(main())
+
+
+def test_late_call_of_a_former_life_shuts_out_the_present_one_only_for_a_moment() -> None:
+    """A relayed call of a killed agent that reached a new leader late cost its worker for good."""
+
+    async def main() -> None:
+        session, _ = make_session()
+        assert session.take_call(call(sequence=1, life="two")) is not None
+        # The new leader cannot know that this life ended under its predecessor.
+        session.take_call(call(sequence=7, life="one"))
+        await asyncio.sleep(LIFE_SILENCE_S + 0.1)
+        assert session.take_call(call(sequence=2, life="two")) is not None
+        assert session.take_call(call(sequence=8, life="one")) is None
+
+    run_virtual(main())
