Name relays from the whole list, not the first sixteen by name

Callers saw: with more than 16 entries, agents that are cut off from control could be left without any way around: all relays they knew stood in the data centres that come first by name. Cause: the limit of 16 relays was filled in the order of names, so what the choice is spread over followed from how machines are named. Evidence: the new test in taskgraphs/test_graph_session.py failed before with 50 relays in three data centres: none of the second and third was named. Change: relays are taken at equal distances from the sorted list; the choice stays the same between two probes.

--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -90,7 +90,10 @@
             self.relays[relay] = now_s
         for known in [r for r, told_s in self.relays.items() if now_s - told_s > RELAY_FRESH_S]:
             del self.relays[known]
-        return tuple(sorted(self.relays, key=lambda known: known.name))[:RELAY_LIMIT]
+        # Machines of one data centre have adjacent names, so equal distances spread the choice.
+        relays = sorted(self.relays, key=lambda known: known.name)
+        count = min(len(relays), RELAY_LIMIT)
+        return tuple(relays[number * len(relays) // count] for number in range(count))
 
     def take_call(self, call: SyncWorker) -> WorkerSession | None:
         """Takes up what an agent reports; returns None while it has no worker to offer."""
--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -9,9 +9,10 @@
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.graphs.agent_lives import LIFE_SILENCE_S
-from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.graph_session import RELAY_LIMIT, GraphSession
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.wire.messages.graph_messages import (
+    MemberAddress,
     RunEnd,
     RunReport,
     SyncWorker,
@@ -169,3 +170,20 @@
         assert session.take_call(call(sequence=8, life="one")) is None
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("count", [RELAY_LIMIT, RELAY_LIMIT + 1, 3 * RELAY_LIMIT + 2])
+def test_relays_are_named_in_every_data_centre(count: int) -> None:
+    """The first relays by name stood in one data centre, and were cut off together with it."""
+
+    async def main() -> None:
+        session, _ = make_session()
+        for number in range(count):
+            centre = "abc"[3 * number // count]
+            session.take_relay(MemberAddress(f"{centre}-{number:03}", "127.0.0.1", number + 1))
+        named = session.take_relay(None)
+        assert len(named) == min(count, RELAY_LIMIT)
+        assert {relay.name[0] for relay in named} == {"a", "b", "c"}
+        assert session.take_relay(None) == named
+
+    run_virtual(main())
