Count a machine that lost its disk as lost until it had time to catch up

The machine gave the budget of losses back because the committed membership was whole, while the promotion of the machine that had just lost its disk was in the log. Change: the budget returns after 4 s, when no membership change is in progress and all voters of the membership in effect have their disks. More strict on the group would be more losses than the settings promise.

--- a/tests/cover/replication/promised_losses.py
+++ b/tests/cover/replication/promised_losses.py
@@ -13,6 +13,8 @@
 JOIN_INTERVAL_S = 0.4
 # Several replacements one after the other, each with its election.
 WHOLE_LIMIT_S = 120.0
+# A machine that lost its disk counts as lost for this long after it is back.
+CATCH_UP_S = 4.0
 LOSSES = st.sampled_from((1, 2, 2))
 # Six seconds: longer than the silence after which a voter is taken for lost.
 CHANGE_POLLS = 300
@@ -22,15 +24,16 @@
 class PromisedLossesMachine(ProcessFaultMachine):
     """A group of 2f + 1 voters that its leader keeps, and up to f lost disks.
 
-    `lost` names machines whose disk is gone and that count as lost: until the committed membership
-    has as many voters as it should, each with the disk that it was bound to. Machines that are cut
-    off, frozen or down with their disk do not count; any number of them may come back later.
+    `lost` names machines whose disk is gone and that count as lost: until `CATCH_UP_S` have passed
+    and the group has as many voters as it should, each with the disk that it was bound to. Machines
+    that are cut off, frozen or down with their disk do not count.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.tolerance = 0
         self.lost: set[str] = set()
+        self.lost_s = 0.0
 
     @initialize(
         seed=st.integers(0, 2**32),
@@ -94,8 +97,10 @@
         leadership = leader.replica.core.leadership if leader else None
         if leader is None or leadership is None or not leadership.has_quorum_contact():
             return False
-        committed = leader.replica.core.history.at(leader.replica.commit_index)
-        voters = committed.voters()
+        core = leader.replica.core
+        if core.history.last_index > leader.replica.commit_index:
+            return False
+        voters = core.membership.voters()
         return len(voters) >= 2 * self.tolerance + 1 and all(
             self.identity_of(record.member.member_id) == record.identity for record in voters
         )
@@ -108,10 +113,17 @@
 
     def may_lose(self) -> int:
         """Returns how many more disks the group promises to bear now."""
-        if self.lost and self.is_whole():
+        is_over = self.group.loop.time() >= self.lost_s + CATCH_UP_S
+        if self.lost and is_over and self.is_whole():
             self.lost = set()
         return self.tolerance - len(self.lost)
 
+    def note_lost(self, names: set[str]) -> None:
+        """Counts machines as lost from now on."""
+        if names:
+            self.lost |= names
+            self.lost_s = self.group.loop.time()
+
     @rule(who=ANY, steps=st.integers(2, 24))
     def cut_off(self, who: int, steps: int) -> None:
         """Isolates a member, long enough in most cases to be taken for lost; its disk stays."""
@@ -157,7 +169,7 @@
         others = [node for name, node in self.group.nodes.items() if name not in chosen]
         for node in others if is_power_lost else ():
             node.kill()
-        self.lost |= chosen
+        self.note_lost(chosen)
         for name in sorted(chosen):
             self.group.lose_disk(name, bootstrap)
         for node in others if is_power_lost else ():
@@ -172,7 +184,7 @@
         name, node = self.pick(who)
         node.kill()
         del self.group.nodes[name]
-        self.lost.add(name)
+        self.note_lost({name})
         self.add_machine()
 
     def teardown(self) -> None:
