--- a/src/cicadatray/replication/elections.py
+++ b/src/cicadatray/replication/elections.py
@@ -18,10 +18,11 @@
 class Elections:
     """One task that waits for the election timeout or for a leader that hands over."""
 
-    __slots__ = ("core", "hand_over")
+    __slots__ = ("core", "hand_over", "logged_answers")
 
     def __init__(self, core: ReplicaCore) -> None:
         self.core = core
+        self.logged_answers: dict[str, str] = {}
         self.hand_over = asyncio.Event()
 
     async def run(self) -> None:
@@ -70,6 +71,7 @@
 
     def _lead(self) -> None:
         core = self.core
+        self.logged_answers = {}
         log.info("leadership began", member=core.settings.member_id, term=core.term)
         core.lifecycle.change("lead")
         core.leader_id = core.settings.member_id
@@ -131,6 +133,10 @@
     def _log_missing_votes(
         self, request: VoteRequest, missing: int, answers: dict[str, str]
     ) -> None:
+        # A group without a majority campaigns about once a second for as long as the loss lasts.
+        if answers == self.logged_answers:
+            return
+        self.logged_answers = answers
         log.info(
             "votes missing",
             member=self.core.settings.member_id,
--- /dev/null
+++ b/tests/cover/platform/test_control_group.py
@@ -0,0 +1,136 @@
+"""The control group that the platform's settings ask for bears the losses that they promise."""
+
+import asyncio
+import random
+from pathlib import Path
+
+import pytest
+
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.platform.control_role import ControlRole
+from cicadatray.platform.settings import load_platform_settings
+from cicadatray.replication.errors import NotLeaderError
+from cicadatray.replication.member import Member
+from cover.replication.fake_disk import FakeDisk
+from cover.replication.local_group import LocalGroup
+
+# The platform names at most three instances to a process.
+SEEDS = ("a", "b", "c")
+JOIN_S = 0.4
+JOIN_SILENCE_S = 1.5
+# Far above the time that elections and joins take; only the virtual clock spends it.
+LIMIT_S = 60.0
+
+
+def settings_text(lost_machines: int) -> str:
+    return f"""
+NodeName = "north-1"
+Role = "control"
+Ip = "10.0.0.1"
+Zone = "north"
+InternalPorts = [7000, 7007]
+Seeds = ["10.0.0.1:8526", "10.0.0.2:8526", "10.0.0.3:8526"]
+Bootstrap = true
+DataDir = "/data/control"
+[Listen]
+Control = "10.0.0.1:8526"
+[FaultTolerance]
+Machines = {lost_machines}
+Zones = 0
+Regions = 0
+[Bounds]
+"""
+
+
+class Instances:
+    """Control instances with disks; all but the seeds ask to join."""
+
+    def __init__(self, names: tuple[str, ...], group_size: int) -> None:
+        self.group = LocalGroup(SEEDS, group_size)
+        self.disks = {name: FakeDisk(random.Random(name)) for name in names}
+        self.joining: list[asyncio.Task[None]] = []
+
+    async def start_first(self) -> None:
+        for name, disk in self.disks.items():
+            await self.group.start(name, disk, bootstrap=name in SEEDS)
+        self.joining = [asyncio.create_task(self._keep_joining(name)) for name in self.disks]
+
+    async def lose_power(self, lost_disks: set[str]) -> None:
+        """Ends all at one moment; some come back with an empty disk."""
+        for name in list(self.group.replicas):
+            self.group.kill(name)
+        for name in self.disks:
+            if name in lost_disks:
+                self.disks[name] = FakeDisk(random.Random(f"new {name}"))
+            else:
+                self.disks[name].restart()
+            await self.group.start(name, self.disks[name], bootstrap=False)
+
+    async def wait_for_size(self, size: int) -> None:
+        """Returns once the group has so many voters, all with their present disks."""
+        async with asyncio.timeout(LIMIT_S):
+            while True:
+                voters = (await self.group.leader()).core.membership.voters()
+                present = {replica.core.identity for replica in self.group.replicas.values()}
+                if len(voters) == size and all(v.identity in present for v in voters):
+                    return
+                await asyncio.sleep(JOIN_S)
+
+    def stop(self) -> None:
+        for task in self.joining:
+            task.cancel()
+        self.group.stop()
+
+    async def _keep_joining(self, name: str) -> None:
+        while True:
+            await asyncio.sleep(JOIN_S)
+            replica = self.group.replicas.get(name)
+            if replica is None or not replica.needs_to_join(JOIN_SILENCE_S):
+                continue
+            try:
+                (await self.group.leader()).request_join(Member(name, "127.0.0.1", 1))
+            except NotLeaderError:
+                pass
+
+
+async def lose_disks_twice(names: tuple[str, ...], lost: int, group_size: int) -> None:
+    instances = Instances(names, group_size)
+    await instances.start_first()
+    await instances.wait_for_size(2 * lost + 1)
+    for command in (b"first", b"second"):
+        leader = await instances.group.leader()
+        await leader.propose(command, 5.0)
+        # The disks with the newest entries go: that of the leader and of those that answered it.
+        holders = [leader.settings.member_id] + [
+            peer.record.member.member_id
+            for peer in leader.core.leadership.peers.values()
+            if peer.record.voter and peer.match_index == leader.core.storage.log.last_index
+        ]
+        await instances.lose_power(set(holders[:lost]))
+        async with asyncio.timeout(LIMIT_S):
+            recovered = await instances.group.leader()
+            await recovered.confirm_leadership(LIMIT_S)
+        assert command in instances.group.states[recovered.settings.member_id].commands
+        await instances.wait_for_size(2 * lost + 1)
+    instances.stop()
+
+
+# Acknowledged work was lost with the disks of two of three voters, where the loss of two was promised.
+@pytest.mark.parametrize(
+    ("lost", "names"),
+    [(1, "abc"), (1, "abcd"), (2, "abcde"), (2, "abcdefgh")],
+    ids=["1-of-3", "1-of-4", "2-of-5", "2-of-8"],
+)
+def test_nothing_acknowledged_is_lost_with_as_many_disks_as_the_settings_promise(
+    lost: int, names: str, tmp_path: Path
+) -> None:
+    """An acknowledgement on fewer disks than the promise needs is lost with them."""
+    path = tmp_path / "settings.toml"
+    path.write_text(settings_text(lost), encoding="utf-8")
+
+    async def main() -> None:
+        role = ControlRole(load_platform_settings(path))
+        assert role.daemon is not None
+        await lose_disks_twice(tuple(names), lost, role.daemon.replica.settings.group_size)
+
+    run_virtual(main())
