Promote a successor before the lost voter is demoted, and spread voters over data centres

A voter that was only cut off keeps its disk, yet its copy no longer counted while the group was one voter short; one more lost disk then left no majority.

Now the learner is promoted first and the silent voter becomes a learner afterwards, so it keeps its log. Among several learners one of the data centre with the fewest voters is promoted; initial members tell their data centre when the group forms, others when they ask to join.

test_successor_has_a_vote_before_the_lost_voter_loses_its_own and test_voters_are_spread_over_data_centres are new. The first asserts that no membership has fewer than three voters; the code before went through two.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -68,6 +68,7 @@
         data_folder=settings.data_folder,
         initial_members=members,
         bootstrap=settings.bootstrap,
+        data_centre=settings.data_centre,
         group_size=settings.group_size,
         election_timeout_min_s=settings.election_timeout_s,
         election_timeout_max_s=settings.election_timeout_s * 2,
@@ -234,7 +235,7 @@
     async def _join_while_outside(self) -> None:
         """Asks to be admitted while no leader calls this instance."""
         listen = self.settings.listen
-        own = MemberAddress(self.settings.name, listen.host, listen.port)
+        own = MemberAddress(self.settings.name, listen.host, listen.port, self.settings.data_centre)
         while self.settings.group_size:
             await asyncio.sleep(JOIN_INTERVAL_S)
             if not self.replica.needs_to_join(JOIN_SILENCE_S):
--- a/src/cicadatray/replication/formation.py
+++ b/src/cicadatray/replication/formation.py
@@ -61,6 +61,7 @@
             group_id=state.group_id,
             pending_group_id=state.pending_group_id,
             is_willing=self._is_willing(),
+            data_centre=self.core.settings.data_centre,
         )
 
     def adopt(self, group_id: str) -> None:
@@ -82,7 +83,11 @@
         if len(known) < len(others):
             return False
         identities = [self.core.identity] + [reply.identity for reply in known]
-        members = [self._own_member(), *others]
+        own = self._in_data_centre(self._own_member(), self.core.settings.data_centre)
+        members = [own] + [
+            self._in_data_centre(member, reply.data_centre)
+            for member, reply in zip(others, known, strict=True)
+        ]
         membership = Membership(
             tuple(
                 MemberRecord(member, identity, voter=True)
@@ -106,6 +111,9 @@
         await self._ask_all(others, complete)
         return True
 
+    def _in_data_centre(self, member: Member, data_centre: str) -> Member:
+        return Member(member.member_id, member.host, member.port, data_centre)
+
     def _own_member(self) -> Member:
         members = self.core.settings.initial_members
         return next(m for m in members if m.member_id == self.core.settings.member_id)
--- a/src/cicadatray/replication/group_keeper.py
+++ b/src/cicadatray/replication/group_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 
 import structlog
 
@@ -9,7 +10,6 @@
 from cicadatray.replication.errors import MembershipChangeError, NotLeaderError
 from cicadatray.replication.leadership import Leadership
 from cicadatray.replication.member import Member
-from cicadatray.replication.membership import MemberRecord
 from cicadatray.replication.membership_changes import MembershipChanges
 from cicadatray.replication.peer_replicator import PeerReplicator
 
@@ -20,6 +20,8 @@
 LOST_VOTER_S = 2.0
 # A learner that has not answered for this long leaves the group; it may ask to join again.
 LOST_LEARNER_S = 20.0
+# A learner that has answered this recently may become a voter.
+PRESENT_S = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -27,8 +29,9 @@
 class GroupKeeper:
     """Runs on every member and acts while the member leads.
 
-    A lost voter is removed before its successor is promoted: with four voters of which one is dead
-    the group would bear no further loss either, but would need three answers for each entry.
+    A successor is promoted before the lost voter is demoted. The lost one may only be cut off: its
+    disk still holds what it acknowledged, and must count if the disks of other members are lost
+    before the successor has a vote.
     """
 
     __slots__ = ("core", "group_size", "requests")
@@ -60,42 +63,72 @@
             _, member = self.requests.popitem()
             await changes.add_learner(member)
             return
-        lost_learner = self._find_silent(leadership, voter=False, silence_s=LOST_LEARNER_S)
-        if lost_learner is not None:
-            log.info("learner removed", member=lost_learner.member.member_id)
-            await changes.remove(lost_learner.member.member_id)
-            return
-        successor = self._caught_up_learner(leadership)
-        if successor is None:
+        voters = len(self.core.membership.voters())
+        if voters > self.group_size:
+            await self._demote_one(leadership, changes)
             return
-        if len(self.core.membership.voters()) < self.group_size:
-            log.info("learner promoted", member=successor.member.member_id)
-            await changes.promote(successor.member.member_id)
+        lost_learner = self._longest_silent(leadership, voter=False, silence_s=LOST_LEARNER_S)
+        if lost_learner is not None:
+            log.info("learner removed", member=lost_learner.record.member.member_id)
+            await changes.remove(lost_learner.record.member.member_id)
             return
-        lost_voter = self._find_silent(leadership, voter=True, silence_s=LOST_VOTER_S)
-        if lost_voter is not None:
+        lost_voter = self._longest_silent(leadership, voter=True, silence_s=LOST_VOTER_S)
+        successor = self._best_learner(leadership, lost_voter)
+        if successor is not None and (voters < self.group_size or lost_voter is not None):
             log.info(
-                "voter replaced",
-                member=lost_voter.member.member_id,
-                successor=successor.member.member_id,
+                "learner promoted",
+                member=successor.record.member.member_id,
+                data_centre=successor.record.member.data_centre,
+                voters=voters,
+                lost=lost_voter.record.member.member_id if lost_voter is not None else "",
             )
-            await changes.remove(lost_voter.member.member_id)
+            await changes.promote(successor.record.member.member_id)
 
-    def _caught_up_learner(self, leadership: Leadership) -> MemberRecord | None:
-        for peer in leadership.peers.values():
-            is_current = peer.match_index >= self.core.applier.commit_index
-            if not peer.record.voter and is_current and self._silence_s(leadership, peer) < 1.0:
-                return peer.record
-        return None
-
-    def _find_silent(
+    async def _demote_one(self, leadership: Leadership, changes: MembershipChanges) -> None:
+        """Takes the vote of the voter whose loss costs least: a silent one, or a crowded one."""
+        crowd = self._voters_by_data_centre()
+        peers = [peer for peer in leadership.peers.values() if peer.record.voter]
+        if not peers:
+            return
+        surplus = max(
+            peers,
+            key=lambda peer: (
+                self._silence_s(leadership, peer) >= LOST_VOTER_S,
+                crowd[peer.record.member.data_centre],
+                self._silence_s(leadership, peer),
+            ),
+        )
+        member = surplus.record.member
+        log.info("voter demoted", member=member.member_id, silence_s=surplus.silence_s())
+        await changes.demote(member.member_id)
+
+    def _best_learner(
+        self, leadership: Leadership, lost_voter: PeerReplicator | None
+    ) -> PeerReplicator | None:
+        """Returns a learner that has caught up, of the data centre with the fewest voters."""
+        crowd = self._voters_by_data_centre()
+        if lost_voter is not None:
+            crowd[lost_voter.record.member.data_centre] -= 1
+        learners = [
+            peer
+            for peer in leadership.peers.values()
+            if not peer.record.voter
+            and peer.match_index >= self.core.applier.commit_index
+            and self._silence_s(leadership, peer) < PRESENT_S
+        ]
+        return min(learners, key=lambda peer: crowd[peer.record.member.data_centre], default=None)
+
+    def _voters_by_data_centre(self) -> Counter[str]:
+        return Counter(record.member.data_centre for record in self.core.membership.voters())
+
+    def _longest_silent(
         self, leadership: Leadership, voter: bool, silence_s: float
-    ) -> MemberRecord | None:
-        for peer in leadership.peers.values():
-            is_wanted = peer.record.voter == voter
-            if is_wanted and self._silence_s(leadership, peer) >= silence_s:
-                return peer.record
-        return None
+    ) -> PeerReplicator | None:
+        peers = [peer for peer in leadership.peers.values() if peer.record.voter == voter]
+        longest = max(peers, key=lambda peer: self._silence_s(leadership, peer), default=None)
+        if longest is None or self._silence_s(leadership, longest) < silence_s:
+            return None
+        return longest
 
     def _silence_s(self, leadership: Leadership, peer: PeerReplicator) -> float:
         heard_s = peer.acked_sent_s if peer.acked_sent_s > -math.inf else leadership.started_s
--- a/src/cicadatray/replication/membership_changes.py
+++ b/src/cicadatray/replication/membership_changes.py
@@ -66,6 +66,21 @@
         promoted = MemberRecord(record.member, record.identity, True)
         await self._commit(self.core.membership.replaced(promoted))
 
+    async def demote(self, member_id: str) -> None:
+        """Makes a voter a learner, which keeps its log and can be promoted again.
+
+        Raises:
+            NotLeaderError: nothing was changed.
+            MembershipChangeError: unknown member, the leader itself, or not known to be committed.
+        """
+        self._require_leadership()
+        record = self._require_record(member_id)
+        if record.identity == self.core.identity:
+            raise MembershipChangeError("the leader cannot demote itself; hand over first")
+        await self._commit(
+            self.core.membership.replaced(MemberRecord(record.member, record.identity, False))
+        )
+
     async def remove(self, member_id: str) -> None:
         """Removes a voter or learner.
 
--- a/src/cicadatray/replication/message.py
+++ b/src/cicadatray/replication/message.py
@@ -101,11 +101,15 @@
 
 
 class FormationReply(ReplicaMessageStruct, frozen=True, kw_only=True):
-    """`is_willing` tells that the member may still take part in the formation of a group."""
+    """`is_willing` tells that the member may still take part in the formation of a group.
+
+    `data_centre` is where the member runs; the initial members know only each other's addresses.
+    """
 
     group_id: str
     pending_group_id: str
     is_willing: bool
+    data_centre: str = ""
 
 
 class Refusal(ReplicaMessageStruct, frozen=True, kw_only=True):
--- a/src/cicadatray/replication/replica_settings.py
+++ b/src/cicadatray/replication/replica_settings.py
@@ -17,6 +17,8 @@
     Messages that make the receiver write get `store_timeout_s`: syncs of up to 0.5 s were seen on a
     busy disk, and a reply that comes too late must be asked for again.
 
+    `data_centre` is where the member runs; the leader spreads voters over data centres.
+
     `group_size` is the number of voters that the leader keeps by admitting members that ask to join
     and by replacing lost ones; 0 leaves every change to an operator.
 
@@ -43,5 +45,6 @@
     append_batch_bytes: int = 256 * KIB
     snapshot_chunk_bytes: int = 256 * KIB
     pending_limit_bytes: int = 8192 * KIB
+    data_centre: str = ""
     group_size: int = 0
     writes_in_thread: bool = True
--- a/tests/cover/replication/local_group.py
+++ b/tests/cover/replication/local_group.py
@@ -54,7 +54,9 @@
         except (TimeoutError, ReplicaStoppedError) as error:
             raise ReplicaTransportError(f"{member.member_id} did not answer") from error
 
-    async def start(self, name: str, folder: DataFolder, bootstrap: bool) -> None:
+    async def start(
+        self, name: str, folder: DataFolder, bootstrap: bool, data_centre: str = ""
+    ) -> None:
         """Starts a member on a data folder."""
         settings = ReplicaSettings(
             member_id=name,
@@ -62,6 +64,7 @@
             initial_members=self.members,
             bootstrap=bootstrap,
             group_size=self.group_size,
+            data_centre=data_centre,
         )
         self.states[name] = CommandList()
         self.starts += 1
--- a/tests/cover/replication/test_group_keeper.py
+++ b/tests/cover/replication/test_group_keeper.py
@@ -90,6 +90,61 @@
     run_virtual(main())
 
 
+def test_successor_has_a_vote_before_the_lost_voter_loses_its_own() -> None:
+    """With one voter fewer, one lost disk leaves no majority although the silent voter returns."""
+
+    async def main() -> None:
+        group = await start_group()
+        await group.start("d", FakeDisk(random.Random("d")), bootstrap=False)
+        joining = asyncio.create_task(keep_joining(group, "d"))
+        leader = await group.leader()
+        other = next(n for n in NAMES if n != leader.settings.member_id)
+        cut_off = group.replicas.pop(other)
+        async with asyncio.timeout(LIMIT_S):
+            await group.voters({*NAMES} - {other} | {"d"})
+        sizes = [len(membership.voters()) for _, membership in leader.core.history.changes]
+        assert min(sizes) == 3
+        # Its disk is intact, so it stays a member and has the log when it is needed again.
+        assert leader.find_member(other) is not None
+        group.replicas[other] = cut_off
+        joining.cancel()
+        group.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("data_centres", "group_size", "expected"),
+    [
+        ({"a": "x", "b": "y", "c": "z", "d": "x", "e": "y", "f": "z"}, 5, [1, 2, 2]),
+        ({"a": "x", "b": "x", "c": "x", "d": "x", "e": "y", "f": "z"}, 5, [1, 1, 3]),
+        ({"a": "x", "b": "y", "c": "y", "d": "y", "e": "z", "f": "z"}, 5, [1, 2, 2]),
+    ],
+    ids=["two each", "first three in one", "joined in any order"],
+)
+def test_voters_are_spread_over_data_centres(
+    data_centres: dict[str, str], group_size: int, expected: list[int]
+) -> None:
+    """Voters that pile up in one data centre are lost with it."""
+
+    async def main() -> None:
+        group = LocalGroup(NAMES, group_size)
+        for name, place in data_centres.items():
+            disk = FakeDisk(random.Random(name))
+            await group.start(name, disk, bootstrap=name in NAMES, data_centre=place)
+        leader = await group.leader()
+        for name in set(data_centres) - {*NAMES}:
+            leader.request_join(Member(name, "127.0.0.1", 1, data_centres[name]))
+        async with asyncio.timeout(LIMIT_S):
+            while len(leader.core.membership.voters()) < group_size:
+                await asyncio.sleep(0.1)
+        places = [record.member.data_centre for record in leader.core.membership.voters()]
+        assert sorted(places.count(place) for place in set(places)) == expected
+        group.stop()
+
+    run_virtual(main())
+
+
 def test_operator_keeps_the_members_when_no_size_is_set() -> None:
     """A group whose size an operator keeps must not admit whoever asks."""
 
