Size the control group by the losses that the settings promise to bear

Cause: the group had as many voters as the settings name seeds, at most three. Two lost disks are two of three voters, and a learner has no vote. The settings say that two machines with a disk may be lost at once; nothing read that field.

Change: the group has 2f+1 voters, f being the machines or data centres that may be lost. Control runs on two machines of each zone, so that there are enough disks; on a machine without a disk it passes operators' calls on.

--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -2,37 +2,51 @@
 
 import asyncio
 
+import structlog
+
 from cicadatray.internal.control.control_daemon import ControlDaemon
 from cicadatray.internal.entry.http_server import HttpServer
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.settings.common import Address, ControlMember
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.leader_probe import LeaderProbe
+from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.platform.errors import PlatformSettingsError
 from cicadatray.platform.members import CLUSTER_SECRET, control_port, member_name, seed_members
 from cicadatray.platform.operator_api import OperatorApi
 from cicadatray.platform.roles import RoleProgram, role
 from cicadatray.platform.settings import PlatformSettings
+from cicadatray.replication.membership import voters_to_bear
 
 # Zones are a few milliseconds apart; a leader that is silent this long is not merely slow.
 ELECTION_TIMEOUT_S = 0.45
 
+log = structlog.get_logger(__name__)
+
 
 class ControlRole:
-    """A control instance with the operators' interface."""
+    """A control instance with the operators' interface.
+
+    On a machine without a disk it has no replica and passes the operators' calls on: how many
+    machines of a data centre have a disk differs between deployments.
+    """
 
     __slots__ = ("client", "daemon", "metrics", "probe", "server")
 
     def __init__(self, settings: PlatformSettings) -> None:
         address = settings.control_address
-        if address is None or not settings.data_folder:
-            raise PlatformSettingsError("control needs a disk and an address for operators")
-        seeds = seed_members(settings)
-        self.daemon = ControlDaemon(_product_settings(settings, seeds), CLUSTER_SECRET)
-        self.metrics = self.daemon.metrics
-        own = ControlMember(member_name(settings.ip), settings.ip, control_port(settings))
-        members = tuple(dict.fromkeys((*seeds, own)))
-        self.client = ControlClient(members, self.daemon.codec, CLUSTER_SECRET)
+        if address is None:
+            raise PlatformSettingsError("control needs an address for operators")
+        members = seeds = seed_members(settings)
+        self.daemon: ControlDaemon | None = None
+        self.metrics = MetricsRegistry()
+        if settings.data_folder:
+            self.daemon = ControlDaemon(_product_settings(settings, seeds), CLUSTER_SECRET)
+            self.metrics = self.daemon.metrics
+            own = ControlMember(member_name(settings.ip), settings.ip, control_port(settings))
+            members = tuple(dict.fromkeys((*seeds, own)))
+        self.client = ControlClient(members, message_codec(), CLUSTER_SECRET)
         self.probe = LeaderProbe(self.client)
         application = OperatorApi(self.client).application()
         self.server = HttpServer(application, address.host, address.port)
@@ -42,7 +56,11 @@
         await self.server.start()
         probing = asyncio.create_task(self.probe.run())
         try:
-            await self.daemon.run(stop)
+            if self.daemon is not None:
+                await self.daemon.run(stop)
+            else:
+                log.info("no disk, operators' calls are passed on")
+                await stop.wait()
         finally:
             probing.cancel()
             await self.server.stop()
@@ -52,7 +70,7 @@
         """Learns other seeds."""
         for member in seed_members(settings):
             self.client.learn(member.name, member.host, member.port)
-            if member.name != self.daemon.settings.name:
+            if self.daemon is not None and member.name != self.daemon.settings.name:
                 self.daemon.control_client.learn(member.name, member.host, member.port)
 
 
@@ -67,7 +85,7 @@
         control=seeds,
         data_folder=settings.data_folder,
         bootstrap=settings.is_first_start,
-        group_size=len(seeds),
+        group_size=max(len(seeds), voters_to_bear(settings.borne_losses)),
         election_timeout_s=ELECTION_TIMEOUT_S,
         longest_task_lease_s=settings.longest_lease_s,
         longest_task_stop_s=settings.longest_stop_s,
--- a/src/cicadatray/platform/settings.py
+++ b/src/cicadatray/platform/settings.py
@@ -18,6 +18,9 @@
     read_text,
 )
 
+# How many of each kind of place may be lost at once; voters stand in different data centres.
+LOSS_FIELDS = ("Machines", "Zones", "Regions")
+
 
 class HostPort(msgspec.Struct, frozen=True):
     """An IP number and a TCP port."""
@@ -31,6 +34,7 @@
 
     `seeds` are the operators' addresses of control instances. `longest_lease_s` is the longest
     that workers run without an extension. `grace_s` passes between SIGTERM and SIGKILL.
+    `borne_losses` is how many machines with a disk, or whole data centres, may be lost at once.
     """
 
     name: str
@@ -48,6 +52,7 @@
     longest_stop_s: float
     urgent_start_s: float
     grace_s: float
+    borne_losses: int
     body_limit_bytes: int = 262144
 
 
@@ -67,6 +72,7 @@
 def _decode(document: dict[str, Any]) -> PlatformSettings:
     listen = read_object(document, "Listen")
     bounds = read_object(document, "Bounds")
+    tolerance = read_object(document, "FaultTolerance")
     ports = read_list(document, "InternalPorts", int)
     if len(ports) != 2:
         raise DocumentError("field InternalPorts: two ports are needed")
@@ -86,6 +92,7 @@
         longest_stop_s=read_number(bounds, "StopMs", 400) / MS_PER_S,
         urgent_start_s=read_number(bounds, "ReclaimMs", 2700) / MS_PER_S,
         grace_s=read_integer(bounds, "GraceS", 6),
+        borne_losses=max(read_integer(tolerance, name, 0) for name in LOSS_FIELDS),
     )
 
 
--- a/src/cicadatray/replication/membership.py
+++ b/src/cicadatray/replication/membership.py
@@ -5,6 +5,14 @@
 from cicadatray.replication.member import Member
 
 
+def voters_to_bear(lost_disks: int) -> int:
+    """Returns how many voters a group needs to go on after that many are lost at once.
+
+    A majority must be left that can elect, and one of it must hold each acknowledged entry.
+    """
+    return 2 * lost_disks + 1
+
+
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """A member, the identity of its data folder, and whether it counts for quorums."""
 
--- a/tests/cover/platform/test_control_group.py
+++ b/tests/cover/platform/test_control_group.py
@@ -115,7 +115,7 @@
     instances.stop()
 
 
-# Acknowledged work was lost with the disks of two of three voters, where the loss of two was promised.
+# Work was lost with the disks of two of three voters where the loss of two was promised.
 @pytest.mark.parametrize(
     ("lost", "names"),
     [(1, "abc"), (1, "abcd"), (2, "abcde"), (2, "abcdefgh")],
@@ -134,3 +134,38 @@
         await lose_disks_twice(tuple(names), lost, role.daemon.replica.settings.group_size)
 
     run_virtual(main())
+
+
+# Two instances a data centre serve operators, and on small deployments only one has a disk.
+def test_control_without_a_disk_passes_operators_calls_on(tmp_path: Path) -> None:
+    """An instance that cannot start without a disk ends again and again."""
+    path = tmp_path / "settings.toml"
+    text = settings_text(1).replace('DataDir = "/data/control"\n', "")
+    path.write_text(text, encoding="utf-8")
+
+    async def main() -> None:
+        settings = load_platform_settings(path)
+        role = ControlRole(settings)
+        assert role.daemon is None
+        assert role.client.names == [f"control-10.0.0.{number}" for number in (1, 2, 3)]
+        role.reload(settings)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("losses", "borne"),
+    [
+        ("Machines = 1\nZones = 0\nRegions = 0", 1),
+        ("Machines = 2\nZones = 1\nRegions = 0", 2),
+        ("Machines = 1\nZones = 2\nRegions = 0", 2),
+        ("", 0),
+    ],
+    ids=["machine", "machines and data centre", "data centres", "none named"],
+)
+def test_borne_losses_are_read_from_the_settings(losses: str, borne: int, tmp_path: Path) -> None:
+    """A promise that is not read cannot be kept."""
+    path = tmp_path / "settings.toml"
+    text = settings_text(9).replace("Machines = 9\nZones = 0\nRegions = 0", losses)
+    path.write_text(text, encoding="utf-8")
+    assert load_platform_settings(path).borne_losses == borne
