--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -8,9 +8,11 @@
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control.control_state import ControlState
-from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.agent_lives import LIFE_SILENCE_S
+from cicadatray.internal.control.graphs.graph_session import RELAY_LIMIT, GraphSession
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.wire.messages.graph_messages import (
+    MemberAddress,
     RunEnd,
     RunReport,
     SyncWorker,
@@ -153,3 +155,35 @@
         assert session.orders_for(held).stops == (stranger,)
 
     run_virtual(main())
+
+
+def test_late_call_of_a_former_life_shuts_out_the_present_one_only_for_a_moment() -> None:
+    """A relayed call of a killed agent that reached a new leader late cost its worker for good."""
+
+    async def main() -> None:
+        session, _ = make_session()
+        assert session.take_call(call(sequence=1, life="two")) is not None
+        # The new leader cannot know that this life ended under its predecessor.
+        session.take_call(call(sequence=7, life="one"))
+        await asyncio.sleep(LIFE_SILENCE_S + 0.1)
+        assert session.take_call(call(sequence=2, life="two")) is not None
+        assert session.take_call(call(sequence=8, life="one")) is None
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("count", [RELAY_LIMIT, RELAY_LIMIT + 1, 3 * RELAY_LIMIT + 2])
+def test_relays_are_named_in_every_data_centre(count: int) -> None:
+    """The first relays by name stood in one data centre, and were cut off together with it."""
+
+    async def main() -> None:
+        session, _ = make_session()
+        for number in range(count):
+            centre = "abc"[3 * number // count]
+            session.take_relay(MemberAddress(f"{centre}-{number:03}", "127.0.0.1", number + 1))
+        named = session.take_relay(None)
+        assert len(named) == min(count, RELAY_LIMIT)
+        assert {relay.name[0] for relay in named} == {"a", "b", "c"}
+        assert session.take_relay(None) == named
+
+    run_virtual(main())
