Close the connections of clients that are dropped

Cause: clients were dropped with an open connection: a relay that the leader names no more (`RelayRoutes.missing`), a control member or an agent at another address. asyncio reaches the reader of an outgoing connection by a weak reference only, so connection and reading task were collected while the task waited. `abort` before a drop had the same gap until the transport told of the loss. `ControlClient.close` did not close relays.

Change: `RpcClient.release` closes a dropped client once no call is in progress; the three places call it. `abort` cancels the reading task, which the event loop then holds, and fails the calls in progress itself.

--- a/src/cicadatray/internal/control/agent_links.py
+++ b/src/cicadatray/internal/control/agent_links.py
@@ -40,6 +40,8 @@
     def _client(self, agent: AgentRecord) -> RpcClient:
         client = self.clients.get(agent.agent_id)
         if client is None or (client.host, client.port) != (agent.host, agent.port):
+            if client is not None:
+                client.release()
             backoff = Backoff(limit_s=RECONNECT_LIMIT_S)
             client = RpcClient(agent.host, agent.port, self.codec, self.secret, backoff)
             self.clients[agent.agent_id] = client
--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -191,6 +191,8 @@
         known = self.clients.get(name)
         if known is not None and (known.host, known.port) == (host, port):
             return
+        if known is not None:
+            known.release()
         self.clients[name] = self._new_client(host, port)
         if name not in self.names:
             self.names.append(name)
@@ -208,7 +210,7 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        for client in self.clients.values():
+        for client in (*self.clients.values(), *self.relays.clients.values()):
             await client.close()
 
     def _new_client(self, host: str, port: int) -> RpcClient:
--- a/src/cicadatray/internal/wire/relay_routes.py
+++ b/src/cicadatray/internal/wire/relay_routes.py
@@ -25,7 +25,7 @@
             return []
         for known in [relay for relay in self.clients if relay not in relays]:
             if known != self.active:
-                del self.clients[known]
+                self.clients.pop(known).release()
         others = (relay for relay in relays if relay.name != self.own_name)
         return [relay for relay in others if relay not in self.clients]
 
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -22,11 +22,13 @@
 
     __slots__ = (
         "backoff",
+        "calls",
         "codec",
         "connect_lock",
         "connect_timeout_s",
         "connection",
         "host",
+        "is_released",
         "port",
         "retry_at_s",
         "secret",
@@ -50,6 +52,8 @@
         self.connect_lock = asyncio.Lock()
         self.connection: RpcConnection | None = None
         self.retry_at_s = 0.0
+        self.calls = 0
+        self.is_released = False
 
     @property
     def heard_s(self) -> float:
@@ -63,6 +67,14 @@
             PeerUnreachableError: the request was not sent.
             PeerLostError: no reply in time, or the connection was lost after the request was sent.
         """
+        self.calls += 1
+        try:
+            return await self._call(message, timeout_s)
+        finally:
+            self.calls -= 1
+            self._abort_if_released()
+
+    async def _call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
         connection = await self._connected(min(timeout_s, self.connect_timeout_s))
@@ -84,11 +96,23 @@
         if self.connection is not None:
             self.connection.abort()
 
+    def release(self) -> None:
+        """Closes the connection as soon as no call is in progress.
+
+        Whoever drops a client without waiting for `close` has to release it.
+        """
+        self.is_released = True
+        self._abort_if_released()
+
     async def close(self) -> None:
         """Closes the connection; calls in progress fail with `PeerLostError`."""
         if self.connection is not None:
             await self.connection.close()
 
+    def _abort_if_released(self) -> None:
+        if self.is_released and not self.calls:
+            self.abort()
+
     async def _connected(self, timeout_s: float) -> RpcConnection:
         async with self.connect_lock:
             if self.connection is not None and self.connection.is_open:
--- a/src/cicadatray/internal/wire/rpc_connection.py
+++ b/src/cicadatray/internal/wire/rpc_connection.py
@@ -52,8 +52,13 @@
                 reply.exception()
 
     def abort(self) -> None:
-        """Resets the connection; calls in progress fail soon after."""
+        """Resets the connection; calls in progress fail with `PeerLostError`."""
         self.writer.transport.abort()
+        # The event loop holds the reader of an outgoing connection by a weak reference only. A
+        # connection that is dropped now could be collected before its reading task has ended.
+        self.reading.cancel()
+        # A task that is cancelled before its first step never runs, not even its `finally`.
+        self._fail_pending()
 
     async def close(self) -> None:
         """Closes the connection; calls in progress fail with `PeerLostError`."""
@@ -72,6 +77,9 @@
             pass
         finally:
             self.writer.close()
-            for reply in self.pending.values():
-                if not reply.done():
-                    reply.set_exception(PeerLostError("the connection was lost"))
+            self._fail_pending()
+
+    def _fail_pending(self) -> None:
+        for reply in self.pending.values():
+            if not reply.done():
+                reply.set_exception(PeerLostError("the connection was lost"))
