Log the change and the count of failures that last

Seen: 2,162 lines "worker not adopted" in one outage of control, one for each announcement of each worker.

Change: `RepeatedEvent` logs the first of equal failures, and `..., ended` with their count and duration. Used for `worker not adopted`, `worker unanswered`, `control gave no orders`, `start unanswered`, `stop unanswered` and `no leader to join`. Equal is judged by worker and type of error, as the text names another address each time.

`control unavailable` stays one line a request: its path is how a refused job is found by its id.

Evidence: observability/test_repeated_event.py; 100 announcements without a leader gave 100 lines before, two now.

--- /dev/null
+++ b/src/cicadatray/internal/agent/tasks/leader_term.py
@@ -0,0 +1,17 @@
+"""The term of the present leader."""
+
+from cicadatray.internal.wire.control_client import ControlClient
+from cicadatray.internal.wire.messages.graph_messages import MembersReply, ReadMembers
+
+# An announcement must be answered within a second.
+LEARN_TERM_TIMEOUT_S = 0.6
+
+
+async def read_leader_term(control: ControlClient) -> int:
+    """Returns the term of the leader; 0 when it gives another answer.
+
+    Raises:
+        ControlUnavailableError: no leader answered.
+    """
+    reply = await control.call(ReadMembers(), LEARN_TERM_TIMEOUT_S)
+    return reply.term if isinstance(reply, MembersReply) else 0
--- a/src/cicadatray/internal/agent/tasks/run_orders.py
+++ b/src/cicadatray/internal/agent/tasks/run_orders.py
@@ -11,6 +11,7 @@
 from cicadatray.internal.agent.tasks.worker_lease import WorkerLease
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerPort
 from cicadatray.internal.observability.counter import Counter
+from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.wire.messages.graph_messages import RunOrder, WorkerOrders
 
 # Pause before a worker that did not answer gets an order again.
@@ -96,6 +97,16 @@
 
     async def _start(self, held: HeldRun, order: RunOrder) -> None:
         """Orders the run until the worker answers, or control wants it stopped."""
+        unanswered = RepeatedEvent("start unanswered")
+        try:
+            await self._start_until_answered(held, order, unanswered)
+        finally:
+            unanswered.ended()
+
+    async def _start_until_answered(
+        self, held: HeldRun, order: RunOrder, unanswered: RepeatedEvent
+    ) -> None:
+        task = str(order.run.task)
         while held.phase is RunPhase.STARTING:
             if self.is_draining:
                 self._give_up(held, "worker drains")
@@ -104,7 +115,7 @@
                 answer = await self.port.start(order, self.token, self.lease.to_send())
             except WorkerUnansweredError as error:
                 held.is_in_doubt = True
-                log.info("start unanswered", run=str(order.run.task), reason=str(error))
+                unanswered.failed(task, run=task, reason=str(error))
                 await asyncio.sleep(ORDER_RETRY_S)
                 continue
             except WorkerReplacedError:
@@ -132,11 +143,19 @@
 
     async def _stop(self, held: HeldRun) -> None:
         """Stops the run until the worker answers; its end is listed later."""
+        unanswered = RepeatedEvent("stop unanswered")
+        try:
+            await self._stop_until_answered(held, unanswered)
+        finally:
+            unanswered.ended()
+
+    async def _stop_until_answered(self, held: HeldRun, unanswered: RepeatedEvent) -> None:
+        task = str(held.run.task)
         while held.run in self.table.held:
             try:
                 await self.port.stop(held.run, self.token)
             except WorkerUnansweredError as error:
-                log.info("stop unanswered", run=str(held.run.task), reason=str(error))
+                unanswered.failed(task, run=task, reason=str(error))
                 await asyncio.sleep(ORDER_RETRY_S)
                 continue
             except WorkerReplacedError:
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -7,21 +7,17 @@
 
 from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
 from cicadatray.internal.agent.tasks.held_run import RunPhase
+from cicadatray.internal.agent.tasks.leader_term import read_leader_term
 from cicadatray.internal.agent.tasks.run_orders import RunOrders
 from cicadatray.internal.agent.tasks.run_table import RunTable
 from cicadatray.internal.agent.tasks.worker_lease import WorkerLease
 from cicadatray.internal.agent.tasks.worker_port import WorkerPort, WorkerView
 from cicadatray.internal.observability.graph_metrics import worker_orders
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.message import MessageStruct
-from cicadatray.internal.wire.messages.graph_messages import (
-    MembersReply,
-    ReadMembers,
-    SyncWorker,
-    WorkerOffer,
-    WorkerOrders,
-)
+from cicadatray.internal.wire.messages.graph_messages import SyncWorker, WorkerOffer, WorkerOrders
 
 # A call to control waits this long for news, so that the worker's lease is renewed in time.
 SYNC_WAIT_S = 0.5
@@ -29,8 +25,6 @@
 SYNC_ATTEMPT_S = 1.2
 SYNC_TIMEOUT_S = 3.0
 SYNC_RETRY_S = 0.2
-# An announcement must be answered within a second.
-LEARN_TERM_TIMEOUT_S = 0.6
 # News that arrives within this time goes into one call.
 GATHER_S = 0.005
 # The worker answers earlier when something ends; the lease must be extended in between.
@@ -59,6 +53,7 @@
         "is_in_step",
         "lease",
         "life",
+        "not_adopted",
         "offer",
         "orders",
         "port",
@@ -66,6 +61,8 @@
         "syncs",
         "table",
         "term",
+        "unanswered",
+        "without_orders",
         "work",
     )
 
@@ -81,6 +78,9 @@
         self.orders: RunOrders | None = None
         self.table = RunTable()
         self.lease = WorkerLease()
+        self.not_adopted = RepeatedEvent("worker not adopted")
+        self.unanswered = RepeatedEvent("worker unanswered")
+        self.without_orders = RepeatedEvent("control gave no orders")
         self.former_workers: set[str] = set()
         self.gone_worker_id = ""
         self.term = 0
@@ -102,6 +102,8 @@
                 task.cancel()
             if self.orders is not None:
                 self.orders.cancel()
+            for repeated in (self.not_adopted, self.unanswered, self.without_orders):
+                repeated.ended()
 
     async def offer_worker(self, offer: WorkerOffer, port: WorkerPort) -> bool:
         """Takes what a worker says of itself; returns False for one that is gone.
@@ -134,11 +136,15 @@
 
     async def _adopt(self, offer: WorkerOffer, port: WorkerPort) -> bool:
         try:
-            await self._learn_term()
+            if not self.term:
+                # A worker that has seen a leader's term refuses calls with a lower one.
+                self.term = max(await read_leader_term(self.control), self.term)
             view = await port.observe(self.term, 0, 0.0, 0.0)
         except (WorkerUnansweredError, WorkerReplacedError, ControlUnavailableError) as error:
-            log.info("worker not adopted", worker=offer.worker_id, reason=str(error))
+            kind = f"{offer.worker_id}: {type(error).__name__}"
+            self.not_adopted.failed(kind, worker=offer.worker_id, reason=str(error))
             return False
+        self.not_adopted.ended()
         if self.offer is not None:
             if self.offer.worker_id == offer.worker_id:
                 return True
@@ -166,18 +172,6 @@
         log.info("worker adopted", worker=offer.worker_id, runs=len(view.running))
         self.work.set()
 
-    async def _learn_term(self) -> None:
-        """A worker that has seen a leader's term refuses calls with a lower one.
-
-        Raises:
-            ControlUnavailableError: no leader answered.
-        """
-        if self.term:
-            return
-        reply = await self.control.call(ReadMembers(), LEARN_TERM_TIMEOUT_S)
-        if isinstance(reply, MembersReply):
-            self.term = max(self.term, reply.term)
-
     def _drop_worker(self) -> None:
         if self.offer is not None:
             self.gone_worker_id = self.offer.worker_id
@@ -242,9 +236,10 @@
         orders = self.orders
         if orders is None or not isinstance(reply, WorkerOrders):
             self.is_in_step = False
-            log.info("control gave no orders", reply=str(reply))
+            self.without_orders.failed(type(reply).__name__, reply=str(reply))
             await asyncio.sleep(SYNC_RETRY_S)
             return
+        self.without_orders.ended()
         if reply.term < self.term or reply.worker_id != orders.port.worker_id:
             return
         if not self.is_in_step:
@@ -282,6 +277,7 @@
             return
         if orders is not self.orders:
             return
+        self.unanswered.ended()
         self.lease.heard()
         has_news, unsettled = table.take_view(view, asked_s)
         for held in unsettled:
@@ -294,7 +290,9 @@
 
     def _worker_unanswered(self, orders: RunOrders, reason: str) -> None:
         """Gives the worker up once every lease that it may have got is over."""
-        log.info("worker unanswered", worker=orders.port.worker_id, reason=reason)
+        worker_id = orders.port.worker_id
+        self.unanswered.failed(worker_id, worker=worker_id, reason=reason)
         if orders is self.orders and orders.port.clock_s() > self.lease.sent_s:
+            self.unanswered.ended()
             log.info("worker given up", worker=orders.port.worker_id, lease_s=self.lease.sent_s)
             self._drop_worker()
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -24,6 +24,7 @@
 from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.observability.standard_metrics import fragmentation_ratio
 from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.control_settings import ControlSettings
@@ -235,15 +236,18 @@
         """Asks to be admitted while no leader calls this instance."""
         listen = self.settings.listen
         own = MemberAddress(self.settings.name, listen.host, listen.port)
+        no_leader = RepeatedEvent("no leader to join")
         while self.settings.group_size:
             await asyncio.sleep(JOIN_INTERVAL_S)
             if not self.replica.needs_to_join(JOIN_SILENCE_S):
+                no_leader.ended()
                 continue
             try:
                 await self.control_client.call(JoinGroup(member=own), JOIN_TIMEOUT_S)
+                no_leader.ended()
                 log.info("asked to join the control group", leader=self.control_client.leader_name)
             except ControlUnavailableError as error:
-                log.info("no leader to join", reason=str(error))
+                no_leader.failed(type(error).__name__, reason=str(error))
 
     def _not_leader(self, leader_name: str | None) -> NotLeader:
         member = self.replica.find_member(leader_name) if leader_name else None
--- /dev/null
+++ b/tests/cover/observability/test_repeated_event.py
@@ -0,0 +1,111 @@
+"""Lines about failures that last."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from structlog.testing import capture_logs
+
+from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
+from cicadatray.internal.agent.tasks.task_agent import TaskAgent
+from cicadatray.internal.agent.tasks.worker_port import WorkerView
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.observability.repeated_event import RepeatedEvent
+from cicadatray.internal.wire.control_client import ControlUnavailableError
+from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.messages.graph_messages import MembersReply
+from cover.taskgraphs.test_task_agent import OFFER, FakePort
+
+ANNOUNCE_S = 0.5
+ANNOUNCEMENTS = 100
+
+
+@pytest.mark.parametrize(
+    ("kinds", "expected"),
+    [
+        ("", []),
+        ("a", ["a", "a 1"]),
+        ("aaaa", ["a", "a 4"]),
+        ("aab", ["a", "a 2", "b", "b 1"]),
+        ("aa-aaa", ["a", "a 2", "a", "a 3"]),
+    ],
+)
+def test_change_and_count_are_logged(kinds: str, expected: list[str]) -> None:
+    """Each repeat was a line, so that an outage filled the log with copies of one line."""
+
+    async def main() -> None:
+        event = RepeatedEvent("down")
+        for kind in kinds:
+            if kind == "-":
+                event.ended()
+            else:
+                event.failed(kind)
+            await asyncio.sleep(1.0)
+        event.ended()
+        event.ended()
+
+    with capture_logs() as lines:
+        run_virtual(main())
+    assert [
+        f"{line['kind']} {line['count']}" if "count" in line else line["kind"] for line in lines
+    ] == expected
+
+
+class OutageControl:
+    """No leader answers until `is_up` is set."""
+
+    def __init__(self) -> None:
+        self.is_up = False
+        self.leader_name = "c1"
+
+    async def call(self, message: MessageStruct, *_: float) -> MessageStruct:
+        if not self.is_up:
+            raise ControlUnavailableError(f"at {asyncio.get_running_loop().time()}")
+        return MembersReply(members=(), term=3)
+
+
+class FailingPort(FakePort):
+    """Raises `error` while there is one."""
+
+    def __init__(self, error: Exception | None) -> None:
+        super().__init__()
+        self.error = error
+
+    async def observe(self, *arguments: Any) -> WorkerView:
+        if self.error is not None:
+            raise self.error
+        return WorkerView((), ())
+
+
+@pytest.mark.parametrize(
+    ("error", "kind"),
+    [
+        (None, "ControlUnavailableError"),
+        (WorkerUnansweredError("silent"), "WorkerUnansweredError"),
+        (WorkerReplacedError("another"), "WorkerReplacedError"),
+    ],
+)
+def test_outage_gives_two_lines_for_each_worker(error: Exception | None, kind: str) -> None:
+    """An agent without a leader logged "worker not adopted" with each of its announcements."""
+
+    async def main() -> None:
+        control: Any = OutageControl()
+        control.is_up = error is not None
+        agent = TaskAgent("a", control)
+        port = FailingPort(error)
+        for _ in range(ANNOUNCEMENTS):
+            assert not await agent.offer_worker(OFFER, port)
+            await asyncio.sleep(ANNOUNCE_S)
+        control.is_up, port.error = True, None
+        assert await agent.offer_worker(OFFER, port)
+
+    with capture_logs() as lines:
+        run_virtual(main())
+    found = [line for line in lines if line["event"].startswith("worker not adopted")]
+    assert [line["event"] for line in found] == [
+        "worker not adopted",
+        "worker not adopted, ended",
+    ]
+    assert all(line["kind"] == f"w-1: {kind}" for line in found)
+    assert found[1]["count"] == ANNOUNCEMENTS
+    assert found[1]["duration_s"] == ANNOUNCEMENTS * ANNOUNCE_S
