Tell how many lost disks the control group bears

Seen: after the loss of two disks no member leads; nothing had told before that the group bore one at most, or whether a voter was missing at that moment.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -25,7 +25,7 @@
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.observability.repeated_event import RepeatedEvent
-from cicadatray.internal.observability.standard_metrics import fragmentation_ratio
+from cicadatray.internal.observability.standard_metrics import fragmentation_ratio, lost_disks_borne
 from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
@@ -41,6 +41,7 @@
 from cicadatray.internal.wire.rpc_server import RpcServer
 from cicadatray.replication.errors import NotLeaderError, ReplicationError
 from cicadatray.replication.member import Member
+from cicadatray.replication.redundancy_watch import present_redundancy
 from cicadatray.replication.replica import Replica
 from cicadatray.replication.replica_settings import ReplicaSettings
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
@@ -106,6 +107,7 @@
         self.dump.register("control", self.describe)
         self.metrics = MetricsRegistry()
         fragmentation_ratio(self.metrics).read_from(self._fragmentation)
+        lost_disks_borne(self.metrics).read_from(self._lost_disks_borne)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
         self.graphs: GraphSession | None = None
@@ -181,6 +183,12 @@
     def _fragmentation(self) -> float:
         return present_fragmentation(self.session) if self.session is not None else math.nan
 
+    def _lost_disks_borne(self) -> float:
+        core = self.replica.core_or_none
+        if core is None or core.leadership is None:
+            return math.nan
+        return present_redundancy(core.leadership).lost_disks_borne
+
     async def _wait_for_end(self, stop: asyncio.Event) -> None:
         stopping = asyncio.create_task(stop.wait())
         failing = asyncio.create_task(self.replica.wait_stopped())
--- a/src/cicadatray/internal/observability/standard_metrics.py
+++ b/src/cicadatray/internal/observability/standard_metrics.py
@@ -61,3 +61,11 @@
         "Requests and jobs that were refused before they ran.",
         ("client_account", "code"),
     )
+
+
+def lost_disks_borne(registry: MetricsRegistry) -> Gauge:
+    """Disks of control that may be lost at once; read on the leader."""
+    return registry.gauge(
+        "cicadatray_lost_disks_borne",
+        "Disks of control that may be lost at once without losing what was acknowledged.",
+    )
--- a/src/cicadatray/replication/leadership.py
+++ b/src/cicadatray/replication/leadership.py
@@ -11,6 +11,7 @@
 from cicadatray.replication.log_entry import LogEntry, encode_membership
 from cicadatray.replication.peer_replicator import PeerReplicator
 from cicadatray.replication.proposal import Proposal
+from cicadatray.replication.redundancy_watch import watch_redundancy
 
 QUORUM_CHECKS = 2
 # Longest wait for the disk before the next batch of commands is sent to the other members.
@@ -74,6 +75,7 @@
         self._append_queued()
         self.tasks.append(self.core.spawn(self._append_proposals()))
         self.tasks.append(self.core.spawn(self._watch_quorum()))
+        self.tasks.append(self.core.spawn(watch_redundancy(self)))
 
     def close(self) -> None:
         """Ends the tasks and tells every waiting caller what is known about its command."""
--- a/tests/cover/guides/test_pages.py
+++ b/tests/cover/guides/test_pages.py
@@ -17,6 +17,7 @@
     standard_metrics.retries_total,
     standard_metrics.ejections_total,
     standard_metrics.refusals_total,
+    standard_metrics.lost_disks_borne,
     graph_metrics.client_calls,
     graph_metrics.graphs_accepted,
     graph_metrics.runs_ended,
