Return from placement why the oldest work of a queue waits

Seen: a queue that is served late shows waiting tasks; whether they lack room, a rack, a label or a trusted worker cannot be told afterwards.

Change: `PlacementPlan.waits` holds the oldest unplaced work of each queue with the first reason that applies. `WaitDiagnosis` only reads the workers, so the plan decides as before. A task that is skipped because its equal found no room has no reason of its own: both have the same age, and the first one carries the reason.

--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -7,10 +7,12 @@
 from cicadatray.scheduling.taskgraphs.displacement_search import DisplacementSearch
 from cicadatray.scheduling.taskgraphs.job_value import job_value
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
+from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks, present_room, soon_room, total_room
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+from cicadatray.scheduling.taskgraphs.wait_diagnosis import WaitDiagnosis
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_room import WorkerRoom
 
@@ -64,9 +66,18 @@
             if chosen is not None:
                 self._assign(work, chosen)
                 return True
+        self._note_wait(work, groups)
         self._make_room(work, groups)
         return False
 
+    def _note_wait(self, work: WaitingWork, groups: list[list[WorkerRoom]]) -> None:
+        """Explains the oldest work of each queue only, because each reason costs several fits."""
+        queue = work.graph.graph.policy.queue
+        known = self.plan.waits.get(queue)
+        if known is None or work.ready_s < known.work.ready_s:
+            reason = WaitDiagnosis(work, self.workers, groups, self._limits).explain()
+            self.plan.waits[queue] = PlacementWait(work, reason)
+
     def _usable_workers(self, work: WaitingWork) -> list[WorkerRoom]:
         pool = work.graph.graph.policy.pool
         label = work.step.required_label
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/placement_wait.py
@@ -0,0 +1,14 @@
+"""Work that a round of placement leaves waiting."""
+
+from cicadatray.scheduling.taskgraphs.wait_reason import WaitReason
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+
+
+class PlacementWait:
+    """The oldest work of a queue that was not placed, and why."""
+
+    __slots__ = ("reason", "work")
+
+    def __init__(self, work: WaitingWork, reason: WaitReason) -> None:
+        self.work = work
+        self.reason = reason
--- a/src/cicadatray/scheduling/taskgraphs/task_id.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_id.py
@@ -11,6 +11,12 @@
     step: int
     index: int
 
+    @classmethod
+    def from_key(cls, graph_id: str, key: str) -> "TaskId":
+        """Returns the task that has this key inside a graph."""
+        occurrence, step, index = key.split(".")
+        return cls(graph_id, int(occurrence), int(step), int(index))
+
     @property
     def key(self) -> str:
         """Name of the task inside its graph."""
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/wait_reason.py
@@ -0,0 +1,21 @@
+"""Why work waits."""
+
+from enum import Enum
+
+
+class WaitReason(Enum):
+    """The first that applies, in this order, except that the last two never reach placement."""
+
+    NO_WORKER_OF_POOL = "no worker of its pool"
+    NO_WORKER_WITH_LABEL = "no worker with its label"
+    LARGER_THAN_WORKERS = "does not fit even when all workers are empty"
+    ROOM_BEING_FREED = "its room is being freed"
+    ROOM_KEPT = "room is kept for other work"
+    DATA_RACK = "waits for the rack of its data"
+    ONE_RACK = "waits for room in one rack"
+    SUSPECT_WORKERS = "only suspect workers have room"
+    WORKER_LIMIT = "each worker has its limit of tasks of the step"
+    ROOM_SCATTERED = "free room is scattered"
+    NO_ROOM = "no room"
+    FORMER_RUN = "a former run has not ended"
+    NOT_DUE = "not due"
