Show by queue how graphs end, what their runs suffer and why work waits

The logs name runs, not the fate of a job, and the metrics count runs of all queues together, so that a wait for room, displacement, lost workers and single slow tasks look alike.

Change: `graph ended` tells once for each graph its outcome by its objective, its times and what happened to its runs; `queue waits` tells why the oldest waiting work of a queue was not placed, when that changes and at most once a second for each queue. Metrics by queue: graphs ended, time to start and to end, runs ended, runs displaced, seconds blocked by reason, tasks waiting and running; the gauges are computed when they are read. Names and labels of the earlier metrics stay.

The counts of a graph are held by the leader only; `counted_from_s` says from which age of the graph on.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -18,6 +18,7 @@
 from cicadatray.internal.control.fragmentation import present_fragmentation
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.queue_gauges import register_queue_gauges
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
@@ -107,6 +108,7 @@
         self.dump.register("control", self.describe)
         self.metrics = MetricsRegistry()
         fragmentation_ratio(self.metrics).read_from(self._fragmentation)
+        register_queue_gauges(self.metrics, lambda: self.graphs)
         lost_disks_borne(self.metrics).read_from(self._lost_disks_borne)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -75,3 +75,6 @@
                 outcome=placed.end.outcome.value,
                 number=placed.end.number,
             )
+            self.session.journal.note_run_ended(placed)
+        for graph_id in dict.fromkeys(placed.end.run.task.graph_id for placed in ends):
+            self.session.journal.close(graph_id)
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -108,7 +108,9 @@
         steps=len(call.steps),
     )
     graphs_accepted(daemon.metrics).increment(queue=found.queue.policy.queue)
-    daemon.require_graphs(session).wake.set()
+    graphs = daemon.require_graphs(session)
+    graphs.journal.begin(graph_id)
+    graphs.wake.set()
     return reply
 
 
@@ -123,9 +125,12 @@
     if known is None or isinstance(known, Failure):
         return known or Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     graphs = daemon.require_graphs(session)
+    # A graph whose acceptance was in doubt has no tally yet.
+    graphs.journal.begin(found.graph_id)
     command = EndGraph(graph_id=found.graph_id, now_s=graphs.wall_s())
     reply = await session.propose(command)
     log.info("graph cancelled", graph=found.graph_id)
+    graphs.journal.close(found.graph_id)
     graphs.wake_all()
     graphs.wake.set()
     return reply
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -6,12 +6,14 @@
 
 from cicadatray.internal.control.errors import LeadershipLostError, leadership_lost
 from cicadatray.internal.control.graphs.end_recorder import GATHER_S, EndRecorder
+from cicadatray.internal.control.graphs.graph_journal import DISPLACED, EVACUATED
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.placement_input import (
     build_running,
     build_workers,
     mark_guaranteed,
 )
+from cicadatray.internal.control.graphs.wait_log import WaitLog
 from cicadatray.internal.observability.graph_metrics import runs_displaced, start_wait
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
@@ -38,10 +40,18 @@
 class GraphLoop:
     """Owns the placement of task graphs while this instance leads."""
 
-    __slots__ = ("displaced", "next_checkpoints_s", "recorder", "session", "waits")
+    __slots__ = (
+        "displaced",
+        "next_checkpoints_s",
+        "recorder",
+        "session",
+        "wait_log",
+        "waits",
+    )
 
     def __init__(self, session: GraphSession) -> None:
         self.session = session
+        self.wait_log = WaitLog(session)
         self.next_checkpoints_s = 0.0
         metrics = session.leader.metrics
         self.recorder = EndRecorder(session)
@@ -160,7 +170,8 @@
                 continue
             for run in work.runs:
                 session.revoked.add(run)
-                self.displaced.increment(reason="evacuated")
+                self.displaced.increment(reason=EVACUATED)
+                session.journal.note_displaced(run, EVACUATED)
                 log.info(
                     "run evacuated",
                     graph=run.task.graph_id,
@@ -179,11 +190,13 @@
             work for graph in session.graphs.values() for work in find_ready_work(graph, now_s)
         ]
         if not waiting:
+            self.wait_log.note({})
             return
         running = build_running(session)
         mark_guaranteed(session, waiting, running)
         workers = build_workers(session)
         plan = PlacementRound(workers, running, now_s, session.start_limits).run(waiting)
+        self.wait_log.note(plan.waits)
         self._displace(plan)
         if not plan.assignments:
             return
@@ -210,6 +223,7 @@
                 run=start.run.run,
                 worker=start.worker_id,
             )
+            session.journal.note_started(start.run)
             held = session.workers.get(start.worker_id)
             if held is not None:
                 held.wake.set()
@@ -218,7 +232,8 @@
         session = self.session
         for run, for_graph in plan.displaced.items():
             session.revoked.add(run)
-            self.displaced.increment(reason="displaced")
+            self.displaced.increment(reason=DISPLACED)
+            session.journal.note_displaced(run, DISPLACED)
             log.info(
                 "run displaced",
                 graph=run.task.graph_id,
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from cicadatray.internal.control.graphs.graph_journal import GraphJournal
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.leader_session import LeaderSession
@@ -41,6 +42,7 @@
         "agent_calls",
         "ends_arrived",
         "former_lives",
+        "journal",
         "leader",
         "leases",
         "new_ends",
@@ -70,6 +72,7 @@
         self.revoked: set[TaskRun] = set()
         self.wake = asyncio.Event()
         self._adopt_ordered()
+        self.journal = GraphJournal(self)
 
     @property
     def graphs(self) -> dict[str, GraphProgress]:
@@ -267,15 +270,10 @@
         for graph in self.graphs.values():
             for key, progress in graph.tasks.items():
                 if progress.worker_id:
-                    run = TaskRun(_parse_key(graph.graph.graph_id, key), progress.run)
+                    run = TaskRun(TaskId.from_key(graph.graph.graph_id, key), progress.run)
                     self.ordered.setdefault(progress.worker_id, {})[run] = self.leader.started_s
 
 
-def _parse_key(graph_id: str, key: str) -> TaskId:
-    occurrence, step, index = key.split(".")
-    return TaskId(graph_id, int(occurrence), int(step), int(index))
-
-
 def progress_of(graphs: dict[str, GraphProgress], run: TaskRun) -> TaskProgress | None:
     """Returns the record of a run's task."""
     graph = graphs.get(run.task.graph_id)
--- /dev/null
+++ b/src/cicadatray/internal/control/graphs/wait_log.py
@@ -0,0 +1,110 @@
+"""Tells why the oldest waiting work of each queue was not placed."""
+
+from collections.abc import Mapping
+
+import structlog
+
+from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.observability.queue_metrics import queue_blocked_seconds
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
+from cicadatray.scheduling.taskgraphs.wait_outside_placement import explain_unready
+from cicadatray.scheduling.taskgraphs.wait_reason import WaitReason
+
+# A reason may change with every round; one line a second for each queue bounds the log.
+LINE_INTERVAL_S = 1.0
+
+log = structlog.get_logger(__name__)
+
+
+class _QueueWait:
+    """`logged` is the reason of the last line, empty when that said that nothing waits."""
+
+    __slots__ = ("logged", "next_line_s", "reason")
+
+    def __init__(self) -> None:
+        self.reason = ""
+        self.logged = ""
+        self.next_line_s = 0.0
+
+
+class WaitLog:
+    """Logs a reason when it changes, and counts how long each one lasted."""
+
+    __slots__ = ("next_scan_s", "noted_s", "queues", "session", "unready")
+
+    def __init__(self, session: GraphSession) -> None:
+        self.session = session
+        self.queues: dict[str, _QueueWait] = {}
+        self.noted_s = session.now_s()
+        self.next_scan_s = 0.0
+        self.unready: dict[str, tuple[GraphProgress, WaitReason]] = {}
+
+    def note(self, waits: Mapping[str, PlacementWait]) -> None:
+        """Takes what a round has left waiting, by queue."""
+        now_s = self.session.now_s()
+        self._count_blocked(now_s - self.noted_s)
+        self.noted_s = now_s
+        if now_s >= self.next_scan_s:
+            self.next_scan_s = now_s + LINE_INTERVAL_S
+            self.unready = self._find_unready()
+        for queue in {**waits, **self.unready}:
+            self.queues.setdefault(queue, _QueueWait())
+        for queue, state in self.queues.items():
+            if queue in waits:
+                state.reason = waits[queue].reason.value
+            else:
+                state.reason = self.unready[queue][1].value if queue in self.unready else ""
+            if state.reason != state.logged and now_s >= state.next_line_s:
+                state.logged = state.reason
+                state.next_line_s = now_s + LINE_INTERVAL_S
+                self._log(queue, state.reason, waits.get(queue))
+
+    def _log(self, queue: str, reason: str, wait: PlacementWait | None) -> None:
+        if not reason:
+            log.info("queue waits no more", queue=queue)
+            return
+        if wait is None:
+            progress = self.unready[queue][0]
+            age_s = self.session.wall_s() - progress.accepted_s
+            graph_id = progress.graph.graph_id
+            log.info(
+                "queue waits",
+                queue=queue,
+                reason=reason,
+                graph=graph_id,
+                waited_s=round(age_s, 2),
+            )
+            return
+        work = wait.work
+        log.info(
+            "queue waits",
+            queue=queue,
+            reason=reason,
+            graph=work.graph.graph.graph_id,
+            task=work.task(work.indexes[0]).key,
+            waited_s=round(self.session.wall_s() - work.ready_s, 2),
+            tasks=len(work.indexes),
+            needs=str(work.step.room),
+            workers=len(self.session.workers),
+        )
+
+    def _count_blocked(self, elapsed_s: float) -> None:
+        blocked = queue_blocked_seconds(self.session.leader.metrics)
+        for queue, state in self.queues.items():
+            if state.reason:
+                blocked.increment(elapsed_s, queue=queue, reason=state.reason)
+
+    def _find_unready(self) -> dict[str, tuple[GraphProgress, WaitReason]]:
+        """Returns the oldest graph of each queue that waits without being ready."""
+        found: dict[str, tuple[GraphProgress, WaitReason]] = {}
+        now_s = self.session.wall_s()
+        for progress in self.session.graphs.values():
+            queue = progress.graph.policy.queue
+            known = found.get(queue)
+            if known is not None and known[0].accepted_s <= progress.accepted_s:
+                continue
+            reason = explain_unready(progress, now_s, self.session.is_wanted)
+            if reason is not None:
+                found[queue] = (progress, reason)
+        return found
--- a/src/cicadatray/internal/observability/gauge.py
+++ b/src/cicadatray/internal/observability/gauge.py
@@ -1,6 +1,6 @@
 """Gauges."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from cicadatray.internal.observability.label_sets import LabelSets
 from cicadatray.internal.observability.text_format import render_sample
@@ -9,7 +9,7 @@
 class Gauge:
     """A value that rises and falls, by label set; set, or read when the text is rendered."""
 
-    __slots__ = ("help_text", "name", "sets", "sources")
+    __slots__ = ("help_text", "name", "sets", "sets_source", "sources")
 
     kind = "gauge"
 
@@ -18,6 +18,7 @@
         self.help_text = help_text
         self.sets: LabelSets[float] = LabelSets(name, label_names)
         self.sources: dict[tuple[str, ...], Callable[[], float]] = {}
+        self.sets_source: Callable[[], Mapping[tuple[str, ...], float]] | None = None
 
     def set(self, value: float, **labels: str) -> None:
         """Replaces the value of the label set."""
@@ -29,6 +30,10 @@
         self.sources[key] = source
         self.sets.cells[key] = 0.0
 
+    def read_sets_from(self, source: Callable[[], Mapping[tuple[str, ...], float]]) -> None:
+        """Makes rendering call `source` for all label sets, by their values in order."""
+        self.sets_source = source
+
     def remove(self, **labels: str) -> None:
         """Forgets a label set, for example of an agent that has left."""
         key = self.sets.key(labels)
@@ -39,8 +44,17 @@
         """Returns the sample lines."""
         for key, source in self.sources.items():
             self.sets.cells[key] = source()
+        if self.sets_source is not None:
+            self._read_sets(self.sets_source())
         names = self.sets.label_names
         return [
             render_sample(self.name, zip(names, key, strict=True), value)
             for key, value in sorted(self.sets.cells.items())
         ]
+
+    def _read_sets(self, values: Mapping[tuple[str, ...], float]) -> None:
+        """Adds up the sets beyond the limit, which share one."""
+        self.sets.cells.clear()
+        for labels, value in values.items():
+            key = self.sets.key(dict(zip(self.sets.label_names, labels, strict=True)))
+            self.sets.cells[key] = self.sets.cells.get(key, 0.0) + value
--- a/src/cicadatray/scheduling/taskgraphs/task_graph.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_graph.py
@@ -43,6 +43,10 @@
         """Returns the longest chain of estimates through the graph."""
         return max(self._chains_s(), default=0.0)
 
+    def objective_s(self) -> float:
+        """Returns how long one turn of the graph may take to be on time."""
+        return self.policy.stretch * self.chain_s() + self.policy.target_latency_s
+
     def chain_from_s(self, step: int) -> float:
         """Returns the longest chain of estimates that begins with a step."""
         return self._chains_s()[step]
--- a/tests/cover/guides/test_pages.py
+++ b/tests/cover/guides/test_pages.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cicadatray.internal.cli.exit_code import ExitCode
-from cicadatray.internal.observability import graph_metrics, standard_metrics
+from cicadatray.internal.observability import graph_metrics, queue_metrics, standard_metrics
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 
 DOCS = Path(__file__).parents[3] / "docs"
@@ -25,6 +25,14 @@
     graph_metrics.start_wait,
     graph_metrics.worker_orders,
     graph_metrics.log_lines_dropped,
+    queue_metrics.graphs_ended,
+    queue_metrics.graph_start_seconds,
+    queue_metrics.graph_end_seconds,
+    queue_metrics.queue_runs_ended,
+    queue_metrics.queue_runs_displaced,
+    queue_metrics.queue_blocked_seconds,
+    queue_metrics.tasks_waiting,
+    queue_metrics.tasks_running,
 ]
 
 
--- a/tests/cover/observability/test_metrics.py
+++ b/tests/cover/observability/test_metrics.py
@@ -74,3 +74,15 @@
         registry.gauge(first.name, "Other.")
     with pytest.raises(MetricError, match="cannot decrease"):
         first.increment(-1, client_account="a")
+
+
+def test_sets_that_are_read_are_bounded_and_replaced() -> None:
+    """Guards against a gauge that keeps, or adds up, label sets of an earlier reading."""
+    gauge = MetricsRegistry().gauge("waiting", "Waiting.", ("queue",))
+    sets = {(str(number),): 1.0 for number in range(LABEL_SET_LIMIT + 100)}
+    gauge.read_sets_from(lambda: sets)
+    for _ in range(2):
+        assert len(gauge.render()) == LABEL_SET_LIMIT + 1
+        assert gauge.sets.cells["other",] == 100
+    sets = {("1",): 2.0}
+    assert gauge.render() == ['waiting{queue="1"} 2']
