--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -18,13 +18,15 @@
 from cicadatray.internal.control.fragmentation import present_fragmentation
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.queue_gauges import register_queue_gauges
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
-from cicadatray.internal.observability.standard_metrics import fragmentation_ratio
+from cicadatray.internal.observability.repeated_event import RepeatedEvent
+from cicadatray.internal.observability.standard_metrics import fragmentation_ratio, lost_disks_borne
 from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
@@ -40,6 +42,7 @@
 from cicadatray.internal.wire.rpc_server import RpcServer
 from cicadatray.replication.errors import NotLeaderError, ReplicationError
 from cicadatray.replication.member import Member
+from cicadatray.replication.redundancy_watch import present_redundancy
 from cicadatray.replication.replica import Replica
 from cicadatray.replication.replica_settings import ReplicaSettings
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
@@ -106,6 +109,8 @@
         self.dump.register("control", self.describe)
         self.metrics = MetricsRegistry()
         fragmentation_ratio(self.metrics).read_from(self._fragmentation)
+        register_queue_gauges(self.metrics, lambda: self.graphs)
+        lost_disks_borne(self.metrics).read_from(self._lost_disks_borne)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
         self.graphs: GraphSession | None = None
@@ -181,6 +186,12 @@
     def _fragmentation(self) -> float:
         return present_fragmentation(self.session) if self.session is not None else math.nan
 
+    def _lost_disks_borne(self) -> float:
+        core = self.replica.core_or_none
+        if core is None or core.leadership is None:
+            return math.nan
+        return present_redundancy(core.leadership).lost_disks_borne
+
     async def _wait_for_end(self, stop: asyncio.Event) -> None:
         stopping = asyncio.create_task(stop.wait())
         failing = asyncio.create_task(self.replica.wait_stopped())
@@ -236,16 +247,19 @@
         """Asks to be admitted while no leader calls this instance."""
         listen = self.settings.listen
         own = MemberAddress(self.settings.name, listen.host, listen.port, self.settings.data_centre)
+        no_leader = RepeatedEvent("no leader to join")
         while self.settings.group_size:
             await asyncio.sleep(JOIN_INTERVAL_S)
             if not self.replica.needs_to_join(JOIN_SILENCE_S):
+                no_leader.ended()
                 continue
             self._learn_members()
             try:
                 await self.control_client.call(JoinGroup(member=own), JOIN_TIMEOUT_S)
+                no_leader.ended()
                 log.info("asked to join the control group", leader=self.control_client.leader_name)
             except ControlUnavailableError as error:
-                log.info("no leader to join", reason=str(error))
+                no_leader.failed(type(error).__name__, reason=str(error))
 
     def _learn_members(self) -> None:
         """Notes the members of the group as this disk knows them: all seeds may be gone."""
