--- a/src/cicadatray/internal/settings/control_settings.py
+++ b/src/cicadatray/internal/settings/control_settings.py
@@ -17,7 +17,9 @@
     bootstrap: bool = False
     """Forms a new group when the data folder is empty; true only for the first start ever."""
     group_size: NonNegativeInteger = 0
-    """Voters that the leader keeps by itself, replacing lost ones; 0 leaves that to an operator."""
+    """Voters that the leader keeps by itself, replacing lost ones; 0 leaves that to an operator.
+
+    2 f + 1 voters bear the loss of f disks at once; more instances than that keep copies."""
     election_timeout_s: PositiveNumber = 1.0
     """Seconds without a leader after which an instance may stand for election at the earliest."""
     longest_task_lease_s: PositiveNumber = 6.0
