--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -18,16 +18,18 @@
 from cicadatray.internal.control.fragmentation import present_fragmentation
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.queue_gauges import register_queue_gauges
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
+from cicadatray.internal.control.group_admission import GroupAdmission
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
-from cicadatray.internal.observability.standard_metrics import fragmentation_ratio
+from cicadatray.internal.observability.standard_metrics import fragmentation_ratio, lost_disks_borne
 from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.control_settings import ControlSettings
-from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
 from cicadatray.internal.wire.messages.configuration_messages import (
     AccountRecord,
@@ -35,11 +37,11 @@
     ChangeConfiguration,
 )
 from cicadatray.internal.wire.messages.directory_messages import NotLeader
-from cicadatray.internal.wire.messages.graph_messages import JoinGroup, MemberAddress
 from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.internal.wire.rpc_server import RpcServer
 from cicadatray.replication.errors import NotLeaderError, ReplicationError
 from cicadatray.replication.member import Member
+from cicadatray.replication.redundancy_watch import present_redundancy
 from cicadatray.replication.replica import Replica
 from cicadatray.replication.replica_settings import ReplicaSettings
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
@@ -48,10 +50,6 @@
 LEADERSHIP_POLL_S = 0.1
 # Leaves room for one lost message before a member would stand for election.
 CALL_TIMEOUT_SHARE = 0.4
-# An instance that no leader has called for this long asks to join: longer than an election.
-JOIN_SILENCE_S = 1.5
-JOIN_INTERVAL_S = 0.4
-JOIN_TIMEOUT_S = 1.5
 FIRST_OPERATOR = "operator"
 UNKNOWN_CALL_CODE = "unknown_call"
 IN_DOUBT_RETRY_AFTER_S = 1.0
@@ -106,6 +104,8 @@
         self.dump.register("control", self.describe)
         self.metrics = MetricsRegistry()
         fragmentation_ratio(self.metrics).read_from(self._fragmentation)
+        register_queue_gauges(self.metrics, lambda: self.graphs)
+        lost_disks_borne(self.metrics).read_from(self._lost_disks_borne)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
         self.graphs: GraphSession | None = None
@@ -121,7 +121,8 @@
         await self.server.start()
         log.info("control listens", port=self.server.port)
         leading = asyncio.create_task(self._lead_again_and_again())
-        joining = asyncio.create_task(self._join_while_outside())
+        admission = GroupAdmission(self.settings, self.replica, self.control_client)
+        joining = asyncio.create_task(admission.run())
         await self._wait_for_end(stop)
         await self.replica.stop()
         leading.cancel()
@@ -181,6 +182,12 @@
     def _fragmentation(self) -> float:
         return present_fragmentation(self.session) if self.session is not None else math.nan
 
+    def _lost_disks_borne(self) -> float:
+        core = self.replica.core_or_none
+        if core is None or core.leadership is None:
+            return math.nan
+        return present_redundancy(core.leadership).lost_disks_borne
+
     async def _wait_for_end(self, stop: asyncio.Event) -> None:
         stopping = asyncio.create_task(stop.wait())
         failing = asyncio.create_task(self.replica.wait_stopped())
@@ -232,27 +239,6 @@
         except* LeadershipLostError as errors:
             raise leadership_lost(errors) from None
 
-    async def _join_while_outside(self) -> None:
-        """Asks to be admitted while no leader calls this instance."""
-        listen = self.settings.listen
-        own = MemberAddress(self.settings.name, listen.host, listen.port, self.settings.data_centre)
-        while self.settings.group_size:
-            await asyncio.sleep(JOIN_INTERVAL_S)
-            if not self.replica.needs_to_join(JOIN_SILENCE_S):
-                continue
-            self._learn_members()
-            try:
-                await self.control_client.call(JoinGroup(member=own), JOIN_TIMEOUT_S)
-                log.info("asked to join the control group", leader=self.control_client.leader_name)
-            except ControlUnavailableError as error:
-                log.info("no leader to join", reason=str(error))
-
-    def _learn_members(self) -> None:
-        """Notes the members of the group as this disk knows them: all seeds may be gone."""
-        for member in self.replica.members():
-            if member.member_id != self.settings.name:
-                self.control_client.learn(member.member_id, member.host, member.port)
-
     def _not_leader(self, leader_name: str | None) -> NotLeader:
         member = self.replica.find_member(leader_name) if leader_name else None
         if member is None:
