Send learners committed entries only

A learner that is promoted by a leader which is deposed at that moment can hold an entry of the next leader that no voter has. When the disk of that leader is lost, the remaining voters need the learner's vote and it refuses each of them: the group never elects again although no more is lost than it promises to bear.

A learner now gets an entry once it is committed, and is woken by each commit. Whether it has caught up is judged against what was committed when it was last called, so that promotion is not delayed while commands keep coming.

--- a/src/cicadatray/replication/entry_log.py
+++ b/src/cicadatray/replication/entry_log.py
@@ -52,11 +52,15 @@
         """Returns an entry behind `base_index`."""
         return self.entries[index - self.base_index - 1]
 
-    def batch(self, first_index: int, limit_bytes: int) -> list[LogEntry]:
-        """Returns entries from `first_index` on, at least one, up to a number of bytes."""
+    def batch(self, first_index: int, last_index: int, limit_bytes: int) -> list[LogEntry]:
+        """Returns entries from `first_index` to `last_index`, as many as a number of bytes allows.
+
+        The first one is returned whatever its size.
+        """
         batch: list[LogEntry] = []
         size = 0
-        for position in range(first_index - self.base_index - 1, len(self.entries)):
+        end = min(last_index - self.base_index, len(self.entries))
+        for position in range(first_index - self.base_index - 1, end):
             entry = self.entries[position]
             size += len(entry.data)
             if batch and size > limit_bytes:
--- a/src/cicadatray/replication/group_keeper.py
+++ b/src/cicadatray/replication/group_keeper.py
@@ -113,7 +113,7 @@
             peer
             for peer in leadership.peers.values()
             if not peer.record.voter
-            and peer.match_index >= self.core.applier.commit_index
+            and peer.has_caught_up()
             and self._silence_s(leadership, peer) < PRESENT_S
         ]
         return min(learners, key=lambda peer: crowd[peer.record.member.data_centre], default=None)
--- a/src/cicadatray/replication/leadership.py
+++ b/src/cicadatray/replication/leadership.py
@@ -148,6 +148,12 @@
         for peer in self.peers.values():
             peer.wake.set()
 
+    def _wake_learners(self) -> None:
+        """Lets learners have what has just been committed."""
+        for peer in self.peers.values():
+            if not peer.record.voter:
+                peer.wake.set()
+
     def _voting_peers(self) -> list[PeerReplicator]:
         return [peer for peer in self.peers.values() if peer.record.voter]
 
@@ -170,6 +176,7 @@
             return
         first_index = applier.commit_index + 1
         applier.advance(index)
+        self._wake_learners()
         slowest_s = 0.0
         for committed in range(first_index, index + 1):
             proposal = self.appended.pop(committed, None)
--- a/src/cicadatray/replication/peer_replicator.py
+++ b/src/cicadatray/replication/peer_replicator.py
@@ -27,7 +27,8 @@
     """One task with one message in flight, which is also the heartbeat.
 
     `acked_sent_s` is when the latest answered message was sent, not when the answer came: only
-    from that moment on is the peer known to have followed this leader.
+    from that moment on is the peer known to have followed this leader. `offered_index` is what was
+    committed then.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "leadership",
         "match_index",
         "next_index",
+        "offered_index",
         "offset",
         "record",
         "refusal",
@@ -50,6 +52,7 @@
         self.record = record
         self.acked_sent_s = -math.inf
         self.match_index = 0
+        self.offered_index = 0
         self.next_index = leadership.first_index
         self.refusal = ""
         self.snapshot: Snapshot | None = None
@@ -117,7 +120,8 @@
 
     async def _send_entries(self, sent_s: float) -> bool:
         log = self.core.storage.log
-        batch = log.batch(self.next_index, self.core.settings.append_batch_bytes)
+        last_index = self._last_index_to_send()
+        batch = log.batch(self.next_index, last_index, self.core.settings.append_batch_bytes)
         request = AppendRequest(
             identity=self.core.identity,
             term=self.leadership.term,
@@ -136,10 +140,27 @@
         if reply.is_accepted:
             self.match_index = max(self.match_index, reply.match_index)
             self.next_index = self.match_index + 1
+            self.offered_index = request.commit_index
         else:
             self._go_back(reply.match_index)
         self.leadership.peer_acknowledged()
-        return self.next_index <= log.last_index
+        return self.next_index <= self._last_index_to_send()
+
+    def has_caught_up(self) -> bool:
+        """Returns whether the peer had all that was committed when it was last called.
+
+        Compared with what is committed now it would lag as long as commands keep coming.
+        """
+        return 0 < self.offered_index <= self.match_index
+
+    def _last_index_to_send(self) -> int:
+        """Returns the last entry that the peer may get.
+
+        A learner gets committed entries only. Ahead of all voters that are left it would refuse its
+        vote to each of them, and a group that has promoted it may need that vote.
+        """
+        last_index = self.core.storage.log.last_index
+        return last_index if self.record.voter else min(last_index, self.core.applier.commit_index)
 
     def _go_back(self, hint_index: int) -> None:
         lower_index = min(self.next_index - 1, hint_index + 1)
