Check what a group of 2f + 1 voters bears when f disks are lost at once

Seen: the specification of lost disks had one lost disk, so neither a group that is too small for its promise nor the order of promotion and demotion could show. Change: one_promised_disk_loss, two_promised_disk_losses and growth_to_promised_size. Seeded defects: a group of three for two losses, demotion first while the lost voter's disk is whole, a member without its disk that votes, a learner that is ahead of the voters, commands before a new group is whole.

--- a/src/cicadatray/internal/models/specifications.py
+++ b/src/cicadatray/internal/models/specifications.py
@@ -6,6 +6,7 @@
     "elections_and_commit",
     "leader_lease_reads",
     "disk_loss_and_membership",
+    "promised_disk_losses",
     "gang_start_with_leases",
     "at_most_once",
     "configuration_in_force",
--- a/tests/cover/models/test_seeded_defects.py
+++ b/tests/cover/models/test_seeded_defects.py
@@ -15,6 +15,7 @@
     "disk_loss_and_membership",
     "elections_and_commit",
     "leader_lease_reads",
+    "two_promised_disk_losses",
 }
 DEFECTS = [(name, str(d)) for name, spec in SPECIFICATIONS.items() for d in spec.defects]
 
--- a/tests/nocover/models/test_slow_specifications.py
+++ b/tests/nocover/models/test_slow_specifications.py
@@ -15,6 +15,7 @@
     "disk_loss_and_membership",
     "elections_and_commit",
     "leader_lease_reads",
+    "two_promised_disk_losses",
 ]
 
 
