Promote learners that are a moment behind the newest commit

Callers would see acknowledged work lost with f disks while the group still has the size of its seeds, or a lost voter that is never replaced.

Cause: a learner counted as caught up only if it had the newest committed entry at the moment of the look. While commands never pause, a learner farther away than a majority of the voters never has it.

Change: it must have what was committed one interval (0.25 s) earlier; `promote` waits for the rest, as before.

--- a/src/cicadatray/replication/group_keeper.py
+++ b/src/cicadatray/replication/group_keeper.py
@@ -34,10 +34,11 @@
     before the successor has a vote.
     """
 
-    __slots__ = ("core", "group_size", "requests")
+    __slots__ = ("core", "earlier_commit_index", "group_size", "requests")
 
     def __init__(self, core: ReplicaCore, group_size: int) -> None:
         self.core = core
+        self.earlier_commit_index = 0
         self.group_size = group_size
         self.requests: dict[str, Member] = {}
 
@@ -48,6 +49,7 @@
     async def run(self) -> None:
         """Makes at most one change at a time, until the replica ends."""
         while True:
+            self.earlier_commit_index = self.core.applier.commit_index
             await asyncio.sleep(KEEP_INTERVAL_S)
             leadership = self.core.leadership
             if leadership is None or not leadership.is_ready():
@@ -105,7 +107,11 @@
     def _best_learner(
         self, leadership: Leadership, lost_voter: PeerReplicator | None
     ) -> PeerReplicator | None:
-        """Returns a learner that has caught up, of the data centre with the fewest voters."""
+        """Returns a learner that has caught up, of the data centre with the fewest voters.
+
+        While commands never pause, a distant learner always lacks the newest ones; the promotion
+        waits for those.
+        """
         crowd = self._voters_by_data_centre()
         if lost_voter is not None:
             crowd[lost_voter.record.member.data_centre] -= 1
@@ -113,7 +119,7 @@
             peer
             for peer in leadership.peers.values()
             if not peer.record.voter
-            and peer.match_index >= self.core.applier.commit_index
+            and peer.match_index >= self.earlier_commit_index
             and self._silence_s(leadership, peer) < PRESENT_S
         ]
         return min(learners, key=lambda peer: crowd[peer.record.member.data_centre], default=None)
