Replace lost voters before requests to join are carried out

Callers would see a group that stays one voter short for as long as one instance that can reach the leader, but cannot be called by it, asks to join.

Cause: a request came before every other change, and one that cannot be carried out takes the call's timeout of 0.8 s, while the instance asks again every 0.4 s.

Change: promotions and demotions come first; requests and the removal of learners follow.

--- a/src/cicadatray/replication/group_keeper.py
+++ b/src/cicadatray/replication/group_keeper.py
@@ -61,37 +61,43 @@
 
     async def _change_once(self, leadership: Leadership) -> None:
         changes = MembershipChanges(self.core)
+        if await self._keep_size(leadership, changes):
+            return
+        # After the voters: a member that asks but cannot be called costs a timeout each time.
         if self.requests:
             _, member = self.requests.popitem()
             await changes.add_learner(member)
             return
-        voters = len(self.core.membership.voters())
-        if voters > self.group_size:
-            await self._demote_one(leadership, changes)
-            return
         lost_learner = self._longest_silent(leadership, voter=False, silence_s=LOST_LEARNER_S)
         if lost_learner is not None:
             log.info("learner removed", member=lost_learner.record.member.member_id)
             await changes.remove(lost_learner.record.member.member_id)
-            return
+
+    async def _keep_size(self, leadership: Leadership, changes: MembershipChanges) -> bool:
+        """Promotes or demotes one member where needed; returns whether there was anything to do."""
+        voters = len(self.core.membership.voters())
+        if voters > self.group_size:
+            return await self._demote_one(leadership, changes)
         lost_voter = self._longest_silent(leadership, voter=True, silence_s=LOST_VOTER_S)
         successor = self._best_learner(leadership, lost_voter)
-        if successor is not None and (voters < self.group_size or lost_voter is not None):
-            log.info(
-                "learner promoted",
-                member=successor.record.member.member_id,
-                data_centre=successor.record.member.data_centre,
-                voters=voters,
-                lost=lost_voter.record.member.member_id if lost_voter is not None else "",
-            )
-            await changes.promote(successor.record.member.member_id)
-
-    async def _demote_one(self, leadership: Leadership, changes: MembershipChanges) -> None:
+        if successor is None or (voters >= self.group_size and lost_voter is None):
+            return False
+        log.info(
+            "learner promoted",
+            member=successor.record.member.member_id,
+            data_centre=successor.record.member.data_centre,
+            voters=voters,
+            lost=lost_voter.record.member.member_id if lost_voter is not None else "",
+        )
+        await changes.promote(successor.record.member.member_id)
+        return True
+
+    async def _demote_one(self, leadership: Leadership, changes: MembershipChanges) -> bool:
         """Takes the vote of the voter whose loss costs least: a silent one, or a crowded one."""
         crowd = self._voters_by_data_centre()
         peers = [peer for peer in leadership.peers.values() if peer.record.voter]
         if not peers:
-            return
+            return False
         surplus = max(
             peers,
             key=lambda peer: (
@@ -103,6 +109,7 @@
         member = surplus.record.member
         log.info("voter demoted", member=member.member_id, silence_s=surplus.silence_s())
         await changes.demote(member.member_id)
+        return True
 
     def _best_learner(
         self, leadership: Leadership, lost_voter: PeerReplicator | None
