Promote only a learner that answers a message sent after the decision

Callers would see every call refused although a majority of the former voters is up.

Cause: since promotion comes before demotion, f silent voters and the successor make 2f + 2 voters with a quorum of f + 2. All f + 1 voters that are up and the successor are needed. A learner counted as present for 1.0 s after its last answer, longer than a leader keeps leading without a majority (0.45 s). The order before kept f + 1 of 2f or 2f + 1.

Change: a new message must be answered before the learner is promoted. A successor that stops within that round trip still leaves the group without a majority until it or the silent voter returns.

--- a/src/cicadatray/replication/group_keeper.py
+++ b/src/cicadatray/replication/group_keeper.py
@@ -22,6 +22,7 @@
 LOST_LEARNER_S = 20.0
 # A learner that has answered this recently may become a voter.
 PRESENT_S = 1.0
+ANSWER_POLL_S = 0.02
 
 log = structlog.get_logger(__name__)
 
@@ -82,6 +83,8 @@
         successor = self._best_learner(leadership, lost_voter)
         if successor is None or (voters >= self.group_size and lost_voter is None):
             return False
+        if not await self._answers_now(successor):
+            return False
         log.info(
             "learner promoted",
             member=successor.record.member.member_id,
@@ -92,6 +95,18 @@
         await changes.promote(successor.record.member.member_id)
         return True
 
+    async def _answers_now(self, peer: PeerReplicator) -> bool:
+        """Returns whether a message sent from now on is answered.
+
+        Next to a silent voter, a successor that has stopped too leaves no majority.
+        """
+        asked_s = self.core.now_s()
+        deadline_s = asked_s + self.core.settings.store_timeout_s
+        peer.wake.set()
+        while peer.acked_sent_s < asked_s and self.core.now_s() < deadline_s:
+            await asyncio.sleep(ANSWER_POLL_S)
+        return peer.acked_sent_s >= asked_s
+
     async def _demote_one(self, leadership: Leadership, changes: MembershipChanges) -> bool:
         """Takes the vote of the voter whose loss costs least: a silent one, or a crowded one."""
         crowd = self._voters_by_data_centre()
