Demote no voter that works while another may be lost

Callers would see work lost with f disks after a change of leader: the group kept a voter whose disk was gone and had demoted one that worked.

Cause: a new leader measures silence from its own start, so for 2 s no voter counts as lost. With one voter too many it demoted one at once, chosen by data centre, then by silence differences of milliseconds.

Change: unless the choice is a lost voter, it waits until every voter has answered within 1.0 s, or one is lost.

--- a/src/cicadatray/replication/group_keeper.py
+++ b/src/cicadatray/replication/group_keeper.py
@@ -108,7 +108,10 @@
         return peer.acked_sent_s >= asked_s
 
     async def _demote_one(self, leadership: Leadership, changes: MembershipChanges) -> bool:
-        """Takes the vote of the voter whose loss costs least: a silent one, or a crowded one."""
+        """Takes the vote of the voter whose loss costs least: a silent one, or a crowded one.
+
+        Waits while a voter may be silent but cannot be told yet from one that is late.
+        """
         crowd = self._voters_by_data_centre()
         peers = [peer for peer in leadership.peers.values() if peer.record.voter]
         if not peers:
@@ -121,6 +124,9 @@
                 self._silence_s(leadership, peer),
             ),
         )
+        is_lost = self._silence_s(leadership, surplus) >= LOST_VOTER_S
+        if not is_lost and any(self.core.now_s() - p.acked_sent_s >= PRESENT_S for p in peers):
+            return False
         member = surplus.record.member
         log.info("voter demoted", member=member.member_id, silence_s=surplus.silence_s())
         await changes.demote(member.member_id)
