Move a vote to a data centre that has two voters fewer than another

Cause: data centres were compared only when a voter was missing. After a lost data centre was back, its members stayed learners, and two of three voters stayed in another one.

Change: a learner that has caught up is promoted when its data centre has at least two voters fewer than the most crowded one; the surplus voter of that one is demoted after it. Smaller differences change nothing, so the votes come to rest.

test_voters_are_spread_again_when_a_lost_data_centre_is_back failed before and passes now.

--- a/src/cicadatray/replication/group_keeper.py
+++ b/src/cicadatray/replication/group_keeper.py
@@ -81,7 +81,10 @@
             return await self._demote_one(leadership, changes)
         lost_voter = self._longest_silent(leadership, voter=True, silence_s=LOST_VOTER_S)
         successor = self._best_learner(leadership, lost_voter)
-        if successor is None or (voters >= self.group_size and lost_voter is None):
+        if successor is None:
+            return False
+        is_needed = voters < self.group_size or lost_voter is not None
+        if not is_needed and not self._is_better_spread_with(successor):
             return False
         if not await self._answers_now(successor):
             return False
@@ -152,6 +155,11 @@
         ]
         return min(learners, key=lambda peer: crowd[peer.record.member.data_centre], default=None)
 
+    def _is_better_spread_with(self, learner: PeerReplicator) -> bool:
+        """Returns whether the learner's data centre has two voters fewer than another one."""
+        crowd = self._voters_by_data_centre()
+        return max(crowd.values()) - crowd[learner.record.member.data_centre] >= 2
+
     def _voters_by_data_centre(self) -> Counter[str]:
         return Counter(record.member.data_centre for record in self.core.membership.voters())
 
