--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -21,11 +21,12 @@
     through then makes all of them durable, together with whatever else it acknowledges.
     """
 
-    __slots__ = ("ended", "session")
+    __slots__ = ("ended", "ended_graphs", "session")
 
     def __init__(self, session: GraphSession) -> None:
         self.session = session
         self.ended = runs_ended(session.leader.metrics)
+        self.ended_graphs: set[str] = set()
 
     async def run(self) -> None:
         """Runs until leadership is lost.
@@ -75,3 +76,21 @@
                 outcome=placed.end.outcome.value,
                 number=placed.end.number,
             )
+        self._log_ended_graphs({placed.end.run.task.graph_id for placed in ends})
+
+    def _log_ended_graphs(self, graph_ids: set[str]) -> None:
+        """Logs each graph once that these ends have completed."""
+        graphs = self.session.graphs
+        self.ended_graphs &= graphs.keys()
+        for graph_id in graph_ids - self.ended_graphs:
+            progress = graphs.get(graph_id)
+            if progress is None or not progress.ended_s or progress.is_cancelled:
+                continue
+            self.ended_graphs.add(graph_id)
+            log.info(
+                "graph ended",
+                graph=graph_id,
+                failure=progress.failure,
+                elapsed_s=round(progress.ended_s - progress.accepted_s, 1),
+                runs=sum(task.run for task in progress.tasks.values()),
+            )
