--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -108,7 +108,9 @@
         priority=graph.policy.priority,
         tasks=[step.count for step in call.steps],
         accelerators=[step.needs.accelerators for step in call.steps],
-        objective_s=round(graph.policy.stretch * graph.chain_s() + graph.policy.target_latency_s, 1),
+        objective_s=round(
+            graph.policy.stretch * graph.chain_s() + graph.policy.target_latency_s, 1
+        ),
         occurrences=graph.occurrences,
     )
     graphs_accepted(daemon.metrics).increment(queue=found.queue.policy.queue)
