Take the data centre of a member from its own answer

A member that an operator added without a data centre, or added again, lost the one that was known, and was counted as if it stood alone in another place. The leader asks each new member for the identity of its folder anyway; the answer tells the data centre too, so no other call needs to carry it.

`redundancy changed` shows the wanted number of voters beside the present ones.

--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -200,9 +200,7 @@
 async def join_group(daemon: "ControlDaemon", call: JoinGroup) -> MessageStruct:
     """Notes the wish of a control instance; the leader admits it soon after."""
     address = call.member
-    daemon.replica.request_join(
-        Member(address.name, address.host, address.port, address.data_centre)
-    )
+    daemon.replica.request_join(Member(address.name, address.host, address.port))
     return Acknowledged()
 
 
--- a/src/cicadatray/internal/control/group_admission.py
+++ b/src/cicadatray/internal/control/group_admission.py
@@ -34,7 +34,7 @@
         """Asks again and again until cancelled."""
         settings = self.settings
         listen = settings.listen
-        own = MemberAddress(settings.name, listen.host, listen.port, settings.data_centre)
+        own = MemberAddress(settings.name, listen.host, listen.port)
         no_leader = RepeatedEvent("no leader to join")
         while settings.group_size:
             await asyncio.sleep(JOIN_INTERVAL_S)
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -148,15 +148,11 @@
 
 
 class MemberAddress(msgspec.Struct, frozen=True, array_like=True):
-    """A member of the control group, or a process that passes on calls.
-
-    `data_centre` is told by a member that asks to join; it is empty elsewhere.
-    """
+    """A member of the control group."""
 
     name: str
     host: str
     port: int
-    data_centre: str = ""
 
 
 class ReadMembers(MessageStruct, frozen=True):
--- a/src/cicadatray/replication/membership_changes.py
+++ b/src/cicadatray/replication/membership_changes.py
@@ -28,7 +28,7 @@
         self.core = core
 
     async def add_learner(self, member: Member) -> None:
-        """Adds a member with the identity of its present data folder.
+        """Adds a member with the identity of its present data folder and its data centre.
 
         A record of the same member with another identity, whose disk was lost, is removed by the
         same change. A known identity with another address keeps its role.
@@ -38,7 +38,9 @@
             MembershipChangeError: not possible now, or not known to be committed.
         """
         self._require_leadership()
-        identity = await self._ask_identity(member)
+        reply = await self._ask_folder(member)
+        identity = reply.identity
+        member = Member(member.member_id, member.host, member.port, reply.data_centre)
         known = self.core.membership.find(member.member_id)
         is_voter = known is not None and known.identity == identity and known.voter
         record = MemberRecord(member, identity, is_voter)
@@ -106,7 +108,7 @@
             raise MembershipChangeError(f"{member_id} is not a member")
         return record
 
-    async def _ask_identity(self, member: Member) -> str:
+    async def _ask_folder(self, member: Member) -> FormationReply:
         request = FormationRequest(identity=self.core.identity, term=self.core.term)
         try:
             reply = await self.core.call_address(member, request)
@@ -116,7 +118,7 @@
             raise MembershipChangeError(f"{member.member_id} did not tell its identity")
         if reply.group_id not in ("", self.core.storage.state.group_id):
             raise MembershipChangeError(f"{member.member_id} belongs to group {reply.group_id}")
-        return reply.identity
+        return reply
 
     async def _wait_for_catch_up(self, leadership: Leadership, record: MemberRecord) -> None:
         target_index = self.core.applier.commit_index
--- a/src/cicadatray/replication/message.py
+++ b/src/cicadatray/replication/message.py
@@ -103,7 +103,7 @@
 class FormationReply(ReplicaMessageStruct, frozen=True, kw_only=True):
     """`is_willing` tells that the member may still take part in the formation of a group.
 
-    `data_centre` is where the member runs; the initial members know only each other's addresses.
+    `data_centre` is where the member runs; others know only its address.
     """
 
     group_id: str
--- a/src/cicadatray/replication/redundancy_watch.py
+++ b/src/cicadatray/replication/redundancy_watch.py
@@ -44,6 +44,7 @@
                 member=leadership.core.settings.member_id,
                 term=leadership.term,
                 lost_disks_borne=present.lost_disks_borne,
+                wanted_voters=leadership.core.settings.group_size,
                 voters=list(present.voters),
                 quorum=present.quorum,
                 missing=list(present.missing),
--- a/tests/cover/replication/test_group_keeper.py
+++ b/tests/cover/replication/test_group_keeper.py
@@ -140,7 +140,7 @@
             await group.start(name, disk, bootstrap=name in NAMES, data_centre=place)
         leader = await group.leader()
         for name in set(data_centres) - {*NAMES}:
-            leader.request_join(Member(name, "127.0.0.1", 1, data_centres[name]))
+            leader.request_join(Member(name, "127.0.0.1", 1))
         async with asyncio.timeout(LIMIT_S):
             while len(leader.core.membership.voters()) < group_size:
                 await asyncio.sleep(0.1)
@@ -188,3 +188,21 @@
         group.stop()
 
     run_virtual(main())
+
+
+def test_member_added_by_an_operator_keeps_its_data_centre() -> None:
+    """A member whose data centre is forgotten is counted as if it stood in one of its own."""
+
+    async def main() -> None:
+        group = LocalGroup(NAMES, 3)
+        for name, place in {"a": "x", "b": "y", "c": "z", "d": "x"}.items():
+            disk = FakeDisk(random.Random(name))
+            await group.start(name, disk, bootstrap=name in NAMES, data_centre=place)
+        leader = await group.leader()
+        for name in ("d", "b" if leader.settings.member_id == "a" else "a"):
+            await leader.add_learner(Member(name, "127.0.0.1", 2))
+        places = {member.member_id: member.data_centre for member in leader.members()}
+        assert places == {"a": "x", "b": "y", "c": "z", "d": "x"}
+        group.stop()
+
+    run_virtual(main())
