--- a/src/cicadatray/platform/worker_http_port.py
+++ b/src/cicadatray/platform/worker_http_port.py
@@ -31,12 +31,15 @@
 
 
 class WorkerHttpPort:
-    """One incarnation of a worker at one address."""
+    """One incarnation of a worker at one address; orders are answered in `order_timeout_s`."""
 
-    __slots__ = ("base_url", "client", "clock", "worker_id")
+    __slots__ = ("base_url", "client", "clock", "order_timeout_s", "worker_id")
 
-    def __init__(self, worker_id: str, host: str, port: int) -> None:
-        self.client = _new_client()
+    def __init__(
+        self, worker_id: str, host: str, port: int, order_timeout_s: float = ORDER_TIMEOUT_S
+    ) -> None:
+        self.order_timeout_s = order_timeout_s
+        self.client = _new_client(order_timeout_s)
         self.worker_id = worker_id
         self.base_url = f"http://{host}:{port}/cicadatray"
         self.clock = WorkerClock()
@@ -54,7 +57,7 @@
         }
         if order.checkpoint:
             body["Checkpoint"] = order.checkpoint
-        status, content = await self._send("run-start", body, ORDER_TIMEOUT_S)
+        status, content = await self._send("run-start", body, self.order_timeout_s)
         if status == 200:
             return StartAnswer.ACCEPTED
         if status in UNHEALTHY_STATUSES:
@@ -67,7 +70,7 @@
 
     async def stop(self, run: TaskRun, token: int) -> None:
         body = {"Task": str(run.task), "Run": run.run, "FencingToken": token}
-        status, content = await self._send("run-stop", body, ORDER_TIMEOUT_S)
+        status, content = await self._send("run-stop", body, self.order_timeout_s)
         if status != 200:
             raise WorkerUnansweredError(
                 f"stop was answered with status {status}, {_reason(content)}"
@@ -81,7 +84,7 @@
             body["UntilMs"] = int(lease_until_s * MS_PER_S)
         if wait_s:
             body["WaitMs"] = int(wait_s * MS_PER_S)
-        status, content = await self._send("hold", body, ORDER_TIMEOUT_S + wait_s)
+        status, content = await self._send("hold", body, self.order_timeout_s + wait_s)
         if status != 200:
             raise WorkerUnansweredError(f"hold was answered with status {status}")
         try:
@@ -117,7 +120,7 @@
     def _discard(self, client: HTTPClient) -> None:
         """Opens new connections from here on; a failed request makes the kept ones unusable."""
         if self.client is client:
-            self.client = _new_client()
+            self.client = _new_client(self.order_timeout_s)
 
     def _take_clock(self, content: bytes) -> None:
         try:
@@ -129,9 +132,10 @@
             self.clock.observe(clock_s, _now_s())
 
 
-def _new_client() -> HTTPClient:
+def _new_client(order_timeout_s: float) -> HTTPClient:
+    longest_s = max(LONGEST_CALL_S, order_timeout_s)
     timeouts = Timeouts(
-        sock_connect=ORDER_TIMEOUT_S, sock_read=LONGEST_CALL_S, request_timeout=LONGEST_CALL_S
+        sock_connect=order_timeout_s, sock_read=longest_s, request_timeout=longest_s
     )
     return build_keep_alive_client(timeouts, WORKER_CONNECTIONS)
 
