--- a/src/cicadatray/replication/membership_changes.py
+++ b/src/cicadatray/replication/membership_changes.py
@@ -75,10 +75,7 @@
             NotLeaderError: nothing was changed.
             MembershipChangeError: unknown member, the leader itself, or not known to be committed.
         """
-        self._require_leadership()
-        record = self._require_record(member_id)
-        if record.identity == self.core.identity:
-            raise MembershipChangeError("the leader cannot demote itself; hand over first")
+        record = self._require_other(member_id)
         await self._commit(
             self.core.membership.replaced(MemberRecord(record.member, record.identity, False))
         )
@@ -90,10 +87,7 @@
             NotLeaderError: nothing was changed.
             MembershipChangeError: unknown member, the leader itself, or not known to be committed.
         """
-        self._require_leadership()
-        record = self._require_record(member_id)
-        if record.identity == self.core.identity:
-            raise MembershipChangeError("the leader cannot remove itself; hand over first")
+        self._require_other(member_id)
         await self._commit(self.core.membership.without(member_id))
 
     def _require_leadership(self) -> Leadership:
@@ -102,6 +96,13 @@
             raise NotLeaderError(self.core.leader_id)
         return leadership
 
+    def _require_other(self, member_id: str) -> MemberRecord:
+        self._require_leadership()
+        record = self._require_record(member_id)
+        if record.identity == self.core.identity:
+            raise MembershipChangeError("the leader cannot lose its own vote; hand over first")
+        return record
+
     def _require_record(self, member_id: str) -> MemberRecord:
         record = self.core.membership.find(member_id)
         if record is None:
