Release an expired quarantine at once if a waiting gang needs the worker

Callers saw a job of the whole fleet wait for up to 5 minutes after a quarantine had ended: a worker in quarantine returns after a trial by a small job, and while only that job waited there was none. Cause: FaultHandler released an untried worker only after TRIAL_WAIT_S (300 s), whoever waited. Change: the wait for a trial ends when a waiting job fits in no unit in service and does fit once the workers return whose quarantine has expired.

--- a/src/cicadatray/scheduling/policies/fault_handler.py
+++ b/src/cicadatray/scheduling/policies/fault_handler.py
@@ -10,8 +10,8 @@
 from cicadatray.scheduling.unit import Unit
 from cicadatray.scheduling.waiting_queue import WaitingQueue
 
-# Time that an expired quarantine waits for a small job as a trial. A longer wait would withhold a
-# repaired worker from gangs while there are no small jobs.
+# Time that an expired quarantine waits for a small job as a trial, unless a waiting job needs the
+# worker. A longer wait would withhold a repaired worker from gangs while there are no small jobs.
 TRIAL_WAIT_S = 300.0
 
 
@@ -63,13 +63,16 @@
         if not due:
             return []
         chosen: list[tuple[Job, Placement]] = []
-        jobs = [job for job in queue.oldest_jobs() if self._is_trial_candidate(job)]
+        waiting = queue.oldest_jobs()
+        jobs = [job for job in waiting if self._is_trial_candidate(job)]
         jobs.sort(key=lambda job: (job.request.shape.accelerators, job.sequence))
         for worker in due:
             idle = worker.installed - worker.allocated
             job = next((j for j in jobs if j.request.shape.accelerators <= idle), None)
             if job is None:
-                self._release_untried(worker, now_s)
+                expired_s = now_s - self.tracker.quarantined_until_s[worker.key]
+                if expired_s >= TRIAL_WAIT_S or self._is_needed(worker, due, waiting):
+                    self._release_untried(worker)
                 continue
             jobs.remove(job)
             self.tracker.trial_jobs[worker.key] = job.request.job_id
@@ -77,12 +80,32 @@
             chosen.append((job, Placement((share,))))
         return chosen
 
-    def _release_untried(self, worker: Unit, now_s: float) -> None:
+    def _is_needed(self, worker: Unit, due: list[Unit], waiting: list[Job]) -> bool:
+        """Returns whether a waiting job fits only if workers whose quarantine expired return.
+
+        Waiting for a trial could not help such a job: no worker in service can replace these.
+        """
+        for job in waiting:
+            shape = job.request.shape
+            unit = worker.enclosing(shape.scope)
+            missing = shape.accelerators - unit.capacity
+            returning = sum(
+                other.installed
+                for other in due
+                if other.quarantined and other.enclosing(shape.scope) is unit
+            )
+            if 0 < missing <= returning and not any(
+                other.capacity >= shape.accelerators
+                for other in self.state.fleet.units(shape.scope)
+            ):
+                return True
+        return False
+
+    def _release_untried(self, worker: Unit) -> None:
         """Ends an expired quarantine without a trial; a single further failure renews it."""
-        if now_s - self.tracker.quarantined_until_s[worker.key] >= TRIAL_WAIT_S:
-            del self.tracker.quarantined_until_s[worker.key]
-            self.state.fleet.set_quarantined(worker, False)
-            self.plan.capacity_changed(worker)
+        del self.tracker.quarantined_until_s[worker.key]
+        self.state.fleet.set_quarantined(worker, False)
+        self.plan.capacity_changed(worker)
 
     def _is_trial_candidate(self, job: Job) -> bool:
         request = job.request
