Find a task graph only in its own queue

A cancel without a credential, sent through the path of a public queue, ended another account's graph of a private queue; reads showed its state, and a submission with its identifier was answered as accepted though it never ran. Cause: _find_graph looked a graph up by its identifier alone and checked the account only of callers that have one. Change: a graph is found in its own queue only, by its account, and in a public queue also by callers without an account, because such a queue identifies nobody. If its queue is gone from the configuration, as after a new name, its account finds it through any queue. A submission that reuses the identifier of a graph elsewhere is refused with graph_id_taken (409): it was not accepted. A refused call changes nothing (asserted).

--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -6,6 +6,7 @@
 import structlog
 
 from cicadatray.internal.control.graphs import graph_codes
+from cicadatray.internal.control.graphs.graph_store import GraphStore
 from cicadatray.internal.control.graphs.graph_view import view_graph
 from cicadatray.internal.control.graphs.task_leases import SYNC_WAIT_S
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
@@ -74,17 +75,22 @@
     return _ResolvedTarget(queue, account, target.path[len(queue.path_prefix) :])
 
 
-def _find_graph(
-    resolved: _ResolvedTarget, graphs: dict[str, GraphProgress]
-) -> GraphProgress | Failure | None:
+def _find_graph(resolved: _ResolvedTarget, store: GraphStore) -> GraphProgress | Failure | None:
     """Returns the graph of a call, None if it does not exist, or the failure to reply with.
 
-    The account of the graph is checked only for a caller with a known account.
+    A graph is found in its own queue only, there by its account, and in a public queue also by
+    callers without an account. If the configuration has no queue of that name any more, because it
+    was renamed or removed, the graph is found in any queue by its account.
     """
-    progress = graphs.get(resolved.graph_id)
-    if progress is None or resolved.account is None:
-        return progress
-    if progress.graph.client_account not in ("", resolved.account.name):
+    progress = store.graphs.get(resolved.graph_id)
+    if progress is None:
+        return None
+    graph = progress.graph
+    account = resolved.account.name if resolved.account is not None else ""
+    if graph.policy.queue != resolved.queue.policy.queue:
+        is_queue_gone = not store.queues.has_queue(graph.policy.queue)
+        return progress if is_queue_gone and graph.client_account == account else None
+    if resolved.account is not None and graph.client_account not in ("", account):
         return Failure(
             code=graph_codes.ACCOUNT_MISMATCH, detail="the graph belongs to another account"
         )
@@ -105,9 +111,15 @@
             detail="a graph identifier must have 16 hexadecimal digits",
         )
     account = resolved.account.name if resolved.account else ""
-    existing = _find_graph(resolved, session.state.graphs.graphs)
+    store = session.state.graphs
+    existing = _find_graph(resolved, store)
     if existing is not None:
         return existing if isinstance(existing, Failure) else view_graph(existing)
+    if graph_id in store.graphs:
+        return Failure(
+            code=graph_codes.GRAPH_ID_TAKEN,
+            detail="the identifier belongs to a graph of another queue; this one was not accepted",
+        )
     graph = TaskGraph(
         graph_id, account, resolved.queue.policy, call.spec, call.steps, call.repetition
     )
@@ -139,7 +151,7 @@
     resolved = _resolve(session, call.target)
     if isinstance(resolved, Failure):
         return resolved
-    progress = _find_graph(resolved, session.state.graphs.graphs)
+    progress = _find_graph(resolved, session.state.graphs)
     if progress is None or isinstance(progress, Failure):
         return progress or Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     graph_session = daemon.require_graph_session(session)
@@ -161,16 +173,16 @@
     resolved = _resolve(session, call.target)
     if isinstance(resolved, Failure):
         return resolved
-    graphs = session.state.graphs.graphs
+    store = session.state.graphs
     if not resolved.graph_id:
         name = resolved.queue.policy.queue
         waiting = sum(
             1
-            for progress in graphs.values()
+            for progress in store.graphs.values()
             if progress.graph.policy.queue == name and progress.is_active and not progress.has_begun
         )
         return QueueState(waiting=waiting)
-    requested = _find_graph(resolved, graphs)
+    requested = _find_graph(resolved, store)
     if requested is None or isinstance(requested, Failure):
         return requested or Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     return view_graph(requested)
--- a/src/cicadatray/internal/wire/messages/queue_configuration.py
+++ b/src/cicadatray/internal/wire/messages/queue_configuration.py
@@ -53,6 +53,10 @@
         matching = [q for q in self.queues if q.host == host and path.startswith(q.path_prefix)]
         return max(matching, key=lambda queue: len(queue.path_prefix), default=None)
 
+    def has_queue(self, name: str) -> bool:
+        """Returns whether a queue of this name is configured."""
+        return any(queue.policy.queue == name for queue in self.queues)
+
     def find_account(self, credential_digest: bytes) -> QueueAccount | None:
         """Returns the account to which a credential belongs."""
         for account in self.accounts:
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -46,6 +46,7 @@
     graph_codes.CREDENTIAL_UNKNOWN: 401,
     graph_codes.ACCOUNT_MISMATCH: 403,
     graph_codes.GRAPH_ID_MALFORMED: 400,
+    graph_codes.GRAPH_ID_TAKEN: 409,
     graph_codes.GRAPH_UNKNOWN: 410,
 }
 
--- a/tests/cover/taskgraphs/test_graph_calls.py
+++ b/tests/cover/taskgraphs/test_graph_calls.py
@@ -36,12 +36,14 @@
 STEPS = (Step(1, ONE, 1.0),)
 
 
-def configuration(version: int = 1) -> SetQueues:
-    policy = QueuePolicy("q", "pool", 1, 3, 2.0, 1.0)
+def configuration(version: int = 1, renamed: bool = False) -> SetQueues:
+    """Returns queues for all tests; with `renamed` the first one has another name and prefix."""
+    name = "renamed" if renamed else "q"
     queues = (
-        Queue("h", "/q/", policy),
+        Queue("h", f"/{name}/", QueuePolicy(name, "pool", 1, 3, 2.0, 1.0)),
         Queue("h", "/q/deep/", QueuePolicy("deep", "pool", 1, 3, 2.0, 1.0)),
         Queue("h", "/open/", QueuePolicy("open", "pool", 1, 3, 2.0, 1.0), is_public=True),
+        Queue("h", "/open2/", QueuePolicy("open2", "pool", 1, 3, 2.0, 1.0), is_public=True),
     )
     accounts = (QueueAccount("owner", (OWNER,)), QueueAccount("other", (OTHER,)))
     return SetQueues(
@@ -130,6 +132,86 @@
     assert isinstance(reply, Failure) and reply.code == graph_codes.ACCOUNT_MISMATCH
 
 
+FOUND, NOT_FOUND, FORBIDDEN = "found", graph_codes.GRAPH_UNKNOWN, graph_codes.ACCOUNT_MISMATCH
+UNKNOWN = graph_codes.CREDENTIAL_UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("queue", "owner", "caller_queue", "caller", "result"),
+    [
+        ("q", OWNER, "q", OWNER, FOUND),
+        ("q", OWNER, "q", OTHER, FORBIDDEN),
+        ("q", OWNER, "q", b"", UNKNOWN),
+        ("q", OWNER, "q/deep", OWNER, NOT_FOUND),
+        ("q", OWNER, "q/deep", OTHER, NOT_FOUND),
+        ("q", OWNER, "q/deep", b"", UNKNOWN),
+        ("q", OWNER, "open", OWNER, NOT_FOUND),
+        ("q", OWNER, "open", OTHER, NOT_FOUND),
+        ("q", OWNER, "open", b"", NOT_FOUND),
+        ("open", OWNER, "open", OWNER, FOUND),
+        ("open", OWNER, "open", OTHER, FORBIDDEN),
+        ("open", OWNER, "open", b"", FOUND),
+        ("open", OWNER, "open2", OWNER, NOT_FOUND),
+        ("open", OWNER, "open2", b"", NOT_FOUND),
+        ("open", OWNER, "q", OWNER, NOT_FOUND),
+        ("open", OWNER, "q", OTHER, NOT_FOUND),
+        ("open", OWNER, "q", b"", UNKNOWN),
+        ("open", b"", "open", OWNER, FOUND),
+        ("open", b"", "open", b"", FOUND),
+        ("open", b"", "open2", b"", NOT_FOUND),
+        ("open", b"", "q", OWNER, NOT_FOUND),
+        ("open", b"", "q", b"", UNKNOWN),
+    ],
+)
+def test_access_to_a_graph_of_another_queue_or_account(
+    queue: str, owner: bytes, caller_queue: str, caller: bytes, result: str
+) -> None:
+    """Guards against reading, cancelling or taking over a graph of another queue or account.
+
+    A refused call must leave the graph as it is, and a refused submission must not look accepted.
+    """
+    path = f"/{caller_queue}/{GRAPH}"
+    first, read, submitted, cancelled, own = ask(
+        submit(f"/{queue}/{GRAPH}", owner),
+        ReadGraph(target=target(path, caller)),
+        submit(path, caller),
+        CancelGraph(target=target(path, caller)),
+        ReadGraph(target=target(f"/{queue}/{GRAPH}", owner)),
+    )
+    assert isinstance(first, GraphState)
+    if result is FOUND:
+        assert read == submitted == first
+        assert cancelled.state == own.state == "cancelled"
+        return
+    assert read.code == cancelled.code == result
+    assert submitted.code == (graph_codes.GRAPH_ID_TAKEN if result is NOT_FOUND else result)
+    assert own == first
+
+
+@pytest.mark.parametrize(
+    ("owner", "caller", "caller_queue", "is_found"),
+    [
+        (OWNER, OWNER, "renamed", True),
+        (OWNER, OTHER, "renamed", False),
+        (OWNER, b"", "open", False),
+        (OWNER, OWNER, "open", True),
+        (b"", b"", "open", False),
+    ],
+)
+def test_graph_of_a_queue_that_was_renamed(
+    owner: bytes, caller: bytes, caller_queue: str, is_found: bool
+) -> None:
+    """Guards against losing an accepted graph because its queue has another name since."""
+    queue = "q" if owner else "open2"
+    replies = ask(
+        submit(f"/{queue}/{GRAPH}", owner),
+        configuration(2, renamed=True),
+        ReadGraph(target=target(f"/{caller_queue}/{GRAPH}", caller)),
+    )
+    found = isinstance(replies[2], GraphState)
+    assert found == is_found
+
+
 def test_longest_prefix_and_public_queue() -> None:
     """The queue with the longest matching prefix is used; a public queue needs no credential."""
     deep, public = ask(ReadGraph(target=target("/q/deep/")), submit(f"/open/{GRAPH}", digest=b""))
