Refuse requests to a replica that has stopped

A member that called a stopped replica waited for its whole timeout: with writes on a thread, closing the folder counts as completed but not as submitted, so flush waited for a write that nobody carries out. Change: handle answers a stopped replica's refusal without a flush, because it promises nothing durable; a flush of a closed folder fails at once. Refusals have a test with a responsive and with a stalled disk.

--- a/src/cicadatray/replication/replica.py
+++ b/src/cicadatray/replication/replica.py
@@ -279,6 +279,9 @@
         """
         if self.handler is None:
             raise ReplicaStoppedError("the replica was not started")
+        if self.core.role is Role.STOPPED:
+            # A refusal promises nothing that has to be durable.
+            return self.handler.handle(message)
         try:
             reply = self.handler.handle(message)
             # A vote, a term or entries must be durable before another member may rely on them.
--- a/src/cicadatray/replication/write_queue.py
+++ b/src/cicadatray/replication/write_queue.py
@@ -124,10 +124,12 @@
         """Returns once all operations submitted so far have run.
 
         Raises:
-            ReplicaStoppedError: a write failed, or the folder was closed during the wait.
+            ReplicaStoppedError: a write failed, or the folder was closed meanwhile or before.
         """
         if self.failure is not None:
             raise ReplicaStoppedError("a write failed") from self.failure
+        if self.is_closed:
+            raise ReplicaStoppedError("the data folder was closed")
         if self.thread is None or self.completed == self.submitted:
             return
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/tests/cover/replication/test_write_queue.py
+++ b/tests/cover/replication/test_write_queue.py
@@ -10,12 +10,14 @@
 from cicadatray.replication import local_data_folder
 from cicadatray.replication.errors import ReplicaStoppedError, StorageError
 from cicadatray.replication.local_data_folder import LocalDataFolder
+from cicadatray.replication.message import FormationRequest, Refusal
 from cicadatray.replication.write_queue import QueuedDataFolder
 from cover.replication.local_group import LocalGroup
 from cover.replication.slow_folder import SlowFolder
 
 NAMES = ("a", "b", "c")
 PROPOSE_TIMEOUT_S = 20.0
+ANSWER_TIMEOUT_S = 20.0
 
 
 def test_names_show_queued_changes(tmp_path: Path) -> None:
@@ -123,3 +125,54 @@
         group.stop()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("is_responding", [True, False])
+def test_flush_after_close_fails(tmp_path: Path, is_responding: bool) -> None:
+    """Guards against a caller that waits for ever for writes that nobody carries out."""
+
+    async def main() -> None:
+        slow = SlowFolder(str(tmp_path))
+        folder = QueuedDataFolder(slow)
+        folder.start_thread(lambda error: None)
+        folder.create("one", b"1")
+        await folder.flush()
+        if not is_responding:
+            slow.is_responding.clear()
+        folder.sync("one")
+        folder.close()
+        with pytest.raises(ReplicaStoppedError):
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await folder.flush()
+        slow.is_responding.set()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("is_responding", [True, False])
+def test_request_after_a_stop_is_refused(tmp_path: Path, is_responding: bool) -> None:
+    """Guards against a stopped member that leaves the requests of others unanswered."""
+
+    async def main() -> None:
+        group = LocalGroup(NAMES, group_size=0)
+        slow = {name: SlowFolder(str(tmp_path / name)) for name in NAMES}
+        folders = {name: QueuedDataFolder(folder) for name, folder in slow.items()}
+        for name in NAMES:
+            await group.start(name, folders[name], bootstrap=True)
+        leader = await group.wait_for_leader()
+        stopped = next(r for r in group.replicas.values() if r is not leader)
+        folder = folders[stopped.settings.member_id]
+        disk = slow[stopped.settings.member_id]
+        if not is_responding:
+            disk.is_responding.clear()
+            folder.sync(folder.names()[0])
+        stopped.abort()
+        if is_responding and folder.thread is not None:
+            await asyncio.to_thread(folder.thread.join)
+        request = FormationRequest(identity=leader.core.identity, term=leader.term)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            assert isinstance(await stopped.handle(request), Refusal)
+        disk.is_responding.set()
+        group.stop()
+
+    asyncio.run(main())
