Plan blocked gangs and displacement with counts instead of refits

At 160 workers one urgent gang held the leader's event loop for hundreds of milliseconds, the loop that also answers agents and callers, and it did so again in each round until the gang started. Cause: the search for the earliest fit sorted and refitted all workers after each running job; the search for victims walked all candidates for each worker and each further task. Change: the number of tasks that fit is kept per worker and in total and updated with each end, and workers are chosen once; candidates are listed by worker and sorted once, and the victims of a worker are kept until its capacity changes.

--- a/src/cicadatray/scheduling/taskgraphs/displacement_search.py
+++ b/src/cicadatray/scheduling/taskgraphs/displacement_search.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
-from cicadatray.scheduling.taskgraphs.displacement import Displacement, total_cost
+from cicadatray.scheduling.taskgraphs.displacement import Displacement
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks
@@ -19,9 +19,21 @@
     the cheapest work anywhere would free a little on many workers, and a task that needs a whole
     worker would still not fit. `limits` gives how many more tasks of the step each worker may take,
     or is None without such a limit.
+
+    `candidates_by_worker` holds the candidates of each worker, the cheapest first. `options` caches
+    the victims for one more task on a worker until a victim changes what is available there.
     """
 
-    __slots__ = ("available", "candidates", "group", "limits", "victims", "work")
+    __slots__ = (
+        "available",
+        "candidates_by_worker",
+        "costs",
+        "group",
+        "limits",
+        "options",
+        "victims",
+        "work",
+    )
 
     def __init__(
         self,
@@ -32,9 +44,17 @@
     ) -> None:
         self.work = work
         self.group = group
-        self.candidates = candidates
         self.limits = limits
         self.available: dict[str, Resources] = {w.worker_id: w.free_after_stops for w in group}
+        self.costs: dict[RunningWork, tuple[float, float]] = {}
+        self.candidates_by_worker: dict[str, list[tuple[RunningWork, Resources]]] = {}
+        for candidate in candidates:
+            for worker_id, occupied in candidate.occupied:
+                if worker_id in self.available:
+                    self._add_candidate(candidate, worker_id, occupied)
+        for on_worker in self.candidates_by_worker.values():
+            on_worker.sort(key=lambda pair: sum(self.costs[pair[0]]))
+        self.options: dict[str, list[RunningWork]] = {}
         self.victims: list[RunningWork] = []
 
     def run(self) -> Displacement | None:
@@ -44,9 +64,15 @@
             if not victims:
                 return None
             for victim in victims:
-                self._add_victim(victim)
+                self.victims.append(victim)
+                self._change_available(victim, Resources.plus)
         return self._drop_unneeded(workers)
 
+    def _add_candidate(self, candidate: RunningWork, worker_id: str, occupied: Resources) -> None:
+        if candidate not in self.costs:
+            self.costs[candidate] = (candidate.displacement_cost(), candidate.lost_job_value())
+        self.candidates_by_worker.setdefault(worker_id, []).append((candidate, occupied))
+
     def _fit(self) -> list[WorkerCapacity] | None:
         return fit_tasks(
             self.group,
@@ -62,32 +88,42 @@
         lowest_cost = 0.0
         counted_graphs = {victim.graph_id for victim in self.victims}
         for worker in self.group:
-            victims = self._victims_for_one_more_task(worker)
-            cost = total_cost(victims, counted_graphs)
-            if victims and (not cheapest or cost < lowest_cost):
+            victims = self.options.get(worker.worker_id)
+            if victims is None:
+                victims = self._victims_for_one_more_task(worker.worker_id)
+                self.options[worker.worker_id] = victims
+            if not victims:
+                continue
+            cost = self._cost(victims, counted_graphs)
+            if not cheapest or cost < lowest_cost:
                 cheapest, lowest_cost = victims, cost
         return cheapest
 
-    def _victims_for_one_more_task(self, worker: WorkerCapacity) -> list[RunningWork]:
+    def _cost(self, victims: list[RunningWork], counted_graphs: set[str]) -> float:
+        """Returns the same as `total_cost`, from the costs computed at the start."""
+        lost: dict[str, float] = {}
+        stopped = 0.0
+        for victim in victims:
+            stop_cost, lost_value = self.costs[victim]
+            stopped += stop_cost
+            if victim.graph_id not in counted_graphs:
+                lost[victim.graph_id] = max(lost.get(victim.graph_id, 0.0), lost_value)
+        return stopped + sum(lost.values())
+
+    def _victims_for_one_more_task(self, worker_id: str) -> list[RunningWork]:
         """Returns the cheapest candidates whose end makes one more task fit on the worker.
 
         Returns an empty list if none suffice or the worker has reached its limit.
         """
         demand = self.work.step.demand
-        available = self.available[worker.worker_id]
+        available = self.available[worker_id]
         fitting = demand.fit_count(available)
-        if self.limits is not None and fitting >= self.limits.get(worker.worker_id, 0):
+        if self.limits is not None and fitting >= self.limits.get(worker_id, 0):
             return []
-        on_worker = [
-            (candidate, occupied)
-            for candidate in self.candidates
-            if candidate not in self.victims
-            for worker_id, occupied in candidate.occupied
-            if worker_id == worker.worker_id
-        ]
-        on_worker.sort(key=lambda pair: pair[0].displacement_cost() + pair[0].lost_job_value())
         victims: list[RunningWork] = []
-        for candidate, occupied in on_worker:
+        for candidate, occupied in self.candidates_by_worker.get(worker_id, []):
+            if candidate in self.victims:
+                continue
             available = available.plus(occupied)
             if candidate not in victims:
                 victims.append(candidate)
@@ -95,13 +131,9 @@
                 return victims
         return []
 
-    def _add_victim(self, victim: RunningWork) -> None:
-        self.victims.append(victim)
-        self._change_available(victim, Resources.plus)
-
     def _drop_unneeded(self, workers: list[WorkerCapacity]) -> Displacement:
         """Drops the victims that turned out not to be needed, the most expensive ones first."""
-        for victim in sorted(self.victims, key=RunningWork.displacement_cost, reverse=True):
+        for victim in sorted(self.victims, key=lambda v: self.costs[v][0], reverse=True):
             self._change_available(victim, Resources.minus)
             fitting = self._fit()
             if fitting is None:
@@ -115,3 +147,4 @@
         for worker_id, occupied in victim.occupied:
             if worker_id in self.available:
                 self.available[worker_id] = change(self.available[worker_id], occupied)
+                self.options.pop(worker_id, None)
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -5,6 +5,7 @@
 from cicadatray.scheduling.taskgraphs.assignment import Assignment
 from cicadatray.scheduling.taskgraphs.displacement import Displacement
 from cicadatray.scheduling.taskgraphs.displacement_search import DisplacementSearch
+from cicadatray.scheduling.taskgraphs.earliest_fit import EarliestFit, find_earliest_fit
 from cicadatray.scheduling.taskgraphs.job_value import job_value
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
@@ -34,10 +35,19 @@
     """Plans one round deterministically: the same input gives the same plan.
 
     `now_s` is in seconds since 1970. `reserved_gangs` counts the blocked gangs for which the round
-    has reserved capacity.
+    has reserved capacity. `running_by_end` holds the running work in the order of its expected
+    ends, None until it is needed.
     """
 
-    __slots__ = ("now_s", "plan", "reserved_gangs", "running", "start_limits", "workers")
+    __slots__ = (
+        "now_s",
+        "plan",
+        "reserved_gangs",
+        "running",
+        "running_by_end",
+        "start_limits",
+        "workers",
+    )
 
     def __init__(
         self,
@@ -48,6 +58,7 @@
     ) -> None:
         self.workers = list(workers)
         self.running = list(running)
+        self.running_by_end: list[RunningWork] | None = None
         self.now_s = now_s
         self.start_limits = start_limits
         self.reserved_gangs = 0
@@ -191,8 +202,8 @@
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
             fit = self._earliest_fit(work, unreserved)
-            if fit is not None and fit[0] < longest_wait_s:
-                self._reserve(work, fit[1])
+            if fit is not None and fit.remaining_s < longest_wait_s:
+                self._reserve(work, fit.workers)
                 return True
         return False
 
@@ -223,6 +234,7 @@
             return
         for victim in cheapest.victims:
             self.running.remove(victim)
+            self.running_by_end = None
             self.plan.displaced.update(dict.fromkeys(victim.runs, work.graph.graph.graph_id))
             self._count_as_free_after_stops(victim)
         self._reserve(work, cheapest.workers)
@@ -236,38 +248,21 @@
 
     def _reserve_for_gang(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
         """Reserves the workers that fit the gang first, so that small tasks do not refill them."""
-        earliest: tuple[float, list[WorkerCapacity]] | None = None
+        earliest: EarliestFit | None = None
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
             fit = self._earliest_fit(work, unreserved)
-            if fit is not None and (earliest is None or fit[0] < earliest[0]):
+            if fit is not None and (earliest is None or fit.remaining_s < earliest.remaining_s):
                 earliest = fit
         if earliest is not None:
             self.reserved_gangs += 1
-            self._reserve(work, earliest[1])
+            self._reserve(work, earliest.workers)
 
-    def _earliest_fit(
-        self, work: WaitingWork, group: list[WorkerCapacity]
-    ) -> tuple[float, list[WorkerCapacity]] | None:
-        """Returns the earliest fit after running work has ended, or None if the work never fits.
-
-        The fit is the expected time until then, in seconds, and one worker for each task.
-        """
-        available = {worker.worker_id: worker.free_after_stops for worker in group}
+    def _earliest_fit(self, work: WaitingWork, group: list[WorkerCapacity]) -> EarliestFit | None:
+        """Returns the earliest fit after running work has ended, or None if the work never fits."""
+        if self.running_by_end is None:
+            self.running_by_end = sorted(self.running, key=RunningWork.remaining_s)
         limits = self._limits(work, group)
-        for running in sorted(self.running, key=RunningWork.remaining_s):
-            in_group = [(name, demand) for name, demand in running.occupied if name in available]
-            if not in_group:
-                continue
-            for worker_id, demand in in_group:
-                available[worker_id] = available[worker_id].plus(demand)
-            chosen = fit_tasks(
-                group,
-                work.step.demand,
-                len(work.indexes),
-                lambda worker: available[worker.worker_id],
-                limits,
-            )
-            if chosen is not None:
-                return running.remaining_s(), chosen
-        return None
+        return find_earliest_fit(
+            group, work.step.demand, len(work.indexes), self.running_by_end, limits
+        )
--- a/src/cicadatray/scheduling/taskgraphs/resources.py
+++ b/src/cicadatray/scheduling/taskgraphs/resources.py
@@ -39,16 +39,14 @@
 
     def fit_count(self, available: "Resources") -> int:
         """Returns how many tasks with this demand fit into `available`."""
-        counts = [
-            capacity // needed
-            for needed, capacity in (
-                (self.cpu_millis, available.cpu_millis),
-                (self.memory_mb, available.memory_mb),
-                (self.accelerators, available.accelerators),
-            )
-            if needed > 0
-        ]
-        return max(0, min(counts)) if counts else UNBOUNDED_TASKS
+        count = UNBOUNDED_TASKS
+        if self.cpu_millis > 0:
+            count = available.cpu_millis // self.cpu_millis
+        if self.memory_mb > 0:
+            count = min(count, available.memory_mb // self.memory_mb)
+        if self.accelerators > 0:
+            count = min(count, available.accelerators // self.accelerators)
+        return max(0, count)
 
 
 # The count for a task without any demand; far above the number of tasks in any step.
--- a/src/cicadatray/scheduling/taskgraphs/task_fit.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_fit.py
@@ -36,16 +36,24 @@
     for large tasks. `limits` gives the maximum number of tasks for each worker; a worker without an
     entry takes none.
     """
-    chosen: list[WorkerCapacity] = []
-    ordered = sorted(workers, key=lambda w: _resource_order(available_of(w)))
-    for worker in ordered:
+    fitting_by_worker: list[tuple[WorkerCapacity, int]] = []
+    total = 0
+    for worker in workers:
         fitting = demand.fit_count(available_of(worker))
         if limits is not None:
             fitting = min(fitting, limits.get(worker.worker_id, 0))
+        if fitting > 0:
+            fitting_by_worker.append((worker, fitting))
+            total += fitting
+    if total < count:
+        return None
+    fitting_by_worker.sort(key=lambda pair: _resource_order(available_of(pair[0])))
+    chosen: list[WorkerCapacity] = []
+    for worker, fitting in fitting_by_worker:
         chosen += [worker] * min(fitting, count - len(chosen))
         if len(chosen) == count:
-            return chosen
-    return None
+            break
+    return chosen
 
 
 def _resource_order(available: Resources) -> tuple[int, int, int]:
