Keep capacity for the urgent gang that displaced work for it

Ruled out: waiting for rough estimates. Change: within a priority and class, work for which others were displaced is placed first, in the order of displacement, so each gang gets what was freed for it and the next one displaces for itself.

--- a/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
+++ b/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
@@ -10,7 +10,10 @@
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
 from cicadatray.internal.bench.graph_experiment.run_result import RunResult
 from cicadatray.internal.control.graphs.graph_session import GraphSession
-from cicadatray.internal.control.graphs.placement_input import mark_guaranteed
+from cicadatray.internal.control.graphs.placement_input import (
+    mark_displacing,
+    mark_guaranteed,
+)
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import MAX_LATENESS_FACTOR
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
@@ -34,7 +37,17 @@
 class FleetEmulator:
     """Emulates workers in simulated time, which each round advances; nothing is random."""
 
-    __slots__ = ("graphs", "jobs", "make_round", "now_s", "result", "runs", "saved_s", "sheet")
+    __slots__ = (
+        "displacing",
+        "graphs",
+        "jobs",
+        "make_round",
+        "now_s",
+        "result",
+        "runs",
+        "saved_s",
+        "sheet",
+    )
 
     def __init__(self, sheet: LoadSheet, jobs: list[PlannedJob], make_round: RoundFactory) -> None:
         self.sheet = sheet
@@ -43,6 +56,7 @@
         self.now_s = 0.0
         self.graphs: dict[str, GraphProgress] = {}
         self.runs: dict[TaskRun, EmulatedRun] = {}
+        self.displacing: dict[str, float] = {}
         self.saved_s: dict[TaskRun, float] = {}
         self.result = RunResult()
 
@@ -102,6 +116,7 @@
         workers = self._workers()
         running = self._list_running_work()
         mark_guaranteed(self._make_session(), waiting, running)
+        mark_displacing(self.displacing, waiting)
         plan = self.make_round(list(workers.values()), running, self.now_s).run(waiting)
         self._apply_plan(plan, waiting)
 
@@ -158,7 +173,8 @@
         return running_work
 
     def _apply_plan(self, plan: PlacementPlan, waiting: list[WaitingWork]) -> None:
-        for task_run in plan.displaced:
+        for task_run, for_graph in plan.displaced.items():
+            self.displacing.setdefault(for_graph, self.now_s)
             self._stop(self.runs[task_run])
         work_by_task = {work.task(index): work for work in waiting for index in work.indexes}
         started: dict[int, EmulatedRun] = {}
--- a/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
+++ b/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
@@ -99,4 +99,15 @@
             replace(REVIEW, rate_per_s=0.138, estimate_s=12.2, cpu_millis=2_800),
         ),
     ),
+    "muscat_grown": LoadSheet(
+        name="muscat_grown",
+        workers=67,
+        capacity=Resources(32_000, 64_000, 8),
+        guaranteed=48,
+        kinds=(
+            replace(STUDY, rate_per_s=0.464, tasks=7, estimate_s=13.6, cpu_millis=13_000),
+            replace(QUOTE, rate_per_s=0.84, tasks=5, cpu_millis=3_700, target_latency_s=0.3),
+            replace(REVIEW, rate_per_s=0.155, tasks=39, estimate_s=19.0, cpu_millis=2_800),
+        ),
+    ),
 }
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -11,6 +11,7 @@
 from cicadatray.internal.control.graphs.placement_input import (
     build_running,
     build_workers,
+    mark_displacing,
     mark_guaranteed,
 )
 from cicadatray.internal.control.graphs.wait_log import WaitLog
@@ -198,6 +199,7 @@
             return
         running = build_running(session)
         mark_guaranteed(session, waiting, running)
+        mark_displacing(session.displacing_graphs, waiting)
         workers = build_workers(session)
         plan = PlacementRound(workers, running, now_s, session.start_limits).run(waiting)
         self.wait_log.record_round(plan.waits)
@@ -236,6 +238,7 @@
         session = self.session
         for run, for_graph in plan.displaced.items():
             session.revoked_runs.add(run)
+            session.displacing_graphs.setdefault(for_graph, session.wall_s())
             self.displaced_runs.increment(reason=DISPLACED)
             session.statistics.record_displacement(run, DISPLACED)
             log.info(
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -38,7 +38,8 @@
     A new leader builds this state from the replicated graphs and the calls of agents. `workers` is
     keyed by worker identifier. `ordered_runs` holds, for each worker, the runs that may exist there
     according to the replicated state, with the time of their order. `revoked_runs` are being
-    stopped to free capacity. `replaced_workers` belonged to an earlier leader's term and have been
+    stopped to free capacity, and `displacing_graphs` holds, for each waiting graph for which
+    that was done, since when. `replaced_workers` belonged to an earlier leader's term and have been
     replaced by another worker of the same agent. `relays` holds the time of the latest announcement
     of each relay. `new_ends` are reported ends that are not proposed yet. `wake` starts the next
     scheduling round.
@@ -46,6 +47,7 @@
 
     __slots__ = (
         "agent_incarnations",
+        "displacing_graphs",
         "ends_arrived",
         "leader",
         "leases",
@@ -74,6 +76,7 @@
         self.relays: dict[MemberAddress, float] = {}
         self.replaced_workers: set[str] = set()
         self.revoked_runs: set[TaskRun] = set()
+        self.displacing_graphs: dict[str, float] = {}
         self.wake = asyncio.Event()
         self._load_ordered_runs()
         self.statistics = GraphStatistics(self)
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -1,5 +1,7 @@
 """Converts the leader's workers and runs to the input of a placement round."""
 
+import math
+
 from cicadatray.internal.control.graphs.graph_session import GraphSession, find_task_progress
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
@@ -88,6 +90,18 @@
         run.is_guaranteed = run.priority == URGENT_PRIORITY and account_name in within_guarantee
 
 
+def mark_displacing(displacing: dict[str, float], waiting: list[WaitingWork]) -> None:
+    """Marks the waiting work of graphs that displaced others, and drops graphs that do not wait.
+
+    `displacing` holds, by graph, when work was first displaced for it, in seconds since 1970.
+    """
+    waiting_graphs = {work.graph.graph.graph_id for work in waiting}
+    for graph_id in displacing.keys() - waiting_graphs:
+        del displacing[graph_id]
+    for work in waiting:
+        work.displaced_s = displacing.get(work.graph.graph.graph_id, math.inf)
+
+
 def build_running(session: GraphSession) -> list[RunningWork]:
     """Returns the gangs and single tasks that run and are not being stopped."""
     works: dict[tuple[str, int, int, int], RunningWork] = {}
--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -1,5 +1,7 @@
 """Work that waits for placement."""
 
+import math
+
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import MAX_LATENESS_FACTOR
 from cicadatray.scheduling.taskgraphs.step import Step
@@ -11,11 +13,13 @@
 
     `indexes` lists all tasks of a gang, or one task. `run` is the number of the next run. `ready_s`
     is the earliest time at which it could have started, in seconds since 1970. `is_guaranteed`: the
-    urgent jobs of its account need no more than the account's guarantee.
+    urgent jobs of its account need no more than the account's guarantee. `displaced_s` is when
+    running work was first displaced for its graph, infinite if none was.
     """
 
     __slots__ = (
         "graph",
+        "displaced_s",
         "indexes",
         "is_guaranteed",
         "occurrence",
@@ -40,6 +44,7 @@
         self.run = run
         self.ready_s = ready_s
         self.is_guaranteed = False
+        self.displaced_s = math.inf
 
     @property
     def step(self) -> Step:
@@ -63,12 +68,14 @@
         objective_s = policy.stretch * graph.critical_path_s() + policy.target_latency_s
         return begin_s + objective_s - graph.critical_path_from_s(self.step_number)
 
-    def rank(self, now_s: float) -> tuple[bool, int, bool, bool, float]:
+    def rank(self, now_s: float) -> tuple[bool, int, bool, bool, float, float]:
         """Returns the sort key of the work; the lowest is tried first.
 
         Within a priority, guaranteed work goes first, then work that can still be on time, then
-        work that is late already; among equals the earlier latest start decides. Work that is too
-        late to have any value comes last, whatever its priority.
+        work that is late already. Work that has displaced other work goes before its equals, in
+        the order of displacement: if another took the freed capacity, more would have to be
+        stopped. Otherwise the earlier latest start decides. Work that is too late to have any
+        value comes last, whatever its priority.
         """
         graph = self.graph.graph
         policy = graph.policy
@@ -80,5 +87,6 @@
             policy.priority,
             not self.is_guaranteed,
             now_s > latest_start_s,
+            self.displaced_s,
             latest_start_s,
         )
--- a/tests/cover/taskgraphs/test_placement_round.py
+++ b/tests/cover/taskgraphs/test_placement_round.py
@@ -1,5 +1,6 @@
 """Placement, reservation and displacement in a placement round."""
 
+import math
 from collections import Counter
 from typing import Any
 
@@ -171,6 +172,30 @@
         plan = PlacementRound(workers, [running], 0.0, limits).run(waiting)
         assert bool(plan.displaced) is is_displaced
 
+    @pytest.mark.parametrize(
+        ("displaced_s", "first"),
+        [((-1.0, math.inf), "urgent"), ((-2.0, -1.0), "urgent"), ((-1.0, -2.0), "next")],
+        ids=["alone", "earlier", "later"],
+    )
+    def test_keeps_the_capacity_that_it_has_freed(
+        self, displaced_s: tuple[float, float], first: str
+    ) -> None:
+        """Guards against an urgent gang whose freed capacity goes to the next urgent gang.
+
+        It then waited again and displaced as much work a second time (burst of urgent gangs on a
+        full fleet).
+        """
+        workers = make_workers((2,))
+        running = [make_running(workers, [("w1", WHOLE)], elapsed_s=1.0, percent=1)]
+        waiting = self.urgent(estimate_s=6.0)
+        waiting[0].displaced_s = displaced_s[0]
+        step = Step(1, URGENT, 2.0, is_gang=True)
+        later = make_waiting(step, 0, graph_id="next")
+        later[0].is_guaranteed = True
+        later[0].displaced_s = displaced_s[1]
+        plan = PlacementRound(workers, running, 0.0).run([*waiting, *later])
+        assert plan.assignments[0].run.task.graph_id == first
+
     def test_prefers_work_that_saves_its_progress(self) -> None:
         """A task that can be resumed loses half a second of work, any other task loses all."""
         workers = make_workers((2,))
