--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,15 @@
 settings.register_profile(
     "dev", derandomize=True, deadline=None, database=None, suppress_health_check=SLOW_CHECKS
 )
+# Draws other examples in each run; for searches by hand.
+settings.register_profile(
+    "search",
+    deadline=None,
+    database=None,
+    phases=[Phase.explicit, Phase.generate],
+    print_blob=True,
+    suppress_health_check=SLOW_CHECKS,
+)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
