End an operator's call with the simulated process that carries it out

In production the call runs in the leader's process. Change: calls of clients and operators run as tasks of the node and are cancelled when its process is killed; the operator takes that as a failed attempt, and gives up on a frozen leader after 10 s. No check has changed.

--- a/tests/cover/replication/cluster.py
+++ b/tests/cover/replication/cluster.py
@@ -17,6 +17,8 @@
 from cover.replication.process_loop import Process, ProcessLoop
 
 Result = TypeVar("Result")
+# Longer than any operation of a leader that is not frozen.
+OPERATOR_TIMEOUT_S = 10.0
 
 
 class _RecordingStateMachine:
@@ -52,11 +54,16 @@
 
 
 class Node:
-    """One member: its process, disk and replica."""
+    """One member: its process, disk and replica.
+
+    `operations` are the calls of clients and operators that its process carries out; they end with
+    the process.
+    """
 
     __slots__ = (
         "disk",
         "is_running",
+        "operations",
         "process",
         "replica",
         "settings",
@@ -68,6 +75,7 @@
         self.settings = cluster.settings_of(name, bootstrap)
         self.disk = FakeDisk(cluster.random)
         self.is_running = False
+        self.operations: set[asyncio.Task[Any]] = set()
         self.process = Process()
         self.state_machine = _RecordingStateMachine(cluster)
         self.transport = FakeTransport(cluster.network, name)
@@ -91,6 +99,8 @@
     def kill(self) -> None:
         """Kills the process, which then no longer reaches the disk or the network."""
         self._end()
+        for operation in self.operations:
+            operation.cancel()
         self.process.thaw()
         if self.replica.core_or_none is not None:
             self.process.context.run(self.replica.abort)
@@ -116,7 +126,6 @@
     __slots__ = (
         "acknowledged",
         "applied_commands",
-        "client_tasks",
         "command_count",
         "initial_names",
         "loop",
@@ -136,7 +145,6 @@
         self.applied_commands: list[bytes] = []
         self.acknowledged: dict[bytes, int] = {}
         self.command_count = 0
-        self.client_tasks: set[asyncio.Task[bool]] = set()
         self.network = FakeNetwork(self, self.random)
         self.initial_names = [f"n{number}" for number in range(1, size + 1)]
         self.nodes = {name: Node(self, name, bootstrap=True) for name in self.initial_names}
@@ -274,16 +282,26 @@
         leader = self.leader()
         if leader is None:
             return False
-        try:
-            if operation == "add":
-                await leader.replica.add_learner(self.member(name))
-            elif operation == "promote":
-                await leader.replica.promote(name)
-            else:
-                await leader.replica.remove(name)
-        except ReplicationError:
+        if operation == "add":
+            return await self.carry_out(leader, leader.replica.add_learner(self.member(name)))
+        if operation == "promote":
+            return await self.carry_out(leader, leader.replica.promote(name))
+        return await self.carry_out(leader, leader.replica.remove(name))
+
+    async def carry_out(self, node: Node, operation: Coroutine[Any, Any, Any]) -> bool:
+        """Carries out an operator's call in a member's process; returns whether it succeeded.
+
+        The call fails when the process ends. The operator gives up after `OPERATOR_TIMEOUT_S`, but
+        the call may still be carried out later.
+        """
+        task = self.spawn(node, operation)
+        await asyncio.wait({task}, timeout=OPERATOR_TIMEOUT_S)
+        if not task.done() or task.cancelled():
             return False
-        return True
+        error = task.exception()
+        if error is not None and not isinstance(error, ReplicationError | DiskCrash):
+            raise error
+        return error is None
 
     async def add_and_promote(self, name: str) -> None:
         """Adds a member as a learner and promotes it, retrying until both succeed."""
@@ -300,7 +318,7 @@
         while True:
             leader = self.leader()
             if leader is not None and leader.settings.member_id == name:
-                await leader.replica.transfer_leadership()
+                await self.carry_out(leader, leader.replica.transfer_leadership())
             elif await self.change_membership(name, "remove") or self.is_removed(leader, name):
                 break
             await asyncio.sleep(0.5)
@@ -315,11 +333,14 @@
         history = leader.replica.core.history
         return history.at(leader.replica.commit_index).find(name) is None
 
-    def spawn(self, node: Node, operation: Coroutine[Any, Any, bool]) -> None:
-        """Runs a client operation in a member's process, so that a freeze delays both."""
+    def spawn(self, node: Node, operation: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
+        """Runs a call of a client or operator in a member's process, which it does not outlive."""
         task = self.loop.create_task(operation, context=node.process.context)
-        self.client_tasks.add(task)
-        task.add_done_callback(self.client_tasks.discard)
+        node.operations.add(task)
+        task.add_done_callback(node.operations.discard)
+        # A task that is cancelled before its first step would leave the coroutine unawaited.
+        task.add_done_callback(lambda _: operation.close())
+        return task
 
     def propose_until_acknowledged(self) -> None:
         """Proposes new commands until one is acknowledged."""
