Split the search for a submitted graph, and use one cost function for victims

When work was first displaced for a graph is taken from the event loop's clock instead of the time of day, which may jump.

--- a/src/cicadatray/internal/agent/task_table.py
+++ b/src/cicadatray/internal/agent/task_table.py
@@ -44,7 +44,7 @@
 
     `lease_until_s` is event loop time, `lease_term` the highest leader term in a reply. `changed`
     is set when reports must be announced at once. `stopped_epochs` holds the highest stopped epoch
-    of each job.
+    of each job. `unlisted` records listings of the worker that failed.
     """
 
     __slots__ = (
@@ -149,8 +149,7 @@
                 self._apply_worker_state(entry, listed.get(entry.job_id))
 
     def _apply_worker_state(self, entry: TaskEntry, task: WorkerTask | None) -> None:
-        has_ended = task is None or task.epoch != entry.epoch or task.state == STOPPED
-        if task is None or has_ended:
+        if task is None or task.epoch != entry.epoch or task.state == STOPPED:
             if entry.state in (PREPARED, RUNNING):
                 log.info("task no longer on the worker", job_id=entry.job_id, epoch=entry.epoch)
                 del self.tasks[entry.job_id]
--- a/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
+++ b/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
@@ -79,7 +79,8 @@
 )
 
 
-# Figures from the load sheets of the users' two deployments; steps and gangs are simplified.
+# Figures from the load sheets of the users' deployments; steps, gangs and guarantees
+# are simplified.
 SHEETS = {
     "cartago": LoadSheet(
         name="cartago",
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -97,6 +97,22 @@
     return progress
 
 
+def _find_submitted_graph(
+    resolved: _ResolvedTarget, store: GraphStore
+) -> GraphProgress | Failure | None:
+    """Returns the graph that a submission repeats, None if its identifier is not in use.
+
+    Returns a failure if the identifier belongs to a graph that the caller cannot reach.
+    """
+    existing = _find_graph(resolved, store)
+    if existing is None and resolved.graph_id in store.graphs:
+        return Failure(
+            code=graph_codes.GRAPH_ID_TAKEN,
+            detail="the identifier belongs to a graph of another queue; this one was not accepted",
+        )
+    return existing
+
+
 @register_handler(SubmitGraph)
 async def submit_graph(daemon: "ControlDaemon", call: SubmitGraph) -> MessageStruct:
     """Stores a graph and replies once it is durable; does not replace an existing graph."""
@@ -111,15 +127,9 @@
             detail="a graph identifier must have 16 hexadecimal digits",
         )
     account = resolved.account.name if resolved.account else ""
-    store = session.state.graphs
-    existing = _find_graph(resolved, store)
+    existing = _find_submitted_graph(resolved, session.state.graphs)
     if existing is not None:
         return existing if isinstance(existing, Failure) else view_graph(existing)
-    if graph_id in store.graphs:
-        return Failure(
-            code=graph_codes.GRAPH_ID_TAKEN,
-            detail="the identifier belongs to a graph of another queue; this one was not accepted",
-        )
     graph = TaskGraph(
         graph_id, account, resolved.queue.policy, call.spec, call.steps, call.repetition
     )
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -238,7 +238,7 @@
         session = self.session
         for run, for_graph in plan.displaced.items():
             session.revoked_runs.add(run)
-            session.displacing_graphs.setdefault(for_graph, session.wall_s())
+            session.displacing_graphs.setdefault(for_graph, session.now_s())
             self.displaced_runs.increment(reason=DISPLACED)
             session.statistics.record_displacement(run, DISPLACED)
             log.info(
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -93,7 +93,7 @@
 def mark_displacing(displacing: dict[str, float], waiting: list[WaitingWork]) -> None:
     """Marks the waiting work of graphs that displaced others, and drops graphs that do not wait.
 
-    `displacing` holds, by graph, when work was first displaced for it, in seconds since 1970.
+    `displacing` holds, by graph, when work was first displaced for it, on a clock that never jumps.
     """
     waiting_graphs = {work.graph.graph.graph_id for work in waiting}
     for graph_id in displacing.keys() - waiting_graphs:
--- a/src/cicadatray/scheduling/taskgraphs/displacement.py
+++ b/src/cicadatray/scheduling/taskgraphs/displacement.py
@@ -1,6 +1,6 @@
 """The result of a displacement search."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -21,14 +21,27 @@
         self.cost = total_cost(victims, set())
 
 
-def total_cost(victims: Sequence[RunningWork], counted_graphs: set[str]) -> float:
+def stop_costs(victim: RunningWork) -> tuple[float, float]:
+    """Returns the cost of stopping one work and the value that its job loses, in core-seconds."""
+    return victim.displacement_cost(), victim.lost_job_value()
+
+
+def total_cost(
+    victims: Sequence[RunningWork],
+    counted_graphs: set[str],
+    costs_of: Callable[[RunningWork], tuple[float, float]] = stop_costs,
+) -> float:
     """Returns the cost of stopping `victims`, in core-seconds.
 
     It is the work that is lost, plus the value that their jobs lose by ending later. Jobs in
-    `counted_graphs` have had their lost value counted already.
+    `counted_graphs` have had their lost value counted already. `costs_of` may look up what
+    `stop_costs` has returned before.
     """
     lost: dict[str, float] = {}
+    stopped = 0.0
     for victim in victims:
+        stop_cost, lost_value = costs_of(victim)
+        stopped += stop_cost
         if victim.graph_id not in counted_graphs:
-            lost[victim.graph_id] = max(lost.get(victim.graph_id, 0.0), victim.lost_job_value())
-    return sum(victim.displacement_cost() for victim in victims) + sum(lost.values())
+            lost[victim.graph_id] = max(lost.get(victim.graph_id, 0.0), lost_value)
+    return stopped + sum(lost.values())
--- a/src/cicadatray/scheduling/taskgraphs/displacement_search.py
+++ b/src/cicadatray/scheduling/taskgraphs/displacement_search.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
-from cicadatray.scheduling.taskgraphs.displacement import Displacement
+from cicadatray.scheduling.taskgraphs.displacement import Displacement, stop_costs, total_cost
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks
@@ -70,7 +70,7 @@
 
     def _add_candidate(self, candidate: RunningWork, worker_id: str, occupied: Resources) -> None:
         if candidate not in self.costs:
-            self.costs[candidate] = (candidate.displacement_cost(), candidate.lost_job_value())
+            self.costs[candidate] = stop_costs(candidate)
         self.candidates_by_worker.setdefault(worker_id, []).append((candidate, occupied))
 
     def _fit(self) -> list[WorkerCapacity] | None:
@@ -94,22 +94,11 @@
                 self.options[worker.worker_id] = victims
             if not victims:
                 continue
-            cost = self._cost(victims, counted_graphs)
+            cost = total_cost(victims, counted_graphs, self.costs.__getitem__)
             if not cheapest or cost < lowest_cost:
                 cheapest, lowest_cost = victims, cost
         return cheapest
 
-    def _cost(self, victims: list[RunningWork], counted_graphs: set[str]) -> float:
-        """Returns the same as `total_cost`, from the costs computed at the start."""
-        lost: dict[str, float] = {}
-        stopped = 0.0
-        for victim in victims:
-            stop_cost, lost_value = self.costs[victim]
-            stopped += stop_cost
-            if victim.graph_id not in counted_graphs:
-                lost[victim.graph_id] = max(lost.get(victim.graph_id, 0.0), lost_value)
-        return stopped + sum(lost.values())
-
     def _victims_for_one_more_task(self, worker_id: str) -> list[RunningWork]:
         """Returns the cheapest candidates whose end makes one more task fit on the worker.
 
