Keep exit code 0 when a further stop signal reaches a process that has stopped

An operator's third SIGTERM could end cicadatrayd with -15 after it had answered everything, which a supervisor takes as a crash. Cause: closing the event loop removes the signal handlers; until the interpreter has exited the default action holds. Change: stop signals are blocked once the daemon has run. The platform's programs have a main of their own and are unchanged.

--- a/src/cicadatray/internal/daemon/main.py
+++ b/src/cicadatray/internal/daemon/main.py
@@ -20,6 +20,7 @@
 from cicadatray.internal.wire.traffic import TRAFFIC
 
 SETTINGS_EXIT_CODE = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 log = structlog.get_logger(__name__)
 
@@ -65,9 +66,11 @@
     loop = asyncio.get_running_loop()
     daemon.dump.register("traffic", lambda: TRAFFIC)
     daemon.dump.install_signal(loop)
-    for stop_signal in (signal.SIGTERM, signal.SIGINT):
+    for stop_signal in STOP_SIGNALS:
         loop.add_signal_handler(stop_signal, on_stop_signal)
     await daemon.run(stop)
+    # Closing the loop removes the handlers, and a further signal would end the process by default.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
 
 
 def main() -> None:
