--- a/tests/nocover/test_platform_processes.py
+++ b/tests/nocover/test_platform_processes.py
@@ -1,17 +1,12 @@
 """Tests of the programs of deploy/system.toml as processes, with a fake worker and client."""
 
 import asyncio
-import os
 import signal
-import subprocess
-import sys
 import time
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import msgspec
-from aiosonic import HTTPClient
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -19,8 +14,8 @@
 
 from cicadatray.internal.entry.http_server import HttpServer
 from cover.platform.documents import ANNOUNCEMENT, CONFIGURATION, changed
+from nocover.platform_programs import Program, call, poll_until
 
-ROOT = Path(__file__).parents[2]
 HOST = "127.0.0.1"
 # The ports of the processes: eight internal ones, then those for clients, readiness, control and
 # agent.
@@ -28,7 +23,6 @@
 CLIENTS, READINESS, CONTROL, AGENT = range(FIRST_PORT + 8, FIRST_PORT + 12)
 WORK_S = 0.3
 JOB = {"Spec": "x", "Steps": [{"Count": 2, "Cpu": 500, "MemMb": 10, "Gpus": 1, "Gang": True}]}
-HEADERS = {"Content-Type": "application/json", "Authorization": "Token k1", "Host": "jobs.example"}
 
 
 def settings_text(role: str, folder: Path) -> str:
@@ -80,32 +74,6 @@
         self.running.clear()
 
 
-async def call(method: str, port: int, path: str, body: Any = None) -> tuple[int, Any]:
-    """Sends a request and returns status and body, or status 0 if the connection fails."""
-    client = HTTPClient()
-    data = msgspec.json.encode(body) if body is not None else None
-    try:
-        response = await client.request(
-            f"http://{HOST}:{port}{path}", method, headers=HEADERS, data=data
-        )
-        content = await response.content()
-        return response.status_code, msgspec.json.decode(content) if content else None
-    except (OSError, ConnectionError, msgspec.DecodeError):
-        return 0, None
-    except Exception as error:
-        # aiosonic raises its own exception types for failed connections.
-        return 0, str(error)
-    finally:
-        await client.connector.cleanup()
-
-
-async def poll_until(is_expected: Callable[[Any], bool], *arguments: Any) -> Any:
-    """Repeats a call until its result is as expected; the timeout of the test limits this."""
-    while not is_expected(answer := await call(*arguments)):
-        await asyncio.sleep(0.1)
-    return answer
-
-
 async def run_job() -> None:
     worker = FakeWorker()
     route = Route("/cicadatray/{call}", worker.answer, methods=["POST"])
@@ -113,35 +81,37 @@
     await server.start()
     port = server.server.servers[0].sockets[0].getsockname()[1]
     announcement = changed(ANNOUNCEMENT, "Address", value=f"{HOST}:{port}")
-    await poll_until(lambda a: a[0] == 200, "PUT", CONTROL, "/cicadatray/config", CONFIGURATION)
-    await poll_until(lambda a: a[0] == 200, "PUT", AGENT, "/cicadatray/instances/i-1", announcement)
-    await poll_until(lambda a: a[0] == 200, "GET", READINESS, "/cicadatray/ready")
+    await poll_until(
+        lambda a: a[0] == 200, "PUT", HOST, CONTROL, "/cicadatray/config", CONFIGURATION
+    )
+    await poll_until(
+        lambda a: a[0] == 200, "PUT", HOST, AGENT, "/cicadatray/instances/i-1", announcement
+    )
+    await poll_until(lambda a: a[0] == 200, "GET", HOST, READINESS, "/cicadatray/ready")
     path = "/fast/00000000000000ab"
-    assert (await call("POST", CLIENTS, path, JOB))[0] == 200
-    await poll_until(lambda a: a == (200, {"State": "done"}), "GET", CLIENTS, path)
-    assert (await call("POST", CLIENTS, path, JOB)) == (200, {"State": "done"})
-    assert (await call("GET", CLIENTS, "/fast/00000000000000ac"))[0] == 410
-    assert (await call("GET", CLIENTS, "/none/00000000000000ac"))[0] == 404
-    assert (await call("GET", CONTROL, "/cicadatray/config")) == (200, CONFIGURATION)
+    assert (await call("POST", HOST, CLIENTS, path, JOB))[0] == 200
+    await poll_until(lambda a: a == (200, {"State": "done"}), "GET", HOST, CLIENTS, path)
+    assert (await call("POST", HOST, CLIENTS, path, JOB)) == (200, {"State": "done"})
+    assert (await call("GET", HOST, CLIENTS, "/fast/00000000000000ac"))[0] == 410
+    assert (await call("GET", HOST, CLIENTS, "/none/00000000000000ac"))[0] == 404
+    assert (await call("GET", HOST, CONTROL, "/cicadatray/config")) == (200, CONFIGURATION)
     await server.stop()
 
 
 def test_job_and_planned_stop(tmp_path: Path) -> None:
     """Guards against programs that do not start, connect to each other, run a job or stop."""
-    processes = []
+    programs = []
     try:
         for role in ("control", "entry", "agent"):
-            path = tmp_path / f"{role}.toml"
-            path.write_text(settings_text(role, tmp_path), encoding="utf-8")
-            environment = {**os.environ, "CICADATRAY_CONFIG": str(path)}
-            command = [sys.executable, str(ROOT / "deploy" / "launch.py")]
-            log = (tmp_path / f"{role}.log").open("wb")
-            processes.append(subprocess.Popen(command, env=environment, cwd=ROOT, stdout=log))
+            program = Program(role, tmp_path)
+            program.configure(settings_text(role, tmp_path))
+            program.start()
+            programs.append(program)
         asyncio.run(asyncio.wait_for(run_job(), 60.0))
-        for process in processes:
-            process.send_signal(signal.SIGHUP)
-            process.send_signal(signal.SIGTERM)
-        assert [process.wait(30) for process in processes] == [0, 0, 0]
+        for program in programs:
+            program.send(signal.SIGHUP)
+            program.send(signal.SIGTERM)
+        assert [program.wait(30) for program in programs] == [0, 0, 0]
     finally:
-        for process in processes:
-            process.kill()
+        for program in programs:
+            program.kill()
--- /dev/null
+++ b/tests/nocover/test_seed_turnover.py
@@ -0,0 +1,106 @@
+"""Tests of processes whose seeds are replaced, with the programs of deploy/system.toml."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+
+from cover.platform.documents import CONFIGURATION, JOB
+from nocover.platform_programs import Program, call, poll_until
+
+# Each program has an address of its own, since ports are the same on all instances.
+MEMBER, FORWARDER, ENTRY = "127.0.0.1", "127.0.0.2", "127.0.0.3"
+FIRST_PORT = 23_600
+CLIENTS, READINESS, CONTROL = range(FIRST_PORT + 8, FIRST_PORT + 11)
+JOB_PATH = "/fast/00000000000000ab"
+# An election takes up to 1 s, and a start of the programs up to a few seconds.
+RECOVERY_LIMIT_S = 25.0
+
+
+def settings_text(host: str, role: str, seed: str, folder: Path, is_first_start: bool) -> str:
+    data_folder = f'DataDir = "{folder}/data"' if host == MEMBER else ""
+    return f"""
+NodeName = "{role}-{host}"
+Role = "{role}"
+Ip = "{host}"
+Zone = "north"
+InternalPorts = [{FIRST_PORT}, {FIRST_PORT + 7}]
+Seeds = ["{seed}:{CONTROL}"]
+Bootstrap = {"true" if is_first_start else "false"}
+{data_folder}
+[Listen]
+Front = "{host}:{CLIENTS}"
+Ready = "{host}:{READINESS}"
+Control = "{host}:{CONTROL}"
+[FaultTolerance]
+[Bounds]
+MaxHoldMs = 6000
+GraceS = 6
+"""
+
+
+class Deployment:
+    """A control process with a replica, one without, and an entry."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.programs = {
+            host: Program(f"{role}-{host}", folder)
+            for host, role in ((MEMBER, "control"), (FORWARDER, "control"), (ENTRY, "entry"))
+        }
+
+    def configure(self, seed: str, is_first_start: bool) -> None:
+        for host, program in self.programs.items():
+            role = "entry" if host == ENTRY else "control"
+            program.configure(settings_text(host, role, seed, self.folder, is_first_start))
+
+    def start(self, hosts: tuple[str, ...]) -> None:
+        for host in hosts:
+            self.programs[host].start()
+
+    def kill(self, hosts: tuple[str, ...]) -> None:
+        for host in hosts:
+            self.programs[host].kill()
+
+
+async def accept_job() -> None:
+    await poll_until(
+        lambda a: a[0] == 200, "PUT", MEMBER, CONTROL, "/cicadatray/config", CONFIGURATION
+    )
+    await poll_until(lambda a: a[0] == 200, "GET", ENTRY, READINESS, "/cicadatray/ready")
+    assert (await call("POST", ENTRY, CLIENTS, JOB_PATH, JOB))[0] == 200
+
+
+async def read_everything() -> None:
+    await poll_until(lambda a: a == (200, {"State": "queued"}), "GET", ENTRY, CLIENTS, JOB_PATH)
+    await poll_until(
+        lambda a: a == (200, CONFIGURATION), "GET", FORWARDER, CONTROL, "/cicadatray/config"
+    )
+
+
+# The new seeds name only a control process without a data folder. After a loss of power a leader
+# was elected, and no entry, agent or control process without a replica found it again.
+@pytest.mark.parametrize(
+    "restarted",
+    [(ENTRY,), (FORWARDER, ENTRY), (MEMBER, FORWARDER, ENTRY)],
+    ids=["entry", "all-but-the-replica", "all"],
+)
+def test_leader_is_found_when_no_seed_holds_a_replica(
+    restarted: tuple[str, ...], tmp_path: Path
+) -> None:
+    """Guards against accepted jobs that cannot be read any more because no seed is a member."""
+    deployment = Deployment(tmp_path)
+    hosts = tuple(deployment.programs)
+    try:
+        deployment.configure(MEMBER, is_first_start=True)
+        deployment.start(hosts)
+        asyncio.run(asyncio.wait_for(accept_job(), RECOVERY_LIMIT_S))
+        deployment.configure(FORWARDER, is_first_start=False)
+        for host in hosts:
+            deployment.programs[host].send(signal.SIGHUP)
+        deployment.kill(restarted)
+        deployment.start(restarted)
+        asyncio.run(asyncio.wait_for(read_everything(), RECOVERY_LIMIT_S))
+    finally:
+        deployment.kill(hosts)
