Find the control group through seeds that hold no replica

Cause: control runs on two instances of each data centre, and where only one has a disk the other has no replica. It did not listen for inner calls, but the platform names it as a seed like any other. Once the seeds of a deployment are such instances only, a restarted process knows three addresses that refuse its connections; members of the group know each other from their disks and elect a leader that nobody finds. Class of fault: discovery that relies on seeds being members.

Change: a control instance without a replica listens for inner calls and replies with the members and the leader that it knows (RendezvousServer). Control and entries announce the members to seeds that are none, control also those on its disk, so that it works before a leader is elected (SeedAnnouncer). Such a reply does not count as contact to a member, so a partitioned process still turns to a relay. Where all seeds are members nothing is sent.

--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -17,6 +17,7 @@
 from cicadatray.internal.wire.messages.directory_messages import Acknowledged, NotLeader
 from cicadatray.internal.wire.messages.graph_messages import (
     AcceptGraph,
+    AnnounceMembers,
     CancelGraph,
     EndGraph,
     JoinGroup,
@@ -232,6 +233,13 @@
     )
 
 
+@register_handler(AnnounceMembers)
+async def learn_members(daemon: "ControlDaemon", call: AnnounceMembers) -> MessageStruct:
+    """Stores where the group can be reached, for an instance that has lost its disk."""
+    daemon.control_client.learn_members(call.members)
+    return Acknowledged()
+
+
 @register_handler(JoinGroup)
 async def join_group(daemon: "ControlDaemon", call: JoinGroup) -> MessageStruct:
     """Requests membership for a control instance; the leader admits it later."""
--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -10,7 +10,11 @@
 from cicadatray.internal.wire.errors import PeerUnreachableError, WireError
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
 from cicadatray.internal.wire.messages.directory_messages import NotLeader
-from cicadatray.internal.wire.messages.graph_messages import MemberAddress, ReadMembers
+from cicadatray.internal.wire.messages.graph_messages import (
+    GroupAddresses,
+    MemberAddress,
+    ReadMembers,
+)
 from cicadatray.internal.wire.messages.relay_messages import (
     RelayedCall,
     RelayedReply,
@@ -42,12 +46,16 @@
     """Finds the leader, and retries a call until it gets a reply or its deadline passes.
 
     Every call may be retried, because control recognises repeated commands by their identifiers.
+
+    `group` holds the members of the control group as far as they are known; seeds need not be among
+    them, because a seed may be a control instance without a replica.
     """
 
     __slots__ = (
         "clients",
         "codec",
         "direct_failures",
+        "group",
         "last_reply_s",
         "leader_name",
         "member_names",
@@ -67,7 +75,8 @@
         self.secret = secret
         self.clients = {m.name: self._new_client(m.host, m.port) for m in members}
         self.member_names = [member.name for member in members]
-        self.leader_name = random.choice(self.member_names)
+        self.leader_name = random.choice(self.member_names) if members else ""
+        self.group: tuple[MemberAddress, ...] = ()
         self.relays = relays or RelayRoutes("")
         self.direct_failures = 0
         self.last_reply_s = -math.inf
@@ -120,10 +129,14 @@
         """Calls the instance that is assumed to lead; returns None without a final reply."""
         name = self.leader_name
         started_s = asyncio.get_running_loop().time()
+        client = self.clients.get(name)
+        if client is None:
+            retried_call.record_failure("no control instance is known", False)
+            self._try_next(name)
+            await asyncio.sleep(RETRY_PAUSE_S)
+            return None
         try:
-            reply = await self.clients[name].call(
-                retried_call.message, retried_call.next_timeout_s()
-            )
+            reply = await client.call(retried_call.message, retried_call.next_timeout_s())
         except WireError as error:
             self.direct_failures += 1
             retried_call.record_failure(str(error), not isinstance(error, PeerUnreachableError))
@@ -134,6 +147,12 @@
             )
             return None
         self._record_reply()
+        if isinstance(reply, GroupAddresses):
+            # Does not show that any member of the group can be reached.
+            retried_call.record_failure("no member of the group was reached", False)
+            self.learn_members(reply.members)
+            await self._follow_redirect(name, reply.leader_name)
+            return None
         self.direct_failures = 0
         if isinstance(reply, NotLeader):
             retried_call.record_failure("no leader is known", False)
@@ -190,6 +209,18 @@
         for relay in self.relays.reconcile(relays):
             self.relays.clients[relay] = self._new_client(relay.host, relay.port)
 
+    def learn_members(self, members: tuple[MemberAddress, ...]) -> None:
+        """Adds members that another process has named, which may be outdated."""
+        for member in members:
+            self.set_member_address(member.name, member.host, member.port)
+        self.group = self.group or members
+
+    def update_members(self, members: tuple[MemberAddress, ...]) -> None:
+        """Stores the members that the leader has named."""
+        for member in members:
+            self.set_member_address(member.name, member.host, member.port)
+        self.group = members
+
     def set_member_address(self, name: str, host: str, port: int) -> None:
         """Adds a control instance or changes its address, for example that of a replacement."""
         existing = self.clients.get(name)
@@ -235,6 +266,7 @@
         await asyncio.sleep(RETRY_PAUSE_S)
 
     def _try_next(self, name: str) -> None:
-        if self.leader_name == name:
-            position = (self.member_names.index(name) + 1) % len(self.member_names)
-            self.leader_name = self.member_names[position]
+        if self.leader_name != name or not self.member_names:
+            return
+        position = self.member_names.index(name) + 1 if name in self.member_names else 0
+        self.leader_name = self.member_names[position % len(self.member_names)]
--- a/src/cicadatray/internal/wire/leader_probe.py
+++ b/src/cicadatray/internal/wire/leader_probe.py
@@ -76,8 +76,7 @@
         if not self.has_recent_leader_reply():
             log.info("leader found", leader=self.control.leader_name)
         self.last_leader_reply_s = asyncio.get_running_loop().time()
-        for member in reply.members:
-            self.control.set_member_address(member.name, member.host, member.port)
+        self.control.update_members(reply.members)
         self.control.update_relays(reply.relays)
 
     async def _try_direct(self, call: ReadMembers) -> None:
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -179,6 +179,22 @@
     relays: tuple[MemberAddress, ...] = ()
 
 
+class AnnounceMembers(MessageStruct, frozen=True):
+    """Tells a control instance that is named as a seed which members the group has."""
+
+    members: tuple[MemberAddress, ...]
+
+
+class GroupAddresses(MessageStruct, frozen=True):
+    """The reply of a control instance without a replica: where the group can be reached.
+
+    `leader_name` names one of `members`, and is empty if no leader is known.
+    """
+
+    members: tuple[MemberAddress, ...] = ()
+    leader_name: str = ""
+
+
 class JoinGroup(MessageStruct, frozen=True):
     """Asks to admit a control instance that has no contact with the group."""
 
--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -11,7 +11,10 @@
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.leader_probe import LeaderProbe
+from cicadatray.internal.wire.messages.graph_messages import MemberAddress
 from cicadatray.internal.wire.messages.registry import message_codec
+from cicadatray.internal.wire.rendezvous_server import RendezvousServer
+from cicadatray.internal.wire.seed_announcer import SeedAnnouncer
 from cicadatray.platform.errors import PlatformSettingsError
 from cicadatray.platform.members import CLUSTER_SECRET, control_port, member_name, seed_members
 from cicadatray.platform.operator_api import OperatorApi
@@ -29,51 +32,81 @@
 class ControlRole:
     """A control process with the operators' interface.
 
-    Without a data folder it has no replica and only forwards the operators' calls to the control
-    group: the number of instances with a disk in a data centre differs between deployments.
+    Without a data folder it has no replica. It then only forwards the operators' calls to the
+    control group and tells other processes where that is: the number of instances with a disk in a
+    data centre differs between deployments, and any instance of this role may be named as a seed.
     """
 
-    __slots__ = ("client", "daemon", "metrics", "probe", "server")
+    __slots__ = ("announcer", "client", "daemon", "metrics", "probe", "rendezvous", "server")
 
     def __init__(self, settings: PlatformSettings) -> None:
         address = settings.control_address
         if address is None:
             raise PlatformSettingsError("control needs a Control address for operators")
-        members = seeds = seed_members(settings)
+        seeds = seed_members(settings)
+        own = ControlMember(member_name(settings.ip), settings.ip, control_port(settings))
         self.daemon: ControlDaemon | None = None
+        self.rendezvous: RendezvousServer | None = None
         self.metrics = MetricsRegistry()
+        codec = message_codec()
         if settings.data_folder:
             self.daemon = ControlDaemon(_control_settings(settings, seeds), CLUSTER_SECRET)
             self.metrics = self.daemon.metrics
-            own = ControlMember(member_name(settings.ip), settings.ip, control_port(settings))
-            members = tuple(dict.fromkeys((*seeds, own)))
-        self.client = ControlClient(members, message_codec(), CLUSTER_SECRET)
-        self.probe = LeaderProbe(self.client)
+            self.client = ControlClient(tuple(dict.fromkeys((*seeds, own))), codec, CLUSTER_SECRET)
+            self.probe = LeaderProbe(self.client)
+        else:
+            self.client = ControlClient(seeds, codec, CLUSTER_SECRET)
+            self.probe = LeaderProbe(self.client)
+            self.rendezvous = RendezvousServer(
+                own.host, own.port, self.client, self.probe, codec, CLUSTER_SECRET
+            )
+        self.announcer = SeedAnnouncer(self.client, own.name, seeds, self._stored_members)
         application = OperatorApi(self.client).application()
         self.server = HttpServer(application, address.host, address.port)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then transfers leadership and stops."""
         await self.server.start()
-        probe_task = asyncio.create_task(self.probe.run())
+        tasks = [
+            asyncio.create_task(self.probe.run()),
+            asyncio.create_task(self.announcer.run()),
+        ]
         try:
             if self.daemon is not None:
                 await self.daemon.run(stop)
             else:
-                log.info("no data folder; operator calls are forwarded")
-                await stop.wait()
+                await self._forward(stop)
         finally:
-            probe_task.cancel()
+            for task in tasks:
+                task.cancel()
             await self.server.stop()
             await self.client.close()
 
     def reload(self, settings: PlatformSettings) -> None:
         """Applies changed seeds."""
-        for member in seed_members(settings):
+        self.announcer.seeds = seed_members(settings)
+        for member in self.announcer.seeds:
             self.client.set_member_address(member.name, member.host, member.port)
             if self.daemon is not None and member.name != self.daemon.settings.name:
                 self.daemon.control_client.set_member_address(member.name, member.host, member.port)
 
+    async def _forward(self, stop: asyncio.Event) -> None:
+        """Forwards operators' calls and answers inner calls until `stop` is set."""
+        assert self.rendezvous is not None
+        await self.rendezvous.server.start()
+        log.info("no data folder; operator calls are forwarded", port=self.rendezvous.server.port)
+        await stop.wait()
+        await self.rendezvous.server.stop()
+
+    def _stored_members(self) -> tuple[MemberAddress, ...]:
+        """Returns the members of the group that the data folder holds."""
+        if self.daemon is None or self.daemon.replica.core_or_none is None:
+            return ()
+        return tuple(
+            MemberAddress(member.member_id, member.host, member.port)
+            for member in self.daemon.replica.members()
+        )
+
 
 def _control_settings(
     settings: PlatformSettings, seeds: tuple[ControlMember, ...]
--- a/src/cicadatray/platform/entry_role.py
+++ b/src/cicadatray/platform/entry_role.py
@@ -13,6 +13,7 @@
 from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.internal.wire.relay_routes import RelayRoutes
 from cicadatray.internal.wire.relay_server import RelayServer
+from cicadatray.internal.wire.seed_announcer import SeedAnnouncer
 from cicadatray.platform.client_api import ClientApi
 from cicadatray.platform.errors import PlatformSettingsError
 from cicadatray.platform.members import CLUSTER_SECRET, relay_address, seed_members
@@ -32,6 +33,7 @@
     """An entry process with the clients' interface and a readiness check."""
 
     __slots__ = (
+        "announcer",
         "client_server",
         "control",
         "is_stopping",
@@ -55,7 +57,10 @@
         codec = message_codec()
         own_relay = relay_address(settings)
         routes = RelayRoutes(own_relay.name)
-        self.control = ControlClient(seed_members(settings), codec, CLUSTER_SECRET, routes)
+        seeds = seed_members(settings)
+        self.control = ControlClient(seeds, codec, CLUSTER_SECRET, routes)
+        # The seeds of other processes may differ from those of the members of the group.
+        self.announcer = SeedAnnouncer(self.control, settings.name, seeds)
         self.probe = LeaderProbe(self.control, own_relay)
         self.relay = RelayServer(
             own_relay.host, own_relay.port, self.control, codec, CLUSTER_SECRET
@@ -69,7 +74,10 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then waits for removal from rotation and drains."""
-        probe_task = asyncio.create_task(self.probe.run())
+        tasks = [
+            asyncio.create_task(self.probe.run()),
+            asyncio.create_task(self.announcer.run()),
+        ]
         await self.relay.server.start()
         await self.client_server.start()
         await self.readiness_server.start()
@@ -83,14 +91,16 @@
                 await self.client_server.stop()
         except TimeoutError:
             self.client_server.abort()
-        probe_task.cancel()
+        for task in tasks:
+            task.cancel()
         await self.readiness_server.stop()
         await self.relay.server.stop()
         await self.control.close()
 
     def reload(self, settings: PlatformSettings) -> None:
         """Applies changed seeds."""
-        for member in seed_members(settings):
+        self.announcer.seeds = seed_members(settings)
+        for member in self.announcer.seeds:
             self.control.set_member_address(member.name, member.host, member.port)
 
     async def _serve_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:
