Log the seeds of a process and a search for the leader

Change: `started` and `settings reloaded` name the seeds. `leader not found` names the addresses tried and the members known, once for each search, and its duration at the end.

--- a/src/cicadatray/internal/wire/leader_probe.py
+++ b/src/cicadatray/internal/wire/leader_probe.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.messages.graph_messages import (
     MemberAddress,
@@ -30,11 +31,12 @@
 class LeaderProbe:
     """Tracks the members of the control group and the time of the leader's last reply."""
 
-    __slots__ = ("control", "last_leader_reply_s", "own_relay")
+    __slots__ = ("control", "last_leader_reply_s", "own_relay", "search")
 
     def __init__(self, control: ControlClient, own_relay: MemberAddress | None = None) -> None:
         self.control = control
         self.own_relay = own_relay
+        self.search = RepeatedEvent("leader not found")
         self.last_leader_reply_s = -math.inf
 
     def has_recent_leader_reply(self) -> bool:
@@ -69,10 +71,18 @@
             reply = await self.control.call(call, timeout_s)
         except ControlUnavailableError as error:
             log.debug("leader did not answer", reason=str(error))
+            if not self.has_recent_leader_reply():
+                self.search.record_failure(
+                    type(error).__name__,
+                    addresses=sorted(self.control.member_names),
+                    members=sorted(member.name for member in self.control.group),
+                    reason=str(error),
+                )
             await self.control.ping_relays()
             return
         if not isinstance(reply, MembersReply):
             return
+        self.search.record_end()
         if not self.has_recent_leader_reply():
             log.info("leader found", leader=self.control.leader_name)
         self.last_leader_reply_s = asyncio.get_running_loop().time()
--- a/src/cicadatray/platform/main.py
+++ b/src/cicadatray/platform/main.py
@@ -48,11 +48,12 @@
 
     def on_reload() -> None:
         try:
-            program.reload(load_platform_settings(path))
+            reloaded = load_platform_settings(path)
+            program.reload(reloaded)
         except PlatformSettingsError as error:
             log.error("settings not reloaded", reason=str(error))
             return
-        log.info("settings reloaded")
+        log.info("settings reloaded", seeds=[seed.host for seed in reloaded.seeds])
 
     metrics = HttpServer(
         metrics_application(
@@ -65,7 +66,12 @@
     loop.add_signal_handler(signal.SIGTERM, on_stop)
     loop.add_signal_handler(signal.SIGINT, on_stop)
     loop.add_signal_handler(signal.SIGHUP, on_reload)
-    log.info("started", ip=settings.ip, first_start=settings.is_bootstrap)
+    log.info(
+        "started",
+        ip=settings.ip,
+        first_start=settings.is_bootstrap,
+        seeds=[seed.host for seed in settings.seeds],
+    )
     await metrics.start()
     await program.run(stop)
     await metrics.stop()
