Reread a settings file that changes without a signal

A member of the group went on announcing itself to seeds that the platform had replaced without a signal, so a process that started with the new seeds found no leader. The same holds for a signal that arrives while a process still imports its modules: it is ignored there, and the change was lost.

--- a/src/cicadatray/platform/main.py
+++ b/src/cicadatray/platform/main.py
@@ -21,6 +21,7 @@
 from cicadatray.platform.errors import PlatformSettingsError
 from cicadatray.platform.roles import role_factories
 from cicadatray.platform.settings import PlatformSettings, load_platform_settings
+from cicadatray.platform.settings_watch import SettingsWatch
 
 SETTINGS_VARIABLE = "CICADATRAY_CONFIG"
 SETTINGS_EXIT_CODE = 2
@@ -46,15 +47,7 @@
         log.info("stopping")
         stop.set()
 
-    def on_reload() -> None:
-        try:
-            reloaded = load_platform_settings(path)
-            program.reload(reloaded)
-        except PlatformSettingsError as error:
-            log.error("settings not reloaded", reason=str(error))
-            return
-        log.info("settings reloaded", seeds=[seed.host for seed in reloaded.seeds])
-
+    watch = SettingsWatch(path, settings, program.reload)
     metrics = HttpServer(
         metrics_application(
             program.metrics, lambda: stream.count_dropped(log_lines_dropped(program.metrics))
@@ -65,7 +58,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, on_stop)
     loop.add_signal_handler(signal.SIGINT, on_stop)
-    loop.add_signal_handler(signal.SIGHUP, on_reload)
+    loop.add_signal_handler(signal.SIGHUP, watch.reload)
     log.info(
         "started",
         ip=settings.ip,
@@ -73,7 +66,9 @@
         seeds=[seed.host for seed in settings.seeds],
     )
     await metrics.start()
+    watch_task = asyncio.create_task(watch.run())
     await program.run(stop)
+    watch_task.cancel()
     await metrics.stop()
     log.info("stopped")
 
--- a/tests/nocover/test_seed_turnover.py
+++ b/tests/nocover/test_seed_turnover.py
@@ -82,12 +82,17 @@
 # The new seeds name only a control process without a data folder. After a loss of power a leader
 # was elected, and no entry, agent or control process without a replica found it again.
 @pytest.mark.parametrize(
-    "restarted",
-    [(ENTRY,), (FORWARDER, ENTRY), (MEMBER, FORWARDER, ENTRY)],
-    ids=["entry", "all-but-the-replica", "all"],
+    ("restarted", "is_signalled"),
+    [
+        ((ENTRY,), True),
+        ((FORWARDER, ENTRY), True),
+        ((MEMBER, FORWARDER, ENTRY), True),
+        ((FORWARDER, ENTRY), False),
+    ],
+    ids=["entry", "all-but-the-replica", "all", "without-a-signal"],
 )
 def test_leader_is_found_when_no_seed_holds_a_replica(
-    restarted: tuple[str, ...], tmp_path: Path
+    restarted: tuple[str, ...], is_signalled: bool, tmp_path: Path
 ) -> None:
     """Guards against accepted jobs that cannot be read any more because no seed is a member."""
     deployment = Deployment(tmp_path)
@@ -97,8 +102,9 @@
         deployment.start(hosts)
         asyncio.run(asyncio.wait_for(accept_job(), RECOVERY_LIMIT_S))
         deployment.configure(FORWARDER, is_first_start=False)
-        for host in hosts:
-            deployment.programs[host].send(signal.SIGHUP)
+        if is_signalled:
+            for host in hosts:
+                deployment.programs[host].send(signal.SIGHUP)
         deployment.kill(restarted)
         deployment.start(restarted)
         asyncio.run(asyncio.wait_for(read_everything(), RECOVERY_LIMIT_S))
