Forget control instances that have left the group

After instances of control were replaced, each search for a leader also tried the addresses of the former ones. An instance that is gone for good refuses no connection, so every round of the search waited 0.5 s for each of them; entries answered 503 for that time. Change: what the leader names replaces what was known; seeds stay. Former seeds are forgotten when a leader has been found. Test: test_members_that_have_left_are_forgotten fails without the change (it kept all names).

--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -47,8 +47,9 @@
 
     Every call may be retried, because control recognises repeated commands by their identifiers.
 
-    `group` holds the members of the control group as far as they are known; seeds need not be among
-    them, because a seed may be a control instance without a replica.
+    `group` holds the members of the control group as far as they are known. `seeds` names the
+    instances that the settings list; they need not be among the members, because a seed may be a
+    control instance without a replica.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         "member_names",
         "relays",
         "secret",
+        "seeds",
     )
 
     def __init__(
@@ -77,6 +79,7 @@
         self.member_names = [member.name for member in members]
         self.leader_name = random.choice(self.member_names) if members else ""
         self.group: tuple[MemberAddress, ...] = ()
+        self.seeds = frozenset(self.member_names)
         self.relays = relays or RelayRoutes("")
         self.direct_failures = 0
         self.last_reply_s = -math.inf
@@ -216,10 +219,24 @@
         self.group = self.group or members
 
     def update_members(self, members: tuple[MemberAddress, ...]) -> None:
-        """Stores the members that the leader has named."""
+        """Stores the members that the leader has named, and forgets all others but the seeds.
+
+        An instance that is gone for good does not refuse a connection, so each search for a leader
+        would wait for it.
+        """
         for member in members:
             self.set_member_address(member.name, member.host, member.port)
         self.group = members
+        kept = {self.leader_name, *self.seeds, *(member.name for member in members)}
+        for name in [name for name in self.member_names if name not in kept]:
+            self.member_names.remove(name)
+            self.clients.pop(name).release()
+
+    def replace_seeds(self, seeds: tuple[ControlMember, ...]) -> None:
+        """Stores the seeds of changed settings; former ones are kept until a leader is found."""
+        for seed in seeds:
+            self.set_member_address(seed.name, seed.host, seed.port)
+        self.seeds = frozenset(seed.name for seed in seeds)
 
     def set_member_address(self, name: str, host: str, port: int) -> None:
         """Adds a control instance or changes its address, for example that of a replacement."""
--- a/src/cicadatray/platform/agent_role.py
+++ b/src/cicadatray/platform/agent_role.py
@@ -52,8 +52,7 @@
 
     def reload(self, settings: PlatformSettings) -> None:
         """Applies changed seeds."""
-        for member in seed_members(settings):
-            self.control.set_member_address(member.name, member.host, member.port)
+        self.control.replace_seeds(seed_members(settings))
 
 
 @role("agent")
--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -44,7 +44,7 @@
         if address is None:
             raise PlatformSettingsError("control needs a Control address for operators")
         seeds = seed_members(settings)
-        own = ControlMember(member_name(settings.ip), settings.ip, control_port(settings))
+        own = self._own_address(settings)
         self.daemon: ControlDaemon | None = None
         self.rendezvous: RendezvousServer | None = None
         self.metrics = MetricsRegistry()
@@ -84,11 +84,17 @@
 
     def reload(self, settings: PlatformSettings) -> None:
         """Applies changed seeds."""
-        self.announcer.seeds = seed_members(settings)
-        for member in self.announcer.seeds:
-            self.client.set_member_address(member.name, member.host, member.port)
-            if self.daemon is not None and member.name != self.daemon.settings.name:
-                self.daemon.control_client.set_member_address(member.name, member.host, member.port)
+        seeds = seed_members(settings)
+        self.announcer.seeds = seeds
+        if self.daemon is None:
+            self.client.replace_seeds(seeds)
+            return
+        own = self._own_address(settings)
+        self.client.replace_seeds(tuple(dict.fromkeys((*seeds, own))))
+        self.daemon.control_client.replace_seeds(tuple(seed for seed in seeds if seed != own))
+
+    def _own_address(self, settings: PlatformSettings) -> ControlMember:
+        return ControlMember(member_name(settings.ip), settings.ip, control_port(settings))
 
     async def _forward(self, stop: asyncio.Event) -> None:
         """Forwards operators' calls and answers inner calls until `stop` is set."""
--- a/src/cicadatray/platform/entry_role.py
+++ b/src/cicadatray/platform/entry_role.py
@@ -100,8 +100,7 @@
     def reload(self, settings: PlatformSettings) -> None:
         """Applies changed seeds."""
         self.announcer.seeds = seed_members(settings)
-        for member in self.announcer.seeds:
-            self.control.set_member_address(member.name, member.host, member.port)
+        self.control.replace_seeds(self.announcer.seeds)
 
     async def _serve_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:
         is_ready = not self.is_stopping and self.probe.is_connected()
--- a/tests/cover/wire/test_rendezvous.py
+++ b/tests/cover/wire/test_rendezvous.py
@@ -49,6 +49,9 @@
                 self.host = host
                 self.port = port
 
+            def release(self) -> None:
+                """Does nothing: no connection is open."""
+
             async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
                 network.calls.append(self.port)
                 handler = network.handlers.get(self.port)
@@ -247,3 +250,48 @@
         assert isinstance(await client.call(ReadMembers(), SEARCH_S), MembersReply)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("seeds", "kept"),
+    [
+        ((SEED,), {"leader", "follower", "seed"}),
+        ((SEED, OTHER_SEED), {"leader", "follower", "seed", "other-seed"}),
+        ((OTHER_SEED,), {"leader", "follower", "other-seed"}),
+    ],
+    ids=["same seeds", "one more seed", "other seed"],
+)
+def test_members_that_have_left_are_forgotten(
+    seeds: tuple[ControlMember, ...], kept: set[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against searches for a leader that wait for instances which are gone for good."""
+
+    async def main() -> None:
+        network = Network(monkeypatch)
+        client = make_client(SEED)
+        client.learn_members((MemberAddress("removed", HOST, 7008), *MEMBERS))
+        client.replace_seeds(seeds)
+        assert "removed" in client.member_names
+        network.handlers[LEADER.port] = answer_as_leader
+        client.leader_name = LEADER.name
+        probe = LeaderProbe(client)
+        running = asyncio.create_task(probe.run())
+        await asyncio.sleep(SEARCH_S)
+        running.cancel()
+        assert set(client.member_names) == set(client.clients) == kept
+
+    run_virtual(main())
+
+
+def test_search_goes_on_from_a_leader_that_was_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a search that ends because the assumed leader is no member any more."""
+
+    async def main() -> None:
+        network = Network(monkeypatch)
+        network.handlers[LEADER.port] = answer_as_leader
+        client = make_client(SEED)
+        client.update_members(MEMBERS)
+        client.leader_name = "removed"
+        assert isinstance(await client.call(ReadMembers(), SEARCH_S), MembersReply)
+
+    run_virtual(main())
