Do not count a seed without a replica as contact to control

Clients on a machine that was cut off from the control group got 503 while its readiness check kept passing, so the platform sent new connections there. A control instance without a replica often runs beside an entry and answers it however the machine is cut.

LeaderProbe.is_connected takes any recorded reply as a sign that the process is not isolated.

Evidence: test_process_that_reaches_only_seeds_is_not_connected failed in 2 of 2 rows, and passes in both now.

Change: the reply's time is recorded only for members of the group, as for the count of failures that leads to a relay.

Result: tests/cover/wire and tests/cover/test_relays.py pass (30 tests).

--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -149,13 +149,14 @@
                 max(0.0, started_s + RETRY_PAUSE_S - asyncio.get_running_loop().time())
             )
             return None
-        self._record_reply()
         if isinstance(reply, GroupAddresses):
-            # Does not show that any member of the group can be reached.
+            # Neither counts as a reply nor ends a series of failures: an instance without a replica
+            # may itself be cut off from the group, and may run on the same machine as the caller.
             retried_call.record_failure("no member of the group was reached", False)
             self.learn_members(reply.members)
             await self._follow_redirect(name, reply.leader_name)
             return None
+        self._record_reply()
         self.direct_failures = 0
         if isinstance(reply, NotLeader):
             retried_call.record_failure("no leader is known", False)
--- a/tests/cover/wire/test_rendezvous.py
+++ b/tests/cover/wire/test_rendezvous.py
@@ -221,6 +221,30 @@
     run_virtual(main())
 
 
+# A control instance without a replica and an entry often share a machine.
+@pytest.mark.parametrize("knows_members", [True, False], ids=["members known", "nothing known"])
+def test_process_that_reaches_only_seeds_is_not_connected(
+    knows_members: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an entry on a machine that is cut off and yet stays in the rotation."""
+
+    async def main() -> None:
+        network = Network(monkeypatch)
+        rendezvous, _ = start_rendezvous(network, SEED)
+        if knows_members:
+            rendezvous.learn_members(MEMBERS)
+        client = make_client(SEED)
+        client.update_relays((RELAY,))
+        probe = LeaderProbe(client)
+        probe.last_leader_reply_s = client.last_reply_s = asyncio.get_running_loop().time()
+        probing = asyncio.create_task(probe.run())
+        await asyncio.sleep(SEARCH_S)
+        assert not probe.is_connected()
+        probing.cancel()
+
+    run_virtual(main())
+
+
 def test_seed_answers_other_calls_with_the_group(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a seed that acts on a call, or fails, although it has no replica."""
 
