Form the control group without seeds that have no disk

Where one of the seeds of the very first start had no disk, no control group formed: the configuration was never accepted and every request got 503. Where the lowest-named seed had none, nobody even tried.

Cause: the initial members are the seeds, and formation waits for the replica of every one of them.

Evidence: test_group_forms_among_the_initial_members_that_hold_replicas failed in 6 of 7 rows (TimeoutError after 30 simulated seconds; the row with three replicas passed) and passes in all now.

Change: a control instance without a replica has answered inner calls since; ReplicaLink raises NoReplicaError for that answer, and Formation leaves such members out. The lowest name among the others coordinates. A member that merely does not answer is still waited for, so there is no second group (test_members_wait_for_an_initial_member_that_does_not_answer). Members with a higher name begin to ask the lower ones only after the longest election timeout, so an ordinary first start sends what it sent before.

Result: tests/cover/replication, platform, control and wire pass (330 tests, 105 s). A deployment in which no seed at all has a disk still forms no group.

--- a/src/cicadatray/internal/control/replica_link.py
+++ b/src/cicadatray/internal/control/replica_link.py
@@ -5,8 +5,13 @@
 from cicadatray.internal.wire.codec import Codec
 from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.messages.directory_messages import ReplicaAnswer, ReplicaCall
+from cicadatray.internal.wire.messages.graph_messages import GroupAddresses
 from cicadatray.internal.wire.rpc_client import RpcClient
-from cicadatray.replication.errors import MessageDecodeError, ReplicaTransportError
+from cicadatray.replication.errors import (
+    MessageDecodeError,
+    NoReplicaError,
+    ReplicaTransportError,
+)
 from cicadatray.replication.member import Member
 from cicadatray.replication.message import (
     ReplicaMessage,
@@ -35,6 +40,7 @@
         """Sends a message and returns its reply.
 
         Raises:
+            NoReplicaError: a control instance without a replica replied.
             ReplicaTransportError: the member did not reply in time, or its reply is invalid.
         """
         call = ReplicaCall(member_id=self.member_id, payload=encode_replica_message(message))
@@ -42,6 +48,8 @@
             reply = await self._channel(member).call(call, timeout_s)
         except WireError as error:
             raise ReplicaTransportError(str(error)) from error
+        if isinstance(reply, GroupAddresses):
+            raise NoReplicaError(f"{member.member_id} holds no replica")
         if not isinstance(reply, ReplicaAnswer):
             raise ReplicaTransportError(f"{member.member_id} answered {reply}")
         try:
--- a/src/cicadatray/replication/errors.py
+++ b/src/cicadatray/replication/errors.py
@@ -47,6 +47,10 @@
     """The transport could not deliver a message, or no reply arrived in time."""
 
 
+class NoReplicaError(ReplicaTransportError):
+    """The process at the member's address holds no replica."""
+
+
 class PeerRefusedError(ReplicationError):
     """The other member refused a request or contradicts what this member knows about it.
 
--- a/src/cicadatray/replication/formation.py
+++ b/src/cicadatray/replication/formation.py
@@ -6,7 +6,7 @@
 import structlog
 
 from cicadatray.replication.core import ReplicaCore
-from cicadatray.replication.errors import ReplicaTransportError
+from cicadatray.replication.errors import NoReplicaError, ReplicaTransportError
 from cicadatray.replication.member import Member
 from cicadatray.replication.membership import MemberRecord, Membership
 from cicadatray.replication.message import FormationReply, FormationRequest
@@ -22,24 +22,33 @@
     has all of them store the same proposal, and only then completes the formation. A member that
     later loses its disk has a different identity from the one in the membership. Every other member
     stores that membership, so no majority can include the member's empty log.
+
+    Initial members that answer that they hold no replica are left out, and never coordinate.
     """
 
-    __slots__ = ("core",)
+    __slots__ = ("core", "ids_without_replica")
 
     def __init__(self, core: ReplicaCore) -> None:
         self.core = core
+        self.ids_without_replica: set[str] = set()
 
     async def run(self) -> None:
-        """Coordinates until the group is formed or turns out to exist without this data folder."""
+        """Takes part until the group is formed or turns out to exist without this data folder."""
         settings = self.core.settings
-        if not self._can_form_group():
-            return
         initial_ids = [member.member_id for member in settings.initial_members]
-        if settings.member_id != min(initial_ids, default=""):
+        if settings.member_id not in initial_ids:
             return
-        other_members = [m for m in settings.initial_members if m.member_id != settings.member_id]
+        if settings.member_id != min(initial_ids):
+            # A coordinator that holds a replica usually forms the group within this time.
+            await asyncio.sleep(settings.election_timeout_max_s)
         while self._can_form_group():
-            if await self._try_to_form_group(other_members):
+            others = self._other_members()
+            lower_members = [m for m in others if m.member_id < settings.member_id]
+            if lower_members:
+                replies = await self._call_all(lower_members, self._formation_request())
+                if any(reply is not None and reply.group_id for reply in replies):
+                    return
+            elif await self._try_to_form_group(others):
                 return
             await asyncio.sleep(settings.heartbeat_s)
 
@@ -116,6 +125,12 @@
         await self._call_all(other_members, complete)
         return True
 
+    def _other_members(self) -> list[Member]:
+        """Returns the other initial members that may hold a replica."""
+        excluded_ids = {self.core.settings.member_id, *self.ids_without_replica}
+        members = self.core.settings.initial_members
+        return [member for member in members if member.member_id not in excluded_ids]
+
     def _with_data_centre(self, member: Member, data_centre: str) -> Member:
         return Member(member.member_id, member.host, member.port, data_centre)
 
@@ -142,6 +157,11 @@
     async def _call(self, member: Member, request: FormationRequest) -> FormationReply | None:
         try:
             reply = await self.core.call_address(member, request)
+        except NoReplicaError:
+            if member.member_id not in self.ids_without_replica:
+                log.info("initial member holds no replica", initial_member=member.member_id)
+            self.ids_without_replica.add(member.member_id)
+            return None
         except ReplicaTransportError:
             return None
         return reply if isinstance(reply, FormationReply) else None
--- a/src/cicadatray/replication/transport.py
+++ b/src/cicadatray/replication/transport.py
@@ -15,5 +15,6 @@
         """Delivers a message to the member's `Replica.handle` and returns its reply.
 
         Raises:
+            NoReplicaError: the process at the member's address holds no replica.
             ReplicaTransportError: the message was not delivered, or no reply arrived in time.
         """
