--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -261,6 +261,11 @@
         """
         return await self.clients[name].call(message, timeout_s)
 
+    def is_connected_to(self, name: str) -> bool:
+        """Returns whether a connection to this control instance is open."""
+        client = self.clients.get(name)
+        return client is not None and client.is_connected
+
     async def close(self) -> None:
         """Closes all connections."""
         for client in (*self.clients.values(), *self.relays.clients.values()):
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -60,6 +60,11 @@
         """The loop time of the last message on the current connection; 0 without one."""
         return self.connection.last_received_s if self.connection else 0.0
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection is open; one to a process without power stays open for a while."""
+        return self.connection is not None and self.connection.is_open
+
     async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
         """Sends a request and returns its reply, which may be a `Failure`.
 
--- a/tests/cover/wire/test_rendezvous.py
+++ b/tests/cover/wire/test_rendezvous.py
@@ -10,7 +10,7 @@
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.errors import PeerUnreachableError
 from cicadatray.internal.wire.leader_probe import LeaderProbe
-from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.directory_messages import Acknowledged
 from cicadatray.internal.wire.messages.graph_messages import (
     AnnounceMembers,
@@ -48,6 +48,12 @@
             def __init__(self, host: str, port: int) -> None:
                 self.host = host
                 self.port = port
+                self.connected_to: Handler | None = None
+
+            @property
+            def is_connected(self) -> bool:
+                handler = network.handlers.get(self.port)
+                return handler is not None and self.connected_to == handler
 
             def release(self) -> None:
                 """Does nothing: no connection is open."""
@@ -57,6 +63,7 @@
                 handler = network.handlers.get(self.port)
                 if handler is None:
                     raise PeerUnreachableError("connection refused")
+                self.connected_to = handler
                 return await handler(message)
 
         monkeypatch.setattr(
@@ -171,6 +178,41 @@
     run_virtual(main())
 
 
+async def answer_as_busy(call: MessageStruct) -> MessageStruct:
+    return Failure(code="too_many_calls", detail="busy")
+
+
+# The number of calls within `SEARCH_S`, in which there are ten rounds.
+@pytest.mark.parametrize(
+    ("change", "expected_calls"),
+    [("", 2), ("restart", 3), ("members", 3), ("busy", 10)],
+    ids=["no change", "seed restarted", "members replaced", "seed refuses"],
+)
+def test_seed_is_told_the_same_only_now_and_then(
+    change: str, expected_calls: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against hundreds of entries that load a seed, and against a seed that forgets."""
+
+    async def main() -> None:
+        network = Network(monkeypatch)
+        start_rendezvous(network, SEED)
+        if change == "busy":
+            network.handlers[SEED.port] = answer_as_busy
+        client = make_client(SEED)
+        client.update_members(MEMBERS)
+        running = asyncio.create_task(SeedAnnouncer(client, "own", (SEED,)).run())
+        await asyncio.sleep(1.2)
+        if change == "restart":
+            start_rendezvous(network, SEED)
+        elif change == "members":
+            client.update_members((LEADER,))
+        await asyncio.sleep(SEARCH_S - 1.3)
+        assert network.calls == [SEED.port] * expected_calls
+        running.cancel()
+
+    run_virtual(main())
+
+
 def test_seed_that_is_down_does_not_stop_announcements(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a seed without power that keeps the other seeds from being informed."""
 
