Keep a silent worker after a restart of its agent until the earlier lease is over

Seen: an agent process that had just restarted reported its worker as ended after one unanswered call. Control recorded the worker's runs as lost and started them on other workers, while the worker ran on under the lease that the process before the restart had extended. A task could run twice.

Cause: the agent gives up a silent worker once the worker's clock has passed the latest lease end that it sent. A new process has sent none yet, so its latest end was 0.

Evidence: test_restarted_agent_does_not_end_a_silent_worker failed for all three rows (a lease granted at once, after 3 s, never): 'worker given up lease_s=0.0' after the first unanswered call.

Change: the worker is given up only after control has granted a lease to this process, and not before the end of that first grant. Leases of an earlier process were granted before and end earlier.

Result: the three rows and tests/cover/taskgraphs pass.

--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -294,7 +294,7 @@
         """Drops the worker once every lease that it may have received has expired."""
         worker_id = executor.port.worker_id
         self.unanswered.record_failure(worker_id, worker=worker_id, reason=reason)
-        if executor is self.executor and executor.port.clock_s() > self.lease.sent_end_s:
+        if executor is self.executor and self.lease.has_expired(executor.port.clock_s()):
             self.unanswered.record_end()
             log.info("worker given up", worker=worker_id, lease_s=self.lease.sent_end_s)
             self._drop_worker()
--- a/src/cicadatray/internal/agent/tasks/worker_lease.py
+++ b/src/cicadatray/internal/agent/tasks/worker_lease.py
@@ -13,13 +13,15 @@
     """Tracks the end of the lease that control grants and of the one that the worker was sent.
 
     `granted_end_s` is the end that control allows, `sent_end_s` the latest end in any call to
-    the worker. `last_contact_s` is the event loop time at which the worker last announced itself
-    or answered.
+    the worker. `first_granted_end_s` is the end of the first grant, 0 before it. No lease that an
+    earlier process of this agent sent lasts longer, because its grants started before.
+    `last_contact_s` is the event loop time at which the worker last announced itself or answered.
     """
 
-    __slots__ = ("granted_end_s", "last_contact_s", "sent_end_s")
+    __slots__ = ("first_granted_end_s", "granted_end_s", "last_contact_s", "sent_end_s")
 
     def __init__(self) -> None:
+        self.first_granted_end_s = 0.0
         self.granted_end_s = 0.0
         self.sent_end_s = 0.0
         self.last_contact_s = asyncio.get_running_loop().time()
@@ -36,6 +38,7 @@
         """
         if asked_s:
             self.granted_end_s = max(self.granted_end_s, asked_s + lease_s * MIN_CLOCK_RATE)
+            self.first_granted_end_s = self.first_granted_end_s or self.granted_end_s
 
     def end_to_send(self) -> float:
         """Returns the end of the lease for a call, which is extended only for a worker in contact.
@@ -46,3 +49,13 @@
         if silence_s < SILENT_WORKER_S:
             self.sent_end_s = max(self.sent_end_s, self.granted_end_s)
         return self.sent_end_s
+
+    def has_expired(self, worker_clock_s: float) -> bool:
+        """Returns whether every lease that the worker may have received has expired.
+
+        `worker_clock_s` is a lower bound of the worker's clock. Before the first grant, the end of
+        a lease from an earlier process of this agent is unknown.
+        """
+        if not self.first_granted_end_s:
+            return False
+        return worker_clock_s > max(self.first_granted_end_s, self.sent_end_s)
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -17,8 +17,14 @@
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.observability.counter import Counter
+from cicadatray.internal.wire.control_client import ControlUnavailableError
+from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
+    MembersReply,
+    ReadMembers,
     RunOrder,
+    RunReport,
+    SyncWorker,
     WorkerOffer,
     WorkerOrders,
 )
@@ -196,3 +202,70 @@
         assert port.calls == expected
 
     run_virtual(main())
+
+
+class SilentPort(FakePort):
+    """Lists `RUN` once, when the worker is adopted, and answers nothing afterwards."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.has_answered = False
+
+    async def observe(
+        self, token: int, committed_end_number: int, lease_until_s: float, wait_s: float
+    ) -> WorkerView:
+        if self.has_answered:
+            await asyncio.sleep(0.8)
+            raise WorkerUnansweredError("no answer")
+        self.has_answered = True
+        return WorkerView((RunReport(RUN, 40),), ())
+
+
+class ScriptedControl:
+    """Grants leases from `grants_from_s` on and records the workers reported as ended."""
+
+    leader_name = "c1"
+
+    def __init__(self, grants_from_s: float) -> None:
+        self.grants_from_s = grants_from_s
+        self.ended_at_s: dict[str, float] = {}
+
+    async def call(self, message: MessageStruct, *timeouts_s: float) -> MessageStruct:
+        await asyncio.sleep(0.1)
+        now_s = asyncio.get_running_loop().time()
+        if isinstance(message, ReadMembers):
+            return MembersReply(members=(), term=1)
+        assert isinstance(message, SyncWorker)
+        if message.ended_worker_id:
+            self.ended_at_s.setdefault(message.ended_worker_id, now_s)
+        if now_s < self.grants_from_s:
+            raise ControlUnavailableError("no leader")
+        return orders(starts=())
+
+
+@pytest.mark.parametrize(
+    ("grants_from_s", "ends_from_s"),
+    [(0.0, 4.9), (3.0, 7.9), (60.0, 60.0)],
+    ids=["lease granted at once", "lease granted late", "no lease granted"],
+)
+def test_restarted_agent_does_not_end_a_silent_worker(
+    grants_from_s: float, ends_from_s: float
+) -> None:
+    """Guards against reporting a worker as ended whose runs continue under an earlier lease.
+
+    The process before the restart had extended the lease by an amount that the new one does not
+    know. Control starts the runs of an ended worker again at once.
+    """
+
+    async def main() -> None:
+        control: Any = ScriptedControl(grants_from_s)
+        agent = TaskAgent("a", control)
+        assert await agent.receive_offer(OFFER, SilentPort())
+        running = asyncio.create_task(agent.run())
+        await asyncio.sleep(30.0)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        assert all(ended_s >= ends_from_s for ended_s in control.ended_at_s.values())
+        assert bool(control.ended_at_s) is (ends_from_s < 30.0)
+
+    run_virtual(main())
