Skip each row of a worker's lists that cannot be decoded, and only that row

Seen: one row that is not a list, or a clock that is not a number, made the agent take the whole answer of its worker for unanswered, so it learned of no run and no end as long as the row was there. A row with a number beyond 64 bits was accepted; encoding the next report to control then failed in each call, and after the lease the worker counted as lost. A run without a valid percent was taken for missing and stopped. A checkpoint of another type was turned into text and sent with the next start.

Cause: the lists were checked for rows of one type before the rows were decoded, the clock was decoded as a required part, and numbers were not limited.

Change: each row is decoded by itself; a row that names no run is skipped and logged. Numbers are limited to MAX_NUMBER. Percent and checkpoint are optional. The earlier test of invalid rows left out the row that is no list; its table now has it. test_task_names accepts the new limit.

--- a/src/cicadatray/platform/worker_document.py
+++ b/src/cicadatray/platform/worker_document.py
@@ -3,11 +3,13 @@
 from typing import Any
 
 import msgspec
+import structlog
 
 from cicadatray.internal.agent.tasks.worker_port import WorkerView
 from cicadatray.internal.wire.messages.graph_messages import RunEnd, RunReport, WorkerOffer
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.fields import (
+    MAX_NUMBER,
     MS_PER_S,
     parse_address,
     parse_json,
@@ -21,6 +23,11 @@
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 
+log = structlog.get_logger(__name__)
+
+LOGGED_ROW_LENGTH = 200
+# What decoding a row of unknown content raises.
+ROW_ERRORS = (ValueError, TypeError, AttributeError, KeyError, DocumentError)
 READY = "ready"
 DRAINING = "draining"
 OUTCOMES_BY_NAME = {
@@ -80,33 +87,35 @@
 
 
 def decode_view(body: bytes) -> tuple[WorkerView, float]:
-    """Returns the runs that a worker lists and the time of its clock in seconds.
+    """Returns the runs that a worker lists and the time of its clock in seconds, 0 if unknown.
 
-    Rows that cannot be decoded are skipped, because they identify no run to act on.
+    Rows that cannot be decoded are skipped and logged, because they identify no run to act on.
 
     Raises:
         DocumentError: the body cannot be decoded.
     """
     document = parse_json(body)
-    running = [_decode_running(row) for row in read_list(document, "Running", list)]
-    ended = [_decode_end(row) for row in read_list(document, "Ended", list)]
+    running = [_decode_running(row) for row in read_list(document, "Running", object)]
+    ended = [_decode_end(row) for row in read_list(document, "Ended", object)]
     view = WorkerView(
         tuple(report for report in running if report is not None),
         tuple(end for end in ended if end is not None),
     )
-    return view, read_number(document, "ClockMs", 0) / MS_PER_S
+    return view, _decode_clock_s(document)
 
 
 def decode_task(text: str) -> TaskId:
     """Returns the task ID that a name stands for.
 
     Raises:
-        DocumentError: the name does not have four parts, or one of the last three is no number.
+        DocumentError: the name does not have four parts, or one of the last three is no number
+            or out of range.
     """
     parts = text.split(".")
     if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
         raise DocumentError(f"{text!r} is not a task name")
-    return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    occurrence, step, index = (_decode_integer(part) for part in parts[1:])
+    return TaskId(parts[0], occurrence, step, index)
 
 
 def _decode_resources(capacity: dict[str, Any]) -> Resources:
@@ -117,23 +126,64 @@
     )
 
 
-def _decode_running(row: list[Any]) -> RunReport | None:
+def _decode_clock_s(document: dict[str, Any]) -> float:
+    try:
+        return read_number(document, "ClockMs", 0) / MS_PER_S
+    except DocumentError as error:
+        log.warning("clock of the worker ignored", reason=str(error))
+        return 0.0
+
+
+def _decode_running(row: object) -> RunReport | None:
     """Decodes a row [task, run, checkpoint, percent] with an optional load figure at the end.
 
-    Returns None if the row is invalid.
+    Returns None if the row names no run. A run without a valid percent is still there.
     """
     try:
-        task, run, checkpoint, percent = row[:4]
-        return RunReport(TaskRun(decode_task(task), int(run)), int(percent), str(checkpoint or ""))
-    except (ValueError, TypeError, AttributeError, DocumentError):
+        task, run, checkpoint, percent, *_ = _pad_row(row, 4)
+        task_run = TaskRun(decode_task(task), _decode_integer(run))
+    except ROW_ERRORS as error:
+        log.warning("row of a run ignored", row=str(row)[:LOGGED_ROW_LENGTH], reason=str(error))
         return None
+    return RunReport(task_run, _decode_percent(percent), _decode_checkpoint(checkpoint))
 
 
-def _decode_end(row: list[Any]) -> RunEnd | None:
+def _decode_end(row: object) -> RunEnd | None:
     """Decodes a row [number, task, run, outcome, checkpoint]; returns None if it is invalid."""
     try:
-        number, task, run, outcome, checkpoint = row[:5]
-        task_run = TaskRun(decode_task(task), int(run))
-        return RunEnd(task_run, OUTCOMES_BY_NAME[outcome], int(number), str(checkpoint or ""))
-    except (ValueError, TypeError, AttributeError, KeyError, DocumentError):
+        number, task, run, outcome, checkpoint, *_ = _pad_row(row, 5)
+        task_run = TaskRun(decode_task(task), _decode_integer(run))
+        outcome = OUTCOMES_BY_NAME[outcome]
+        return RunEnd(task_run, outcome, _decode_integer(number), _decode_checkpoint(checkpoint))
+    except ROW_ERRORS as error:
+        log.warning(
+            "row of a run end ignored", row=str(row)[:LOGGED_ROW_LENGTH], reason=repr(error)
+        )
         return None
+
+
+def _pad_row(row: object, length: int) -> list[Any]:
+    """Returns a row with None for each missing field at its end."""
+    if not isinstance(row, list):
+        raise DocumentError("the row is not a list")
+    return row + [None] * (length - len(row))
+
+
+def _decode_integer(value: Any) -> int:
+    """Returns a number that messages can carry; integers are limited to 64 bits there."""
+    number = int(value)
+    if not 0 <= number <= MAX_NUMBER:
+        raise DocumentError(f"number {number} is out of range")
+    return number
+
+
+def _decode_percent(value: Any) -> int:
+    try:
+        return min(100, _decode_integer(value))
+    except ROW_ERRORS:
+        # Progress only refines estimates of the remaining time; 0 means that none is known.
+        return 0
+
+
+def _decode_checkpoint(value: object) -> str:
+    return value if isinstance(value, str) else ""
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -10,6 +10,7 @@
 
 from cicadatray.platform.configuration_document import decode_configuration, digest_credential
 from cicadatray.platform.errors import DocumentError
+from cicadatray.platform.fields import MAX_NUMBER
 from cicadatray.platform.job_document import decode_job
 from cicadatray.platform.worker_document import decode_announcement, decode_task, decode_view
 from cicadatray.scheduling.taskgraphs.resources import Resources
@@ -120,15 +121,73 @@
         decode_announcement("i-1", encode(changed(ANNOUNCEMENT, field, value=None)))
 
 
-def test_invalid_rows_do_not_hide_valid_ones() -> None:
-    """Guards against losing all runs of a worker because of one invalid row."""
-    rows = [["0a.0.1.2", 1, "", 40, 900], ["0a.0", 1, "", 4], [], [None, 1, "", 2]]
-    ends = [[1, "0a.0.1.3", 2, "broken", ""], [2, "0a.0.1.4", 2, "unknown", ""], "row"]
-    ends = [row for row in ends if isinstance(row, list)]
+INVALID_RUNNING_ROWS: tuple[Any, ...] = (
+    ["0a.0", 1, "", 4],
+    [],
+    [None, 1, "", 2],
+    None,
+    "row",
+    7,
+    {"Task": "0a.0.1.3"},
+    ["0a.0.1.3", 10**30, "", 4],
+    ["0a.0.1.3", 1e30, "", 4],
+    ["0a.0.1." + "9" * 30, 1, "", 4],
+)
+INVALID_END_ROWS: tuple[Any, ...] = (
+    [2, "0a.0.1.4", 2, "unknown", ""],
+    None,
+    "row",
+    7,
+    {"Task": "0a.0.1.4"},
+    [2, "0a.0.1.4", 2, ["done"], ""],
+    [10**30, "0a.0.1.4", 2, "done", ""],
+    [2, "0a.0.1.4", 10**30, "done", ""],
+    [2, "0a.0.1." + "9" * 30, 2, "done", ""],
+)
+
+
+@pytest.mark.parametrize(
+    ("running", "ended"),
+    [
+        *((row, None) for row in INVALID_RUNNING_ROWS),
+        *((None, row) for row in INVALID_END_ROWS),
+    ],
+)
+def test_invalid_rows_do_not_hide_valid_ones(running: Any, ended: Any) -> None:
+    """Guards against losing all runs of a worker because of one invalid row.
+
+    A number that the messages to control cannot carry would prevent every report of the agent.
+    """
+    rows = [running, ["0a.0.1.2", 1, "", 40, 900]]
+    ends = [ended, [1, "0a.0.1.3", 2, "broken", ""]]
     view, clock_s = decode_view(encode({"ClockMs": 1500, "Running": rows, "Ended": ends}))
     assert [str(report.run.task) for report in view.running] == ["0a.0.1.2"]
     assert [end.number for end in view.ended] == [1]
     assert clock_s == 1.5
+    msgspec.msgpack.encode(view)
+
+
+@pytest.mark.parametrize("percent", [None, "40", -3, 10**30, [], 41.5])
+def test_run_is_listed_whatever_its_percent(percent: Any) -> None:
+    """Guards against stopping a run as missing because its progress cannot be decoded."""
+    view, _ = decode_view(encode({"Running": [["0a.0.1.2", 1, None, percent]]}))
+    assert [str(report.run.task) for report in view.running] == ["0a.0.1.2"]
+    assert 0 <= view.running[0].percent <= 100
+
+
+@pytest.mark.parametrize("rest", [[], [None], [{"a": 1}, 4], [["c"], 4]])
+def test_run_is_listed_without_a_valid_checkpoint(rest: list[Any]) -> None:
+    """Guards against a next start that carries a checkpoint which is not one of the task."""
+    ends = [[4, "0a.0.1.3", 2, "done", *rest[:1]]]
+    view, _ = decode_view(encode({"Running": [["0a.0.1.2", 1, *rest]], "Ended": ends}))
+    assert [row.checkpoint for row in (*view.running, *view.ended)] == ["", ""]
+
+
+@pytest.mark.parametrize("clock", [None, "soon", -5, 1e30])
+def test_invalid_clock_does_not_hide_the_runs(clock: Any) -> None:
+    """Guards against taking a worker for silent because its clock cannot be decoded."""
+    view, clock_s = decode_view(encode({"ClockMs": clock, "Running": [["0a.0.1.2", 1, "", 4]]}))
+    assert (len(view.running), clock_s) == (1, 0.0)
 
 
 @pytest.mark.parametrize("name", sorted(DECODERS))
@@ -164,4 +223,7 @@
     try:
         assert str(decode_task(text)).count(".") == 3
     except DocumentError:
-        assert text.count(".") != 3 or not all(part.isdecimal() for part in text.split(".")[1:])
+        numbers = text.split(".")[1:]
+        assert len(numbers) != 3 or not all(
+            number.isdecimal() and int(number) <= MAX_NUMBER for number in numbers
+        )
