Answer 504 when the handler of a submission or a cancel failed inside control

Seen: a submission whose handler at the leader raised an unexpected error was answered 503, which tells the client that the job was not accepted and never runs.

Cause: the RPC server reports such an error as a failure with the code internal_error, and the entry answered 503 to every failure whose code it does not know. The handler may fail after its command was committed, so the outcome is unknown.

Evidence: 3 rows in test_client_api.py failed with 503: POST twice, DELETE once.

Change: the failure is handled as an unknown outcome: 504, and 503 for reads. The client repeats the call, and the identifier keeps it one job.

Result: tests/cover/platform/test_client_api.py passes.

--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -23,6 +23,7 @@
     ReadGraph,
     SubmitGraph,
 )
+from cicadatray.internal.wire.rpc_server import INTERNAL_ERROR_CODE
 from cicadatray.platform.configuration_document import digest_credential
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.fields import MS_PER_S
@@ -98,6 +99,9 @@
             reply = await self._call(call, _call_timeout_s(request.headers))
         except ControlUnavailableError as error:
             return self._unavailable(request, error)
+        if isinstance(reply, Failure) and reply.code == INTERNAL_ERROR_CODE:
+            # The handler may have failed after its command was committed.
+            return self._unavailable(request, ControlUnavailableError(f"control: {reply.detail}"))
         response = _render(reply)
         if response.status_code >= 400:
             log.info(
--- a/tests/cover/platform/test_client_api.py
+++ b/tests/cover/platform/test_client_api.py
@@ -17,6 +17,7 @@
     ReadGraph,
     SubmitGraph,
 )
+from cicadatray.internal.wire.rpc_server import INTERNAL_ERROR_CODE
 from cicadatray.platform.client_api import ClientApi
 from cicadatray.platform.configuration_document import digest_credential
 from cover.platform.asgi import Answer, request
@@ -64,6 +65,7 @@
         (Failure(code=graph_codes.ACCOUNT_MISMATCH, detail=""), 403),
         (Failure(code=graph_codes.GRAPH_UNKNOWN, detail=""), 410),
         (Failure(code="anything else", detail=""), 503),
+        (Failure(code=INTERNAL_ERROR_CODE, detail=""), 504),
         (ControlUnavailableError("silent", may_have_effect=False), 503),
         (ControlUnavailableError("silent", may_have_effect=True), 504),
     ],
@@ -75,6 +77,16 @@
     assert ("retry-after" in answer.headers) is (status >= 500)
 
 
+@pytest.mark.parametrize(("method", "status"), [("GET", 503), ("POST", 504), ("DELETE", 504)])
+def test_status_of_a_call_that_failed_inside_control(method: str, status: int) -> None:
+    """Guards against telling a client that a call had no effect when its handler failed.
+
+    The handler may have failed after the command was committed.
+    """
+    failure = Failure(code=INTERNAL_ERROR_CODE, detail="KeyError")
+    assert ask(FakeControl(failure), method, msgspec.json.encode(JOB)).status == status
+
+
 def test_unknown_outcome_of_the_first_call_stays_unknown() -> None:
     """Guards against a 503 because the second call, unlike the first, reached no leader."""
     control = FakeControl(
