Keep exit code 0 when a signal reaches a platform process that has stopped

Seen: a process of deploy/system.toml that got a further SIGTERM, SIGINT or SIGHUP after it had stopped ended with exit code -15, -2 or -1, which looks like a crash.

Cause: closing the event loop removes its signal handlers and restores the default action.

Evidence: tests/nocover/platform/test_platform_signal_at_exit.py failed in all three rows with these codes.

Change: main() blocks the three signals before the loop is closed, as cicadatrayd does for stop signals.

Result: the three rows pass.

--- a/src/cicadatray/platform/main.py
+++ b/src/cicadatray/platform/main.py
@@ -24,6 +24,7 @@
 
 SETTINGS_VARIABLE = "CICADATRAY_CONFIG"
 SETTINGS_EXIT_CODE = 2
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # Also listed in deploy/system.toml. Roles on the same instance need different ports.
 METRICS_PORTS = {"control": 9464, "entry": 9465, "agent": 9466}
 ROLE_MODULES = {
@@ -86,6 +87,9 @@
         SOURCE_ADDRESS.bind(settings.ip)
         with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
             runner.run(serve(settings, path, stream))
+            # Closing the loop removes the handlers, and a further signal would end the process by
+            # default.
+            signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     except PlatformSettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(SETTINGS_EXIT_CODE)
