Ignore a late offer of a worker whose successor still has runs

Seen: under a new leader, a delayed call of a killed agent process that offered its former worker made the leader record the runs of the agent's current worker as lost and start them on other workers, while they still ran.

Cause: an agent offers one worker at a time, so the leader takes an offer as proof that every other worker of this agent has ended. A new leader does not know which of two agent processes came first. A relay may deliver the call of a killed process after an election.

Evidence: test_late_offer_of_a_former_worker_does_not_end_its_successor failed in both rows: the late call as the first call of the agent (find_lost_workers named the current worker) and as the second (the current worker was marked as lost).

Change: the replicated record of each worker's agent is kept in the order of the first run on each worker. An offer of a worker is ignored while a later worker of the same agent has a session or runs. A worker that never had a run has no record, so its late offer is not recognised.

--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -111,6 +111,9 @@
 
         Returns None for an outdated call, and while the agent has no worker or a lost one.
         """
+        if call.offer is not None and self._has_successor(call.offer.worker_id):
+            log.info("late call ignored", worker=call.offer.worker_id, agent=call.agent_id)
+            return None
         if not self.agent_incarnations.accept_call(call, self.now_s()):
             return None
         if call.ended_worker_id:
@@ -244,6 +247,13 @@
         for worker in self.workers.values():
             worker.wake.set()
 
+    def _has_successor(self, worker_id: str) -> bool:
+        """Returns whether this is a former worker, in a delayed call of a killed agent process."""
+        if worker_id in self.workers:
+            return False
+        successors = self.leader.state.graphs.successors(worker_id)
+        return any(name in self.ordered_runs or name in self.workers for name in successors)
+
     def _end_worker(self, agent_id: str, worker_id: str) -> None:
         """Marks a former worker of an agent as lost.
 
--- a/src/cicadatray/internal/control/graphs/graph_store.py
+++ b/src/cicadatray/internal/control/graphs/graph_store.py
@@ -13,8 +13,8 @@
     """The replicated state of task graphs and queues.
 
     `source` is the document from which `queues` was read. `agents` maps each worker on which runs
-    were ordered to its agent, so that a new leader can tell which worker has ended when an agent
-    offers another one.
+    were ordered to its agent, in the order of the first run on each, so that a new leader can tell
+    which worker has ended when an agent offers another one.
     """
 
     queues: QueueConfiguration = QueueConfiguration()
@@ -31,3 +31,11 @@
             task.worker_id for progress in self.graphs.values() for task in progress.tasks.values()
         }
         self.agents = {worker: agent for worker, agent in self.agents.items() if worker in used}
+
+    def successors(self, worker_id: str) -> tuple[str, ...]:
+        """Returns the later workers of a worker's agent; none for a worker without an entry."""
+        agent_id = self.agents.get(worker_id)
+        if agent_id is None:
+            return ()
+        recorded = [worker for worker, agent in self.agents.items() if agent == agent_id]
+        return tuple(recorded[recorded.index(worker_id) + 1 :])
--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -178,6 +178,35 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("is_first", [True, False], ids=["first call", "second call"])
+def test_late_offer_of_a_former_worker_does_not_end_its_successor(is_first: bool) -> None:
+    """Guards against starting running work a second time because of a delayed call.
+
+    The agent and its worker were restarted under the former leader. A relayed call of the killed
+    agent reaches the new leader just before or after the first call of its successor.
+    """
+
+    async def main() -> None:
+        session, _ = make_session("w-0")
+        session.ordered_runs = {"w-1": session.ordered_runs["w-0"]}
+        session.leader.state.graphs.record_agent("w-1", "a")
+        if not is_first:
+            assert session.handle_sync(call(agent_incarnation="two", runs=reports(0, 1)))
+        late = call("w-0", sequence=7, agent_incarnation="one", runs=reports(0, 1))
+        late_session = session.handle_sync(late)
+        assert session.find_lost_workers() == []
+        assert not any(worker.is_lost for worker in session.workers.values())
+        assert late_session is None
+        worker = session.handle_sync(call(sequence=2, agent_incarnation="two", runs=reports(0, 1)))
+        assert worker is not None and not worker.is_lost
+        assert session.orders_for(worker).stops == ()
+        # The former worker may come back if no other worker of its agent is known any more.
+        session.remove_worker("w-1")
+        assert session.handle_sync(call("w-0", sequence=8, agent_incarnation="one")) is not None
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("count", [MAX_RELAYS, MAX_RELAYS + 1, 3 * MAX_RELAYS + 2])
 def test_relays_are_selected_in_every_data_centre(count: int) -> None:
     """The selection must cover all data centres.
