Refuse offers of a worker that withdrew before its agent had adopted it

Seen: an agent adopted a worker that had already announced its end, when the withdrawal came before or during the adoption. Control could place runs on it, which stayed there until the lease was over.

Cause: a withdrawal was recorded only for the current worker.

Change: the agent records every withdrawal and checks it again when the adoption is complete.

--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from cicadatray.internal.agent.tasks import sync_timing
 from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
 from cicadatray.internal.agent.tasks.leader_term import read_leader_term
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
@@ -19,14 +20,6 @@
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import SyncWorker, WorkerOffer, WorkerOrders
 
-# Time that control may hold a call without changes, so that the worker's lease is renewed in time.
-SYNC_WAIT_S = 0.5
-# A leader that does not reply within its wait plus this time is frozen or unreachable.
-SYNC_ATTEMPT_TIMEOUT_S = 1.2
-SYNC_TIMEOUT_S = 3.0
-SYNC_RETRY_S = 0.2
-# Changes that arrive within this time are sent in one call.
-BATCH_DELAY_S = 0.005
 # The worker answers earlier when a run ends. Its lease has to be extended in the meantime.
 OBSERVE_WAIT_S = 0.5
 OBSERVE_RETRY_S = 0.2
@@ -118,10 +111,10 @@
         return True
 
     async def withdraw_worker(self, worker_id: str) -> None:
-        """Drops a worker that has announced its end."""
+        """Drops a worker that has announced its end, and refuses its later offers."""
+        self.former_workers.add(worker_id)
         if self.offer is not None and self.offer.worker_id == worker_id:
             log.info("worker withdrew", worker=worker_id)
-            self.former_workers.add(worker_id)
             self._drop_worker()
 
     def _update_offer(self, offer: WorkerOffer) -> None:
@@ -143,6 +136,8 @@
             self.not_adopted.record_failure(kind, worker=offer.worker_id, reason=str(error))
             return False
         self.not_adopted.record_end()
+        if offer.worker_id in self.former_workers:
+            return False
         if self.offer is not None:
             if self.offer.worker_id == offer.worker_id:
                 return True
@@ -191,7 +186,7 @@
         while True:
             if self.offer is None and not self.ended_worker_id:
                 await self.changed.wait()
-            await asyncio.sleep(BATCH_DELAY_S)
+            await asyncio.sleep(sync_timing.BATCH_DELAY_S)
             self.changed.clear()
             if self.offer is None and not self.ended_worker_id:
                 continue
@@ -214,18 +209,20 @@
             ended_worker_id=ended_worker_id,
             runs=tuple(entry.report() for entry in self.table.runs.values()),
             ends=self.table.reported_ends(),
-            wait_s=SYNC_WAIT_S if self.is_control_answering else 0.0,
+            wait_s=sync_timing.WAIT_S if self.is_control_answering else 0.0,
         )
         asked_s = port.clock_s() if port else 0.0
         try:
-            reply = await self.control.call(call, SYNC_TIMEOUT_S, SYNC_ATTEMPT_TIMEOUT_S)
+            reply = await self.control.call(
+                call, sync_timing.TIMEOUT_S, sync_timing.ATTEMPT_TIMEOUT_S
+            )
         except ControlUnavailableError as error:
             if self.is_control_answering:
                 log.warning(
                     "control lost", reason=str(error), lease_until_s=self.lease.granted_end_s
                 )
             self.is_control_answering = False
-            await asyncio.sleep(SYNC_RETRY_S)
+            await asyncio.sleep(sync_timing.RETRY_S)
             return
         if ended_worker_id == self.ended_worker_id:
             self.ended_worker_id = ""
@@ -237,7 +234,7 @@
         if executor is None or not isinstance(reply, WorkerOrders):
             self.is_control_answering = False
             self.without_orders.record_failure(type(reply).__name__, reply=str(reply))
-            await asyncio.sleep(SYNC_RETRY_S)
+            await asyncio.sleep(sync_timing.RETRY_S)
             return
         self.without_orders.record_end()
         if reply.term < self.term or reply.worker_id != executor.port.worker_id:
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -269,3 +269,49 @@
         assert bool(control.ended_at_s) is (ends_from_s < 30.0)
 
     run_virtual(main())
+
+
+class SlowPort(FakePort):
+    """Answers each call to observe after the next of `delays_s`, and counts these calls."""
+
+    def __init__(self, *delays_s: float) -> None:
+        super().__init__()
+        self.delays_s = list(delays_s)
+        self.observations = 0
+
+    async def observe(
+        self, token: int, committed_end_number: int, lease_until_s: float, wait_s: float
+    ) -> WorkerView:
+        self.observations += 1
+        await asyncio.sleep(self.delays_s.pop(0))
+        return WorkerView((), ())
+
+
+@pytest.mark.parametrize(
+    ("offered_s", "observations"),
+    [(0.2, 0), (0.0, 1)],
+    ids=["before its offer", "while it is being adopted"],
+)
+def test_withdrawn_worker_is_not_adopted(offered_s: float, observations: int) -> None:
+    """Guards against placing work on a worker that withdrew before the agent had adopted it.
+
+    The agent was restarted, or the worker answered its first call late.
+    """
+
+    async def main() -> None:
+        control: Any = ScriptedControl(0.0)
+        agent = TaskAgent("a", control)
+        port = SlowPort(0.5)
+
+        async def offer() -> bool:
+            await asyncio.sleep(offered_s)
+            return await agent.receive_offer(OFFER, port)
+
+        offering = asyncio.create_task(offer())
+        await asyncio.sleep(0.15)
+        await agent.withdraw_worker(OFFER.worker_id)
+        assert not await offering
+        assert agent.offer is None
+        assert port.observations == observations
+
+    run_virtual(main())
