Record that a worker drains while an earlier announcement of it is still being handled

Seen: the agent confirmed an announcement that its worker drains, and went on taking starts for it until the next announcement 1.5 s later.

Cause: two announcements of a new worker are handled at a time when the worker answers the first call late. The one that finished second was confirmed without being recorded.

Evidence: test_draining_is_recorded_while_the_worker_is_being_adopted[in order] failed: the agent's offer had is_draining=False.

Change: an announcement that the worker drains is recorded also when an earlier one has completed the adoption. The reverse order needs nothing, since a worker that drains never becomes ready again.

Result: tests/cover/taskgraphs/test_task_agent.py passes.

--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -140,6 +140,8 @@
             return False
         if self.offer is not None:
             if self.offer.worker_id == offer.worker_id:
+                if offer.is_draining:  # a worker that drains never becomes ready again
+                    self._update_offer(offer)
                 return True
             self.former_workers.add(self.offer.worker_id)
             self._drop_worker()
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -315,3 +316,27 @@
         assert port.observations == observations
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("delays_s", [(0.3, 0.3), (0.5, 0.1)], ids=["in order", "overtaken"])
+def test_draining_is_recorded_while_the_worker_is_being_adopted(
+    delays_s: tuple[float, float],
+) -> None:
+    """Guards against confirming that a worker drains and then starting tasks on it.
+
+    Its first announcement was still being handled, and the worker answered that call late.
+    """
+
+    async def main() -> None:
+        control: Any = ScriptedControl(0.0)
+        agent = TaskAgent("a", control)
+        port = SlowPort(*delays_s)
+        first = asyncio.create_task(agent.receive_offer(OFFER, port))
+        await asyncio.sleep(0.15)
+        draining = msgspec.structs.replace(OFFER, is_draining=True)
+        assert await agent.receive_offer(draining, port)
+        assert await first
+        assert agent.offer == draining
+        assert agent.executor is not None and agent.executor.is_draining
+
+    run_virtual(main())
