Keep scheduling when a worker lists a run of a step that does not exist

Seen: one row in one worker's list that named a known job and an unknown step ended every scheduling round of the leader with an IndexError ('scheduling failed; restarting from the replicated state'). It came back with each report of that worker, under each leader, so no job was placed anywhere.

Cause: the demand of each listed run was looked up by its step without a check. Rows come from the worker and may name runs that control never ordered.

Evidence: test_listed_run_that_does_not_exist_does_not_end_scheduling[unknown step] failed with that IndexError; the rows for an unknown occurrence, task and graph passed.

Change: such a run has no known demand. As for a run of a removed job, its worker gets no new work until the run is stopped, and the other workers go on.

Result: tests/cover/taskgraphs/test_graph_session.py passes.

--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -50,9 +50,14 @@
 
 
 def demand_of(session: GraphSession, run: TaskRun) -> Resources | None:
-    """Returns the demand of a run, or None if its graph has been removed."""
-    graph = session.graphs.get(run.task.graph_id)
-    return graph.graph.steps[run.task.step].demand if graph else None
+    """Returns the demand of a run, or None if its graph has been removed or has no such step.
+
+    A worker may list runs that control never ordered.
+    """
+    progress = session.graphs.get(run.task.graph_id)
+    if progress is None or run.task.step >= len(progress.graph.steps):
+        return None
+    return progress.graph.steps[run.task.step].demand
 
 
 def _set_deadlines(progress: GraphProgress, task: TaskId, work: RunningWork, now_s: float) -> None:
--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.graphs.agent_incarnations import INCARNATION_SILENCE_S
 from cicadatray.internal.control.graphs.graph_session import MAX_RELAYS, GraphSession
+from cicadatray.internal.control.graphs.placement_input import build_running, build_workers
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.wire.messages.graph_messages import (
     MemberAddress,
@@ -160,6 +161,30 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    "task",
+    [TaskId("g", 0, 99, 0), TaskId("g", 9, 0, 0), TaskId("g", 0, 0, 99), TaskId("other", 0, 0, 0)],
+    ids=["unknown step", "unknown occurrence", "unknown task", "unknown graph"],
+)
+def test_listed_run_that_does_not_exist_does_not_end_scheduling(task: TaskId) -> None:
+    """Guards against an unexpected row in one worker's list that ends every scheduling round.
+
+    The demand of the run is unknown, so only this worker may have to be left out.
+    """
+
+    async def main() -> None:
+        session, _ = make_session()
+        listed = (*reports(0, 1), RunReport(TaskRun(task, 1), 40))
+        assert session.handle_sync(call(runs=listed)) is not None
+        offer = WorkerOffer("w-9", "pool", "d0", "r0", ("a",), Resources(64_000, 128_000, 8))
+        other = SyncWorker(agent_id="b", agent_incarnation="x", sequence=1, offer=offer)
+        assert session.handle_sync(other) is not None
+        assert "w-9" in [worker.worker_id for worker in build_workers(session)]
+        assert len(build_running(session)) == 1
+
+    run_virtual(main())
+
+
 def test_late_call_of_a_former_incarnation_blocks_the_current_one_only_briefly() -> None:
     """A delayed call of a killed agent must not exclude the restarted agent for good.
 
