Count the tasks of all occurrences against the limit of a job

Seen: a job with 2 tasks and a RepeatCount of 1,000,000 without an interval was accepted, and listing its ready tasks blocked for 6.8 s (trial on the decoded job). The list is built in each scheduling round, on the event loop of the leader, and the job is replicated, so every later leader stops too. A RepeatCount may be as high as 10^15.

Cause: the limit of 20,000 tasks was applied to one occurrence, and all occurrences may be due at once.

Evidence: the two new rows of test_invalid_job failed: the jobs with 20,001 tasks in all occurrences and with 10^15 occurrences were accepted.

Change: the limit holds for the tasks of all occurrences.

Result: tests/cover/platform passes; a job with 19,998 tasks in 6,666 occurrences is accepted.

--- a/src/cicadatray/platform/job_document.py
+++ b/src/cicadatray/platform/job_document.py
@@ -19,7 +19,8 @@
 from cicadatray.scheduling.taskgraphs.task_graph import Repetition
 
 MAX_SPEC_BYTES = 4000
-# A job with more tasks would not fit into one entry of the replicated log.
+# Counted over all occurrences. A job with more tasks would not fit into one entry of the replicated
+# log, and the tasks of all occurrences that are due are listed in each scheduling round.
 MAX_TASKS = 20_000
 
 
@@ -46,9 +47,11 @@
     )
     if not steps:
         raise DocumentError("a job must have at least one step")
-    if sum(step.count for step in steps) > MAX_TASKS:
-        raise DocumentError(f"a job must have at most {MAX_TASKS} tasks")
-    return JobDocument(spec, steps, _decode_repetition(document))
+    repetition = _decode_repetition(document)
+    occurrences = repetition.count if repetition is not None else 1
+    if sum(step.count for step in steps) * occurrences > MAX_TASKS:
+        raise DocumentError(f"a job must have at most {MAX_TASKS} tasks in all occurrences")
+    return JobDocument(spec, steps, repetition)
 
 
 def _decode_repetition(document: dict[str, Any]) -> Repetition | None:
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -104,14 +104,25 @@
         changed(JOB, "Steps", 0, "Count", value=1.5),
         changed(JOB, "Steps", 0, "Count", value=10**9),
         changed(JOB, "Spec", value="x" * 4001),
+        changed(JOB, "RepeatCount", value=6_667),
+        changed(JOB, "RepeatCount", value=10**15),
     ],
 )
 def test_invalid_job(document: dict[str, Any]) -> None:
-    """Guards against accepting a job with circular dependencies, too many tasks or bad values."""
+    """Guards against accepting a job with circular dependencies, too many tasks or bad values.
+
+    All occurrences of a job may be due at once, and each round lists the tasks of all of them.
+    """
     with pytest.raises(DocumentError):
         decode_job(encode(document))
 
 
+def test_largest_repeated_job() -> None:
+    """Guards against refusing a job with as many tasks as a job without occurrences may have."""
+    repetition = decode_job(encode(changed(JOB, "RepeatCount", value=6_666))).repetition
+    assert repetition is not None and repetition.count == 6_666
+
+
 @pytest.mark.parametrize(
     "field", ["State", "Address", "Service"], ids=lambda field: f"without {field}"
 )
