Confirm a stored submission when the leader's session ends meanwhile

Seen: a submission that was committed just as the leader's session ended was answered with 'not the leader'. That reply means that a call had no effect, so without another leader in time the client was told 503, which means that the job never runs, while it was stored and would run.

Cause: the handler looked up the session of the task graphs again after the commit, which raises NotLeaderError once the session has ended.

Evidence: test_committed_call_is_confirmed_when_leadership_ends failed for the submission with NotLeaderError; the row for a cancel passed.

Change: the handler uses the session that it had before the commit, as the handler of cancels does.

Result: tests/cover/taskgraphs passes.

--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -133,8 +133,9 @@
     graph = TaskGraph(
         graph_id, account, resolved.queue.policy, call.spec, call.steps, call.repetition
     )
-    now_s = daemon.require_graph_session(session).wall_s()
-    reply = await session.propose(AcceptGraph(graph=graph, now_s=now_s))
+    graph_session = daemon.require_graph_session(session)
+    reply = await session.propose(AcceptGraph(graph=graph, now_s=graph_session.wall_s()))
+    # The graph is durable now, so the call must be confirmed even if the session has ended.
     log.info(
         "graph accepted",
         graph=graph_id,
@@ -148,7 +149,6 @@
         occurrences=graph.occurrences,
     )
     graphs_accepted(daemon.metrics).increment(queue=resolved.queue.policy.queue)
-    graph_session = daemon.require_graph_session(session)
     graph_session.statistics.track(graph_id)
     graph_session.wake.set()
     return reply
--- a/tests/cover/taskgraphs/test_graph_calls.py
+++ b/tests/cover/taskgraphs/test_graph_calls.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.graphs import graph_codes
+from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.task_leases import TaskLeases
+from cicadatray.internal.control.handler_registry import call_handlers
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
     CancelGraph,
@@ -23,8 +29,12 @@
     QueueAccount,
     QueueConfiguration,
 )
+from cicadatray.replication.errors import NotLeaderError
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
+from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.step import Step
+from cicadatray.scheduling.taskgraphs.task_graph import TaskGraph
 from cover.control.gangs.link_layer import LinkLayer
 from cover.control.gangs.shared_log import SharedLog
 from cover.control.gangs.simulated_control import SimulatedControl
@@ -223,3 +233,46 @@
     """An older configuration that is sent again is neither refused nor applied."""
     newer, older = ask(configuration(5), configuration(3))
     assert (newer.version, older.version) == (5, 5)
+
+
+@pytest.mark.parametrize("call", [submit(), CancelGraph(target=target(f"/q/{GRAPH}"))])
+def test_committed_call_is_confirmed_when_leadership_ends(call: MessageStruct) -> None:
+    """Guards against telling a client that a stored job was not accepted.
+
+    The leader's session ends right after the command was committed. A reply that this instance does
+    not lead means that it had no effect.
+    """
+
+    async def main() -> None:
+        state = ControlState()
+        state.graphs.queues = configuration().configuration
+        graph = TaskGraph(GRAPH, "owner", state.graphs.queues.queues[0].policy, "s", STEPS)
+        if isinstance(call, CancelGraph):
+            state.graphs.graphs[GRAPH] = GraphProgress(graph, 0.0)
+        has_ended = asyncio.Event()
+
+        async def propose(command: MessageStruct) -> GraphState:
+            has_ended.set()
+            return GraphState(graph_id=GRAPH, state="queued")
+
+        def require_graph_session(session: Any) -> Any:
+            if has_ended.is_set():
+                raise NotLeaderError(None)
+            return graph_session
+
+        leader: Any = SimpleNamespace(
+            state=state, propose=propose, term=1, started_s=0.0, metrics=MetricsRegistry()
+        )
+        graph_session = GraphSession(leader, TaskLeases(), StartLimits())
+
+        async def require_leader_session() -> Any:
+            return leader
+
+        daemon: Any = SimpleNamespace(
+            require_leader_session=require_leader_session,
+            require_graph_session=require_graph_session,
+            metrics=leader.metrics,
+        )
+        assert isinstance(await call_handlers[type(call)](daemon, call), GraphState)
+
+    asyncio.run(main())
