--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.graphs.agent_incarnations import INCARNATION_SILENCE_S
 from cicadatray.internal.control.graphs.graph_session import MAX_RELAYS, GraphSession
+from cicadatray.internal.control.graphs.placement_input import build_running, build_workers
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.wire.messages.graph_messages import (
     MemberAddress,
@@ -160,6 +161,30 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    "task",
+    [TaskId("g", 0, 99, 0), TaskId("g", 9, 0, 0), TaskId("g", 0, 0, 99), TaskId("other", 0, 0, 0)],
+    ids=["unknown step", "unknown occurrence", "unknown task", "unknown graph"],
+)
+def test_listed_run_that_does_not_exist_does_not_end_scheduling(task: TaskId) -> None:
+    """Guards against an unexpected row in one worker's list that ends every scheduling round.
+
+    The demand of the run is unknown, so only this worker may have to be left out.
+    """
+
+    async def main() -> None:
+        session, _ = make_session()
+        listed = (*reports(0, 1), RunReport(TaskRun(task, 1), 40))
+        assert session.handle_sync(call(runs=listed)) is not None
+        offer = WorkerOffer("w-9", "pool", "d0", "r0", ("a",), Resources(64_000, 128_000, 8))
+        other = SyncWorker(agent_id="b", agent_incarnation="x", sequence=1, offer=offer)
+        assert session.handle_sync(other) is not None
+        assert "w-9" in [worker.worker_id for worker in build_workers(session)]
+        assert len(build_running(session)) == 1
+
+    run_virtual(main())
+
+
 def test_late_call_of_a_former_incarnation_blocks_the_current_one_only_briefly() -> None:
     """A delayed call of a killed agent must not exclude the restarted agent for good.
 
@@ -178,6 +203,35 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("is_first", [True, False], ids=["first call", "second call"])
+def test_late_offer_of_a_former_worker_does_not_end_its_successor(is_first: bool) -> None:
+    """Guards against starting running work a second time because of a delayed call.
+
+    The agent and its worker were restarted under the former leader. A relayed call of the killed
+    agent reaches the new leader just before or after the first call of its successor.
+    """
+
+    async def main() -> None:
+        session, _ = make_session("w-0")
+        session.ordered_runs = {"w-1": session.ordered_runs["w-0"]}
+        session.leader.state.graphs.record_agent("w-1", "a")
+        if not is_first:
+            assert session.handle_sync(call(agent_incarnation="two", runs=reports(0, 1)))
+        late = call("w-0", sequence=7, agent_incarnation="one", runs=reports(0, 1))
+        late_session = session.handle_sync(late)
+        assert session.find_lost_workers() == []
+        assert not any(worker.is_lost for worker in session.workers.values())
+        assert late_session is None
+        worker = session.handle_sync(call(sequence=2, agent_incarnation="two", runs=reports(0, 1)))
+        assert worker is not None and not worker.is_lost
+        assert session.orders_for(worker).stops == ()
+        # The former worker may come back if no other worker of its agent is known any more.
+        session.remove_worker("w-1")
+        assert session.handle_sync(call("w-0", sequence=8, agent_incarnation="one")) is not None
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("count", [MAX_RELAYS, MAX_RELAYS + 1, 3 * MAX_RELAYS + 2])
 def test_relays_are_selected_in_every_data_centre(count: int) -> None:
     """The selection must cover all data centres.
