Search several relays at once when control cannot be reached

Cause: class "one detour at a time". A process that cannot reach control activated one random relay. Half of them run on the machines of control and are cut off with them. Each such relay cost a timeout, and then a whole attempt at control itself before the next relay was tried, up to 1.2 s on a connection that is open but silent. A call that failed late also dropped the relay that another call had found meanwhile.

Change: three relays are asked at once and the first through which the leader replies is used; relays that did not answer come last; a lost relay is replaced without a try of control in between; after an attempt without a reply the next instance has 0.7 s instead of up to 1.2 s. In test_relays.py a call of the removed method activate_random becomes the assignment that it made with its one relay.

--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -29,8 +29,11 @@
 CONNECT_TIMEOUT_S = 0.5
 # After this many consecutive failures this process itself is probably partitioned from control.
 DIRECT_FAILURE_LIMIT = 2
+# After an attempt without a reply the next instances must answer sooner, so that a partition is
+# noticed while the call still has time for a relay. The leader holds some calls for 0.5 s.
+FOLLOW_UP_ATTEMPT_TIMEOUT_S = 0.7
 PING_TIMEOUT_S = 0.5
-# Several at a time, because some relays run on the instances that are down.
+# Several at a time, because some relays run on instances that are down or cut off.
 PINGED_RELAY_COUNT = 3
 # Leaves the relay time to report that control did not reply.
 RELAY_TIMEOUT_SHARE = 0.8
@@ -92,15 +95,15 @@
         """
         retried_call = RetriedCall(message, timeout_s, attempt_timeout_s)
         while retried_call.remaining_s() > 0:
-            client = self.relays.active_client()
-            if client is not None:
-                reply = await self._call_relay(client, retried_call)
+            relay = self.relays.active
+            if relay is not None:
+                reply = await self._call_relay(relay, retried_call)
             else:
                 reply = await self._call_leader(retried_call)
-                if reply is None and self.direct_failures >= DIRECT_FAILURE_LIMIT:
-                    self.relays.activate_random()
             if reply is not None:
                 return reply
+            if self.relays.active is None and self.direct_failures >= DIRECT_FAILURE_LIMIT:
+                await self._find_relay(min(PING_TIMEOUT_S, retried_call.remaining_s()))
         raise retried_call.build_error()
 
     async def call_directly(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
@@ -120,10 +123,11 @@
         """Calls the instance that is assumed to lead; returns None without a final reply."""
         name = self.leader_name
         started_s = asyncio.get_running_loop().time()
+        time_s = retried_call.next_timeout_s()
+        if self.direct_failures:
+            time_s = min(time_s, FOLLOW_UP_ATTEMPT_TIMEOUT_S)
         try:
-            reply = await self.clients[name].call(
-                retried_call.message, retried_call.next_timeout_s()
-            )
+            reply = await self.clients[name].call(retried_call.message, time_s)
         except WireError as error:
             self.direct_failures += 1
             retried_call.record_failure(str(error), not isinstance(error, PeerUnreachableError))
@@ -147,27 +151,68 @@
         return reply
 
     async def _call_relay(
-        self, client: RpcClient, retried_call: RetriedCall
+        self, relay: MemberAddress, retried_call: RetriedCall
     ) -> MessageStruct | None:
-        payload = self.codec.encode(0, retried_call.message)
-        time_s = retried_call.next_timeout_s()
         try:
-            call = RelayedCall(payload=payload, timeout_s=time_s * RELAY_TIMEOUT_SHARE)
-            reply = await client.call(call, time_s)
+            reply = await self._forward(relay, retried_call.message, retried_call.next_timeout_s())
         except WireError as error:
             retried_call.record_failure(str(error), not isinstance(error, PeerUnreachableError))
-            self.relays.active = None
-            await asyncio.sleep(RETRY_PAUSE_S)
-            return None
-        self._record_reply()
-        if isinstance(reply, RelayedReply):
-            return self.codec.decode(reply.payload)[1]
-        if isinstance(reply, RelayUnavailable):
-            retried_call.record_failure(reply.reason, reply.may_have_effect)
-        self.relays.active = None
+        else:
+            if isinstance(reply, RelayedReply):
+                return self.codec.decode(reply.payload)[1]
+            if isinstance(reply, RelayUnavailable):
+                retried_call.record_failure(reply.reason, reply.may_have_effect)
+        self.relays.deactivate(relay)
         await asyncio.sleep(RETRY_PAUSE_S)
         return None
 
+    async def _forward(
+        self, relay: MemberAddress, message: MessageStruct, timeout_s: float
+    ) -> MessageStruct:
+        """Returns the reply of a relay to a call that it should forward.
+
+        Raises:
+            WireError: the relay did not reply, or is not listed any more.
+        """
+        client = self.relays.clients.get(relay)
+        if client is None:
+            raise PeerUnreachableError(f"{relay.name} is not a relay any more")
+        payload = self.codec.encode(0, message)
+        call = RelayedCall(payload=payload, timeout_s=timeout_s * RELAY_TIMEOUT_SHARE)
+        try:
+            reply = await client.call(call, timeout_s)
+        except WireError:
+            self.relays.record_silence(relay)
+            raise
+        self.relays.record_answer(relay)
+        self._record_reply()
+        return reply
+
+    async def _find_relay(self, timeout_s: float) -> None:
+        """Activates the first of some relays through which the leader replies, if one does.
+
+        Trying one relay after the other would cost a timeout for each one that is cut off too.
+        """
+        chosen = self.relays.choose(PINGED_RELAY_COUNT)
+        searches = [asyncio.create_task(self._reaches_leader(r, timeout_s)) for r in chosen]
+        try:
+            for search in asyncio.as_completed(searches):
+                relay = await search
+                if relay is not None:
+                    self.relays.active = self.relays.active or relay
+                    return
+        finally:
+            for task in searches:
+                task.cancel()
+
+    async def _reaches_leader(self, relay: MemberAddress, timeout_s: float) -> MemberAddress | None:
+        """Returns the relay if the leader replies through it, and otherwise None."""
+        try:
+            reply = await self._forward(relay, ReadMembers(), timeout_s)
+        except WireError:
+            return None
+        return relay if isinstance(reply, RelayedReply) else None
+
     async def ping_relays(self) -> None:
         """Calls some relays; a reply shows that this process is not isolated."""
         clients = list(self.relays.clients.values())
--- a/tests/cover/test_relays.py
+++ b/tests/cover/test_relays.py
@@ -72,7 +72,7 @@
     async def main() -> None:
         cut = make_client(PeerUnreachableError("cut"))
         cut.update_relays((RELAY,))
-        cut.relays.activate_random()
+        cut.relays.active = RELAY
         server = RelayServer("127.0.0.1", 0, cut, message_codec(), b"")
         payload = message_codec().encode(0, ReadMembers())
         reply = await server.answer(RelayedCall(payload=payload, timeout_s=1.0))
