Answer the repetition of an agent's call instead of refusing it

Cause: class "a retry treated as a stale message". A call whose reply was lost is repeated with the same sequence number, through a relay for example. The leader refused it as overtaken, after a wait of up to 0.5 s, so the worker's lease was not renewed and its orders were not sent until the next call.

Change: a call with the sequence number of the newest call is accepted; calls with lower numbers are refused as before. Orders that were sent with the lost reply are sent again at once. An end in a repeated call is proposed once, as before.

Evidence: test_repeated_call_is_answered_like_the_first_one fails without the change.

--- a/src/cicadatray/internal/control/graphs/agent_incarnations.py
+++ b/src/cicadatray/internal/control/graphs/agent_incarnations.py
@@ -32,13 +32,14 @@
     def accept_call(self, call: SyncWorker, now_s: float) -> bool:
         """Records a call and returns whether it is newer than every other call of its agent.
 
-        A new leader cannot tell which of two incarnations came first. Only the running one keeps
+        A repetition of the newest call is accepted too, because its reply may have been lost. A new
+        leader cannot tell which of two incarnations came first. Only the running one keeps
         calling, so an incarnation that was taken for superseded is accepted again once the other
         one is silent.
         """
         latest = self.latest.get(call.agent_id)
         if latest is not None and latest.incarnation == call.agent_incarnation:
-            if call.sequence <= latest.sequence:
+            if call.sequence < latest.sequence:
                 return False
         elif latest is not None:
             if call.sequence <= self.superseded.get(call.agent_incarnation, 0):
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -24,9 +24,10 @@
     `received_end_number` is the number of the latest end received from the agent, and
     `committed_end_number` that of the latest durable one. `received_clears` and `committed_clears`
     are the counterparts for runs that certainly never started, whose ends have no number.
-    `first_seen_s` is when the worker first listed each of its runs. `last_orders` is the last
-    reply, so that its orders are not sent again at once. `last_reply_s` is the time of the last
-    reply, which grants a lease. Times are the event loop's.
+    `first_seen_s` is when the worker first listed each of its runs. `last_call` is the incarnation
+    of the agent and the sequence number of its last call. `last_orders` is the last reply, so that
+    its orders are not sent again at once, or None if it was probably lost. `last_reply_s` is the
+    time of the last reply, which grants a lease. Times are the event loop's.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "consecutive_failures",
         "first_seen_s",
         "is_lost",
+        "last_call",
         "last_orders",
         "last_reply_s",
         "offer",
@@ -57,6 +59,7 @@
         self.committed_end_number = 0
         self.committed_clears: set[TaskRun] = set()
         self.received_clears: set[TaskRun] = set()
+        self.last_call = ("", 0)
         self.last_orders: WorkerOrders | None = None
         self.call_count = 0
         self.is_lost = False
@@ -67,6 +70,9 @@
     def update(self, call: SyncWorker, now_s: float) -> list[PlacedEnd]:
         """Records a call and returns the ends that were not received before."""
         assert call.offer is not None
+        if self.last_call == (call.agent_incarnation, call.sequence):
+            self.last_orders = None
+        self.last_call = (call.agent_incarnation, call.sequence)
         self.offer = call.offer
         self.reports = {report.run: report for report in call.runs}
         self.first_seen_s = {
--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -147,6 +147,43 @@
     run_virtual(main())
 
 
+def test_repeated_call_is_answered_like_the_first_one() -> None:
+    """Guards against an agent that gets no orders because the reply to its call was lost.
+
+    The agent repeats the same call, through a relay for example. It was refused as overtaken, and
+    the worker's lease was not renewed until the agent had made another call.
+    """
+
+    async def main() -> None:
+        session, _ = make_session()
+        worker = session.handle_sync(call(sequence=5, runs=reports(0, 1)))
+        assert worker is not None
+        orders = session.orders_for(worker)
+        worker.last_orders = orders
+        assert session.handle_sync(call(sequence=5, runs=reports(0, 1))) is worker
+        assert worker.has_new_orders(orders)
+        assert session.handle_sync(call(sequence=4)) is None
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    "end",
+    [RunEnd(RUN, RunOutcome.CLEARED), RunEnd(RUN, RunOutcome.DONE, 1)],
+    ids=["clear", "numbered end"],
+)
+def test_end_in_a_repeated_call_is_proposed_once(end: RunEnd) -> None:
+    """Guards against an end that is committed again with each repetition of a call."""
+
+    async def main() -> None:
+        session, _ = make_session()
+        for _ in range(2):
+            session.handle_sync(call(sequence=5, ends=(end,)))
+        assert [placed.end for placed in session.new_ends] == [end]
+
+    run_virtual(main())
+
+
 def test_run_without_a_durable_record_is_stopped() -> None:
     """A run that is not in the replicated state must not continue on a worker that comes back."""
 
