--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -13,13 +13,8 @@
 from cicadatray.internal.wire.messages.graph_messages import (
     GroupAddresses,
     MemberAddress,
-    ReadMembers,
-)
-from cicadatray.internal.wire.messages.relay_messages import (
-    RelayedCall,
-    RelayedReply,
-    RelayUnavailable,
 )
+from cicadatray.internal.wire.relay_caller import RelayCaller
 from cicadatray.internal.wire.relay_routes import RelayRoutes
 from cicadatray.internal.wire.retried_call import ControlUnavailableError, RetriedCall
 from cicadatray.internal.wire.rpc_client import RpcClient
@@ -36,11 +31,6 @@
 # After an attempt without a reply the next instances must answer sooner, so that a partition is
 # noticed while the call still has time for a relay. The leader holds some calls for 0.5 s.
 FOLLOW_UP_ATTEMPT_TIMEOUT_S = 0.7
-PING_TIMEOUT_S = 0.5
-# Several at a time, because some relays run on instances that are down or cut off.
-PINGED_RELAY_COUNT = 3
-# Leaves the relay time to report that control did not reply.
-RELAY_TIMEOUT_SHARE = 0.8
 # After a partition has healed, control must be reached within the validity of a configuration.
 RECONNECT_LIMIT_S = 0.5
 
@@ -63,6 +53,7 @@
         "last_reply_s",
         "leader_name",
         "member_names",
+        "relay_caller",
         "relays",
         "secret",
         "seeds",
@@ -84,6 +75,7 @@
         self.group: tuple[MemberAddress, ...] = ()
         self.seeds = frozenset(self.member_names)
         self.relays = relays or RelayRoutes("")
+        self.relay_caller = RelayCaller(self.relays, codec, self._record_reply)
         self.direct_failures = 0
         self.last_reply_s = -math.inf
 
@@ -109,13 +101,13 @@
         while retried_call.remaining_s() > 0:
             relay = self.relays.active
             if relay is not None:
-                reply = await self._call_relay(relay, retried_call)
+                reply = await self.relay_caller.call(relay, retried_call)
             else:
                 reply = await self._call_leader(retried_call)
             if reply is not None:
                 return reply
             if self.relays.active is None and self.direct_failures >= DIRECT_FAILURE_LIMIT:
-                await self._find_relay(min(PING_TIMEOUT_S, retried_call.remaining_s()))
+                await self.relay_caller.find_relay(retried_call.remaining_s())
         raise retried_call.build_error()
 
     async def call_directly(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
@@ -135,17 +127,11 @@
         """Calls the instance that is assumed to lead; returns None without a final reply."""
         name = self.leader_name
         started_s = asyncio.get_running_loop().time()
-        client = self.clients.get(name)
-        if client is None:
-            retried_call.record_failure("no control instance is known", False)
-            self._try_next(name)
-            await asyncio.sleep(RETRY_PAUSE_S)
-            return None
         time_s = retried_call.next_timeout_s()
         if self.direct_failures:
             time_s = min(time_s, FOLLOW_UP_ATTEMPT_TIMEOUT_S)
         try:
-            reply = await client.call(retried_call.message, time_s)
+            reply = await self._client(name).call(retried_call.message, time_s)
         except WireError as error:
             self.direct_failures += 1
             retried_call.record_failure(str(error), not isinstance(error, PeerUnreachableError))
@@ -175,82 +161,9 @@
             return None
         return reply
 
-    async def _call_relay(
-        self, relay: MemberAddress, retried_call: RetriedCall
-    ) -> MessageStruct | None:
-        try:
-            reply = await self._forward(relay, retried_call.message, retried_call.next_timeout_s())
-        except WireError as error:
-            retried_call.record_failure(str(error), not isinstance(error, PeerUnreachableError))
-        else:
-            if isinstance(reply, RelayedReply):
-                return self.codec.decode(reply.payload)[1]
-            if isinstance(reply, RelayUnavailable):
-                retried_call.record_failure(reply.reason, reply.may_have_effect)
-        self.relays.deactivate(relay)
-        await asyncio.sleep(RETRY_PAUSE_S)
-        return None
-
-    async def _forward(
-        self, relay: MemberAddress, message: MessageStruct, timeout_s: float
-    ) -> MessageStruct:
-        """Returns the reply of a relay to a call that it should forward.
-
-        Raises:
-            WireError: the relay did not reply, or is not listed any more.
-        """
-        client = self.relays.clients.get(relay)
-        if client is None:
-            raise PeerUnreachableError(f"{relay.name} is not a relay any more")
-        payload = self.codec.encode(0, message)
-        call = RelayedCall(payload=payload, timeout_s=timeout_s * RELAY_TIMEOUT_SHARE)
-        try:
-            reply = await client.call(call, timeout_s)
-        except WireError:
-            self.relays.record_silence(relay)
-            raise
-        self.relays.record_answer(relay)
-        self._record_reply()
-        return reply
-
-    async def _find_relay(self, timeout_s: float) -> None:
-        """Activates the first of some relays through which the leader replies, if one does.
-
-        Trying one relay after the other would cost a timeout for each one that is cut off too.
-        """
-        chosen = self.relays.choose(PINGED_RELAY_COUNT)
-        searches = [asyncio.create_task(self._reaches_leader(r, timeout_s)) for r in chosen]
-        try:
-            for search in asyncio.as_completed(searches):
-                relay = await search
-                if relay is not None:
-                    self.relays.active = self.relays.active or relay
-                    return
-        finally:
-            for task in searches:
-                task.cancel()
-
-    async def _reaches_leader(self, relay: MemberAddress, timeout_s: float) -> MemberAddress | None:
-        """Returns the relay if the leader replies through it, and otherwise None."""
-        try:
-            reply = await self._forward(relay, ReadMembers(), timeout_s)
-        except WireError:
-            return None
-        return relay if isinstance(reply, RelayedReply) else None
-
     async def ping_relays(self) -> None:
         """Calls some relays; a reply shows that this process is not isolated."""
-        clients = list(self.relays.clients.values())
-        chosen = random.sample(clients, min(PINGED_RELAY_COUNT, len(clients)))
-        await asyncio.gather(*(self._ping(client) for client in chosen))
-
-    async def _ping(self, client: RpcClient) -> None:
-        payload = self.codec.encode(0, ReadMembers())
-        try:
-            await client.call(RelayedCall(payload=payload, timeout_s=0.0), PING_TIMEOUT_S)
-        except WireError:
-            return
-        self._record_reply()
+        await self.relay_caller.ping()
 
     def _record_reply(self) -> None:
         self.last_reply_s = asyncio.get_running_loop().time()
@@ -318,6 +231,12 @@
         for client in (*self.clients.values(), *self.relays.clients.values()):
             await client.close()
 
+    def _client(self, name: str) -> RpcClient:
+        client = self.clients.get(name)
+        if client is None:
+            raise PeerUnreachableError("no control instance is known")
+        return client
+
     def _new_client(self, host: str, port: int) -> RpcClient:
         backoff = Backoff(limit_s=RECONNECT_LIMIT_S)
         return RpcClient(
