Accept long schedules again, and bound the work of one round

The commit before refused any repeated job with more than 20,000 tasks in all occurrences, so a daily job of 64 tasks could be scheduled for 312 days only, although its occurrences are not due together. Change: a job may run 10,000 times; a round lists about 20,000 ready tasks of one graph, the occurrences that are due first come first.

--- a/src/cicadatray/platform/job_document.py
+++ b/src/cicadatray/platform/job_document.py
@@ -19,9 +19,11 @@
 from cicadatray.scheduling.taskgraphs.task_graph import Repetition
 
 MAX_SPEC_BYTES = 4000
-# Counted over all occurrences. A job with more tasks would not fit into one entry of the replicated
-# log, and the tasks of all occurrences that are due are listed in each scheduling round.
+# A job with more tasks would not fit into one entry of the replicated log.
 MAX_TASKS = 20_000
+# Each scheduling round looks at all occurrences that are due. A daily job reaches this number after
+# 27 years.
+MAX_OCCURRENCES = 10_000
 
 
 class JobDocument(msgspec.Struct, frozen=True):
@@ -47,17 +49,17 @@
     )
     if not steps:
         raise DocumentError("a job must have at least one step")
-    repetition = _decode_repetition(document)
-    occurrences = repetition.count if repetition is not None else 1
-    if sum(step.count for step in steps) * occurrences > MAX_TASKS:
-        raise DocumentError(f"a job must have at most {MAX_TASKS} tasks in all occurrences")
-    return JobDocument(spec, steps, repetition)
+    if sum(step.count for step in steps) > MAX_TASKS:
+        raise DocumentError(f"a job must have at most {MAX_TASKS} tasks")
+    return JobDocument(spec, steps, _decode_repetition(document))
 
 
 def _decode_repetition(document: dict[str, Any]) -> Repetition | None:
     count = read_integer(document, "RepeatCount", 0)
     if count == 0:
         return None
+    if count > MAX_OCCURRENCES:
+        raise DocumentError(f"a job must run at most {MAX_OCCURRENCES} times")
     first_due_s = read_number(document, "StartAtMs", 0) / MS_PER_S
     return Repetition(count, first_due_s, read_number(document, "IntervalMs", 0) / MS_PER_S)
 
--- a/src/cicadatray/scheduling/taskgraphs/ready_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/ready_work.py
@@ -5,27 +5,33 @@
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 
+# At most about this many tasks of one graph wait for placement at a time: all occurrences of a
+# repeated graph may be due at once.
+MAX_READY_TASKS = 20_000
+
 
 def find_ready_work(graph: GraphProgress, now_s: float) -> Iterator[WaitingWork]:
     """Yields every gang and single task that may be started now.
 
-    It is due, the steps that it depends on are done, and certainly no run of it exists.
+    It is due, the steps that it depends on are done, and certainly no run of it exists. Later
+    occurrences wait while earlier ones have `MAX_READY_TASKS` ready tasks.
     """
     if not graph.is_active:
         return
+    ready_tasks = 0
     for occurrence in range(graph.graph.occurrences):
         due_s = graph.graph.due_s(occurrence)
-        if due_s > now_s:
+        if due_s > now_s or ready_tasks >= MAX_READY_TASKS:
             return
         ready_s = max(graph.accepted_s, due_s)
         for number, step in enumerate(graph.graph.steps):
             is_ready = all(graph.is_step_done(occurrence, earlier) for earlier in step.depends_on)
             if not is_ready or graph.is_step_done(occurrence, number):
                 continue
-            if step.is_gang:
-                yield from _ready_gang(graph, occurrence, number, ready_s)
-            else:
-                yield from _ready_tasks(graph, occurrence, number, ready_s)
+            ready = _ready_gang if step.is_gang else _ready_tasks
+            for work in ready(graph, occurrence, number, ready_s):
+                ready_tasks += len(work.indexes)
+                yield work
 
 
 def _ready_gang(
