Record control instances without a replica, which no seed may name

Cause: a member announced the group only to the seeds of its own settings, and after a restart nobody else knows the group. Class of fault as in: discovery that relies on one process's seeds.

Announcements use clients of their own: a search for the leader must not wait for a recorded instance that is gone.

--- a/src/cicadatray/internal/control/control_state.py
+++ b/src/cicadatray/internal/control/control_state.py
@@ -11,6 +11,7 @@
 from cicadatray.internal.control.job_entry import JobEntry
 from cicadatray.internal.wire.errors import FrameError
 from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.graph_messages import MemberAddress
 from cicadatray.internal.wire.messages.key_messages import KeyRecord
 from cicadatray.internal.wire.messages.registry import message_codec
 
@@ -25,15 +26,27 @@
     jobs: dict[str, JobEntry]
     ended_jobs: list[str]
     graphs: GraphStore = msgspec.field(default_factory=GraphStore)
+    rendezvous: tuple[MemberAddress, ...] = ()
 
 
 class ControlState:
     """Applies commands in log order; the same commands produce the same state on every instance.
 
-    `listeners` are called with each command after it has been applied.
+    `listeners` are called with each command after it has been applied. `rendezvous` holds the
+    control instances without a replica, so that members can tell them where the group is after all
+    processes have been restarted, whether their settings name these instances or not.
     """
 
-    __slots__ = ("codec", "configuration", "ended_jobs", "graphs", "jobs", "keys", "listeners")
+    __slots__ = (
+        "codec",
+        "configuration",
+        "ended_jobs",
+        "graphs",
+        "jobs",
+        "keys",
+        "listeners",
+        "rendezvous",
+    )
 
     def __init__(self) -> None:
         self.codec = message_codec()
@@ -42,6 +55,7 @@
         self.jobs: dict[str, JobEntry] = {}
         self.ended_jobs: list[str] = []
         self.graphs = GraphStore()
+        self.rendezvous: tuple[MemberAddress, ...] = ()
         self.listeners: list[Callable[[MessageStruct], None]] = []
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -64,7 +78,14 @@
     def snapshot(self) -> bytes:
         """Returns the whole state in encoded form."""
         return msgspec.msgpack.encode(
-            ControlSnapshot(self.configuration, self.keys, self.jobs, self.ended_jobs, self.graphs)
+            ControlSnapshot(
+                self.configuration,
+                self.keys,
+                self.jobs,
+                self.ended_jobs,
+                self.graphs,
+                self.rendezvous,
+            )
         )
 
     def restore(self, snapshot: bytes) -> None:
@@ -82,6 +103,7 @@
         self.jobs = restored.jobs
         self.ended_jobs = restored.ended_jobs
         self.graphs = restored.graphs
+        self.rendezvous = restored.rendezvous
 
     def encode_command(self, command: MessageStruct) -> bytes:
         """Returns a command in the encoding that `apply` expects."""
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -29,6 +29,7 @@
     ReadGraph,
     ReadMembers,
     ReadQueues,
+    RecordRendezvous,
     SetQueues,
     SubmitGraph,
     SyncWorker,
@@ -221,8 +222,11 @@
 
 @register_handler(ReadMembers)
 async def read_members(daemon: "ControlDaemon", call: ReadMembers) -> MessageStruct:
-    """Returns the members of the control group."""
+    """Returns the members of the control group, and records a new instance without a replica."""
     session = await daemon.require_leader_session()
+    if call.rendezvous is not None and call.rendezvous not in session.state.rendezvous:
+        await session.propose(RecordRendezvous(address=call.rendezvous))
+        log.info("rendezvous recorded", rendezvous=call.rendezvous.name)
     return MembersReply(
         members=tuple(
             MemberAddress(member.member_id, member.host, member.port)
--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -261,10 +261,9 @@
         """
         return await self.clients[name].call(message, timeout_s)
 
-    def is_connected_to(self, name: str) -> bool:
-        """Returns whether a connection to this control instance is open."""
-        client = self.clients.get(name)
-        return client is not None and client.is_connected
+    def make_client(self, host: str, port: int) -> RpcClient:
+        """Returns a client that takes no part in searches; the caller has to release it."""
+        return self._new_client(host, port)
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/src/cicadatray/internal/wire/leader_probe.py
+++ b/src/cicadatray/internal/wire/leader_probe.py
@@ -31,11 +31,18 @@
 class LeaderProbe:
     """Tracks the members of the control group and the time of the leader's last reply."""
 
-    __slots__ = ("control", "last_leader_reply_s", "own_relay", "search")
+    __slots__ = ("control", "last_leader_reply_s", "own_relay", "own_rendezvous", "search")
 
-    def __init__(self, control: ControlClient, own_relay: MemberAddress | None = None) -> None:
+    def __init__(
+        self,
+        control: ControlClient,
+        own_relay: MemberAddress | None = None,
+        own_rendezvous: MemberAddress | None = None,
+    ) -> None:
+        """Creates a probe that also tells the leader what this process offers to others."""
         self.control = control
         self.own_relay = own_relay
+        self.own_rendezvous = own_rendezvous
         self.search = RepeatedEvent("leader not found")
         self.last_leader_reply_s = -math.inf
 
@@ -63,7 +70,7 @@
             )
 
     async def _probe(self) -> None:
-        call = ReadMembers(relay=self.own_relay)
+        call = ReadMembers(relay=self.own_relay, rendezvous=self.own_rendezvous)
         try:
             if self.control.is_relaying:
                 await self._try_direct(call)
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -166,9 +166,11 @@
     """Asks the leader for the members of the control group; the reply also confirms its leadership.
 
     `relay` is the address at which the caller forwards calls of other processes, if it does.
+    `rendezvous` is the address at which it tells them where the group is, if it does.
     """
 
     relay: MemberAddress | None = None
+    rendezvous: MemberAddress | None = None
 
 
 class MembersReply(MessageStruct, frozen=True):
@@ -195,6 +197,12 @@
     leader_name: str = ""
 
 
+class RecordRendezvous(MessageStruct, frozen=True):
+    """Command that records a control instance without a replica; a repeated one changes nothing."""
+
+    address: MemberAddress
+
+
 class JoinGroup(MessageStruct, frozen=True):
     """Asks to admit a control instance that has no contact with the group."""
 
--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -56,11 +56,15 @@
             self.probe = LeaderProbe(self.client)
         else:
             self.client = ControlClient(seeds, codec, CLUSTER_SECRET)
-            self.probe = LeaderProbe(self.client)
+            self.probe = LeaderProbe(
+                self.client, own_rendezvous=MemberAddress(own.name, own.host, own.port)
+            )
             self.rendezvous = RendezvousServer(
                 own.host, own.port, self.client, self.probe, codec, CLUSTER_SECRET
             )
-        self.announcer = SeedAnnouncer(self.client, own.name, seeds, self._stored_members)
+        self.announcer = SeedAnnouncer(
+            self.client, own.name, seeds, self._stored_members, self._stored_rendezvous
+        )
         application = OperatorApi(self.client).application()
         self.server = HttpServer(application, address.host, address.port)
 
@@ -113,6 +117,10 @@
             for member in self.daemon.replica.members()
         )
 
+    def _stored_rendezvous(self) -> tuple[MemberAddress, ...]:
+        """Returns the control instances without a replica that the replicated state holds."""
+        return self.daemon.state.rendezvous if self.daemon is not None else ()
+
 
 def _control_settings(
     settings: PlatformSettings, seeds: tuple[ControlMember, ...]
--- a/tests/cover/wire/test_rendezvous.py
+++ b/tests/cover/wire/test_rendezvous.py
@@ -229,6 +229,59 @@
     run_virtual(main())
 
 
+# The settings of the member name members only, those of all other processes other instances.
+def test_member_announces_the_group_to_recorded_instances(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a group that is not found because its own seeds are all members."""
+
+    async def main() -> None:
+        network = Network(monkeypatch)
+        network.handlers[LEADER.port] = answer_as_leader
+        _, probe = start_rendezvous(network, SEED)
+        control = make_client(ControlMember("follower", HOST, 7002))
+        recorded = MemberAddress(SEED.name, SEED.host, SEED.port)
+        announcer = SeedAnnouncer(
+            control,
+            LEADER.name,
+            (ControlMember("follower", HOST, 7002),),
+            stored_members=lambda: MEMBERS,
+            stored_seeds=lambda: (recorded,),
+        )
+        tasks = [asyncio.create_task(probe.run()), asyncio.create_task(announcer.run())]
+        await asyncio.sleep(SEARCH_S)
+        assert isinstance(await make_client(SEED).call(ReadMembers(), SEARCH_S), MembersReply)
+        assert SEED.name not in control.member_names
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("address", [None, MemberAddress("seed", HOST, 7003)])
+def test_probe_names_the_address_of_an_instance_without_a_replica(
+    address: MemberAddress | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against instances that the group does not record and so never informs."""
+
+    async def main() -> None:
+        network = Network(monkeypatch)
+        calls: list[MessageStruct] = []
+
+        async def answer(call: MessageStruct) -> MessageStruct:
+            calls.append(call)
+            return await answer_as_leader(call)
+
+        network.handlers[LEADER.port] = answer
+        probe = LeaderProbe(
+            make_client(ControlMember("leader", HOST, LEADER.port)), own_rendezvous=address
+        )
+        probing = asyncio.create_task(probe.run())
+        await asyncio.sleep(0.1)
+        probing.cancel()
+        assert calls == [ReadMembers(rendezvous=address)]
+
+    run_virtual(main())
+
+
 def test_outdated_announcement_does_not_replace_what_the_leader_named(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/nocover/test_seed_turnover.py
+++ b/tests/nocover/test_seed_turnover.py
@@ -50,10 +50,13 @@
             for host, role in ((MEMBER, "control"), (FORWARDER, "control"), (ENTRY, "entry"))
         }
 
-    def configure(self, seed: str, is_first_start: bool) -> None:
-        for host, program in self.programs.items():
+    def configure(
+        self, seed: str, is_first_start: bool, hosts: tuple[str, ...] = (MEMBER, FORWARDER, ENTRY)
+    ) -> None:
+        for host in hosts:
             role = "entry" if host == ENTRY else "control"
-            program.configure(settings_text(host, role, seed, self.folder, is_first_start))
+            text = settings_text(host, role, seed, self.folder, is_first_start)
+            self.programs[host].configure(text)
 
     def start(self, hosts: tuple[str, ...]) -> None:
         for host in hosts:
@@ -110,3 +113,29 @@
         asyncio.run(asyncio.wait_for(read_everything(), RECOVERY_LIMIT_S))
     finally:
         deployment.kill(hosts)
+
+
+# Seeds may differ between instances: those of the replica name itself, all others only the control
+# process without a data folder. After a loss of power nobody told that process of the group.
+@pytest.mark.parametrize(
+    "restarted",
+    [(FORWARDER, ENTRY), (MEMBER, FORWARDER, ENTRY)],
+    ids=["all-but-the-replica", "all"],
+)
+def test_leader_is_found_when_only_its_own_seeds_name_it(
+    restarted: tuple[str, ...], tmp_path: Path
+) -> None:
+    """Guards against accepted jobs that cannot be read any more because seeds differ."""
+    deployment = Deployment(tmp_path)
+    hosts = tuple(deployment.programs)
+    try:
+        deployment.configure(MEMBER, is_first_start=True)
+        deployment.start(hosts)
+        asyncio.run(asyncio.wait_for(accept_job(), RECOVERY_LIMIT_S))
+        deployment.configure(MEMBER, is_first_start=False, hosts=(MEMBER,))
+        deployment.configure(FORWARDER, is_first_start=False, hosts=(FORWARDER, ENTRY))
+        deployment.kill(restarted)
+        deployment.start(restarted)
+        asyncio.run(asyncio.wait_for(read_everything(), RECOVERY_LIMIT_S))
+    finally:
+        deployment.kill(hosts)
