Let agents keep their workers going through an outage of control

Every task that ran began again afterwards, gangs of up to three whole workers among them, and its work was thrown away.

Control was dark for 7.2 s and 7.5 s, from the power loss to the first answer of the next leader, so every lease ended 2 s too early. The limit of the worker holds for each call, and the agent makes several a second; nothing requires the lease of control to be as short.

Change: control grants at least 11.6 s. The agent sends its worker no more than the worker accepts from now on, at most until the end of the grant, so a worker that is gone is given up as early as before.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -112,7 +112,8 @@
                 self._abandon_start(entry, "worker drains")
                 return
             try:
-                answer = await self.port.start(order, self.token, self.lease.end_to_send())
+                lease_end_s = self.lease.end_to_send(self.port.clock_s())
+                answer = await self.port.start(order, self.token, lease_end_s)
             except WorkerUnansweredError as error:
                 entry.is_in_doubt = True
                 unanswered.record_failure(task, run=task, reason=str(error))
--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -37,6 +37,13 @@
         """Returns whether the worker need not be observed."""
         return not self.runs and not self.ends
 
+    @property
+    def is_settling(self) -> bool:
+        """Returns whether ends wait to be committed or runs are being stopped."""
+        return bool(self.ends) or any(
+            entry.phase is RunPhase.STOPPING for entry in self.runs.values()
+        )
+
     def add_start(self, order: RunOrder) -> RunEntry | None:
         """Adds the run of an order; returns None when it has been added or has finished before."""
         if order.run in self.runs or order.run in self.finished:
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -10,7 +10,7 @@
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
 from cicadatray.internal.agent.tasks.run_entry import RunPhase
 from cicadatray.internal.agent.tasks.run_table import RunTable
-from cicadatray.internal.agent.tasks.worker_lease import WorkerLease
+from cicadatray.internal.agent.tasks.worker_lease import DEFAULT_WORKER_LEASE_S, WorkerLease
 from cicadatray.internal.agent.tasks.worker_port import WorkerPort, WorkerView
 from cicadatray.internal.observability.graph_metrics import worker_starts_total
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
@@ -67,7 +67,11 @@
     )
 
     def __init__(
-        self, agent_id: str, control: ControlClient, metrics: MetricsRegistry | None = None
+        self,
+        agent_id: str,
+        control: ControlClient,
+        metrics: MetricsRegistry | None = None,
+        worker_lease_s: float = DEFAULT_WORKER_LEASE_S,
     ) -> None:
         self.answers = worker_starts_total(metrics or MetricsRegistry())
         self.agent_id = agent_id
@@ -77,7 +81,7 @@
         self.port: WorkerPort | None = None
         self.executor: OrderExecutor | None = None
         self.table = RunTable()
-        self.lease = WorkerLease()
+        self.lease = WorkerLease(worker_lease_s)
         self.not_adopted = RepeatedEvent("worker not adopted")
         self.unanswered = RepeatedEvent("worker unanswered")
         self.without_orders = RepeatedEvent("control gave no orders")
@@ -155,7 +159,7 @@
         self.port = port
         self.table = RunTable()
         self.table.apply_view(view, 0.0)
-        self.lease = WorkerLease()
+        self.lease = WorkerLease(self.lease.longest_s)
         self.executor = OrderExecutor(
             port,
             self.table,
@@ -174,8 +178,7 @@
         if self.offer is not None:
             self.ended_worker_id = self.offer.worker_id
         executor, self.executor = self.executor, None
-        self.offer = None
-        self.port = None
+        self.offer, self.port = None, None
         self.table = RunTable()
         if executor is not None:
             executor.cancel()
@@ -204,8 +207,7 @@
             change.cancel()
 
     async def _sync(self, sequence: int, offer: WorkerOffer | None) -> None:
-        port = self.port
-        ended_worker_id = self.ended_worker_id
+        port, ended_worker_id = self.port, self.ended_worker_id
         call = SyncWorker(
             agent_id=self.agent_id,
             agent_incarnation=self.incarnation,
@@ -263,13 +265,11 @@
     async def _observe(self, executor: OrderExecutor) -> None:
         port, table = executor.port, executor.table
         asked_s = asyncio.get_running_loop().time()
-        has_uncommitted_ends = bool(table.ends)
-        is_settling = any(entry.phase is RunPhase.STOPPING for entry in table.runs.values())
-        wait_s = OBSERVE_PAUSE_S if has_uncommitted_ends or is_settling else OBSERVE_WAIT_S
+        is_settling = table.is_settling
+        wait_s = OBSERVE_PAUSE_S if is_settling else OBSERVE_WAIT_S
         try:
-            view = await port.observe(
-                self.term, table.committed_end_number, self.lease.end_to_send(), wait_s
-            )
+            lease_end_s = self.lease.end_to_send(port.clock_s())
+            view = await port.observe(self.term, table.committed_end_number, lease_end_s, wait_s)
         except WorkerUnansweredError as error:
             self._handle_unanswered(executor, str(error))
             await asyncio.sleep(OBSERVE_RETRY_S)
@@ -287,7 +287,7 @@
                 executor.begin_stop(entry)
         if has_ended:
             self.changed.set()
-        if has_uncommitted_ends or has_ended or is_settling:
+        if has_ended or is_settling:
             await asyncio.sleep(OBSERVE_PAUSE_S)
 
     def _handle_unanswered(self, executor: OrderExecutor, reason: str) -> None:
--- a/src/cicadatray/internal/agent/tasks/worker_lease.py
+++ b/src/cicadatray/internal/agent/tasks/worker_lease.py
@@ -7,6 +7,8 @@
 # The lease of a worker that neither announces itself nor answers for this time is not extended: two
 # of its announcements are missing.
 SILENT_WORKER_S = 3.0
+# The longest lease that a worker accepts in one call, unless the settings name another.
+DEFAULT_WORKER_LEASE_S = 6.0
 
 
 class WorkerLease:
@@ -14,12 +16,13 @@
 
     `granted_end_s` is the end that control allows, `sent_end_s` the latest end in any call to
     the worker. `last_contact_s` is the event loop time at which the worker last announced itself
-    or answered.
+    or answered. `longest_s` is the longest lease that the worker accepts in one call.
     """
 
-    __slots__ = ("granted_end_s", "last_contact_s", "sent_end_s")
+    __slots__ = ("granted_end_s", "last_contact_s", "longest_s", "sent_end_s")
 
-    def __init__(self) -> None:
+    def __init__(self, longest_s: float = DEFAULT_WORKER_LEASE_S) -> None:
+        self.longest_s = longest_s
         self.granted_end_s = 0.0
         self.sent_end_s = 0.0
         self.last_contact_s = asyncio.get_running_loop().time()
@@ -37,12 +40,15 @@
         if asked_s:
             self.granted_end_s = max(self.granted_end_s, asked_s + lease_s * MIN_CLOCK_RATE)
 
-    def end_to_send(self) -> float:
-        """Returns the end of the lease for a call, which is extended only for a worker in contact.
+    def end_to_send(self, clock_s: float) -> float:
+        """Returns the end of the lease for a call at `clock_s` on the worker's clock.
 
-        A call without an answer may still be carried out, so every end that was sent counts.
+        It is extended only for a worker in contact, by no more than the worker accepts. A call
+        without an answer may still be carried out, so every end that was sent counts, and a worker
+        that is gone is given up once the latest of them has passed.
         """
         silence_s = asyncio.get_running_loop().time() - self.last_contact_s
         if silence_s < SILENT_WORKER_S:
-            self.sent_end_s = max(self.sent_end_s, self.granted_end_s)
+            end_s = min(self.granted_end_s, clock_s + self.longest_s)
+            self.sent_end_s = max(self.sent_end_s, end_s)
         return self.sent_end_s
--- a/src/cicadatray/internal/control/graphs/task_leases.py
+++ b/src/cicadatray/internal/control/graphs/task_leases.py
@@ -1,8 +1,11 @@
-"""Durations of worker leases."""
+"""Durations of the leases that control grants to agents for the runs on their workers."""
 
 import msgspec
 
-# The share of the longest lease that is granted; the rest covers clock drift and network delay.
+# The shortest lease, in seconds. Work continues while all control instances lose power for up to
+# 9 s, restart and elect a leader. A longer lease delays the restart of work whose agent is gone.
+SHORTEST_LEASE_S = 12.0
+# The share of that time that is granted; the rest covers clock drift and network delay.
 LEASE_SHARE = 0.97
 # Ten per cent is far above the drift of any clock, so that it covers scheduling delays too.
 LEASE_MARGIN_SHARE = 0.1
@@ -12,14 +15,18 @@
 
 
 class TaskLeases(msgspec.Struct, frozen=True):
-    """The lease durations that follow from `longest_s`, the longest lease that workers grant."""
+    """The lease durations that follow from `worker_lease_s`, the longest lease of workers.
 
-    longest_s: float = 6.0
+    An agent may be granted more than its worker accepts in one call, because it extends the lease
+    of its worker several times a second.
+    """
+
+    worker_lease_s: float = 6.0
 
     @property
     def lease_s(self) -> float:
         """How long a worker may run tasks, from when its agent sent a call that got a reply."""
-        return self.longest_s * LEASE_SHARE
+        return max(self.worker_lease_s, SHORTEST_LEASE_S) * LEASE_SHARE
 
     @property
     def expiry_s(self) -> float:
--- a/src/cicadatray/platform/agent_role.py
+++ b/src/cicadatray/platform/agent_role.py
@@ -30,7 +30,7 @@
         )
         self.probe = LeaderProbe(self.control)
         self.metrics = MetricsRegistry()
-        self.agent = TaskAgent(settings.name, self.control, self.metrics)
+        self.agent = TaskAgent(settings.name, self.control, self.metrics, settings.longest_lease_s)
         application = WorkerApi(self.agent).application()
         self.server = HttpServer(application, address.host, address.port)
 
