Allow for the waves of wide steps in the objective of a job

What callers saw: urgent jobs that are about as wide as the pool cleared it on arrival.

Cause: the platform sets the objective of a job with a step that is wider than a quarter of the room as if its tasks ran in waves. The scheduler took the objective of one task, so such a job counted as late within seconds, and its tasks displaced others one by one. Its running tasks counted as late too, which made them cheap to displace in turn.

Change: the leader derives the waves of each step from the total capacity of its pool, and uses them for the latest start, the deadlines of running work, the outcome that is logged and `objective_s`. Steps that are no wider than a quarter of the pool, gangs, and work inside a guarantee are treated as before; weights and order are the same. Waves are not rounded up, and count the scarcest resource only, so that deadlines are rather too early.

--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -8,6 +8,7 @@
 from cicadatray.internal.control.graphs import graph_codes
 from cicadatray.internal.control.graphs.graph_store import GraphStore
 from cicadatray.internal.control.graphs.graph_view import view_graph
+from cicadatray.internal.control.graphs.pool_capacities import objective_of
 from cicadatray.internal.control.graphs.task_leases import SYNC_WAIT_S
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.handler_registry import register_handler
@@ -144,7 +145,7 @@
         priority=graph.policy.priority,
         tasks=[step.count for step in call.steps],
         accelerators=[step.needs.accelerators for step in call.steps],
-        objective_s=round(graph.objective_s(), 1),
+        objective_s=round(objective_of(daemon.require_graph_session(session), graph), 1),
         occurrences=graph.occurrences,
     )
     graphs_accepted(daemon.metrics).increment(queue=resolved.queue.policy.queue)
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -14,6 +14,7 @@
     mark_displacing,
     mark_guaranteed,
 )
+from cicadatray.internal.control.graphs.pool_capacities import mark_waves
 from cicadatray.internal.control.graphs.wait_log import WaitLog
 from cicadatray.internal.observability.graph_metrics import runs_displaced, task_wait_seconds
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -200,6 +201,7 @@
         running = build_running(session)
         mark_guaranteed(session, waiting, running)
         mark_displacing(session.displacing_graphs, waiting)
+        mark_waves(session, waiting)
         workers = build_workers(session)
         plan = PlacementRound(workers, running, now_s, session.start_limits).run(waiting)
         self.wait_log.record_round(plan.waits)
--- a/src/cicadatray/internal/control/graphs/graph_statistics.py
+++ b/src/cicadatray/internal/control/graphs/graph_statistics.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from cicadatray.internal.control.graphs.pool_capacities import objective_of
 from cicadatray.internal.observability.queue_metrics import (
     graph_end_seconds,
     graph_start_seconds,
@@ -124,7 +125,8 @@
     def _log_end(self, progress: GraphProgress, counts: _GraphCounts) -> None:
         graph = progress.graph
         queue = graph.policy.queue
-        outcome = classify_graph(progress)
+        objective_s = objective_of(self.session, graph)
+        outcome = classify_graph(progress, objective_s)
         metrics = self.session.leader.metrics
         graphs_ended(metrics).increment(queue=queue, outcome=outcome.value)
         begin_s = graph.due_s(graph.occurrences - 1) or progress.accepted_s
@@ -138,7 +140,7 @@
             outcome=outcome.value,
             first_start_s=_rounded(counts.first_start_s),
             end_s=_rounded(progress.ended_s - progress.accepted_s),
-            objective_s=_rounded(graph.objective_s()),
+            objective_s=_rounded(objective_s),
             attempts=max((task.run for task in progress.tasks.values()), default=0),
             runs=sum(task.run for task in progress.tasks.values()),
             counted_from_s=_rounded(counts.counted_from_s),
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -3,6 +3,7 @@
 import math
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession, find_task_progress
+from cicadatray.internal.control.graphs.pool_capacities import build_pools, waves_of
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import MAX_LATENESS_FACTOR
@@ -55,10 +56,17 @@
     return graph.graph.steps[run.task.step].demand if graph else None
 
 
-def _set_deadlines(progress: GraphProgress, task: TaskId, work: RunningWork, now_s: float) -> None:
+def _set_deadlines(
+    progress: GraphProgress,
+    task: TaskId,
+    work: RunningWork,
+    now_s: float,
+    waves: tuple[float, ...],
+) -> None:
     graph = progress.graph
-    successors_s = graph.critical_path_from_s(task.step) - graph.steps[task.step].estimate_s
-    objective_s = graph.policy.stretch * graph.critical_path_s() + graph.policy.target_latency_s
+    step_s = graph.steps[task.step].estimate_s * (waves[task.step] if waves else 1.0)
+    successors_s = graph.critical_path_from_s(task.step, waves) - step_s
+    objective_s = graph.objective_s(waves)
     begin_s = graph.due_s(task.occurrence) or progress.accepted_s
     offset_s = begin_s - now_s - successors_s
     work.set_deadlines(offset_s + objective_s, offset_s + MAX_LATENESS_FACTOR * objective_s)
@@ -105,6 +113,7 @@
 def build_running(session: GraphSession) -> list[RunningWork]:
     """Returns the gangs and single tasks that run and are not being stopped."""
     works: dict[tuple[str, int, int, int], RunningWork] = {}
+    pools = build_pools(session)
     for worker_id, ordered in session.ordered_runs.items():
         for run, ordered_s in ordered.items():
             progress = find_task_progress(session.graphs, run)
@@ -130,6 +139,7 @@
                     report.percent if report else -1,
                 )
                 works[key] = work
-                _set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s())
+                waves = waves_of(pools, graph)
+                _set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s(), waves)
             work.add(run, worker_id, step.demand)
     return list(works.values())
--- a/src/cicadatray/scheduling/taskgraphs/graph_outcome.py
+++ b/src/cicadatray/scheduling/taskgraphs/graph_outcome.py
@@ -19,8 +19,11 @@
     CANCELLED = "cancelled"
 
 
-def classify_graph(progress: GraphProgress) -> GraphOutcome:
-    """Returns the outcome of an ended graph; its last occurrence decides for a repeated graph."""
+def classify_graph(progress: GraphProgress, objective_s: float) -> GraphOutcome:
+    """Returns the outcome of an ended graph that may take `objective_s` for each occurrence.
+
+    The last occurrence decides for a repeated graph.
+    """
     if progress.is_cancelled:
         return GraphOutcome.CANCELLED
     if progress.failure:
@@ -28,7 +31,7 @@
     graph = progress.graph
     begin_s = graph.due_s(graph.occurrences - 1) or progress.accepted_s
     took_s = progress.ended_s - begin_s
-    if took_s <= graph.objective_s():
+    if took_s <= objective_s:
         return GraphOutcome.ON_TIME
-    has_value = took_s <= MAX_LATENESS_FACTOR * graph.objective_s()
+    has_value = took_s <= MAX_LATENESS_FACTOR * objective_s
     return GraphOutcome.LATE if has_value else GraphOutcome.TOO_LATE
--- a/src/cicadatray/scheduling/taskgraphs/task_graph.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_graph.py
@@ -1,5 +1,7 @@
 """Task graphs."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
@@ -22,7 +24,8 @@
 
     `spec` is passed unchanged to every task. `policy` is the policy of the graph's queue at the
     time of acceptance, so that a later change of the queue neither moves a job to other workers nor
-    reduces its attempts.
+    reduces its attempts. `waves` has the waves in which the tasks of each step run; without it, all
+    tasks of a step count as running at once.
     """
 
     graph_id: str
@@ -43,19 +46,19 @@
             return 0.0
         return self.repetition.first_due_s + occurrence * self.repetition.interval_s
 
-    def critical_path_s(self) -> float:
+    def critical_path_s(self, waves: Sequence[float] = ()) -> float:
         """Returns the length of the critical path of estimates through the graph."""
-        return max(self._critical_paths_s(), default=0.0)
+        return max(self._critical_paths_s(waves), default=0.0)
 
-    def objective_s(self) -> float:
+    def objective_s(self, waves: Sequence[float] = ()) -> float:
         """Returns how long one occurrence of the graph may take and still be on time."""
-        return self.policy.stretch * self.critical_path_s() + self.policy.target_latency_s
+        return self.policy.stretch * self.critical_path_s(waves) + self.policy.target_latency_s
 
-    def critical_path_from_s(self, step: int) -> float:
+    def critical_path_from_s(self, step: int, waves: Sequence[float] = ()) -> float:
         """Returns the length of the longest path of estimates that begins with a step."""
-        return self._critical_paths_s()[step]
+        return self._critical_paths_s(waves)[step]
 
-    def _critical_paths_s(self) -> list[float]:
+    def _critical_paths_s(self, waves: Sequence[float]) -> list[float]:
         lengths = [0.0] * len(self.steps)
         for number in range(len(self.steps) - 1, -1, -1):
             successors = [
@@ -63,5 +66,6 @@
                 for later in range(number + 1, len(self.steps))
                 if number in self.steps[later].depends_on
             ]
-            lengths[number] = self.steps[number].estimate_s + max(successors, default=0.0)
+            step_s = self.steps[number].estimate_s * (waves[number] if waves else 1.0)
+            lengths[number] = step_s + max(successors, default=0.0)
         return lengths
--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -14,7 +14,8 @@
     `indexes` lists all tasks of a gang, or one task. `run` is the number of the next run. `ready_s`
     is the earliest time at which it could have started, in seconds since 1970. `is_guaranteed`: the
     urgent jobs of its account need no more than the account's guarantee. `displaced_s` is when
-    running work was first displaced for its graph, infinite if none was.
+    running work was first displaced for its graph, infinite if none was. `waves` has the waves of
+    each step of its graph, if they are known.
     """
 
     __slots__ = (
@@ -26,6 +27,7 @@
         "ready_s",
         "run",
         "step_number",
+        "waves",
     )
 
     def __init__(
@@ -45,6 +47,7 @@
         self.ready_s = ready_s
         self.is_guaranteed = False
         self.displaced_s = math.inf
+        self.waves: tuple[float, ...] = ()
 
     @property
     def step(self) -> Step:
@@ -63,10 +66,9 @@
     def latest_start_s(self) -> float:
         """Returns the latest start with which the job is still on time, in seconds since 1970."""
         graph = self.graph.graph
-        policy = graph.policy
         begin_s = graph.due_s(self.occurrence) or self.graph.accepted_s
-        objective_s = policy.stretch * graph.critical_path_s() + policy.target_latency_s
-        return begin_s + objective_s - graph.critical_path_from_s(self.step_number)
+        path_s = graph.critical_path_from_s(self.step_number, self.waves)
+        return begin_s + graph.objective_s(self.waves) - path_s
 
     def rank(self, now_s: float) -> tuple[bool, int, bool, bool, float, float]:
         """Returns the sort key of the work; the lowest is tried first.
@@ -79,7 +81,7 @@
         """
         graph = self.graph.graph
         policy = graph.policy
-        objective_s = policy.stretch * graph.critical_path_s() + policy.target_latency_s
+        objective_s = graph.objective_s(self.waves)
         latest_start_s = self.latest_start_s()
         worthless_start_s = latest_start_s + (MAX_LATENESS_FACTOR - 1) * objective_s
         return (
