--- a/src/cicadatray/internal/agent/tasks/worker_lease.py
+++ b/src/cicadatray/internal/agent/tasks/worker_lease.py
@@ -7,21 +7,25 @@
 # The lease of a worker that neither announces itself nor answers for this time is not extended: two
 # of its announcements are missing.
 SILENT_WORKER_S = 3.0
+# The longest lease that a worker accepts in one call, unless the settings name another.
+DEFAULT_WORKER_LEASE_S = 6.0
 
 
 class WorkerLease:
     """Tracks the end of the lease that control grants and of the one that the worker was sent.
 
     `granted_end_s` is the end that control allows, `sent_end_s` the latest end in any call to
-    the worker. `first_granted_end_s` is the end of the first grant, 0 before it. No lease that an
-    earlier process of this agent sent lasts longer, because its grants started before.
-    `last_contact_s` is the event loop time at which the worker last announced itself or answered.
+    the worker. `longest_s` is the longest lease that the worker accepts in one call.
+    `earlier_end_s` is the latest end that an earlier process of this agent can have sent, which was
+    granted before the first grant of this process; it is 0 before that. `last_contact_s` is the
+    event loop time at which the worker last announced itself or answered.
     """
 
-    __slots__ = ("first_granted_end_s", "granted_end_s", "last_contact_s", "sent_end_s")
+    __slots__ = ("earlier_end_s", "granted_end_s", "last_contact_s", "longest_s", "sent_end_s")
 
-    def __init__(self) -> None:
-        self.first_granted_end_s = 0.0
+    def __init__(self, longest_s: float = DEFAULT_WORKER_LEASE_S) -> None:
+        self.longest_s = longest_s
+        self.earlier_end_s = 0.0
         self.granted_end_s = 0.0
         self.sent_end_s = 0.0
         self.last_contact_s = asyncio.get_running_loop().time()
@@ -38,16 +42,20 @@
         """
         if asked_s:
             self.granted_end_s = max(self.granted_end_s, asked_s + lease_s * MIN_CLOCK_RATE)
-            self.first_granted_end_s = self.first_granted_end_s or self.granted_end_s
+            if not self.earlier_end_s:
+                self.earlier_end_s = min(self.granted_end_s, asked_s + self.longest_s)
 
-    def end_to_send(self) -> float:
-        """Returns the end of the lease for a call, which is extended only for a worker in contact.
+    def end_to_send(self, clock_s: float) -> float:
+        """Returns the end of the lease for a call at `clock_s` on the worker's clock.
 
-        A call without an answer may still be carried out, so every end that was sent counts.
+        It is extended only for a worker in contact, by no more than the worker accepts. A call
+        without an answer may still be carried out, so every end that was sent counts, and a worker
+        that is gone is given up once the latest of them has passed.
         """
         silence_s = asyncio.get_running_loop().time() - self.last_contact_s
         if silence_s < SILENT_WORKER_S:
-            self.sent_end_s = max(self.sent_end_s, self.granted_end_s)
+            end_s = min(self.granted_end_s, clock_s + self.longest_s)
+            self.sent_end_s = max(self.sent_end_s, end_s)
         return self.sent_end_s
 
     def has_expired(self, worker_clock_s: float) -> bool:
@@ -56,6 +64,6 @@
         `worker_clock_s` is a lower bound of the worker's clock. Before the first grant, the end of
         a lease from an earlier process of this agent is unknown.
         """
-        if not self.first_granted_end_s:
+        if not self.earlier_end_s:
             return False
-        return worker_clock_s > max(self.first_granted_end_s, self.sent_end_s)
+        return worker_clock_s > max(self.earlier_end_s, self.sent_end_s)
