Pause after a reply that an agent cannot decode

Seen: an agent that got an undecodable reply through a relay called control again every 5 ms plus the time of the call, without a log line.

Cause: only ControlUnavailableError was handled. A FrameError ended the task of the call, whose exception nobody reads, and the loop began the next call at once. In an announcement of a new worker the same error was answered with status 500.

Change: the agent handles every WireError of a call to control alike.

--- a/src/cicadatray/internal/agent/tasks/leader_term.py
+++ b/src/cicadatray/internal/agent/tasks/leader_term.py
@@ -11,7 +11,7 @@
     """Returns the term of the leader, or 0 when it sends an unexpected reply.
 
     Raises:
-        ControlUnavailableError: no leader replied.
+        WireError: no leader replied, or its reply is invalid.
     """
     reply = await control.call(ReadMembers(), READ_TERM_TIMEOUT_S)
     return reply.term if isinstance(reply, MembersReply) else 0
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -16,7 +16,8 @@
 from cicadatray.internal.observability.graph_metrics import worker_starts_total
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.observability.repeated_event import RepeatedEvent
-from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.control_client import ControlClient
+from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import SyncWorker, WorkerOffer, WorkerOrders
 
@@ -131,7 +132,7 @@
                 # A worker that has seen a leader's term refuses calls with a lower one.
                 self.term = max(await read_leader_term(self.control), self.term)
             view = await port.observe(self.term, 0, 0.0, 0.0)
-        except (WorkerUnansweredError, WorkerReplacedError, ControlUnavailableError) as error:
+        except (WorkerUnansweredError, WorkerReplacedError, WireError) as error:
             kind = f"{offer.worker_id}: {type(error).__name__}"
             self.not_adopted.record_failure(kind, worker=offer.worker_id, reason=str(error))
             return False
@@ -218,7 +219,7 @@
             reply = await self.control.call(
                 call, sync_timing.TIMEOUT_S, sync_timing.ATTEMPT_TIMEOUT_S
             )
-        except ControlUnavailableError as error:
+        except WireError as error:
             if self.is_control_answering:
                 log.warning(
                     "control lost", reason=str(error), lease_until_s=self.lease.granted_end_s
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cicadatray.internal.agent.tasks import sync_timing
 from cicadatray.internal.agent.tasks.errors import WorkerUnansweredError
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
 from cicadatray.internal.agent.tasks.run_table import RunTable
@@ -19,6 +20,7 @@
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.observability.counter import Counter
 from cicadatray.internal.wire.control_client import ControlUnavailableError
+from cicadatray.internal.wire.errors import FrameError, WireError
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
     MembersReply,
@@ -340,3 +342,34 @@
         assert agent.executor is not None and agent.executor.is_draining
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("error", [ControlUnavailableError("silent"), FrameError("undecodable")])
+def test_agent_pauses_after_a_call_without_a_usable_reply(error: WireError) -> None:
+    """Guards against calling control without pause, and without a log line, after a bad reply.
+
+    A relay of another version may pass on a reply that this agent cannot decode.
+    """
+
+    class FailingControl(ScriptedControl):
+        async def call(self, message: MessageStruct, *timeouts_s: float) -> MessageStruct:
+            reply = await super().call(message, *timeouts_s)
+            if isinstance(message, SyncWorker):
+                calls.append(asyncio.get_running_loop().time())
+                raise error
+            return reply
+
+    calls: list[float] = []
+
+    async def main() -> None:
+        control: Any = FailingControl(0.0)
+        agent = TaskAgent("a", control)
+        assert await agent.receive_offer(OFFER, FakePort())
+        running = asyncio.create_task(agent.run())
+        await asyncio.sleep(3.0)
+        assert not running.done()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        assert len(calls) <= 1 + 3.0 / (0.1 + sync_timing.RETRY_S)
+
+    run_virtual(main())
