Settle a refused start by a stop if an earlier process may have sent it too

Seen: an agent that had just restarted and whose start order was refused, for want of room or by an unhealthy worker, reported the run as certain not to start. Control then started the task on another worker. If the process before the restart had sent the same order without an answer, the worker could still carry it out seconds later, so that two runs of the task existed.

Cause: whether an order may still be carried out was known only for orders of the same process.

Change: the starts in the first reply of control after a worker is adopted count as possibly sent before; every run that the earlier process knew is among them or listed by the worker. A refusal of one is followed by a stop, after which the worker never starts the run. Two existing tests of later orders apply an empty first reply now; what they check is unchanged.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -23,13 +23,16 @@
 class OrderExecutor:
     """Repeats each order in an asyncio task of its own until the worker has answered it.
 
-    `token` is the term of the leader whose orders are carried out. Calls `on_change` when a change
-    must be reported to control, `on_worker_activity` when the worker must be observed, and
-    `on_replaced` when another incarnation of the worker answered.
+    `token` is the term of the leader whose orders are carried out. `has_applied_orders` is set by
+    the first reply of control. An earlier process of this agent may have sent the starts in that
+    reply, and the worker may carry those out late. Calls `on_change` when a change must be reported
+    to control, `on_worker_activity` when the worker must be observed, and `on_replaced` when another
+    incarnation of the worker answered.
     """
 
     __slots__ = (
         "answers",
+        "has_applied_orders",
         "is_draining",
         "lease",
         "on_change",
@@ -60,6 +63,7 @@
         self.on_replaced = on_replaced
         self.token = 0
         self.is_draining = False
+        self.has_applied_orders = False
         self.tasks: set[asyncio.Task[None]] = set()
 
     def apply(self, orders: WorkerOrders) -> None:
@@ -76,7 +80,9 @@
         for order in orders.starts:
             started = self.table.add_start(order)
             if started is not None:
+                started.is_in_doubt = not self.has_applied_orders
                 self._spawn(self._start(started, order))
+        self.has_applied_orders = True
         self.on_worker_activity()
 
     def begin_stop(self, entry: RunEntry) -> None:
--- a/src/cicadatray/internal/agent/tasks/run_entry.py
+++ b/src/cicadatray/internal/agent/tasks/run_entry.py
@@ -23,9 +23,9 @@
 
     `order` is None for a run that an earlier incarnation of the agent has started. `answered_s` is
     the event loop time at which the worker last answered an order for the run; only a list that was
-    requested later shows whether the run exists. `is_in_doubt` is set when an order got no answer:
-    the worker may carry it out at any time until it has answered a stop. `times_missing` counts the
-    lists in a row without the run.
+    requested later shows whether the run exists. `is_in_doubt` is set when an order got no answer
+    or may have been sent by an earlier process of this agent: the worker may carry it out at any
+    time until it has answered a stop. `times_missing` counts the lists in a row without the run.
     """
 
     __slots__ = (
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -117,6 +117,28 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("answer", [StartAnswer.UNHEALTHY, StartAnswer.REFUSED])
+def test_start_that_an_earlier_process_may_have_sent_is_settled_by_a_stop(
+    answer: StartAnswer,
+) -> None:
+    """Guards against reporting a run as cleared that the worker may still start.
+
+    The process before a restart of the agent may have sent the start without an answer, and the
+    worker may carry it out seconds later. Control would already have started the task elsewhere.
+    """
+
+    async def main() -> None:
+        port = FakePort(answer)
+        driver = make_executor(port)
+        driver.apply(orders())
+        await asyncio.sleep(5.0)
+        assert port.calls == ["start", "stop"]
+        assert not driver.table.cleared
+        driver.cancel()
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize(
     ("answers", "calls", "is_cleared"),
     [
@@ -152,6 +174,7 @@
     async def main() -> None:
         port = FakePort(*answers)
         driver = make_executor(port)
+        driver.apply(orders(starts=()))
         driver.apply(orders())
         await asyncio.sleep(5.0)
         assert port.calls == calls
@@ -168,6 +191,7 @@
         port = FakePort()
         driver = make_executor(port)
         driver.is_draining = True
+        driver.apply(orders(starts=()))
         driver.apply(orders())
         await asyncio.sleep(1.0)
         assert port.calls == []
