Refuse numbers of another type in the rows of a worker's lists

Seen: a row with the end number 1.5, "1" or true was taken for end 1. The agent ignores a second end with a known number, so such a row hid the valid end 1, and its run stayed open until it was stopped.

Cause: numbers were converted instead of checked.

Change: run and end numbers must be integers. A percent out of range counts as unknown, 0. A line of a doc comment in order_executor.py that was a character too long is wrapped.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -26,8 +26,8 @@
     `token` is the term of the leader whose orders are carried out. `has_applied_orders` is set by
     the first reply of control. An earlier process of this agent may have sent the starts in that
     reply, and the worker may carry those out late. Calls `on_change` when a change must be reported
-    to control, `on_worker_activity` when the worker must be observed, and `on_replaced` when another
-    incarnation of the worker answered.
+    to control, `on_worker_activity` when the worker must be observed, and `on_replaced` when
+    another incarnation of the worker answered.
     """
 
     __slots__ = (
--- a/src/cicadatray/platform/worker_document.py
+++ b/src/cicadatray/platform/worker_document.py
@@ -114,7 +114,7 @@
     parts = text.split(".")
     if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
         raise DocumentError(f"{text!r} is not a task name")
-    occurrence, step, index = (_decode_integer(part) for part in parts[1:])
+    occurrence, step, index = (_decode_integer(int(part)) for part in parts[1:])
     return TaskId(parts[0], occurrence, step, index)
 
 
@@ -171,15 +171,17 @@
 
 def _decode_integer(value: Any) -> int:
     """Returns a number that messages can carry; integers are limited to 64 bits there."""
-    number = int(value)
-    if not 0 <= number <= MAX_NUMBER:
-        raise DocumentError(f"number {number} is out of range")
-    return number
+    if isinstance(value, bool) or not isinstance(value, int | float) or value != int(value):
+        raise DocumentError("the number is not an integer")
+    if not 0 <= value <= MAX_NUMBER:
+        raise DocumentError(f"number {value} is out of range")
+    return int(value)
 
 
 def _decode_percent(value: Any) -> int:
     try:
-        return min(100, _decode_integer(value))
+        percent = int(value)
+        return percent if 0 <= percent <= 100 else 0
     except ROW_ERRORS:
         # Progress only refines estimates of the remaining time; 0 means that none is known.
         return 0
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -140,6 +140,9 @@
     "row",
     7,
     {"Task": "0a.0.1.3"},
+    ["0a.0.1.2", True, "", 4],
+    ["0a.0.1.2", 1.5, "", 4],
+    ["0a.0.1.2", "1", "", 4],
     ["0a.0.1.3", 10**30, "", 4],
     ["0a.0.1.3", 1e30, "", 4],
     ["0a.0.1." + "9" * 30, 1, "", 4],
@@ -151,6 +154,9 @@
     7,
     {"Task": "0a.0.1.4"},
     [2, "0a.0.1.4", 2, ["done"], ""],
+    [True, "0a.0.1.4", 2, "done", ""],
+    [1.5, "0a.0.1.4", 2, "done", ""],
+    ["1", "0a.0.1.4", 2, "done", ""],
     [10**30, "0a.0.1.4", 2, "done", ""],
     [2, "0a.0.1.4", 10**30, "done", ""],
     [2, "0a.0.1." + "9" * 30, 2, "done", ""],
@@ -167,7 +173,8 @@
 def test_invalid_rows_do_not_hide_valid_ones(running: Any, ended: Any) -> None:
     """Guards against losing all runs of a worker because of one invalid row.
 
-    A number that the messages to control cannot carry would prevent every report of the agent.
+    A number that the messages to control cannot carry would prevent every report of the agent. A
+    number of another type must not be taken for the number of a valid row.
     """
     rows = [running, ["0a.0.1.2", 1, "", 40, 900]]
     ends = [ended, [1, "0a.0.1.3", 2, "broken", ""]]
