Answer 504 when the reply to a submission or a cancel cannot be decoded

Seen: a client call whose reply arrived through a relay of another version, in a form that the entry cannot decode, ended in an internal server error.

Cause: the entry handled only ControlUnavailableError; decoding raises FrameError.

Evidence: test_status_of_a_call_with_an_undecodable_reply failed for GET, POST and DELETE with FrameError.

Change: every other WireError counts as an unknown outcome: 504, and 503 for reads.

Result: tests/cover/platform/test_client_api.py passes.

--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -13,6 +13,7 @@
 from cicadatray.internal.observability.graph_metrics import client_call_seconds
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -99,6 +100,8 @@
             reply = await self._call(call, _call_timeout_s(request.headers))
         except ControlUnavailableError as error:
             return self._unavailable(request, error)
+        except WireError as error:
+            return self._unavailable(request, ControlUnavailableError(str(error)))
         if isinstance(reply, Failure) and reply.code == INTERNAL_ERROR_CODE:
             # The handler may have failed after its command was committed.
             return self._unavailable(request, ControlUnavailableError(f"control: {reply.detail}"))
--- a/tests/cover/platform/test_client_api.py
+++ b/tests/cover/platform/test_client_api.py
@@ -9,6 +9,7 @@
 from cicadatray.internal.control.graphs import graph_codes
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlUnavailableError
+from cicadatray.internal.wire.errors import FrameError
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
     CancelGraph,
@@ -87,6 +88,13 @@
     assert ask(FakeControl(failure), method, msgspec.json.encode(JOB)).status == status
 
 
+@pytest.mark.parametrize(("method", "status"), [("GET", 503), ("POST", 504), ("DELETE", 504)])
+def test_status_of_a_call_with_an_undecodable_reply(method: str, status: int) -> None:
+    """Guards against an internal server error when a relay passes on a reply of another version."""
+    control = FakeControl(FrameError("undecodable message"))
+    assert ask(control, method, msgspec.json.encode(JOB)).status == status
+
+
 def test_unknown_outcome_of_the_first_call_stays_unknown() -> None:
     """Guards against a 503 because the second call, unlike the first, reached no leader."""
     control = FakeControl(
