--- a/tests/nocover/platform/test_platform_signal_at_exit.py
+++ b/tests/nocover/platform/test_platform_signal_at_exit.py
@@ -14,11 +14,14 @@
 async def run(stop):
     await asyncio.sleep(0)
 
-settings = SimpleNamespace(role="agent", name="a", ip="127.0.0.1", is_bootstrap=False)
+settings = SimpleNamespace(
+    role="agent", name="a", ip="127.0.0.1", is_bootstrap=False, seeds=()
+)
 module.load_platform_settings = lambda path: settings
 module.ROLE_MODULES["agent"] = module.__name__
 module.METRICS_PORTS["agent"] = 0
-module.role_factories["agent"] = lambda _: SimpleNamespace(run=run, metrics=MetricsRegistry())
+program = SimpleNamespace(run=run, reload=print, metrics=MetricsRegistry())
+module.role_factories["agent"] = lambda _: program
 module.main()
 os.kill(os.getpid(), signal.{name})
 """
