--- a/src/cicadatray/platform/main.py
+++ b/src/cicadatray/platform/main.py
@@ -21,6 +21,7 @@
 from cicadatray.platform.errors import PlatformSettingsError
 from cicadatray.platform.roles import role_factories
 from cicadatray.platform.settings import PlatformSettings, load_platform_settings
+from cicadatray.platform.settings_watch import SettingsWatch
 
 SETTINGS_VARIABLE = "CICADATRAY_CONFIG"
 SETTINGS_EXIT_CODE = 2
@@ -47,14 +48,7 @@
         log.info("stopping")
         stop.set()
 
-    def on_reload() -> None:
-        try:
-            program.reload(load_platform_settings(path))
-        except PlatformSettingsError as error:
-            log.error("settings not reloaded", reason=str(error))
-            return
-        log.info("settings reloaded")
-
+    watch = SettingsWatch(path, settings, program.reload)
     metrics = HttpServer(
         metrics_application(
             program.metrics, lambda: stream.count_dropped(log_lines_dropped(program.metrics))
@@ -65,10 +59,17 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, on_stop)
     loop.add_signal_handler(signal.SIGINT, on_stop)
-    loop.add_signal_handler(signal.SIGHUP, on_reload)
-    log.info("started", ip=settings.ip, first_start=settings.is_bootstrap)
+    loop.add_signal_handler(signal.SIGHUP, watch.reload)
+    log.info(
+        "started",
+        ip=settings.ip,
+        first_start=settings.is_bootstrap,
+        seeds=[seed.host for seed in settings.seeds],
+    )
     await metrics.start()
+    watch_task = asyncio.create_task(watch.run())
     await program.run(stop)
+    watch_task.cancel()
     await metrics.stop()
     log.info("stopped")
 
