Count the progress that running work made before this leader saw it

Callers saw urgent work wait, and long work stopped, after each change of leader.

Cause: class "two figures of one rate with different beginnings". A leader divided the whole progress of a run by the time in which it had itself seen the run. Right after it had begun to lead, a run of 50% seemed to end within moments, so urgent work waited for capacity that did not become free, and a run of 15 s counted as new and was the cheapest to displace. A run that resumed from a checkpoint had the same fault without a change of leader.

Change: the speed follows from the progress made since the run was first listed; the time before from that speed, or from the step's estimate while the speed is unknown.

--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -115,10 +115,10 @@
             step = graph.steps[task.step]
             key = (task.graph_id, task.occurrence, task.step, -1 if step.is_gang else task.index)
             worker_session = session.workers.get(worker_id)
-            seen_s = (
-                worker_session.first_seen_s.get(run, ordered_s) if worker_session else ordered_s
-            )
             report = worker_session.reports.get(run) if worker_session else None
+            elapsed_s = session.now_s() - ordered_s
+            if worker_session is not None and run in worker_session.first_seen_s:
+                elapsed_s = worker_session.elapsed_s(run, step.estimate_s, session.now_s())
             work = works.get(key)
             if work is None:
                 work = RunningWork(
@@ -126,7 +126,7 @@
                     graph.policy.priority,
                     step.is_checkpointable,
                     step.estimate_s,
-                    session.now_s() - seen_s,
+                    elapsed_s,
                     report.percent if report else -1,
                 )
                 works[key] = work
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -11,6 +11,7 @@
     WorkerOrders,
 )
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.running_work import MIN_PERCENT_FOR_SPEED
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 
 # A worker that fails this many runs in a row is avoided for `SUSPECT_DURATION_S`.
@@ -24,10 +25,11 @@
     `received_end_number` is the number of the latest end received from the agent, and
     `committed_end_number` that of the latest durable one. `received_clears` and `committed_clears`
     are the counterparts for runs that certainly never started, whose ends have no number.
-    `first_seen_s` is when the worker first listed each of its runs. `last_call` is the incarnation
-    of the agent and the sequence number of its last call. `last_orders` is the last reply, so that
-    its orders are not sent again at once, or None if it was probably lost. `last_reply_s` is the
-    time of the last reply, which grants a lease. Times are the event loop's.
+    `first_seen_s` is when the worker first listed each of its runs, and `first_percent` the
+    progress of the run then. `last_call` is the incarnation of the agent and the sequence number of
+    its last call. `last_orders` is the last reply, so that its orders are not sent again at once,
+    or None if it was probably lost. `last_reply_s` is the time of the last reply, which grants a
+    lease. Times are the event loop's.
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         "committed_clears",
         "committed_end_number",
         "consecutive_failures",
+        "first_percent",
         "first_seen_s",
         "is_lost",
         "last_call",
@@ -54,6 +57,7 @@
         self.offer = offer
         self.last_reply_s = now_s
         self.first_seen_s: dict[TaskRun, float] = {}
+        self.first_percent: dict[TaskRun, int] = {}
         self.reports: dict[TaskRun, RunReport] = {}
         self.received_end_number = 0
         self.committed_end_number = 0
@@ -80,6 +84,9 @@
             for run, report in self.reports.items()
             if report.percent >= 0
         }
+        self.first_percent = {
+            run: self.first_percent.get(run, self.reports[run].percent) for run in self.first_seen_s
+        }
         ends: list[PlacedEnd] = []
         cleared: set[TaskRun] = set()
         for end in call.ends:
@@ -103,6 +110,19 @@
             if self.consecutive_failures >= SUSPECT_FAILURES:
                 self.suspect_until_s = now_s + SUSPECT_DURATION_S
 
+    def elapsed_s(self, run: TaskRun, estimate_s: float, now_s: float) -> float:
+        """Returns how long a listed run has worked, in seconds, of which this leader saw a part.
+
+        The time before follows from the run's progress then, by its speed since, or by the estimate
+        while that is unknown.
+        """
+        seen_s = now_s - self.first_seen_s[run]
+        percent_before = self.first_percent[run]
+        percent_seen = self.reports[run].percent - percent_before
+        if percent_seen >= MIN_PERCENT_FOR_SPEED:
+            return seen_s * (percent_before + percent_seen) / percent_seen
+        return seen_s + estimate_s * percent_before / 100
+
     def has_new_orders(self, orders: WorkerOrders) -> bool:
         """Returns whether the orders contain anything that the last reply did not contain."""
         last = self.last_orders
