--- a/tests/cover/taskgraphs/test_placement_round.py
+++ b/tests/cover/taskgraphs/test_placement_round.py
@@ -273,7 +273,8 @@
     @pytest.mark.parametrize(
         "now_s", [0.0, 5.0, 500.0], ids=["in time", "late", "too late to have a value"]
     )
-    def test_gets_the_capacity_that_is_freed_for_it(self, now_s: float) -> None:
+    @pytest.mark.parametrize("priority", [0, 1, 2])
+    def test_gets_the_capacity_that_is_freed_for_it(self, priority: int, now_s: float) -> None:
         """Guards against work that is displaced, started again and displaced again without end.
 
         Guaranteed work that was too late to have a value displaced others, but was tried after
@@ -281,10 +282,12 @@
         --seed 11).
         """
         workers = make_workers((1,))
-        running = [make_running(workers, [("w0", WHOLE)], "victim", elapsed_s=1.0, percent=1)]
+        running = [
+            make_running(workers, [("w0", WHOLE)], "victim", priority, elapsed_s=1.0, percent=1)
+        ]
         urgent = self.urgent()
         assert PlacementRound(workers, running, now_s).run(urgent).displaced
-        victim = make_waiting(Step(1, WHOLE, 10.0), 2, accepted_s=now_s, graph_id="victim")
+        victim = make_waiting(Step(1, WHOLE, 10.0), priority, now_s, graph_id="victim")
         plan = PlacementRound(make_workers((1,)), [], now_s + 0.3).run([*victim, *urgent])
         assert {a.run.task.graph_id for a in plan.assignments} == {"urgent"}
 
