--- a/tests/nocover/test_seed_turnover.py
+++ b/tests/nocover/test_seed_turnover.py
@@ -71,6 +71,8 @@
     await poll_until(
         lambda a: a[0] == 200, "PUT", MEMBER, CONTROL, "/cicadatray/config", CONFIGURATION
     )
+    # The forwarder has found the leader, which has recorded it.
+    await poll_until(lambda a: a[0] == 200, "GET", FORWARDER, CONTROL, "/cicadatray/config")
     await poll_until(lambda a: a[0] == 200, "GET", ENTRY, READINESS, "/cicadatray/ready")
     assert (await call("POST", ENTRY, CLIENTS, JOB_PATH, JOB))[0] == 200
 
