--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -8,6 +8,7 @@
 from cicadatray.internal.control.graphs.agent_incarnations import AgentIncarnations
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
+from cicadatray.internal.control.graphs.task_lookup import find_task_progress
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -19,7 +20,7 @@
     SyncWorker,
     WorkerOrders,
 )
-from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress, TaskProgress
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
@@ -297,9 +298,3 @@
                 if task.worker_id:
                     run = TaskRun(TaskId.from_key(graph.graph.graph_id, key), task.run)
                     self.ordered_runs.setdefault(task.worker_id, {})[run] = self.leader.started_s
-
-
-def find_task_progress(graphs: dict[str, GraphProgress], run: TaskRun) -> TaskProgress | None:
-    """Returns the durable record of a run's task, or None if it does not exist."""
-    graph = graphs.get(run.task.graph_id)
-    return graph.tasks.get(run.task.key) if graph else None
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -2,8 +2,9 @@
 
 import math
 
-from cicadatray.internal.control.graphs.graph_session import GraphSession, find_task_progress
+from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.pool_capacities import build_pools, waves_of
+from cicadatray.internal.control.graphs.task_lookup import find_task_progress
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import MAX_LATENESS_FACTOR
