Handle every reply of a relay to a call

A submission that a relay answered with a failure of its own, or with a reply that the entry cannot decode, could be reported as 503, which means that the job never runs, or end in an internal error; the probe of such a process ended silently, so that an entry answered 503 until it was restarted. Cause: only RelayedReply and RelayUnavailable were considered, and the reply was decoded outside the error handling. Change: every other reply counts as an unknown outcome; the probe goes on after every error of the wire.

--- a/src/cicadatray/internal/wire/leader_probe.py
+++ b/src/cicadatray/internal/wire/leader_probe.py
@@ -7,6 +7,7 @@
 
 from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.messages.graph_messages import (
     MemberAddress,
     MembersReply,
@@ -76,7 +77,7 @@
                 await self._try_direct(call)
             timeout_s = PROBE_TIMEOUT_S if self.has_recent_leader_reply() else SEARCH_TIMEOUT_S
             reply = await self.control.call(call, timeout_s)
-        except ControlUnavailableError as error:
+        except WireError as error:
             log.debug("leader did not answer", reason=str(error))
             if not self.has_recent_leader_reply():
                 self.search.record_failure(
--- a/src/cicadatray/internal/wire/relay_caller.py
+++ b/src/cicadatray/internal/wire/relay_caller.py
@@ -42,13 +42,14 @@
         """Sends a call through a relay; returns None without a final reply of control."""
         try:
             reply = await self._forward(relay, retried_call.message, retried_call.next_timeout_s())
+            if isinstance(reply, RelayedReply):
+                return self.codec.decode(reply.payload)[1]
         except WireError as error:
+            # The reply may be lost, or be one that this process cannot decode.
             retried_call.record_failure(str(error), not isinstance(error, PeerUnreachableError))
         else:
-            if isinstance(reply, RelayedReply):
-                return self.codec.decode(reply.payload)[1]
-            if isinstance(reply, RelayUnavailable):
-                retried_call.record_failure(reply.reason, reply.may_have_effect)
+            is_in_doubt = not isinstance(reply, RelayUnavailable) or reply.may_have_effect
+            retried_call.record_failure(f"{relay.name} replied {reply}", is_in_doubt)
         self.routes.deactivate(relay)
         await asyncio.sleep(RETRY_PAUSE_S)
         return None
--- a/tests/cover/test_relays.py
+++ b/tests/cover/test_relays.py
@@ -10,11 +10,19 @@
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.errors import PeerLostError, PeerUnreachableError
 from cicadatray.internal.wire.leader_probe import LeaderProbe
-from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.directory_messages import Acknowledged, NotLeader
-from cicadatray.internal.wire.messages.graph_messages import MemberAddress, ReadMembers
+from cicadatray.internal.wire.messages.graph_messages import (
+    MemberAddress,
+    MembersReply,
+    ReadMembers,
+)
 from cicadatray.internal.wire.messages.registry import message_codec
-from cicadatray.internal.wire.messages.relay_messages import RelayedCall, RelayedReply
+from cicadatray.internal.wire.messages.relay_messages import (
+    RelayedCall,
+    RelayedReply,
+    RelayUnavailable,
+)
 from cicadatray.internal.wire.relay_routes import RelayRoutes
 from cicadatray.internal.wire.relay_server import RelayServer
 
@@ -100,6 +108,55 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("reply", "may_have_effect"),
+    [
+        (RelayedReply(payload=b"another version"), True),
+        (Failure(code="internal_error", detail=""), True),
+        (RelayUnavailable(reason="cut", may_have_effect=True), True),
+        (RelayUnavailable(reason="cut", may_have_effect=False), False),
+        (PeerUnreachableError("refused"), False),
+    ],
+    ids=["undecodable", "failure", "in doubt", "not sent", "refused"],
+)
+def test_whether_a_call_through_a_relay_may_have_had_an_effect(
+    reply: Any, may_have_effect: bool
+) -> None:
+    """Guards against a caller that is told that its job never runs although it was accepted."""
+
+    async def main() -> None:
+        client = make_client(PeerUnreachableError("cut"))
+        client.update_relays((RELAY,))
+        client.relays.clients[RELAY] = FakePeer(reply)  # type: ignore[assignment]
+        client.relays.active = RELAY
+        with pytest.raises(ControlUnavailableError) as caught:
+            await client.call(ReadMembers(), 1.0)
+        assert caught.value.may_have_effect is may_have_effect
+
+    run_virtual(main())
+
+
+def test_probe_goes_on_after_a_reply_that_it_cannot_decode() -> None:
+    """Guards against a process that never finds the leader again after one invalid reply."""
+
+    async def main() -> None:
+        client = make_client(PeerUnreachableError("cut"))
+        client.update_relays((RELAY,))
+        undecodable = FakePeer(RelayedReply(payload=b"another version"))
+        client.relays.clients[RELAY] = undecodable  # type: ignore[assignment]
+        client.relays.active = RELAY
+        probe = LeaderProbe(client)
+        running = asyncio.create_task(probe.run())
+        await asyncio.sleep(2.0)
+        for peer in client.clients.values():
+            peer.outcome = MembersReply(members=(), term=1)  # type: ignore[attr-defined]
+        await asyncio.sleep(2.0)
+        assert probe.has_recent_leader_reply()
+        running.cancel()
+
+    run_virtual(main())
+
+
 def test_reply_of_any_member_prevents_the_use_of_relays() -> None:
     """Guards against sending all calls through relays during an election."""
 
