Compute critical paths along the edges of a graph

Cause: for each step all later steps were searched for it. Change: each step passes its length to the steps it depends on.

--- a/src/cicadatray/scheduling/taskgraphs/task_graph.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_graph.py
@@ -60,12 +60,11 @@
 
     def _critical_paths_s(self, waves: Sequence[float]) -> list[float]:
         lengths = [0.0] * len(self.steps)
+        longest_after = [0.0] * len(self.steps)
         for number in range(len(self.steps) - 1, -1, -1):
-            successors = [
-                lengths[later]
-                for later in range(number + 1, len(self.steps))
-                if number in self.steps[later].depends_on
-            ]
-            step_s = self.steps[number].estimate_s * (waves[number] if waves else 1.0)
-            lengths[number] = step_s + max(successors, default=0.0)
+            step = self.steps[number]
+            step_s = step.estimate_s * (waves[number] if waves else 1.0)
+            lengths[number] = step_s + longest_after[number]
+            for earlier in step.depends_on:
+                longest_after[earlier] = max(longest_after[earlier], lengths[number])
         return lengths
