Emulate loads that vary and disturbances of workers and control

Two more load sheets draw widths, durations, second steps, rack-local gangs, wrong estimates and the worth of a job by its work; the second also has silent workers, outages of control and slow workers, by seed. Results tell wasted work by kind and cause.

--- a/src/cicadatray/internal/bench/experiment.py
+++ b/src/cicadatray/internal/bench/experiment.py
@@ -11,6 +11,7 @@
     compare,
     format_rows,
 )
+from cicadatray.internal.bench.graph_experiment.disturbance_draw import draw_disturbances
 from cicadatray.internal.bench.graph_experiment.experiment_policy import experiment_policies
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
 from cicadatray.internal.bench.graph_experiment.job_stream import draw_jobs
@@ -22,7 +23,7 @@
 
 
 @app.default
-def experiment(*, seeds: int = 40, first_seed: int = 1) -> None:
+def experiment(*, seeds: int = 40, first_seed: int = 1, sheets: tuple[str, ...] = ()) -> None:
     """Plays every policy on every load.
 
     Parameters
@@ -31,13 +32,20 @@
         How many loads are drawn for each sheet and burst.
     first_seed
         The seed of the first of them.
+    sheets
+        The names of the load sheets, all by default.
     """
     report: dict[str, list[PolicyFigures]] = {}
-    for sheet in SHEETS.values():
+    for sheet in [SHEETS[name] for name in sheets or SHEETS]:
         for burst in BURSTS:
             results = {
                 name: [
-                    FleetEmulator(sheet, draw_jobs(sheet, seed, burst), make_round).run()
+                    FleetEmulator(
+                        sheet,
+                        draw_jobs(sheet, seed, burst),
+                        make_round,
+                        draw_disturbances(sheet, seed),
+                    ).run()
                     for seed in range(first_seed, first_seed + seeds)
                 ]
                 for name, make_round in experiment_policies.items()
--- a/src/cicadatray/internal/bench/graph_experiment/job_stream.py
+++ b/src/cicadatray/internal/bench/graph_experiment/job_stream.py
@@ -5,6 +5,7 @@
 
 from cicadatray.internal.bench.graph_experiment.load_sheet import JobKind, LoadSheet
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
+from cicadatray.internal.bench.graph_experiment.varied_job import draw_varied_job
 from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.step import Step
@@ -30,7 +31,11 @@
     for kind in sheet.kinds:
         now_s = random.expovariate(kind.rate_per_s)
         while now_s < ARRIVALS_END_S:
-            jobs.append(_draw_job(kind, random, now_s, f"{kind.name}-{len(jobs)}"))
+            graph_id = f"{kind.name}-{len(jobs)}"
+            if kind.variation is None:
+                jobs.append(_draw_job(kind, random, now_s, graph_id))
+            else:
+                jobs.append(draw_varied_job(sheet, kind, kind.variation, random, now_s, graph_id))
             is_burst = BURST_FROM_S <= now_s < BURST_UNTIL_S
             now_s += random.expovariate(kind.rate_per_s * (burst if is_burst else 1.0))
     return sorted(jobs, key=lambda job: job.arrival_s)
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -55,7 +55,8 @@
     return graph.graph.steps[run.task.step].demand if graph else None
 
 
-def _set_deadlines(progress: GraphProgress, task: TaskId, work: RunningWork, now_s: float) -> None:
+def set_deadlines(progress: GraphProgress, task: TaskId, work: RunningWork, now_s: float) -> None:
+    """Sets the deadlines of running work, which leave time for the steps that follow it."""
     graph = progress.graph
     successors_s = graph.critical_path_from_s(task.step) - graph.steps[task.step].estimate_s
     objective_s = graph.policy.stretch * graph.critical_path_s() + graph.policy.target_latency_s
@@ -130,6 +131,6 @@
                     report.percent if report else -1,
                 )
                 works[key] = work
-                _set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s())
+                set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s())
             work.add(run, worker_id, step.demand)
     return list(works.values())
--- a/tests/cover/experiment/test_urgent_burst.py
+++ b/tests/cover/experiment/test_urgent_burst.py
@@ -1,7 +1,5 @@
 """Pattern: a burst of urgent gangs on a fleet that is full of batch work."""
 
-import math
-
 import pytest
 from msgspec.structs import replace
 
@@ -11,14 +9,9 @@
     QUOTE,
     REVIEW,
     SHEETS,
-    JobKind,
     LoadSheet,
 )
-from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
-from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
-from cicadatray.scheduling.taskgraphs.resources import Resources
-from cicadatray.scheduling.taskgraphs.step import Step
-from cicadatray.scheduling.taskgraphs.task_graph import TaskGraph
+from cover.experiment.job_plans import plan_job
 
 WORKERS = 6
 ACCELERATORS = 8
@@ -27,17 +20,6 @@
 LONGEST_START_S = 1.25
 
 
-def plan_job(
-    kind: JobKind, name: str, arrival_s: float, count: int, accelerators: int, run_s: float
-) -> PlannedJob:
-    """Returns a job of one step whose estimate is right, of an account of its own."""
-    demand = Resources(1_000 * accelerators, 1_000 * accelerators, accelerators)
-    step = Step(count, demand, run_s, is_gang=kind.is_gang)
-    policy = QueuePolicy(kind.name, "pool", kind.priority, 3, kind.stretch, kind.target_latency_s)
-    graph = TaskGraph(name, f"account-{name}", policy, "", (step,))
-    return PlannedJob(kind, graph, arrival_s, (run_s,) * count, math.inf, 0)
-
-
 @pytest.mark.parametrize("second_arrival_s", [2.25, 2.5, 2.75])
 def test_each_urgent_gang_displaces_for_itself_once(second_arrival_s: float) -> None:
     """Guards against an urgent gang that starts in capacity freed for another one.
