Keep the place of guaranteed work however late it is

Cause: work within a guarantee may displace at any time, but the rank placed work that is too late to have any value last. An outage of control makes short urgent jobs that late.

Change: guaranteed work keeps its rank however late it is, so it starts in what it has freed.

--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -75,7 +75,8 @@
         work that is late already. Work that has displaced other work goes before its equals, in
         the order of displacement: if another took the freed capacity, more would have to be
         stopped. Otherwise the earlier latest start decides. Work that is too late to have any
-        value comes last, whatever its priority.
+        value comes last, whatever its priority, unless it is guaranteed: it may displace other
+        work at any time, and must not then wait behind what it displaces.
         """
         graph = self.graph.graph
         policy = graph.policy
@@ -83,7 +84,7 @@
         latest_start_s = self.latest_start_s()
         worthless_start_s = latest_start_s + (MAX_LATENESS_FACTOR - 1) * objective_s
         return (
-            now_s > worthless_start_s,
+            now_s > worthless_start_s and not self.is_guaranteed,
             policy.priority,
             not self.is_guaranteed,
             now_s > latest_start_s,
