--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -62,13 +62,14 @@
     return progress.graph.steps[run.task.step].demand
 
 
-def _set_deadlines(
+def set_deadlines(
     progress: GraphProgress,
     task: TaskId,
     work: RunningWork,
     now_s: float,
-    waves: tuple[float, ...],
+    waves: tuple[float, ...] = (),
 ) -> None:
+    """Sets the deadlines of running work, which leave time for the steps that follow it."""
     graph = progress.graph
     step_s = graph.steps[task.step].estimate_s * (waves[task.step] if waves else 1.0)
     successors_s = graph.critical_path_from_s(task.step, waves) - step_s
@@ -146,6 +147,6 @@
                 )
                 works[key] = work
                 waves = waves_of(pools, graph)
-                _set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s(), waves)
+                set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s(), waves)
             work.add(run, worker_id, step.demand)
     return list(works.values())
--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -77,8 +77,8 @@
         work that is late already. Work that has displaced other work goes before its equals, in
         the order of displacement: if another took the freed capacity, more would have to be
         stopped. Otherwise the earlier latest start decides. Work that is too late to have any
-        value comes last, whatever its priority, except guaranteed work: it still displaces other
-        work, which would otherwise get the freed capacity back and be displaced again.
+        value comes last, whatever its priority, unless it is guaranteed: it may displace other
+        work at any time, and must not then wait behind what it displaces.
         """
         graph = self.graph.graph
         policy = graph.policy
