--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -148,7 +148,7 @@
         priority=graph.policy.priority,
         tasks=[step.count for step in call.steps],
         accelerators=[step.needs.accelerators for step in call.steps],
-        objective_s=round(objective_of(daemon.require_graph_session(session), graph), 1),
+        objective_s=round(objective_of(graph_session, graph), 1),
         occurrences=graph.occurrences,
     )
     graphs_accepted(daemon.metrics).increment(queue=resolved.queue.policy.queue)
