Give the rows of test_seed_turnover.py addresses of their own

Its rows run at the same time in several processes of the test runner and used the same ports: directories of three processes with these rows are left from that run. Nothing that is checked has changed.

--- a/tests/nocover/test_seed_turnover.py
+++ b/tests/nocover/test_seed_turnover.py
@@ -1,6 +1,7 @@
 """Tests of processes whose seeds are replaced, with the programs of deploy/system.toml."""
 
 import asyncio
+import os
 import signal
 from pathlib import Path
 
@@ -9,8 +10,10 @@
 from cover.platform.documents import CONFIGURATION, JOB
 from nocover.platform_programs import Program, call, poll_until
 
-# Each program has an address of its own, since ports are the same on all instances.
-MEMBER, FORWARDER, ENTRY = "127.0.0.1", "127.0.0.2", "127.0.0.3"
+# Each program has an address of its own, since ports are the same on all instances. The rows of a
+# table may run at the same time in several processes of the test runner.
+TEST_PROCESS = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+MEMBER, FORWARDER, ENTRY = (f"127.0.{TEST_PROCESS + 1}.{number}" for number in (1, 2, 3))
 FIRST_PORT = 23_600
 CLIENTS, READINESS, CONTROL = range(FIRST_PORT + 8, FIRST_PORT + 11)
 JOB_PATH = "/fast/00000000000000ab"
