--- a/src/cicadatray/replication/replica_settings.py
+++ b/src/cicadatray/replication/replica_settings.py
@@ -12,8 +12,8 @@
 
     `bootstrap` lets an empty data folder form a new group with exactly those of `initial_members`
     that hold a replica. All of `initial_members` must be reachable at the same time until the group
-    is formed. Without it, a member with an
-    empty data folder waits until a leader adds it as a learner.
+    is formed. Without it, a member with an empty data folder waits until a leader adds it as a
+    learner.
 
     Requests that make the receiver write use `store_timeout_s`: syncs of up to 0.5 s were seen on a
     busy disk, and a request whose reply comes too late must be repeated.
