Distinguish a crashed worker from a silent one in the ends of its runs

Agents report whether an order to start a run may have been carried out (a refused connection shows that it was not) and for how long they saw the run in the worker's lists, and why a worker ended. Control records crashed, lost or cleared, and logs one line for each such run. Nothing is decided from it yet. Tests: test_crash_evidence.py.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -5,7 +5,11 @@
 
 import structlog
 
-from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
+from cicadatray.internal.agent.tasks.errors import (
+    WorkerReplacedError,
+    WorkerUnansweredError,
+    WorkerUnreachableError,
+)
 from cicadatray.internal.agent.tasks.run_entry import RunEntry, RunPhase
 from cicadatray.internal.agent.tasks.run_table import RunTable
 from cicadatray.internal.agent.tasks.worker_lease import WorkerLease
@@ -81,6 +85,7 @@
             started = self.table.add_start(order)
             if started is not None:
                 started.is_in_doubt = not self.has_applied_orders
+                started.may_have_begun = started.is_in_doubt
                 self._spawn(self._start(started, order))
         self.has_applied_orders = True
         self.on_worker_activity()
@@ -117,10 +122,13 @@
             if self.is_draining:
                 self._abandon_start(entry, "worker drains")
                 return
+            had_begun, entry.may_have_begun = entry.may_have_begun, True
             try:
                 lease_end_s = self.lease.end_to_send(self.port.clock_s())
                 answer = await self.port.start(order, self.token, lease_end_s)
             except WorkerUnansweredError as error:
+                if isinstance(error, WorkerUnreachableError):
+                    entry.may_have_begun = had_begun
                 entry.is_in_doubt = True
                 unanswered.record_failure(task, run=task, reason=str(error))
                 await asyncio.sleep(ORDER_RETRY_S)
--- a/src/cicadatray/internal/agent/tasks/run_entry.py
+++ b/src/cicadatray/internal/agent/tasks/run_entry.py
@@ -26,12 +26,18 @@
     requested later shows whether the run exists. `is_in_doubt` is set when an order got no answer
     or may have been sent by an earlier process of this agent: the worker may carry it out at any
     time until it has answered a stop. `times_missing` counts the lists in a row without the run.
+    `may_have_begun` is set while an order to start it may have been carried out. `first_listed_s`
+    is when a list of the worker first contained the run, and `observed_s` how much later the last
+    such list was requested.
     """
 
     __slots__ = (
         "answered_s",
         "checkpoint",
+        "first_listed_s",
         "is_in_doubt",
+        "may_have_begun",
+        "observed_s",
         "order",
         "percent",
         "phase",
@@ -47,8 +53,25 @@
         self.checkpoint = ""
         self.answered_s = 0.0
         self.is_in_doubt = False
+        self.may_have_begun = order is None
+        self.first_listed_s: float | None = None
+        self.observed_s = 0.0
         self.times_missing = 0
 
+    def record_listed(self, report: RunReport, asked_s: float, received_s: float) -> None:
+        """Records that the list which was requested at `asked_s` contains the run."""
+        self.percent = report.percent
+        self.checkpoint = report.checkpoint
+        self.times_missing = 0
+        self.may_have_begun = True
+        if self.first_listed_s is None:
+            self.first_listed_s = received_s
+        self.observed_s = max(self.observed_s, asked_s - self.first_listed_s)
+        if self.phase is RunPhase.STARTING:
+            self.phase = RunPhase.RUNNING
+
     def report(self) -> RunReport:
         """Returns the report of the run to control."""
-        return RunReport(self.run, self.percent, self.checkpoint)
+        return RunReport(
+            self.run, self.percent, self.checkpoint, self.may_have_begun, self.observed_s
+        )
--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -52,9 +52,12 @@
         self.runs[order.run] = entry
         return entry
 
-    def apply_view(self, view: WorkerView, asked_s: float) -> tuple[bool, list[RunEntry]]:
-        """Updates the runs from the worker's lists, which were requested at `asked_s`.
+    def apply_view(
+        self, view: WorkerView, asked_s: float, received_s: float
+    ) -> tuple[bool, list[RunEntry]]:
+        """Updates the runs from the worker's lists.
 
+        They were requested at `asked_s` and received at `received_s`, on the event loop's clock.
         Returns whether any run has ended or is missing, and the missing runs: those that are now
         cleared, and those whose state is uncertain and that should be stopped for that reason.
         """
@@ -66,11 +69,7 @@
                 entry = RunEntry(report.run, None, RunPhase.RUNNING)
                 self.runs[report.run] = entry
             if entry is not None:
-                entry.percent = report.percent
-                entry.checkpoint = report.checkpoint
-                entry.times_missing = 0
-                if entry.phase is RunPhase.STARTING:
-                    entry.phase = RunPhase.RUNNING
+                entry.record_listed(report, asked_s, received_s)
         missing = [
             entry
             for run, entry in list(self.runs.items())
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -6,7 +6,11 @@
 import structlog
 
 from cicadatray.internal.agent.tasks import sync_timing
-from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
+from cicadatray.internal.agent.tasks.errors import (
+    WorkerReplacedError,
+    WorkerUnansweredError,
+    WorkerUnreachableError,
+)
 from cicadatray.internal.agent.tasks.leader_term import read_leader_term
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
 from cicadatray.internal.agent.tasks.run_entry import RunPhase
@@ -20,6 +24,7 @@
 from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import SyncWorker, WorkerOffer, WorkerOrders
+from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 # The worker answers earlier when a run ends. Its lease has to be extended in the meantime.
 OBSERVE_WAIT_S = 0.5
@@ -42,6 +47,7 @@
         "answers",
         "changed",
         "control",
+        "ended_worker_cause",
         "ended_worker_id",
         "executor",
         "former_workers",
@@ -81,6 +87,7 @@
         self.without_orders = RepeatedEvent("control gave no orders")
         self.former_workers: set[str] = set()
         self.ended_worker_id = ""  # empty once control has replied to the report of its end
+        self.ended_worker_cause = WorkerEnd.CRASHED
         self.term = 0
         self.sequence = 0
         self.answered_sequence = 0  # replies to calls up to this number are ignored
@@ -120,7 +127,7 @@
         self.former_workers.add(worker_id)
         if self.offer is not None and self.offer.worker_id == worker_id:
             log.info("worker withdrew", worker=worker_id)
-            self._drop_worker()
+            self._drop_worker(WorkerEnd.WITHDRAWN)
 
     def _update_offer(self, offer: WorkerOffer) -> None:
         if self.offer is not None and offer.is_draining and not self.offer.is_draining:
@@ -149,14 +156,14 @@
                     self._update_offer(offer)
                 return True
             self.former_workers.add(self.offer.worker_id)
-            self._drop_worker()
+            self._drop_worker(WorkerEnd.CRASHED)
         self._start_driving(offer, port, view)
         return True
 
     def _start_driving(self, offer: WorkerOffer, port: WorkerPort, view: WorkerView) -> None:
         self.port = port
         self.table = RunTable()
-        self.table.apply_view(view, 0.0)
+        self.table.apply_view(view, 0.0, asyncio.get_running_loop().time())
         self.lease = WorkerLease(self.lease.longest_s)
         self.executor = OrderExecutor(
             port,
@@ -172,9 +179,10 @@
         log.info("worker adopted", worker=offer.worker_id, runs=len(view.running))
         self.work_available.set()
 
-    def _drop_worker(self) -> None:
+    def _drop_worker(self, cause: WorkerEnd) -> None:
         if self.offer is not None:
             self.ended_worker_id = self.offer.worker_id
+            self.ended_worker_cause = cause
         executor, self.executor = self.executor, None
         self.offer, self.port = None, None
         self.table = RunTable()
@@ -186,7 +194,7 @@
         if self.port is port:
             self.former_workers.add(port.worker_id)
             log.info("worker replaced", worker=port.worker_id)
-            self._drop_worker()
+            self._drop_worker(WorkerEnd.CRASHED)
 
     async def _sync_loop(self) -> None:
         while True:
@@ -212,6 +220,7 @@
             sequence=sequence,
             offer=offer,
             ended_worker_id=ended_worker_id,
+            ended_worker_cause=self.ended_worker_cause,
             runs=tuple(entry.report() for entry in self.table.runs.values()),
             ends=self.table.reported_ends(),
             wait_s=sync_timing.WAIT_S if self.is_control_answering else 0.0,
@@ -271,7 +280,7 @@
             lease_end_s = self.lease.end_to_send(port.clock_s())
             view = await port.observe(self.term, table.committed_end_number, lease_end_s, wait_s)
         except WorkerUnansweredError as error:
-            self._handle_unanswered(executor, str(error))
+            self._handle_unanswered(executor, error)
             await asyncio.sleep(OBSERVE_RETRY_S)
             return
         except WorkerReplacedError:
@@ -281,7 +290,8 @@
             return
         self.unanswered.record_end()
         self.lease.record_contact()
-        has_ended, missing = table.apply_view(view, asked_s)
+        received_s = asyncio.get_running_loop().time()
+        has_ended, missing = table.apply_view(view, asked_s, received_s)
         for entry in missing:
             if entry.phase is RunPhase.RUNNING:
                 executor.begin_stop(entry)
@@ -290,11 +300,19 @@
         if has_ended or is_settling:
             await asyncio.sleep(OBSERVE_PAUSE_S)
 
-    def _handle_unanswered(self, executor: OrderExecutor, reason: str) -> None:
+    def _handle_unanswered(self, executor: OrderExecutor, error: WorkerUnansweredError) -> None:
         """Drops the worker once every lease that it may have received has expired."""
         worker_id = executor.port.worker_id
-        self.unanswered.record_failure(worker_id, worker=worker_id, reason=reason)
+        self.unanswered.record_failure(worker_id, worker=worker_id, reason=str(error))
         if executor is self.executor and self.lease.has_expired(executor.port.clock_s()):
             self.unanswered.record_end()
-            log.info("worker given up", worker=worker_id, lease_s=self.lease.sent_end_s)
-            self._drop_worker()
+            # A worker that is only cut off does not refuse connections.
+            has_crashed = isinstance(error, WorkerUnreachableError)
+            cause = WorkerEnd.CRASHED if has_crashed else WorkerEnd.SILENT
+            log.info(
+                "worker given up",
+                worker=worker_id,
+                lease_s=self.lease.sent_end_s,
+                cause=cause.value,
+            )
+            self._drop_worker(cause)
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -27,6 +27,7 @@
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
+from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 # The interval of rounds without a wake-up, for occurrences that become due and leases that expire.
 ROUND_INTERVAL_S = 0.25
@@ -133,7 +134,7 @@
         for worker_id in lost:
             worker = session.workers.get(worker_id)
             if worker is not None:
-                worker.is_lost = True
+                worker.end = WorkerEnd.SILENT
             log.info(
                 "worker lost",
                 worker=worker_id,
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -17,6 +17,7 @@
     RunCheckpoint,
     RunEnd,
     RunOrder,
+    RunReport,
     SyncWorker,
     WorkerOrders,
 )
@@ -24,6 +25,7 @@
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
+from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 # A relay announces itself with each of its leader probes.
 RELAY_EXPIRY_S = 5.0
@@ -125,13 +127,13 @@
         if not self.agent_incarnations.accept_call(call, self.now_s()):
             return None
         if call.ended_worker_id:
-            self._end_worker(call.agent_id, call.ended_worker_id)
+            self._end_worker(call.agent_id, call.ended_worker_id, call.ended_worker_cause)
         if call.offer is None:
             return None
         worker_id = call.offer.worker_id
         now_s = self.now_s()
         for former_id in [w for w in self.workers if w != worker_id]:
-            self._end_worker(call.agent_id, former_id)
+            self._end_worker(call.agent_id, former_id, WorkerEnd.CRASHED)
         self._end_replaced_workers(call.agent_id, worker_id)
         worker = self.workers.get(worker_id)
         if worker is None:
@@ -224,8 +226,16 @@
         for run in self.ordered_runs.get(worker_id, {}):
             report = worker.reports.get(run) if worker else None
             checkpoint = report.checkpoint if report else ""
-            end = RunEnd(run, RunOutcome.LOST, checkpoint=checkpoint)
-            ends.append(PlacedEnd(end, worker_id))
+            outcome = _lost_run_outcome(worker, report)
+            log.info(
+                "run lost with its worker",
+                run=str(run.task),
+                number=run.run,
+                worker=worker_id,
+                outcome=outcome.value,
+                observed_s=round(report.observed_s, 2) if report else None,
+            )
+            ends.append(PlacedEnd(RunEnd(run, outcome, checkpoint=checkpoint), worker_id))
         return ends
 
     def new_checkpoints(self) -> tuple[RunCheckpoint, ...]:
@@ -262,7 +272,7 @@
         successors = self.leader.state.graphs.successors(worker_id)
         return any(name in self.ordered_runs or name in self.workers for name in successors)
 
-    def _end_worker(self, agent_id: str, worker_id: str) -> None:
+    def _end_worker(self, agent_id: str, worker_id: str, cause: WorkerEnd) -> None:
         """Marks a former worker of an agent as lost.
 
         An agent offers one worker at a time; any former one has ended with all its runs.
@@ -270,8 +280,8 @@
         worker = self.workers.get(worker_id)
         if worker is None or worker.agent_id != agent_id or worker.is_lost:
             return
-        worker.is_lost = True
-        log.info("worker ended", worker=worker_id, agent=agent_id)
+        worker.end = cause
+        log.info("worker ended", worker=worker_id, agent=agent_id, cause=cause.value)
         self.wake.set()
 
     def _end_replaced_workers(self, agent_id: str, worker_id: str) -> None:
@@ -298,3 +308,15 @@
                 if task.worker_id:
                     run = TaskRun(TaskId.from_key(graph.graph.graph_id, key), task.run)
                     self.ordered_runs.setdefault(task.worker_id, {})[run] = self.leader.started_s
+
+
+def _lost_run_outcome(worker: WorkerSession | None, report: RunReport | None) -> RunOutcome:
+    """Returns the outcome of a run whose worker has ended.
+
+    A worker that this leader does not know may have ended for any cause.
+    """
+    if worker is None or worker.end is not WorkerEnd.CRASHED:
+        return RunOutcome.LOST
+    if report is not None and not report.may_have_begun:
+        return RunOutcome.CLEARED
+    return RunOutcome.CRASHED
--- a/src/cicadatray/internal/control/graphs/graph_statistics.py
+++ b/src/cicadatray/internal/control/graphs/graph_statistics.py
@@ -30,6 +30,7 @@
     EVACUATED,
     RunOutcome.LAPSED.value,
     RunOutcome.LOST.value,
+    RunOutcome.CRASHED.value,
     RunOutcome.FAILED.value,
 )
 
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -13,6 +13,7 @@
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.running_work import MIN_PERCENT_FOR_SPEED
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 # A worker that fails this many runs in a row is avoided for `SUSPECT_DURATION_S`.
 SUSPECT_FAILURES = 2
@@ -29,7 +30,7 @@
     progress of the run then. `last_call` is the incarnation of the agent and the sequence number of
     its last call. `last_orders` is the last reply, so that its orders are not sent again at once,
     or None if it was probably lost. `last_reply_s` is the time of the last reply, which grants a
-    lease. Times are the event loop's.
+    lease. `end` is how the worker has ended, or None. Times are the event loop's.
     """
 
     __slots__ = (
@@ -38,9 +39,9 @@
         "committed_clears",
         "committed_end_number",
         "consecutive_failures",
+        "end",
         "first_percent",
         "first_seen_s",
-        "is_lost",
         "last_call",
         "last_orders",
         "last_reply_s",
@@ -66,11 +67,16 @@
         self.last_call = ("", 0)
         self.last_orders: WorkerOrders | None = None
         self.call_count = 0
-        self.is_lost = False
+        self.end: WorkerEnd | None = None
         self.consecutive_failures = 0
         self.suspect_until_s = 0.0
         self.wake = asyncio.Event()
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the worker has ended, or counts as ended."""
+        return self.end is not None
+
     def update(self, call: SyncWorker, now_s: float) -> list[PlacedEnd]:
         """Records a call and returns the ends that were not received before."""
         assert call.offer is not None
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -9,6 +9,7 @@
 from cicadatray.scheduling.taskgraphs.step import Step
 from cicadatray.scheduling.taskgraphs.task_graph import Repetition, TaskGraph
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 
 class QueueTarget(msgspec.Struct, frozen=True, array_like=True):
@@ -77,12 +78,16 @@
 class RunReport(msgspec.Struct, frozen=True, array_like=True):
     """A run that an agent was ordered to start and that is not known to have ended.
 
-    `percent` is the progress that the worker reports; -1 until the worker lists the run.
+    `percent` is the progress that the worker reports; -1 until the worker lists the run. While
+    `may_have_begun` is False, no order to start it can have been carried out. `observed_s` is for
+    how long the agent has seen it in the worker's lists, in seconds.
     """
 
     run: TaskRun
     percent: int = -1
     checkpoint: str = ""
+    may_have_begun: bool = True
+    observed_s: float = 0.0
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
@@ -116,7 +121,8 @@
     `offer` is None while the agent has no worker. The leader replies at once when it has new
     orders, and otherwise after `wait_s`. `agent_incarnation` is drawn when the agent starts and
     `sequence` rises with its calls, so that a call that was overtaken is recognised.
-    `ended_worker_id` names a worker of this agent that has certainly ended with all its runs.
+    `ended_worker_id` names a worker of this agent that has certainly ended with all its runs, for
+    the cause `ended_worker_cause`.
     """
 
     agent_id: str
@@ -127,6 +133,7 @@
     runs: tuple[RunReport, ...] = ()
     ends: tuple[RunEnd, ...] = ()
     wait_s: float = 0.0
+    ended_worker_cause: WorkerEnd = WorkerEnd.CRASHED
 
 
 class RunOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/src/cicadatray/platform/worker_http_port.py
+++ b/src/cicadatray/platform/worker_http_port.py
@@ -7,7 +7,11 @@
 from aiosonic import HTTPClient
 from aiosonic.timeout import Timeouts
 
-from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
+from cicadatray.internal.agent.tasks.errors import (
+    WorkerReplacedError,
+    WorkerUnansweredError,
+    WorkerUnreachableError,
+)
 from cicadatray.internal.agent.tasks.worker_clock import WorkerClock
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
 from cicadatray.internal.http_client import build_keep_alive_client
@@ -115,6 +119,9 @@
                     data=msgspec.json.encode(body),
                 )
                 content: bytes = await response.content()
+        except ConnectionRefusedError as error:
+            self._replace_client(client)
+            raise WorkerUnreachableError(f"{call}: {error}") from error
         except Exception as error:
             # aiosonic raises exceptions of many unrelated types.
             self._replace_client(client)
--- a/tests/cover/platform/test_worker_http_port.py
+++ b/tests/cover/platform/test_worker_http_port.py
@@ -11,7 +11,11 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
+from cicadatray.internal.agent.tasks.errors import (
+    WorkerReplacedError,
+    WorkerUnansweredError,
+    WorkerUnreachableError,
+)
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer
 from cicadatray.internal.entry.http_server import HttpServer
 from cicadatray.internal.wire.messages.graph_messages import RunOrder
@@ -122,3 +126,19 @@
         "UntilMs": 9500,
         "WaitMs": 50,
     }
+
+
+def test_refused_connection_is_told_from_a_missing_answer() -> None:
+    """Guards against taking a worker that is down for one that may have carried out the order."""
+
+    async def main() -> None:
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        worker = WorkerHttpPort("i-1", "127.0.0.1", port, LIMIT_S)
+        with pytest.raises(WorkerUnreachableError):
+            await worker.start(RunOrder(RUN, "spec"), 7, 9.5)
+        await worker.close()
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/cover/taskgraphs/test_crash_evidence.py
@@ -0,0 +1,109 @@
+"""What agents and leaders know of a run whose worker has ended."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from cicadatray.internal.agent.tasks.errors import WorkerUnansweredError, WorkerUnreachableError
+from cicadatray.internal.agent.tasks.run_table import RunTable
+from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.wire.messages.graph_messages import RunReport
+from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
+from cover.taskgraphs.test_graph_session import LEASES, RUN, call, make_session
+from cover.taskgraphs.test_task_agent import ORDER, FakePort, make_executor, orders
+
+LISTED = WorkerView((RunReport(RUN, 40),), ())
+
+
+@pytest.mark.parametrize(
+    ("answers", "may_have_begun"),
+    [
+        ([WorkerUnreachableError("refused")] * 2, False),
+        ([WorkerUnreachableError("refused"), WorkerUnansweredError("reset")], True),
+        ([WorkerUnansweredError("reset"), WorkerUnreachableError("refused")], True),
+        ([StartAnswer.ACCEPTED], True),
+    ],
+    ids=["refused", "reset after a refusal", "refused after a reset", "accepted"],
+)
+def test_refused_connection_shows_that_a_run_has_not_begun(
+    answers: list[StartAnswer | Exception], may_have_begun: bool
+) -> None:
+    """Guards against blaming a task for the crash of a worker that was already down.
+
+    A reset connection proves nothing: the task may have crashed the worker before its answer.
+    """
+
+    async def main() -> None:
+        driver = make_executor(FakePort(*answers, *[WorkerUnreachableError("refused")] * 9))
+        driver.apply(orders(starts=()))
+        driver.apply(orders())
+        await asyncio.sleep(1.0)
+        assert driver.table.runs[RUN].report().may_have_begun is may_have_begun
+        driver.cancel()
+
+    run_virtual(main())
+
+
+def test_time_on_the_worker_counts_from_list_to_list() -> None:
+    """Guards against taking the time after a crash for time in which the run did no harm."""
+    table = RunTable()
+    table.add_start(ORDER)
+    for asked_s in (1.0, 1.5, 3.0):
+        table.apply_view(LISTED, asked_s, asked_s + 0.4)
+    assert table.runs[RUN].report().observed_s == pytest.approx(1.6)
+    table.apply_view(WorkerView((), ()), 9.0, 9.1)
+    assert table.runs[RUN].report().observed_s == pytest.approx(1.6)
+
+
+@pytest.mark.parametrize(
+    ("fields", "outcome"),
+    [
+        ({"ended_worker_cause": WorkerEnd.CRASHED}, RunOutcome.CRASHED),
+        ({"ended_worker_cause": WorkerEnd.WITHDRAWN}, RunOutcome.LOST),
+        ({"ended_worker_cause": WorkerEnd.SILENT}, RunOutcome.LOST),
+        (None, RunOutcome.LOST),
+    ],
+    ids=["crashed", "withdrew", "gave no answer", "agent was silent"],
+)
+def test_end_of_a_worker_tells_its_cause(
+    fields: dict[str, Any] | None, outcome: RunOutcome
+) -> None:
+    """Guards against taking a worker that left or was cut off for one that its task crashed."""
+
+    async def main() -> None:
+        session, _ = make_session()
+        session.handle_sync(call(runs=(RunReport(RUN, 40),)))
+        if fields is None:
+            await asyncio.sleep(LEASES.expiry_s + 0.01)
+        else:
+            session.handle_sync(call(sequence=2, offer=None, ended_worker_id="w-1", **fields))
+        ends = {placed.end.run: placed.end.outcome for placed in session.lost_run_ends("w-1")}
+        assert ends[RUN] is outcome
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ("report", "outcome"),
+    [
+        (RunReport(RUN, -1, may_have_begun=False), RunOutcome.CLEARED),
+        (RunReport(RUN, -1), RunOutcome.CRASHED),
+    ],
+    ids=["never begun", "unknown"],
+)
+def test_run_that_never_began_has_not_crashed_its_worker(
+    report: RunReport, outcome: RunOutcome
+) -> None:
+    """Guards against counting a crash for a run that was ordered while the worker was down."""
+
+    async def main() -> None:
+        session, _ = make_session()
+        session.handle_sync(call(runs=(report,)))
+        session.handle_sync(call("w-2", sequence=2))
+        ends = {placed.end.run: placed.end.outcome for placed in session.lost_run_ends("w-1")}
+        assert ends[RUN] is outcome
+
+    run_virtual(main())
--- a/tests/cover/taskgraphs/test_run_table.py
+++ b/tests/cover/taskgraphs/test_run_table.py
@@ -32,14 +32,14 @@
     """A list that overlaps a start may lack the run, which must not count as missing."""
     table = running_table()
     for _ in range(3):
-        assert table.apply_view(EMPTY, asked_s=1.0) == (False, [])
+        assert table.apply_view(EMPTY, asked_s=1.0, received_s=1.0) == (False, [])
 
 
 def test_run_missing_from_consecutive_lists_is_stopped() -> None:
     """A run that disappeared without an end occupies capacity forever unless a stop settles it."""
     table = running_table()
-    assert table.apply_view(EMPTY, asked_s=2.0) == (False, [])
-    _, missing = table.apply_view(EMPTY, asked_s=3.0)
+    assert table.apply_view(EMPTY, asked_s=2.0, received_s=2.0) == (False, [])
+    _, missing = table.apply_view(EMPTY, asked_s=3.0, received_s=3.0)
     assert [entry.run for entry in missing] == [RUN]
     assert RUN in table.runs
 
@@ -53,7 +53,7 @@
     entry = table.runs[RUN]
     entry.phase = RunPhase.STOPPING
     entry.answered_s = answered_s
-    table.apply_view(EMPTY, asked_s=2.0)
+    table.apply_view(EMPTY, asked_s=2.0, received_s=2.0)
     assert (RUN not in table.runs) is is_cleared
     assert [end.outcome for end in table.reported_ends()] == [RunOutcome.CLEARED] * is_cleared
 
@@ -61,25 +61,25 @@
 def test_ended_run_is_not_started_by_a_late_order() -> None:
     """An order that arrives after the end of its run must not run the task twice."""
     table = running_table()
-    table.apply_view(ENDED, asked_s=2.0)
+    table.apply_view(ENDED, asked_s=2.0, received_s=2.0)
     assert table.add_start(ORDER) is None
 
 
 def test_ends_are_retained_until_they_are_acknowledged() -> None:
     """An end that is dropped before it is durable is lost when the leader fails."""
     table = running_table()
-    table.apply_view(ENDED, asked_s=2.0)
+    table.apply_view(ENDED, asked_s=2.0, received_s=2.0)
     table.drop_committed(0, ())
     assert len(table.reported_ends()) == 1
     table.drop_committed(1, ())
     assert table.reported_ends() == ()
-    assert table.apply_view(ENDED, asked_s=3.0) == (False, [])
+    assert table.apply_view(ENDED, asked_s=3.0, received_s=3.0) == (False, [])
 
 
 def test_runs_of_an_earlier_incarnation_are_adopted() -> None:
     """After a restart the agent must manage the runs that it finds on its worker."""
     table = RunTable()
-    table.apply_view(LISTED, asked_s=0.0)
+    table.apply_view(LISTED, asked_s=0.0, received_s=0.0)
     assert [report.checkpoint for report in (h.report() for h in table.runs.values())] == ["saved"]
 
 
