--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -87,7 +87,8 @@
 
     async def _announce(self, agent: TaskAgent) -> None:
         while True:
-            await agent.receive_offer(self.worker.offer(), SimulatedTaskWorkerPort(self.worker))
+            if not self.worker.is_down:
+                await agent.receive_offer(self.worker.offer(), SimulatedTaskWorkerPort(self.worker))
             await asyncio.sleep(ANNOUNCE_S)
 
 
@@ -157,6 +158,20 @@
         self.graphs[graph_id] = call
         self._call(call)
 
+    def submit_deadly(self, graph_id: str, steps: tuple[Step, ...]) -> None:
+        """Submits a graph whose tasks crash each worker that starts them."""
+        for worker in self.workers:
+            worker.deadly_graphs.add(graph_id)
+        self.submit(graph_id, steps)
+
+    def crashes_under(self, graph_id: str) -> int:
+        """Returns how many crashes of workers there were while a task of the graph ran there."""
+        return sum(
+            any(run.task.graph_id == graph_id for run in lost)
+            for worker in self.workers
+            for lost in worker.crashes
+        )
+
     def cancel(self, graph_id: str) -> None:
         """Cancels a graph as a client; only a confirmed cancellation must take effect."""
         leader = self.leader
--- a/tests/cover/taskgraphs/simulated_task_worker.py
+++ b/tests/cover/taskgraphs/simulated_task_worker.py
@@ -4,7 +4,11 @@
 import random
 from collections.abc import Callable
 
-from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
+from cicadatray.internal.agent.tasks.errors import (
+    WorkerReplacedError,
+    WorkerUnansweredError,
+    WorkerUnreachableError,
+)
 from cicadatray.internal.agent.tasks.worker_clock import WorkerClock
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -21,21 +25,29 @@
 LONGEST_LEASE_S = 6.0
 ORDER_TIMEOUT_S = 0.8
 MAX_ORDER_DELAY_S = 6.0
+CRASH_DELAY_S = 0.01
+DOWN_S = 3.2
 CAPACITY = Resources(8000, 8000, 8)
 
 
 class SimulatedTaskWorker:
     """A simulated worker; `restart` begins its next incarnation.
 
-    While `is_unresponsive` is set, calls time out and their orders are carried out late. `on_start`
-    and `on_end` are called for each start and end, so that the simulation can check them.
+    It crashes `crash_delay_s` after the start of a task of one of the `deadly_graphs`, and is down
+    for `DOWN_S`. `crashes` holds the runs that were lost in each of its crashes. While
+    `is_unresponsive` is set, calls time out and their orders are carried out late. `on_start` and
+    `on_end` are called for each start and end, so that the simulation can check them.
     """
 
     __slots__ = (
         "clock_rate",
+        "crash_delay_s",
+        "crashes",
+        "deadly_graphs",
         "ended",
         "highest_runs",
         "incarnation",
+        "is_down",
         "is_draining",
         "is_unresponsive",
         "lease_until_s",
@@ -63,6 +75,10 @@
         self.on_start = on_start
         self.on_end = on_end
         self.is_unresponsive = False
+        self.is_down = False
+        self.deadly_graphs: set[str] = set()
+        self.crash_delay_s = CRASH_DELAY_S
+        self.crashes: list[set[TaskRun]] = []
         self.restart()
 
     @property
@@ -83,6 +99,22 @@
         self.token = 0
         self.lease_until_s = 0.0
 
+    def crash(self) -> None:
+        """Loses all runs; the next incarnation begins `DOWN_S` later."""
+        if self.is_down:
+            return
+        self.crashes.append(set(self.running))
+        for run in list(self.running):
+            del self.running[run]
+            self.on_end(self, run, RunOutcome.LOST)
+        self.is_down = True
+        asyncio.get_event_loop().call_later(DOWN_S, self.come_back)
+
+    def come_back(self) -> None:
+        """Begins the next incarnation after a crash."""
+        self.is_down = False
+        self.restart()
+
     def offer(self) -> WorkerOffer:
         """Returns the offer that the worker announces."""
         rack = f"r{self.name[-1]}"
@@ -133,6 +165,8 @@
         self.highest_runs[run.task] = run.run
         self.running[run] = asyncio.get_event_loop().time()
         self.on_start(self, run)
+        if run.task.graph_id in self.deadly_graphs:
+            asyncio.get_event_loop().call_later(self.crash_delay_s, self._crash_under, run)
         return StartAnswer.ACCEPTED
 
     def stop(self, run: TaskRun, token: int) -> None:
@@ -157,6 +191,10 @@
             running, tuple(end for end in self.ended if end.number > committed_end_number)
         )
 
+    def _crash_under(self, run: TaskRun) -> None:
+        if run in self.running:
+            self.crash()
+
     def _extend(self, lease_until_s: float) -> None:
         longest_s = self.clock_s() + LONGEST_LEASE_S
         self.lease_until_s = max(self.lease_until_s, min(lease_until_s, longest_s))
@@ -195,6 +233,8 @@
         while not view.ended and asyncio.get_running_loop().time() < deadline_s:
             await asyncio.sleep(0.05)
             self._check_incarnation()
+            if self.worker.is_down:
+                raise WorkerUnansweredError("connection reset")
             view = self.worker.observe(token, committed_end_number, 0.0)
         return view
 
@@ -204,6 +244,8 @@
     async def _deliver(self, late_action: Callable[[], object]) -> None:
         await asyncio.sleep(0.002)
         self._check_incarnation()
+        if self.worker.is_down:
+            raise WorkerUnreachableError("connection refused")
         if not self.worker.is_unresponsive:
             self.clock.observe(self.worker.clock_s(), asyncio.get_running_loop().time())
             return
