Give up tasks that crash their workers, and start suspect ones alone

Cause: only ends as failed counted as attempts. The end of a run with its worker counted as nothing, so the next round placed the task again, best fit, that is beside the most running work. Class of fault: a retry without a budget for one kind of end. Change: the replicated record of a task counts the crashes under it. A crash is early when the run had not been listed by its worker for 0.5 s. After an early crash the task starts only on an idle worker, which accepts nothing else until the run has been listed for 0.5 s (a trial); the worker that becomes idle first is kept for it, and trials take half of a pool at most. After three early crashes in a row, or five in all, the job fails. A run that had certainly not begun, one on a worker that left or was silent, and one of a worker that the leader never heard of count as before. Why it works: the count is in the log, so a change of leader keeps it; two more starts are allowed after three crashes, and an early crash counts at its first three; a bystander shares at most one crash with the culprit, because either starts alone then.

--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -5,8 +5,10 @@
 import structlog
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.task_lookup import find_task_progress
 from cicadatray.internal.observability.graph_metrics import runs_ended
 from cicadatray.internal.wire.messages.graph_messages import PlacedEnd, RecordRuns
+from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 
 # Reports that arrive within this time are handled in one round and committed together.
 BATCHING_DELAY_S = 0.01
@@ -75,6 +77,23 @@
                 outcome=placed.end.outcome.value,
                 number=placed.end.number,
             )
+            if placed.end.outcome is RunOutcome.CRASHED:
+                self._log_crash(placed)
             self.session.statistics.record_run_end(placed)
         for graph_id in dict.fromkeys(placed.end.run.task.graph_id for placed in ends):
             self.session.statistics.log_if_ended(graph_id)
+
+    def _log_crash(self, placed: PlacedEnd) -> None:
+        progress = find_task_progress(self.session.graphs, placed.end.run)
+        if progress is None:
+            return
+        log.info(
+            "worker crashed under task",
+            task=str(placed.end.run.task),
+            run=placed.end.run.run,
+            worker=placed.worker_id,
+            observed_s=round(placed.end.observed_s, 2),
+            crashes=progress.crashes.total,
+            early_crashes=progress.crashes.early,
+            is_given_up=progress.crashes.is_exhausted,
+        )
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -233,6 +233,7 @@
                 task=start.run.task.key,
                 run=start.run.run,
                 worker=start.worker_id,
+                is_alone=session.graphs[start.run.task.graph_id].is_suspect(start.run.task),
             )
             session.statistics.record_start(start.run)
             worker = session.workers.get(start.worker_id)
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -235,7 +235,9 @@
                 outcome=outcome.value,
                 observed_s=round(report.observed_s, 2) if report else None,
             )
-            ends.append(PlacedEnd(RunEnd(run, outcome, checkpoint=checkpoint), worker_id))
+            observed_s = report.observed_s if report else 0.0
+            end = RunEnd(run, outcome, checkpoint=checkpoint, observed_s=observed_s)
+            ends.append(PlacedEnd(end, worker_id))
         return ends
 
     def new_checkpoints(self) -> tuple[RunCheckpoint, ...]:
@@ -313,10 +315,9 @@
 def _lost_run_outcome(worker: WorkerSession | None, report: RunReport | None) -> RunOutcome:
     """Returns the outcome of a run whose worker has ended.
 
-    A worker that this leader does not know may have ended for any cause.
+    A worker that this leader does not know may have ended for any cause, and a run that its agent
+    never reported has probably not begun.
     """
-    if worker is None or worker.end is not WorkerEnd.CRASHED:
+    if worker is None or report is None or worker.end is not WorkerEnd.CRASHED:
         return RunOutcome.LOST
-    if report is not None and not report.may_have_begun:
-        return RunOutcome.CLEARED
-    return RunOutcome.CRASHED
+    return RunOutcome.CRASHED if report.may_have_begun else RunOutcome.CLEARED
--- a/src/cicadatray/internal/control/graphs/graph_state.py
+++ b/src/cicadatray/internal/control/graphs/graph_state.py
@@ -67,7 +67,9 @@
         if progress is None:
             continue
         end = placed.end
-        progress.record_end(task, end.run.run, placed.worker_id, end.outcome, end.checkpoint)
+        progress.record_end(
+            task, end.run.run, placed.worker_id, end.outcome, end.checkpoint, end.observed_s
+        )
         if progress.failure and not progress.ended_s:
             progress.ended_s = command.now_s
         progress.finish_if_done(command.now_s)
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -6,6 +6,7 @@
 from cicadatray.internal.control.graphs.pool_capacities import build_pools, waves_of
 from cicadatray.internal.control.graphs.task_lookup import find_task_progress
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
+from cicadatray.scheduling.taskgraphs.crash_record import HARMLESS_AFTER_S
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import MAX_LATENESS_FACTOR
 from cicadatray.scheduling.taskgraphs.placement_round import URGENT_PRIORITY
@@ -34,6 +35,9 @@
         worker.is_suspect = now_s < worker_session.suspect_until_s
         if not _charge_runs(session, worker_session, worker):
             continue
+        runs = {*session.ordered_runs.get(worker_id, {}), *worker_session.reports}
+        if any(_is_on_trial(session, worker_session, run) for run in runs):
+            worker.begin_trial()
         available.append(worker)
     return available
 
@@ -51,6 +55,16 @@
     return True
 
 
+def _is_on_trial(session: GraphSession, worker_session: WorkerSession, run: TaskRun) -> bool:
+    """Returns whether a run may still crash its worker by having been started there."""
+    progress = session.graphs.get(run.task.graph_id)
+    if progress is None or find_task_progress(session.graphs, run) is None:
+        return False
+    report = worker_session.reports.get(run)
+    observed_s = report.observed_s if report else 0.0
+    return observed_s < HARMLESS_AFTER_S and progress.is_suspect(run.task)
+
+
 def demand_of(session: GraphSession, run: TaskRun) -> Resources | None:
     """Returns the demand of a run, or None if its graph has been removed or has no such step.
 
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -91,12 +91,16 @@
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
-    """The end of a run; `number` is the worker's sequence number, 0 for an end without one."""
+    """The end of a run; `number` is the worker's sequence number, 0 for an end without one.
+
+    `observed_s` is for how long a worker that crashed had listed the run, in seconds.
+    """
 
     run: TaskRun
     outcome: RunOutcome
     number: int = 0
     checkpoint: str = ""
+    observed_s: float = 0.0
 
 
 class WorkerOffer(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/crash_record.py
@@ -0,0 +1,40 @@
+"""The crashes of workers under one task."""
+
+import msgspec
+
+# A run that its worker has listed for this long has not crashed it by being started, in seconds.
+HARMLESS_AFTER_S = 0.5
+# A task is given up after this many crashes in a row that came before its run was harmless. A
+# bystander is started alone after its first such crash, so further ones have another cause.
+MAX_EARLY_CRASHES = 3
+# A task is given up after this many crashes in all, if it crashes its workers later than at its
+# start.
+MAX_CRASHES = 5
+# Crashes before a run that lasted this long do not count any more, in seconds.
+FORGET_AFTER_S = 600.0
+
+
+class CrashRecord(msgspec.Struct, array_like=True):
+    """Counts the crashes of workers while a run of one task may have been there.
+
+    `early` counts the latest crashes in a row that came before the run was known to be harmless,
+    and `total` all of them.
+    """
+
+    total: int = 0
+    early: int = 0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task may have caused the last crash by being started."""
+        return self.early > 0
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether the task must not be started again."""
+        return self.early >= MAX_EARLY_CRASHES or self.total >= MAX_CRASHES
+
+    def add(self, observed_s: float) -> None:
+        """Records a crash under a run that the worker had listed for `observed_s` seconds."""
+        self.total = 1 if observed_s >= FORGET_AFTER_S else self.total + 1
+        self.early = 0 if observed_s >= HARMLESS_AFTER_S else self.early + 1
--- a/src/cicadatray/scheduling/taskgraphs/earliest_fit.py
+++ b/src/cicadatray/scheduling/taskgraphs/earliest_fit.py
@@ -28,16 +28,21 @@
     count: int,
     running_by_end: Iterable[RunningWork],
     limits: Mapping[str, int] | None,
+    must_be_idle: bool = False,
 ) -> EarliestFit | None:
     """Returns the earliest fit, or None if the tasks never fit.
 
     `running_by_end` holds the running work in the order of its ends. `limits` gives the maximum
-    number of tasks for each worker. The number of tasks that fit is kept up to date with each end,
-    so that workers are chosen only once.
+    number of tasks for each worker. With `must_be_idle` only workers count on which all running
+    work has ended. The number of tasks that fit is kept up to date with each end, so that workers
+    are chosen only once.
     """
     available = {worker.worker_id: worker.free_after_stops for worker in group}
+    capacities = {worker.worker_id: worker.capacity for worker in group}
 
     def count_fitting(worker_id: str) -> int:
+        if must_be_idle and available[worker_id] != capacities[worker_id]:
+            return 0
         fitting = demand.fit_count(available[worker_id])
         return fitting if limits is None else min(fitting, limits.get(worker_id, 0))
 
@@ -55,7 +60,7 @@
             total += fitting[worker_id]
         if not is_in_group or total < count:
             continue
-        workers = fit_tasks(group, demand, count, lambda w: available[w.worker_id], limits)
+        workers = fit_tasks(group, demand, count, lambda w: available[w.worker_id], fitting)
         if workers is not None:
             return EarliestFit(running.remaining_s(), workers)
     return None
--- a/src/cicadatray/scheduling/taskgraphs/graph_progress.py
+++ b/src/cicadatray/scheduling/taskgraphs/graph_progress.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cicadatray.scheduling.taskgraphs.crash_record import CrashRecord
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_graph import TaskGraph
 from cicadatray.scheduling.taskgraphs.task_id import TaskId
@@ -11,7 +12,8 @@
     """The durable record of one task that was started at least once.
 
     `run` is the number of the latest run. `worker_id` names the worker on which that run may exist,
-    and is empty once the run has certainly ended.
+    and is empty once the run has certainly ended. `crashes` counts the workers that crashed under
+    the task.
     """
 
     run: int = 0
@@ -19,6 +21,7 @@
     is_done: bool = False
     failures: int = 0
     checkpoint: str = ""
+    crashes: CrashRecord = msgspec.field(default_factory=CrashRecord)
 
 
 class StepProgress(msgspec.Struct, array_like=True):
@@ -83,9 +86,18 @@
         return True
 
     def record_end(
-        self, task: TaskId, run: int, worker_id: str, outcome: RunOutcome, checkpoint: str
+        self,
+        task: TaskId,
+        run: int,
+        worker_id: str,
+        outcome: RunOutcome,
+        checkpoint: str,
+        observed_s: float = 0.0,
     ) -> bool:
-        """Records the end of a run; returns False if it is not the current run of the task."""
+        """Records the end of a run; returns False if it is not the current run of the task.
+
+        `observed_s` is for how long a worker that crashed had listed the run, in seconds.
+        """
         progress = self.tasks.get(task.key)
         if progress is None or progress.run != run or progress.worker_id != worker_id:
             return False
@@ -96,6 +108,8 @@
             self._record_done(task)
         elif outcome is RunOutcome.FAILED:
             self._record_failure(task, progress, run)
+        elif outcome is RunOutcome.CRASHED:
+            self._record_crash(task, progress, observed_s)
         return True
 
     def record_checkpoint(self, task: TaskId, run: int, checkpoint: str) -> None:
@@ -104,6 +118,13 @@
         if progress is not None and progress.run == run and progress.worker_id:
             self._store_checkpoint(task, checkpoint)
 
+    def is_suspect(self, task: TaskId) -> bool:
+        """Returns whether a task, or a member of its gang, may crash the worker that starts it."""
+        step = self.graph.steps[task.step]
+        indexes = range(step.count) if step.is_gang else (task.index,)
+        members = (self.task(task.occurrence, task.step, index) for index in indexes)
+        return any(member is not None and member.crashes.is_suspect for member in members)
+
     def finish_if_done(self, now_s: float) -> None:
         """Ends the graph when every task of every occurrence is done."""
         if not self.is_active or any(step.is_long_running for step in self.graph.steps):
@@ -148,3 +169,11 @@
             attempts = progress.failures
         if attempts >= self.graph.policy.max_attempts and not self.failure:
             self.failure = f"task {task.key} failed {attempts} times"
+
+    def _record_crash(self, task: TaskId, progress: TaskProgress, observed_s: float) -> None:
+        if progress.is_done:
+            return
+        crashes = progress.crashes
+        crashes.add(observed_s)
+        if crashes.is_exhausted and not self.failure:
+            self.failure = f"{crashes.total} workers crashed under task {task.key}"
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -29,6 +29,8 @@
 # workers idle.
 MAX_RESERVED_GANGS = 2
 DEFAULT_LIMITS = StartLimits()
+# The share of a pool on which suspect tasks may be on trial at a time; one worker always may.
+MAX_TRIAL_SHARE = 0.5
 
 
 class PlacementRound:
@@ -36,7 +38,8 @@
 
     `now_s` is in seconds since 1970. Without `may_displace` no running work is stopped, because not
     all workers are known yet. `reserved_gangs` counts the blocked gangs for which the round
-    has reserved capacity. `running_by_end` holds the running work in the order of its expected
+    has reserved capacity, and `reserved_trials` the pools in which it has reserved workers for a
+    task that must start alone. `running_by_end` holds the running work in the order of its expected
     ends, None until it is needed.
     """
 
@@ -45,6 +48,7 @@
         "now_s",
         "plan",
         "reserved_gangs",
+        "reserved_trials",
         "running",
         "running_by_end",
         "start_limits",
@@ -66,6 +70,7 @@
         self.now_s = now_s
         self.start_limits = start_limits
         self.reserved_gangs = 0
+        self.reserved_trials: set[str] = set()
         self.plan = PlacementPlan()
 
     def run(self, waiting: Sequence[WaitingWork]) -> PlacementPlan:
@@ -87,6 +92,8 @@
         """Places the work; returns False if it must wait."""
         usable = self._usable_workers(work)
         groups = self._groups(work, usable)
+        if work.is_suspect:
+            return self._try_to_isolate(work, groups)
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
             limits = self._limits(work, unreserved)
@@ -98,6 +105,37 @@
         self._reserve_or_displace(work, groups)
         return False
 
+    def _try_to_isolate(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> bool:
+        """Places suspect work on idle workers, which accept nothing else until it is harmless.
+
+        It displaces nothing. If it must wait, the workers that become idle first are reserved for
+        the first such work of each pool.
+        """
+        for group in groups:
+            idle = [w for w in group if not w.is_reserved and not w.run_count]
+            limits = self._limits(work, idle)
+            chosen = fit_tasks(idle, work.step.demand, len(work.indexes), free_now, limits)
+            if chosen is not None and self._may_try(work, chosen):
+                self._assign(work, chosen)
+                for worker in chosen:
+                    worker.begin_trial()
+                return True
+        self._record_wait(work, groups)
+        pool = work.graph.graph.policy.pool
+        if pool not in self.reserved_trials:
+            earliest = self._earliest_fit_in_any(work, groups, must_be_idle=True)
+            if earliest is not None and self._may_try(work, earliest.workers):
+                self.reserved_trials.add(pool)
+                self._reserve(work, earliest.workers)
+        return False
+
+    def _may_try(self, work: WaitingWork, chosen: Sequence[WorkerCapacity]) -> bool:
+        """Returns whether the workers may be on trial beside those of their pool that are."""
+        pool = [w for w in self.workers if w.pool == work.graph.graph.policy.pool]
+        on_trial = sum(worker.is_on_trial for worker in pool)
+        wanted = len({worker.worker_id for worker in chosen})
+        return not on_trial or on_trial + wanted <= int(len(pool) * MAX_TRIAL_SHARE)
+
     def _record_wait(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
         """Records the wait reason of the oldest work of each queue.
 
@@ -252,21 +290,30 @@
 
     def _reserve_for_gang(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
         """Reserves the workers that fit the gang first, so that small tasks do not refill them."""
+        earliest = self._earliest_fit_in_any(work, groups)
+        if earliest is not None:
+            self.reserved_gangs += 1
+            self._reserve(work, earliest.workers)
+
+    def _earliest_fit_in_any(
+        self, work: WaitingWork, groups: list[list[WorkerCapacity]], must_be_idle: bool = False
+    ) -> EarliestFit | None:
+        """Returns the earliest fit in any of the groups, or None if the work never fits."""
         earliest: EarliestFit | None = None
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
-            fit = self._earliest_fit(work, unreserved)
+            fit = self._earliest_fit(work, unreserved, must_be_idle)
             if fit is not None and (earliest is None or fit.remaining_s < earliest.remaining_s):
                 earliest = fit
-        if earliest is not None:
-            self.reserved_gangs += 1
-            self._reserve(work, earliest.workers)
+        return earliest
 
-    def _earliest_fit(self, work: WaitingWork, group: list[WorkerCapacity]) -> EarliestFit | None:
+    def _earliest_fit(
+        self, work: WaitingWork, group: list[WorkerCapacity], must_be_idle: bool = False
+    ) -> EarliestFit | None:
         """Returns the earliest fit after running work has ended, or None if the work never fits."""
         if self.running_by_end is None:
             self.running_by_end = sorted(self.running, key=RunningWork.remaining_s)
         limits = self._limits(work, group)
         return find_earliest_fit(
-            group, work.step.demand, len(work.indexes), self.running_by_end, limits
+            group, work.step.demand, len(work.indexes), self.running_by_end, limits, must_be_idle
         )
--- a/src/cicadatray/scheduling/taskgraphs/wait_diagnosis.py
+++ b/src/cicadatray/scheduling/taskgraphs/wait_diagnosis.py
@@ -49,6 +49,8 @@
             return WaitReason.NO_WORKER_WITH_LABEL
         if not self._fits_when_empty(labelled):
             return WaitReason.LARGER_THAN_WORKERS
+        if self.work.is_suspect:
+            return WaitReason.MUST_START_ALONE
         if any(self._fits(_unreserved(group), free_once_stopped) for group in self.groups):
             return WaitReason.ROOM_BEING_FREED
         if any(self._fits(group, free_now) for group in self.groups):
--- a/src/cicadatray/scheduling/taskgraphs/wait_reason.py
+++ b/src/cicadatray/scheduling/taskgraphs/wait_reason.py
@@ -17,6 +17,7 @@
     ROOM_KEPT = "room is kept for other work"
     DATA_RACK = "waits for the rack of its data"
     ONE_RACK = "waits for room in one rack"
+    MUST_START_ALONE = "must start alone on a worker, since workers crashed under it"
     SUSPECT_WORKERS = "only suspect workers have room"
     WORKER_LIMIT = "each worker has its limit of tasks of the step"
     ROOM_SCATTERED = "free room is scattered"
--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -59,6 +59,11 @@
         """The priority of the queue; 0 is the highest."""
         return self.graph.graph.policy.priority
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a task may crash the worker that starts it, so that it must start alone."""
+        return self.graph.is_suspect(self.task(self.indexes[0]))
+
     def task(self, index: int) -> TaskId:
         """Returns the identifier of one of the tasks."""
         return TaskId(self.graph.graph.graph_id, self.occurrence, self.step_number, index)
@@ -78,7 +83,8 @@
         the order of displacement: if another took the freed capacity, more would have to be
         stopped. Otherwise the earlier latest start decides. Work that is too late to have any
         value comes last, whatever its priority, unless it is guaranteed: it may displace other
-        work at any time, and must not then wait behind what it displaces.
+        work at any time, and must not then wait behind what it displaces. Suspect work needs an
+        idle worker and does not fall behind for being late, or it would never get one.
         """
         graph = self.graph.graph
         policy = graph.policy
@@ -89,7 +95,7 @@
             now_s > worthless_start_s and not self.is_guaranteed,
             policy.priority,
             not self.is_guaranteed,
-            now_s > latest_start_s,
+            now_s > latest_start_s and not self.is_suspect,
             self.displaced_s,
             latest_start_s,
         )
--- a/src/cicadatray/scheduling/taskgraphs/worker_capacity.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_capacity.py
@@ -9,18 +9,21 @@
     `free` shrinks as the round places tasks. `free_after_stops` also counts what runs that are
     being stopped still occupy. A reserved worker accepts no further work in this round, because its
     capacity is reserved for a job that waits for it. Tasks have failed repeatedly on a suspect
-    worker.
+    worker. A worker on trial runs a task that may crash it, and accepts no other work until that
+    task is known to be harmless. `run_count` is the number of runs on the worker.
     """
 
     __slots__ = (
         "capacity",
         "free",
         "free_after_stops",
+        "is_on_trial",
         "is_reserved",
         "is_suspect",
         "labels",
         "pool",
         "rack",
+        "run_count",
         "worker_id",
     )
 
@@ -39,11 +42,19 @@
         self.capacity = capacity
         self.free = capacity
         self.free_after_stops = capacity
+        self.run_count = 0
+        self.is_on_trial = False
         self.is_reserved = False
         self.is_suspect = False
 
     def occupy(self, demand: Resources, is_stopping: bool = False) -> None:
         """Charges the demand of a run that exists on the worker."""
+        self.run_count += 1
         self.free = self.free.minus(demand)
         if not is_stopping:
             self.free_after_stops = self.free_after_stops.minus(demand)
+
+    def begin_trial(self) -> None:
+        """Closes the worker to further work while it runs a task that may crash it."""
+        self.is_on_trial = True
+        self.is_reserved = True
