--- a/src/cicadatray/platform/worker_api.py
+++ b/src/cicadatray/platform/worker_api.py
@@ -9,6 +9,7 @@
 from starlette.routing import Route
 
 from cicadatray.internal.agent.tasks.task_agent import TaskAgent
+from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.worker_document import WorkerAnnouncement, decode_announcement
 from cicadatray.platform.worker_http_port import WorkerHttpPort
@@ -24,11 +25,12 @@
     `latest_sequences` holds the highest sequence number of each worker incarnation.
     """
 
-    __slots__ = ("agent", "latest_sequences")
+    __slots__ = ("agent", "late", "latest_sequences")
 
     def __init__(self, agent: TaskAgent) -> None:
         self.agent = agent
         self.latest_sequences: dict[str, int] = {}
+        self.late = RepeatedEvent("late announcement ignored")
 
     def application(self) -> Starlette:
         """Returns the application with all routes."""
@@ -48,7 +50,15 @@
         except DocumentError as error:
             log.info("announcement refused", worker=worker_id, reason=str(error))
             return Response(b"{}", 400, media_type=JSON_TYPE)
-        if announcement.sequence < self.latest_sequences.get(worker_id, 0):
+        latest = self.latest_sequences.get(worker_id, 0)
+        if announcement.sequence < latest:
+            self.late.record_failure(
+                f"{worker_id} {announcement.born_ms}",
+                worker=worker_id,
+                born_ms=announcement.born_ms,
+                sequence=announcement.sequence,
+                latest=latest,
+            )
             return Response(b"{}", 200, media_type=JSON_TYPE)
         self.latest_sequences[worker_id] = announcement.sequence
         is_accepted = await self.agent.receive_offer(
--- a/src/cicadatray/platform/worker_document.py
+++ b/src/cicadatray/platform/worker_document.py
@@ -46,7 +46,8 @@
     """A worker's announcement of itself.
 
     `sequence` increases with each announcement of an incarnation. `clock_s` is the time of the
-    worker's clock, 0 if unknown.
+    worker's clock, 0 if unknown. `born_ms` is when the worker's process started, in milliseconds
+    since 1970, 0 if unknown.
     """
 
     offer: WorkerOffer
@@ -54,6 +55,7 @@
     port: int
     sequence: int
     clock_s: float
+    born_ms: int
 
 
 def decode_announcement(worker_id: str, body: bytes) -> WorkerAnnouncement:
@@ -81,9 +83,9 @@
         remaining_s=read_number(document, "RemainingMs", 0) / MS_PER_S,
     )
     sequence = read_integer(document, "Seq", 0)
-    return WorkerAnnouncement(
-        offer, host, port, sequence, read_number(document, "ClockMs", 0) / MS_PER_S
-    )
+    clock_s = read_number(document, "ClockMs", 0) / MS_PER_S
+    born_ms = read_integer(document, "born", 0)
+    return WorkerAnnouncement(offer, host, port, sequence, clock_s, born_ms)
 
 
 def decode_view(body: bytes) -> tuple[WorkerView, float]:
