Tell the processes of a worker apart that share its identifier

Cause: a worker may start again under its identifier, with its ends, announcements and clock counted anew. The agent took the new process for the old one and told it to forget ends up to number 3; the first end of the new process was lost unseen, the run counted as never begun, and was started again. Class of fault: an identity that is reused, met by counters that assume it is not. Change: the adapter names a process by its identifier and the start of its process, and that is the worker's name everywhere inside. Calls carry only the identifier, so before a start and before an acknowledgement of ends the port makes sure which process answers, unless it did within 0.3 s. A withdrawal, which names no process, is ignored if the announced one does not drain and answers.

--- a/src/cicadatray/platform/worker_api.py
+++ b/src/cicadatray/platform/worker_api.py
@@ -8,11 +8,13 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
 from cicadatray.internal.agent.tasks.task_agent import TaskAgent
 from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.worker_document import WorkerAnnouncement, decode_announcement
 from cicadatray.platform.worker_http_port import WorkerHttpPort
+from cicadatray.platform.worker_identity import WorkerIdentity
 
 JSON_TYPE = "application/json"
 
@@ -22,19 +24,21 @@
 class WorkerApi:
     """The routes for the worker.
 
-    `latest_sequences` holds the highest sequence number of each worker incarnation.
+    `latest_sequences` holds the highest sequence number of each incarnation, and
+    `latest_identities` the last incarnation that each identifier announced.
     """
 
-    __slots__ = ("agent", "late", "latest_sequences")
+    __slots__ = ("agent", "late", "latest_identities", "latest_sequences")
 
     def __init__(self, agent: TaskAgent) -> None:
         self.agent = agent
+        self.latest_identities: dict[str, WorkerIdentity] = {}
         self.latest_sequences: dict[str, int] = {}
         self.late = RepeatedEvent("late announcement ignored")
 
     def application(self) -> Starlette:
         """Returns the application with all routes."""
-        path = "/cicadatray/instances/{worker_id}"
+        path = "/cicadatray/instances/{identifier}"
         return Starlette(
             routes=[
                 Route(path, self.handle_announcement, methods=["PUT"]),
@@ -44,39 +48,68 @@
 
     async def handle_announcement(self, request: Request) -> Response:
         """Passes an announcement to the agent; responds 200 once the agent acts on it."""
-        worker_id = request.path_params["worker_id"]
+        identifier = request.path_params["identifier"]
         try:
-            announcement = decode_announcement(worker_id, await request.body())
+            announcement = decode_announcement(identifier, await request.body())
         except DocumentError as error:
-            log.info("announcement refused", worker=worker_id, reason=str(error))
+            log.info("announcement refused", worker=identifier, reason=str(error))
             return Response(b"{}", 400, media_type=JSON_TYPE)
+        worker_id = announcement.offer.worker_id
         latest = self.latest_sequences.get(worker_id, 0)
         if announcement.sequence < latest:
             self.late.record_failure(
-                f"{worker_id} {announcement.born_ms}",
+                worker_id,
                 worker=worker_id,
-                born_ms=announcement.born_ms,
                 sequence=announcement.sequence,
                 latest=latest,
             )
             return Response(b"{}", 200, media_type=JSON_TYPE)
         self.latest_sequences[worker_id] = announcement.sequence
+        self._record_identity(announcement.identity)
         is_accepted = await self.agent.receive_offer(
             announcement.offer, self._worker_port(announcement)
         )
         return Response(b"{}", 200 if is_accepted else 503, media_type=JSON_TYPE)
 
     async def handle_withdrawal(self, request: Request) -> Response:
-        """Notifies the agent that a worker is shutting down."""
-        await self.agent.withdraw_worker(request.path_params["worker_id"])
+        """Notifies the agent that a worker is shutting down.
+
+        The call names no incarnation. The last one that was announced is not meant if it works on
+        without having announced that it drains: a withdrawal may arrive late.
+        """
+        identifier = request.path_params["identifier"]
+        identity = self.latest_identities.get(identifier, WorkerIdentity(identifier))
+        if await self._works_on(identity):
+            log.info("late withdrawal ignored", worker=identity.incarnation)
+        else:
+            await self.agent.withdraw_worker(identity.incarnation)
         return Response(b"{}", 200, media_type=JSON_TYPE)
 
+    async def _works_on(self, identity: WorkerIdentity) -> bool:
+        """Returns whether the agent's worker is this incarnation, does not drain and answers."""
+        port, offer = self.agent.port, self.agent.offer
+        if port is None or offer is None or offer.worker_id != identity.incarnation:
+            return False
+        if offer.is_draining:
+            return False
+        try:
+            await port.observe(self.agent.term, 0, 0.0, 0.0)
+        except (WorkerUnansweredError, WorkerReplacedError) as error:
+            log.info("worker ends", worker=identity.incarnation, reason=str(error))
+            return False
+        return True
+
+    def _record_identity(self, identity: WorkerIdentity) -> None:
+        latest = self.latest_identities.get(identity.identifier)
+        if latest is None or identity.born_ms >= latest.born_ms:
+            self.latest_identities[identity.identifier] = identity
+
     def _worker_port(self, announcement: WorkerAnnouncement) -> WorkerHttpPort:
         current = self.agent.port
-        worker_id = announcement.offer.worker_id
-        if isinstance(current, WorkerHttpPort) and current.worker_id == worker_id:
+        identity = announcement.identity
+        if isinstance(current, WorkerHttpPort) and current.identity == identity:
             return current
-        port = WorkerHttpPort(worker_id, announcement.host, announcement.port)
+        port = WorkerHttpPort(identity, announcement.host, announcement.port)
         if announcement.clock_s:
             port.clock.observe(announcement.clock_s, asyncio.get_running_loop().time())
         return port
--- a/src/cicadatray/platform/worker_document.py
+++ b/src/cicadatray/platform/worker_document.py
@@ -19,6 +19,7 @@
     read_object,
     read_string,
 )
+from cicadatray.platform.worker_identity import WorkerIdentity
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
@@ -46,19 +47,18 @@
     """A worker's announcement of itself.
 
     `sequence` increases with each announcement of an incarnation. `clock_s` is the time of the
-    worker's clock, 0 if unknown. `born_ms` is when the worker's process started, in milliseconds
-    since 1970, 0 if unknown.
+    worker's clock, 0 if unknown.
     """
 
+    identity: WorkerIdentity
     offer: WorkerOffer
     host: str
     port: int
     sequence: int
     clock_s: float
-    born_ms: int
 
 
-def decode_announcement(worker_id: str, body: bytes) -> WorkerAnnouncement:
+def decode_announcement(identifier: str, body: bytes) -> WorkerAnnouncement:
     """Returns the announcement in a worker's heartbeat.
 
     Raises:
@@ -69,10 +69,11 @@
     state = read_string(document, "State")
     if state not in (READY, DRAINING):
         raise DocumentError(f"unknown state {state}")
+    identity = WorkerIdentity(identifier, _read_born_ms(document))
     labels = tuple(read_list(document, "Labels", str))
     host, port = parse_address(read_string(document, "Address"))
     offer = WorkerOffer(
-        worker_id=worker_id,
+        worker_id=identity.incarnation,
         pool=read_string(document, "Service"),
         data_centre=read_string(document, "Zone", ""),
         # The labels are the type of the instance and its rack, in this order.
@@ -84,14 +85,14 @@
     )
     sequence = read_integer(document, "Seq", 0)
     clock_s = read_number(document, "ClockMs", 0) / MS_PER_S
-    born_ms = read_integer(document, "born", 0)
-    return WorkerAnnouncement(offer, host, port, sequence, clock_s, born_ms)
+    return WorkerAnnouncement(identity, offer, host, port, sequence, clock_s)
 
 
-def decode_view(body: bytes) -> tuple[WorkerView, float]:
-    """Returns the runs that a worker lists and the time of its clock in seconds, 0 if unknown.
+def decode_view(body: bytes) -> tuple[WorkerView, float, int]:
+    """Returns the runs that a worker lists, the time of its clock, and the start of its process.
 
-    Rows that cannot be decoded are skipped and logged, because they identify no run to act on.
+    The clock is in seconds and the start in milliseconds since 1970; both are 0 if unknown. Rows
+    that cannot be decoded are skipped and logged, because they identify no run to act on.
 
     Raises:
         DocumentError: the body cannot be decoded.
@@ -103,7 +104,12 @@
         tuple(report for report in running if report is not None),
         tuple(end for end in ended if end is not None),
     )
-    return view, _decode_clock_s(document)
+    return view, _decode_clock_s(document), _read_born_ms(document)
+
+
+def _read_born_ms(document: dict[str, Any]) -> int:
+    """Returns when the process of the worker started, in milliseconds since 1970."""
+    return read_integer(document, "born", 0)
 
 
 def decode_task(text: str) -> TaskId:
--- a/src/cicadatray/platform/worker_http_port.py
+++ b/src/cicadatray/platform/worker_http_port.py
@@ -1,6 +1,7 @@
 """HTTP calls of an agent to its worker over the platform's interface."""
 
 import asyncio
+import math
 from typing import Any
 
 import msgspec
@@ -19,6 +20,7 @@
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.fields import MS_PER_S, parse_json, read_number, read_string
 from cicadatray.platform.worker_document import decode_view
+from cicadatray.platform.worker_identity import WorkerIdentity
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 
 # The worker runs on the same instance and answers within milliseconds.
@@ -30,6 +32,9 @@
 WRONG_INCARNATION_STATUS = 421
 CONFLICT_STATUS = 409
 UNHEALTHY_STATUSES = (429, 503)
+# A worker takes longer than this to start again, so no other process can have taken the place of
+# one that has answered a call which was sent so short a time ago.
+CONFIRMED_FOR_S = 0.3
 # The reason in a 409 response to an order whose lease has expired on the worker's clock.
 LATE_REASON = "late"
 
@@ -37,17 +42,39 @@
 class WorkerHttpPort:
     """A `WorkerPort` for one incarnation of a worker.
 
-    Each order times out after `order_timeout_s`.
+    Each order times out after `order_timeout_s`. A call cannot name the incarnation that it is for,
+    only the worker's identifier. Before a call that another incarnation must not carry out, the
+    port therefore confirms which one answers, unless it did so within `CONFIRMED_FOR_S`.
+    `confirmed_s` is when the last call was sent that the incarnation has certainly answered, and
+    `acknowledged_number` the highest number of an end that was acknowledged to it.
     """
 
-    __slots__ = ("base_url", "client", "clock", "order_timeout_s", "worker_id")
+    __slots__ = (
+        "acknowledged_number",
+        "base_url",
+        "client",
+        "clock",
+        "confirmation",
+        "confirmed_s",
+        "identity",
+        "order_timeout_s",
+        "worker_id",
+    )
 
     def __init__(
-        self, worker_id: str, host: str, port: int, order_timeout_s: float = ORDER_TIMEOUT_S
+        self,
+        identity: WorkerIdentity,
+        host: str,
+        port: int,
+        order_timeout_s: float = ORDER_TIMEOUT_S,
     ) -> None:
         self.order_timeout_s = order_timeout_s
         self.client = _new_client(order_timeout_s)
-        self.worker_id = worker_id
+        self.identity = identity
+        self.worker_id = identity.incarnation
+        self.confirmation = asyncio.Lock()
+        self.confirmed_s = -math.inf
+        self.acknowledged_number = 0
         self.base_url = f"http://{host}:{port}/cicadatray"
         self.clock = WorkerClock()
 
@@ -66,6 +93,7 @@
         }
         if order.checkpoint:
             body["Checkpoint"] = order.checkpoint
+        await self._confirm_incarnation(token)
         status, content = await self._send("run-start", body, self.order_timeout_s)
         if status == 200:
             return StartAnswer.ACCEPTED
@@ -89,8 +117,35 @@
         self, token: int, committed_end_number: int, lease_until_s: float, wait_s: float
     ) -> WorkerView:
         # SeenUpto is the highest number of a run end that control has committed, not only received;
-        # the worker lists later ends only.
-        body: dict[str, Any] = {"FencingToken": token, "SeenUpto": committed_end_number}
+        # the worker lists later ends only. Another incarnation counts its ends anew.
+        if committed_end_number > self.acknowledged_number:
+            await self._confirm_incarnation(token)
+        seen_up_to = committed_end_number if self._is_confirmed() else 0
+        view = await self._hold(token, seen_up_to, lease_until_s, wait_s)
+        self.acknowledged_number = max(self.acknowledged_number, seen_up_to)
+        return view
+
+    async def _confirm_incarnation(self, token: int) -> None:
+        """Makes sure that this incarnation answers at the address.
+
+        Raises:
+            WorkerUnansweredError: no answer came, so nothing is known.
+            WorkerReplacedError: another incarnation answered.
+        """
+        async with self.confirmation:
+            if not self._is_confirmed():
+                await self._hold(token, 0, 0.0, 0.0)
+        if not self._is_confirmed():
+            raise WorkerUnansweredError(f"{self.worker_id} was not confirmed in time")
+
+    def _is_confirmed(self) -> bool:
+        return not self.identity.born_ms or _now_s() - self.confirmed_s < CONFIRMED_FOR_S
+
+    async def _hold(
+        self, token: int, seen_up_to: int, lease_until_s: float, wait_s: float
+    ) -> WorkerView:
+        sent_s = _now_s()
+        body: dict[str, Any] = {"FencingToken": token, "SeenUpto": seen_up_to}
         if lease_until_s:
             body["UntilMs"] = int(lease_until_s * MS_PER_S)
         if wait_s:
@@ -99,16 +154,22 @@
         if status != 200:
             raise WorkerUnansweredError(f"hold returned status {status}")
         try:
-            view, _ = decode_view(content)
+            view, _, born_ms = decode_view(content)
         except DocumentError as error:
             raise WorkerUnansweredError(str(error)) from error
+        if born_ms and self.identity.born_ms and born_ms != self.identity.born_ms:
+            raise WorkerReplacedError(f"hold: {self.worker_id} started again at {born_ms} ms")
+        self.confirmed_s = max(self.confirmed_s, sent_s)
         return view
 
     async def close(self) -> None:
         await self.client.connector.cleanup()
 
     async def _send(self, call: str, body: dict[str, Any], timeout_s: float) -> tuple[int, bytes]:
-        headers = {"Content-Type": "application/json", "Expect-Instance": self.worker_id}
+        headers = {
+            "Content-Type": "application/json",
+            "Expect-Instance": self.identity.identifier,
+        }
         client = self.client
         try:
             async with asyncio.timeout(timeout_s):
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -175,7 +175,7 @@
     """
     rows = [running, ["0a.0.1.2", 1, "", 40, 900]]
     ends = [ended, [1, "0a.0.1.3", 2, "broken", ""]]
-    view, clock_s = decode_view(encode({"ClockMs": 1500, "Running": rows, "Ended": ends}))
+    view, clock_s, _ = decode_view(encode({"ClockMs": 1500, "Running": rows, "Ended": ends}))
     assert [str(report.run.task) for report in view.running] == ["0a.0.1.2"]
     assert [end.number for end in view.ended] == [1]
     assert clock_s == 1.5
@@ -185,7 +185,7 @@
 @pytest.mark.parametrize("percent", [None, "40", -3, 10**30, [], 41.5])
 def test_run_is_listed_whatever_its_percent(percent: Any) -> None:
     """Guards against stopping a run as missing because its progress cannot be decoded."""
-    view, _ = decode_view(encode({"Running": [["0a.0.1.2", 1, None, percent]]}))
+    view, *_ = decode_view(encode({"Running": [["0a.0.1.2", 1, None, percent]]}))
     assert [str(report.run.task) for report in view.running] == ["0a.0.1.2"]
     assert 0 <= view.running[0].percent <= 100
 
@@ -194,14 +194,14 @@
 def test_run_is_listed_without_a_valid_checkpoint(rest: list[Any]) -> None:
     """Guards against a next start that carries a checkpoint which is not one of the task."""
     ends = [[4, "0a.0.1.3", 2, "done", *rest[:1]]]
-    view, _ = decode_view(encode({"Running": [["0a.0.1.2", 1, *rest]], "Ended": ends}))
+    view, *_ = decode_view(encode({"Running": [["0a.0.1.2", 1, *rest]], "Ended": ends}))
     assert [row.checkpoint for row in (*view.running, *view.ended)] == ["", ""]
 
 
 @pytest.mark.parametrize("clock", [None, "soon", -5, 1e30])
 def test_invalid_clock_does_not_hide_the_runs(clock: Any) -> None:
     """Guards against taking a worker for silent because its clock cannot be decoded."""
-    view, clock_s = decode_view(encode({"ClockMs": clock, "Running": [["0a.0.1.2", 1, "", 4]]}))
+    view, clock_s, _ = decode_view(encode({"ClockMs": clock, "Running": [["0a.0.1.2", 1, "", 4]]}))
     assert (len(view.running), clock_s) == (1, 0.0)
 
 
--- a/tests/cover/platform/test_worker_http_port.py
+++ b/tests/cover/platform/test_worker_http_port.py
@@ -20,6 +20,7 @@
 from cicadatray.internal.entry.http_server import HttpServer
 from cicadatray.internal.wire.messages.graph_messages import RunOrder
 from cicadatray.platform.worker_http_port import WorkerHttpPort
+from cicadatray.platform.worker_identity import WorkerIdentity
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 
@@ -49,7 +50,7 @@
             server = HttpServer(Starlette(routes=routes), "127.0.0.1", 0)
             await server.start()
             port = server.server.servers[0].sockets[0].getsockname()[1]
-            worker = WorkerHttpPort("i-1", "127.0.0.1", port, LIMIT_S)
+            worker = WorkerHttpPort(WorkerIdentity("i-1"), "127.0.0.1", port, LIMIT_S)
             try:
                 return await use(worker)
             finally:
@@ -136,7 +137,7 @@
         port = server.sockets[0].getsockname()[1]
         server.close()
         await server.wait_closed()
-        worker = WorkerHttpPort("i-1", "127.0.0.1", port, LIMIT_S)
+        worker = WorkerHttpPort(WorkerIdentity("i-1"), "127.0.0.1", port, LIMIT_S)
         with pytest.raises(WorkerUnreachableError):
             await worker.start(RunOrder(RUN, "spec"), 7, 9.5)
         await worker.close()
