--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -30,8 +30,8 @@
     `token` is the term of the leader whose orders are carried out. `has_applied_orders` is set by
     the first reply of control. An earlier process of this agent may have sent the starts in that
     reply, and the worker may carry those out late. Calls `on_change` when a change must be reported
-    to control, `on_worker_activity` when the worker must be observed, and `on_replaced` when
-    another incarnation of the worker answered.
+    to control, `on_worker_activity` when the worker must be observed, `on_unreachable` when it
+    refused a connection, and `on_replaced` when another incarnation of the worker answered.
     """
 
     __slots__ = (
@@ -41,6 +41,7 @@
         "lease",
         "on_change",
         "on_replaced",
+        "on_unreachable",
         "on_worker_activity",
         "port",
         "table",
@@ -57,6 +58,7 @@
         on_change: Callable[[], None],
         on_worker_activity: Callable[[], None],
         on_replaced: Callable[[WorkerPort], None],
+        on_unreachable: Callable[[], None],
     ) -> None:
         self.port = port
         self.table = table
@@ -65,6 +67,7 @@
         self.on_change = on_change
         self.on_worker_activity = on_worker_activity
         self.on_replaced = on_replaced
+        self.on_unreachable = on_unreachable
         self.token = 0
         self.is_draining = False
         self.has_applied_orders = False
@@ -126,9 +129,16 @@
             try:
                 lease_end_s = self.lease.end_to_send(self.port.clock_s())
                 answer = await self.port.start(order, self.token, lease_end_s)
+            except WorkerUnreachableError as error:
+                entry.may_have_begun = had_begun
+                self.on_unreachable()
+                if not entry.may_have_begun:
+                    self._abandon_start(entry, str(error))
+                    return
+                unanswered.record_failure(task, run=task, reason=str(error))
+                await asyncio.sleep(ORDER_RETRY_S)
+                continue
             except WorkerUnansweredError as error:
-                if isinstance(error, WorkerUnreachableError):
-                    entry.may_have_begun = had_begun
                 entry.is_in_doubt = True
                 unanswered.record_failure(task, run=task, reason=str(error))
                 await asyncio.sleep(ORDER_RETRY_S)
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -38,7 +38,8 @@
     """Syncs with control and observes the worker in two tasks; `OrderExecutor` sends the orders.
 
     `term` is the highest leader term received. `is_control_answering` is set when control has
-    replied to the last call, so that the next one may wait for changes.
+    replied to the last call, so that the next one may wait for changes. `is_worker_reachable` is
+    False while the worker refuses connections.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "former_workers",
         "incarnation",
         "is_control_answering",
+        "is_worker_reachable",
         "lease",
         "not_adopted",
         "offer",
@@ -92,6 +94,7 @@
         self.sequence = 0
         self.answered_sequence = 0  # replies to calls up to this number are ignored
         self.is_control_answering = False
+        self.is_worker_reachable = True
         self.changed = asyncio.Event()
         self.work_available = asyncio.Event()
         self.sync_tasks: set[asyncio.Task[None]] = set()
@@ -118,6 +121,7 @@
         if self.offer is None or self.offer.worker_id != offer.worker_id:
             return await self._adopt_worker(offer, port)
         self.lease.record_contact()
+        self._set_reachable(True)
         if offer != self.offer:
             self._update_offer(offer)
         return True
@@ -129,6 +133,15 @@
             log.info("worker withdrew", worker=worker_id)
             self._drop_worker(WorkerEnd.WITHDRAWN)
 
+    def _set_reachable(self, is_reachable: bool) -> None:
+        """Records whether the worker accepts connections, and reports a change to control."""
+        if is_reachable is self.is_worker_reachable:
+            return
+        self.is_worker_reachable = is_reachable
+        worker_id = self.offer.worker_id if self.offer is not None else ""
+        log.info("worker reachable" if is_reachable else "worker unreachable", worker=worker_id)
+        self.changed.set()
+
     def _update_offer(self, offer: WorkerOffer) -> None:
         if self.offer is not None and offer.is_draining and not self.offer.is_draining:
             log.info("worker drains", worker=offer.worker_id, remaining_s=offer.remaining_s)
@@ -173,7 +186,9 @@
             on_change=self.changed.set,
             on_worker_activity=self.work_available.set,
             on_replaced=self._worker_replaced,
+            on_unreachable=lambda: self._set_reachable(False),
         )
+        self.is_worker_reachable = True
         self.executor.token = self.term
         self._update_offer(offer)
         log.info("worker adopted", worker=offer.worker_id, runs=len(view.running))
@@ -221,6 +236,7 @@
             offer=offer,
             ended_worker_id=ended_worker_id,
             ended_worker_cause=self.ended_worker_cause,
+            is_worker_reachable=self.is_worker_reachable,
             runs=tuple(entry.report() for entry in self.table.runs.values()),
             ends=self.table.reported_ends(),
             wait_s=sync_timing.WAIT_S if self.is_control_answering else 0.0,
@@ -280,6 +296,8 @@
             lease_end_s = self.lease.end_to_send(port.clock_s())
             view = await port.observe(self.term, table.committed_end_number, lease_end_s, wait_s)
         except WorkerUnansweredError as error:
+            if executor is self.executor and isinstance(error, WorkerUnreachableError):
+                self._set_reachable(False)
             self._handle_unanswered(executor, error)
             await asyncio.sleep(OBSERVE_RETRY_S)
             return
@@ -290,6 +308,7 @@
             return
         self.unanswered.record_end()
         self.lease.record_contact()
+        self._set_reachable(True)
         received_s = asyncio.get_running_loop().time()
         has_ended, missing = table.apply_view(view, asked_s, received_s)
         for entry in missing:
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -30,7 +30,8 @@
     progress of the run then. `last_call` is the incarnation of the agent and the sequence number of
     its last call. `last_orders` is the last reply, so that its orders are not sent again at once,
     or None if it was probably lost. `last_reply_s` is the time of the last reply, which grants a
-    lease. `end` is how the worker has ended, or None. Times are the event loop's.
+    lease. `is_reachable` is False while the worker refuses connections. `end` is how the worker has
+    ended, or None. Times are the event loop's.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "end",
         "first_percent",
         "first_seen_s",
+        "is_reachable",
         "last_call",
         "last_orders",
         "last_reply_s",
@@ -68,6 +70,7 @@
         self.last_orders: WorkerOrders | None = None
         self.call_count = 0
         self.end: WorkerEnd | None = None
+        self.is_reachable = True
         self.consecutive_failures = 0
         self.suspect_until_s = 0.0
         self.wake = asyncio.Event()
@@ -84,6 +87,7 @@
             self.last_orders = None
         self.last_call = (call.agent_incarnation, call.sequence)
         self.offer = call.offer
+        self.is_reachable = call.is_worker_reachable
         self.reports = {report.run: report for report in call.runs}
         self.first_seen_s = {
             run: self.first_seen_s.get(run, now_s)
--- a/tests/cover/taskgraphs/test_deadly_tasks.py
+++ b/tests/cover/taskgraphs/test_deadly_tasks.py
@@ -131,6 +131,15 @@
     assert {state_of(simulation, graph_id) for graph_id in innocent} == {"done"}
 
 
+def test_work_does_not_wait_for_a_worker_that_is_down(simulation: GraphSimulation) -> None:
+    """Guards against urgent work that starts late because its worker has just crashed."""
+    for worker in simulation.workers[:2]:
+        worker.crash()
+    simulation.submit("0000000000000001", (SMALL,), urgent=True)
+    simulation.advance(1.0)
+    assert any(worker.running for worker in simulation.workers)
+
+
 def test_innocent_tasks_are_soon_trusted_again(simulation: GraphSimulation) -> None:
     """Guards against jobs that run one after the other once they have shared a crash.
 
