Let a withdrawal end the worker's process that was accepted last

After the time of day was set back, the current process has an earlier one, and its withdrawal was taken for that of the process before; its worker then counted as there until its lease ended. test_withdrawal_after_the_clock_was_set_back_ends_the_current_process fails without the change.

--- a/src/cicadatray/platform/worker_api.py
+++ b/src/cicadatray/platform/worker_api.py
@@ -25,7 +25,7 @@
     """The routes for the worker.
 
     `latest_sequences` holds the highest sequence number of each incarnation, and
-    `latest_identities` the last incarnation that each identifier announced.
+    `latest_identities` the incarnation of each identifier that the agent accepted last.
     """
 
     __slots__ = ("agent", "late", "latest_identities", "latest_sequences")
@@ -65,10 +65,12 @@
             )
             return Response(b"{}", 200, media_type=JSON_TYPE)
         self.latest_sequences[worker_id] = announcement.sequence
-        self._record_identity(announcement.identity)
         is_accepted = await self.agent.receive_offer(
             announcement.offer, self._worker_port(announcement)
         )
+        if is_accepted or identifier not in self.latest_identities:
+            # The starts of two processes do not tell their order: clocks may have been set back.
+            self.latest_identities[identifier] = announcement.identity
         return Response(b"{}", 200 if is_accepted else 503, media_type=JSON_TYPE)
 
     async def handle_withdrawal(self, request: Request) -> Response:
@@ -99,11 +101,6 @@
             return False
         return True
 
-    def _record_identity(self, identity: WorkerIdentity) -> None:
-        latest = self.latest_identities.get(identity.identifier)
-        if latest is None or identity.born_ms >= latest.born_ms:
-            self.latest_identities[identity.identifier] = identity
-
     def _worker_port(self, announcement: WorkerAnnouncement) -> WorkerHttpPort:
         current = self.agent.port
         identity = announcement.identity
--- a/tests/cover/platform/test_reborn_worker.py
+++ b/tests/cover/platform/test_reborn_worker.py
@@ -253,6 +253,22 @@
     play(story)
 
 
+def test_withdrawal_after_the_clock_was_set_back_ends_the_current_process() -> None:
+    """Guards against a withdrawal that is taken for one of a process that only seems newer."""
+
+    async def story(scene: Scene) -> None:
+        await scene.worker.crash()
+        scene.worker.born_ms -= 60_000
+        await scene.worker.listen()
+        await scene.adopt()
+        current = scene.control.workers[-1]
+        await scene.announce(scene.worker.announcement("draining"))
+        await scene.withdraw()
+        await scene.until(lambda: current in scene.control.ended_workers)
+
+    play(story)
+
+
 def test_late_withdrawal_does_not_end_the_next_process() -> None:
     """Guards against work that is started elsewhere while it runs on a worker that is there."""
 
