Test workers whose capacity changes, and crashes in the random machine of task graphs

The random machine gets workers that crash and tasks that crash their workers, and checks that no task crashes more than five.

--- a/tests/cover/taskgraphs/graph_machine.py
+++ b/tests/cover/taskgraphs/graph_machine.py
@@ -12,6 +12,8 @@
 NUMBERS = st.integers(0, 5)
 # Covers leases, their margin, and the repetition of runs that the last faults interrupted.
 SETTLE_S = 120.0
+# The platform tolerates two more starts after three workers have crashed under a task.
+MOST_CRASHES = 5
 SHAPES = {
     "small": (Step(3, Resources(1000, 500, 1), 2.0),),
     "gang": (Step(3, Resources(4000, 2000, 4), 2.0, is_gang=True),),
@@ -27,7 +29,7 @@
     """Submits graphs and injects faults.
 
     Guards against workers over their capacity, tasks that run twice, steps out of order, runs of
-    cancelled graphs, and graphs that never end.
+    cancelled graphs, graphs that never end, and tasks that crash one worker after the other.
     """
 
     simulation: GraphSimulation
@@ -49,6 +51,14 @@
         self.simulation.submit(f"{self.submitted:016x}", SHAPES[shape], urgent)
         self.simulation.advance(0.2)
 
+    @rule(shape=st.sampled_from(sorted(SHAPES)), crash_delay_s=st.sampled_from((0.0, 0.01, 2.0)))
+    def submit_deadly(self, shape: str, crash_delay_s: float) -> None:
+        self.submitted += 1
+        for worker in self.simulation.workers:
+            worker.crash_delay_s = crash_delay_s
+        self.simulation.submit_deadly(f"{self.submitted:016x}", SHAPES[shape])
+        self.simulation.advance(0.2)
+
     @precondition(lambda self: self.submitted > 0)
     @rule(number=NUMBERS)
     def cancel(self, number: int) -> None:
@@ -78,6 +88,10 @@
     def restart_worker(self, number: int) -> None:
         self.simulation.workers[number % len(self.simulation.workers)].restart()
 
+    @rule(number=NUMBERS)
+    def crash_worker(self, number: int) -> None:
+        self.simulation.workers[number % len(self.simulation.workers)].crash()
+
     @rule(number=NUMBERS)
     def drain_worker(self, number: int) -> None:
         self.simulation.workers[number % len(self.simulation.workers)].is_draining = True
@@ -126,5 +140,6 @@
                     if isinstance(state, GraphState) and state.state in ("queued", "running")
                 }
                 assert not open_graphs, open_graphs
+                assert self.simulation.most_crashes_under_a_task() <= MOST_CRASHES
         finally:
             self.simulation.close()
--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections import Counter
 from contextlib import ExitStack
 from typing import Any
 from unittest.mock import patch
@@ -172,6 +173,13 @@
             for lost in worker.crashes
         )
 
+    def most_crashes_under_a_task(self) -> int:
+        """Returns the highest number of crashes of workers while runs of one task were there."""
+        crashes = Counter(
+            run.task for worker in self.workers for lost in worker.crashes for run in lost
+        )
+        return max(crashes.values(), default=0)
+
     def cancel(self, graph_id: str) -> None:
         """Cancels a graph as a client; only a confirmed cancellation must take effect."""
         leader = self.leader
@@ -224,6 +232,7 @@
             agent.process.thaw()
         for worker in self.workers:
             worker.is_unresponsive = False
+            worker.deadly_graphs.clear()
             if worker.is_draining:
                 worker.restart()
 
--- a/tests/cover/taskgraphs/simulated_task_worker.py
+++ b/tests/cover/taskgraphs/simulated_task_worker.py
@@ -36,12 +36,14 @@
     """A simulated worker; `restart` begins its next incarnation.
 
     It crashes `crash_delay_s` after the start of a task of one of the `deadly_graphs`, and is down
-    for `DOWN_S`. `crashes` holds the runs that were lost in each of its crashes. While
-    `is_unresponsive` is set, calls time out and their orders are carried out late. `on_start` and
-    `on_end` are called for each start and end, so that the simulation can check them.
+    for `DOWN_S`. `crashes` holds the runs that were lost in each of its crashes. `capacity` may
+    change while it runs. While `is_unresponsive` is set, calls time out and their orders are
+    carried out late. `on_start` and `on_end` are called for each start and end, so that the
+    simulation can check them.
     """
 
     __slots__ = (
+        "capacity",
         "clock_rate",
         "crash_delay_s",
         "crashes",
@@ -73,6 +75,7 @@
         self.random = random.Random(seed)
         # The clock of a worker may be 2% slow.
         self.clock_rate = 1.0 - 0.02 * self.random.random()
+        self.capacity = CAPACITY
         self.incarnation = 0
         self.on_start = on_start
         self.on_end = on_end
@@ -126,7 +129,7 @@
             "d0",
             rack,
             ("a", rack),
-            CAPACITY,
+            self.capacity,
             is_draining=self.is_draining,
             remaining_s=3.0 if self.is_draining else 0.0,
         )
