--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -95,5 +95,5 @@
             observed_s=round(placed.end.observed_s, 2),
             crashes=progress.crashes.total,
             early_crashes=progress.crashes.early,
-            is_given_up=progress.crashes.is_exhausted,
+            failure=self.session.graphs[placed.end.run.task.graph_id].failure,
         )
--- a/src/cicadatray/scheduling/taskgraphs/crash_record.py
+++ b/src/cicadatray/scheduling/taskgraphs/crash_record.py
@@ -8,10 +8,10 @@
 # bystander is started alone after its first such crash, so further ones have another cause.
 MAX_EARLY_CRASHES = 3
 # A task is given up after this many crashes in all, if it crashes its workers later than at its
-# start.
+# start. This does not hold for long-running tasks, which outlive many workers.
 MAX_CRASHES = 5
 # Crashes before a run that lasted this long do not count any more, in seconds.
-FORGET_AFTER_S = 600.0
+FORGET_AFTER_S = 10.0
 
 
 class CrashRecord(msgspec.Struct, array_like=True):
@@ -29,10 +29,11 @@
         """Whether the task may have caused the last crash by being started."""
         return self.early > 0
 
-    @property
-    def is_exhausted(self) -> bool:
-        """Whether the task must not be started again."""
-        return self.early >= MAX_EARLY_CRASHES or self.total >= MAX_CRASHES
+    def is_exhausted(self, is_long_running: bool) -> bool:
+        """Returns whether the task must not be started again."""
+        if self.early >= MAX_EARLY_CRASHES:
+            return True
+        return self.total >= MAX_CRASHES and not is_long_running
 
     def add(self, observed_s: float) -> None:
         """Records a crash under a run that the worker had listed for `observed_s` seconds."""
--- a/src/cicadatray/scheduling/taskgraphs/graph_progress.py
+++ b/src/cicadatray/scheduling/taskgraphs/graph_progress.py
@@ -175,5 +175,6 @@
             return
         crashes = progress.crashes
         crashes.add(observed_s)
-        if crashes.is_exhausted and not self.failure:
+        is_long_running = self.graph.steps[task.step].is_long_running
+        if crashes.is_exhausted(is_long_running) and not self.failure:
             self.failure = f"{crashes.total} workers crashed under task {task.key}"
--- a/tests/cover/taskgraphs/test_crash_record.py
+++ b/tests/cover/taskgraphs/test_crash_record.py
@@ -39,4 +39,13 @@
     record = CrashRecord()
     for seconds in observed_s:
         record.add(seconds)
-    assert (record.is_suspect, record.is_exhausted) == (is_suspect, is_exhausted)
+    assert (record.is_suspect, record.is_exhausted(False)) == (is_suspect, is_exhausted)
+
+
+@pytest.mark.parametrize(("observed_s", "is_exhausted"), [(EARLY, True), (LATE, False)])
+def test_long_running_task_outlives_many_workers(observed_s: float, is_exhausted: bool) -> None:
+    """Guards against a service that is given up because its workers crash now and then."""
+    record = CrashRecord()
+    for _ in range(MAX_CRASHES + 1):
+        record.add(observed_s)
+    assert record.is_exhausted(is_long_running=True) is is_exhausted
