Blame no task for a worker that drained, nor for one whose identifier is not used again

Found by reading the diff: a worker that is taken away after its notice, without a withdrawal that reaches its agent, counted as crashed when the next one was offered, and its young runs as suspect (test_worker_that_drained_has_not_crashed fails without the change). A lease that expires in the round in which a crash is recorded no longer replaces the cause.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -133,7 +133,7 @@
         lost = session.find_lost_workers()
         for worker_id in lost:
             worker = session.workers.get(worker_id)
-            if worker is not None:
+            if worker is not None and worker.end is None:
                 worker.end = WorkerEnd.SILENT
             log.info(
                 "worker lost",
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -282,6 +282,8 @@
         worker = self.workers.get(worker_id)
         if worker is None or worker.agent_id != agent_id or worker.is_lost:
             return
+        # A worker that drains may leave without a notice that reaches its agent.
+        cause = WorkerEnd.WITHDRAWN if worker.offer.is_draining else cause
         worker.end = cause
         log.info("worker ended", worker=worker_id, agent=agent_id, cause=cause.value)
         self.wake.set()
--- a/src/cicadatray/platform/worker_api.py
+++ b/src/cicadatray/platform/worker_api.py
@@ -88,11 +88,14 @@
         return Response(b"{}", 200, media_type=JSON_TYPE)
 
     async def _works_on(self, identity: WorkerIdentity) -> bool:
-        """Returns whether the agent's worker is this incarnation, does not drain and answers."""
+        """Returns whether the agent's worker is this incarnation, does not drain and answers.
+
+        The identifier of a worker that does not tell the start of its process is not used again.
+        """
         port, offer = self.agent.port, self.agent.offer
-        if port is None or offer is None or offer.worker_id != identity.incarnation:
+        if port is None or offer is None or not identity.born_ms:
             return False
-        if offer.is_draining:
+        if offer.worker_id != identity.incarnation or offer.is_draining:
             return False
         try:
             await port.observe(self.agent.term, 0, 0.0, 0.0)
--- a/tests/cover/taskgraphs/test_crash_evidence.py
+++ b/tests/cover/taskgraphs/test_crash_evidence.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+import msgspec
 import pytest
 
 from cicadatray.internal.agent.tasks.errors import WorkerUnansweredError, WorkerUnreachableError
@@ -99,6 +100,24 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("is_draining", "outcome"), [(False, RunOutcome.CRASHED), (True, RunOutcome.LOST)]
+)
+def test_worker_that_drained_has_not_crashed(is_draining: bool, outcome: RunOutcome) -> None:
+    """Guards against blaming tasks for a worker that was taken away after its notice."""
+
+    async def main() -> None:
+        session, _ = make_session()
+        worker = session.handle_sync(call(runs=(RunReport(RUN, 40),)))
+        assert worker is not None
+        worker.offer = msgspec.structs.replace(worker.offer, is_draining=is_draining)
+        session.handle_sync(call("w-2", sequence=2))
+        ends = {placed.end.run: placed.end.outcome for placed in session.lost_run_ends("w-1")}
+        assert ends[RUN] is outcome
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize(
     ("report", "outcome"),
     [
