--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -6,16 +6,12 @@
 import structlog
 
 from cicadatray.internal.agent.tasks import sync_timing
-from cicadatray.internal.agent.tasks.errors import (
-    WorkerReplacedError,
-    WorkerUnansweredError,
-    WorkerUnreachableError,
-)
+from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
 from cicadatray.internal.agent.tasks.leader_term import read_leader_term
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
-from cicadatray.internal.agent.tasks.run_entry import RunPhase
 from cicadatray.internal.agent.tasks.run_table import RunTable
 from cicadatray.internal.agent.tasks.worker_lease import DEFAULT_WORKER_LEASE_S, WorkerLease
+from cicadatray.internal.agent.tasks.worker_observer import WorkerObserver
 from cicadatray.internal.agent.tasks.worker_port import WorkerPort, WorkerView
 from cicadatray.internal.observability.graph_metrics import worker_starts_total
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
@@ -26,16 +22,11 @@
 from cicadatray.internal.wire.messages.graph_messages import SyncWorker, WorkerOffer, WorkerOrders
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
-# The worker answers earlier when a run ends. Its lease has to be extended in the meantime.
-OBSERVE_WAIT_S = 0.5
-OBSERVE_RETRY_S = 0.2
-OBSERVE_PAUSE_S = 0.05
-
 log = structlog.get_logger(__name__)
 
 
 class TaskAgent:
-    """Syncs with control and observes the worker in two tasks; `OrderExecutor` sends the orders.
+    """Syncs with control; `WorkerObserver` observes the worker, `OrderExecutor` sends the orders.
 
     `term` is the highest leader term received. `is_control_answering` is set when control has
     replied to the last call, so that the next one may wait for changes. `is_worker_reachable` is
@@ -104,7 +95,7 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._sync_loop())
-                tasks.create_task(self._observe_loop())
+                tasks.create_task(WorkerObserver(self).run())
         finally:
             for task in self.sync_tasks:
                 task.cancel()
@@ -121,7 +112,7 @@
         if self.offer is None or self.offer.worker_id != offer.worker_id:
             return await self._adopt_worker(offer, port)
         self.lease.record_contact()
-        self._set_reachable(True)
+        self.set_reachable(True)
         if offer != self.offer:
             self._update_offer(offer)
         return True
@@ -131,9 +122,9 @@
         self.former_workers.add(worker_id)
         if self.offer is not None and self.offer.worker_id == worker_id:
             log.info("worker withdrew", worker=worker_id)
-            self._drop_worker(WorkerEnd.WITHDRAWN)
+            self.drop_worker(WorkerEnd.WITHDRAWN)
 
-    def _set_reachable(self, is_reachable: bool) -> None:
+    def set_reachable(self, is_reachable: bool) -> None:
         """Records whether the worker accepts connections, and reports a change to control."""
         if is_reachable is self.is_worker_reachable:
             return
@@ -169,7 +160,7 @@
                     self._update_offer(offer)
                 return True
             self.former_workers.add(self.offer.worker_id)
-            self._drop_worker(WorkerEnd.CRASHED)
+            self.drop_worker(WorkerEnd.CRASHED)
         self._start_driving(offer, port, view)
         return True
 
@@ -185,8 +176,8 @@
             self.answers,
             on_change=self.changed.set,
             on_worker_activity=self.work_available.set,
-            on_replaced=self._worker_replaced,
-            on_unreachable=lambda: self._set_reachable(False),
+            on_replaced=self.replace_worker,
+            on_unreachable=lambda: self.set_reachable(False),
         )
         self.is_worker_reachable = True
         self.executor.token = self.term
@@ -194,7 +185,8 @@
         log.info("worker adopted", worker=offer.worker_id, runs=len(view.running))
         self.work_available.set()
 
-    def _drop_worker(self, cause: WorkerEnd) -> None:
+    def drop_worker(self, cause: WorkerEnd) -> None:
+        """Stops driving the current worker, which has ended, and reports its end to control."""
         if self.offer is not None:
             self.ended_worker_id = self.offer.worker_id
             self.ended_worker_cause = cause
@@ -205,11 +197,12 @@
             executor.cancel()
         self.changed.set()
 
-    def _worker_replaced(self, port: WorkerPort) -> None:
+    def replace_worker(self, port: WorkerPort) -> None:
+        """Drops the worker of a port after another incarnation has answered there."""
         if self.port is port:
             self.former_workers.add(port.worker_id)
             log.info("worker replaced", worker=port.worker_id)
-            self._drop_worker(WorkerEnd.CRASHED)
+            self.drop_worker(WorkerEnd.CRASHED)
 
     async def _sync_loop(self) -> None:
         while True:
@@ -277,61 +270,3 @@
         executor.token = reply.term
         self.lease.grant(asked_s, reply.lease_s)
         executor.apply(reply)
-
-    async def _observe_loop(self) -> None:
-        while True:
-            executor = self.executor
-            if executor is None or self.table.is_idle:
-                self.work_available.clear()
-                await self.work_available.wait()
-                continue
-            await self._observe(executor)
-
-    async def _observe(self, executor: OrderExecutor) -> None:
-        port, table = executor.port, executor.table
-        asked_s = asyncio.get_running_loop().time()
-        is_settling = table.is_settling
-        wait_s = OBSERVE_PAUSE_S if is_settling else OBSERVE_WAIT_S
-        try:
-            lease_end_s = self.lease.end_to_send(port.clock_s())
-            view = await port.observe(self.term, table.committed_end_number, lease_end_s, wait_s)
-        except WorkerUnansweredError as error:
-            if executor is self.executor and isinstance(error, WorkerUnreachableError):
-                self._set_reachable(False)
-            self._handle_unanswered(executor, error)
-            await asyncio.sleep(OBSERVE_RETRY_S)
-            return
-        except WorkerReplacedError:
-            self._worker_replaced(port)
-            return
-        if executor is not self.executor:
-            return
-        self.unanswered.record_end()
-        self.lease.record_contact()
-        self._set_reachable(True)
-        received_s = asyncio.get_running_loop().time()
-        has_ended, missing = table.apply_view(view, asked_s, received_s)
-        for entry in missing:
-            if entry.phase is RunPhase.RUNNING:
-                executor.begin_stop(entry)
-        if has_ended:
-            self.changed.set()
-        if has_ended or is_settling:
-            await asyncio.sleep(OBSERVE_PAUSE_S)
-
-    def _handle_unanswered(self, executor: OrderExecutor, error: WorkerUnansweredError) -> None:
-        """Drops the worker once every lease that it may have received has expired."""
-        worker_id = executor.port.worker_id
-        self.unanswered.record_failure(worker_id, worker=worker_id, reason=str(error))
-        if executor is self.executor and self.lease.has_expired(executor.port.clock_s()):
-            self.unanswered.record_end()
-            # A worker that is only cut off does not refuse connections.
-            has_crashed = isinstance(error, WorkerUnreachableError)
-            cause = WorkerEnd.CRASHED if has_crashed else WorkerEnd.SILENT
-            log.info(
-                "worker given up",
-                worker=worker_id,
-                lease_s=self.lease.sent_end_s,
-                cause=cause.value,
-            )
-            self._drop_worker(cause)
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -8,6 +8,7 @@
 from cicadatray.internal.control.graphs.end_recorder import BATCHING_DELAY_S, EndRecorder
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.graph_statistics import DISPLACED, EVACUATED
+from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
 from cicadatray.internal.control.graphs.placement_input import (
     build_running,
     build_workers,
@@ -116,7 +117,7 @@
             return []
         ends = self.recorder.drain_new_ends()
         for worker_id in lost:
-            ends += self.session.lost_run_ends(worker_id)
+            ends += lost_run_ends(self.session, worker_id)
         return ends
 
     def _due_checkpoints(self, is_committing: bool) -> tuple[RunCheckpoint, ...]:
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -15,14 +15,11 @@
     MemberAddress,
     PlacedEnd,
     RunCheckpoint,
-    RunEnd,
     RunOrder,
-    RunReport,
     SyncWorker,
     WorkerOrders,
 )
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
-from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
@@ -219,27 +216,6 @@
                 lost.append(worker_id)
         return lost
 
-    def lost_run_ends(self, worker_id: str) -> list[PlacedEnd]:
-        """Returns an end as lost for every run that may exist on a lost worker."""
-        worker = self.workers.get(worker_id)
-        ends = []
-        for run in self.ordered_runs.get(worker_id, {}):
-            report = worker.reports.get(run) if worker else None
-            checkpoint = report.checkpoint if report else ""
-            outcome = _lost_run_outcome(worker, report)
-            log.info(
-                "run lost with its worker",
-                run=str(run.task),
-                number=run.run,
-                worker=worker_id,
-                outcome=outcome.value,
-                observed_s=round(report.observed_s, 2) if report else None,
-            )
-            observed_s = report.observed_s if report else 0.0
-            end = RunEnd(run, outcome, checkpoint=checkpoint, observed_s=observed_s)
-            ends.append(PlacedEnd(end, worker_id))
-        return ends
-
     def new_checkpoints(self) -> tuple[RunCheckpoint, ...]:
         """Returns the reported checkpoints that are not durable yet, at most one for each gang."""
         checkpoints: dict[tuple[str, int, int, int], RunCheckpoint] = {}
@@ -312,14 +288,3 @@
                 if task.worker_id:
                     run = TaskRun(TaskId.from_key(graph.graph.graph_id, key), task.run)
                     self.ordered_runs.setdefault(task.worker_id, {})[run] = self.leader.started_s
-
-
-def _lost_run_outcome(worker: WorkerSession | None, report: RunReport | None) -> RunOutcome:
-    """Returns the outcome of a run whose worker has ended.
-
-    A worker that this leader does not know may have ended for any cause, and a run that its agent
-    never reported has probably not begun.
-    """
-    if worker is None or report is None or worker.end is not WorkerEnd.CRASHED:
-        return RunOutcome.LOST
-    return RunOutcome.CRASHED if report.may_have_begun else RunOutcome.CLEARED
--- a/src/cicadatray/scheduling/taskgraphs/earliest_fit.py
+++ b/src/cicadatray/scheduling/taskgraphs/earliest_fit.py
@@ -41,9 +41,8 @@
     capacities = {worker.worker_id: worker.capacity for worker in group}
 
     def count_fitting(worker_id: str) -> int:
-        if must_be_idle and available[worker_id] != capacities[worker_id]:
-            return 0
-        fitting = demand.fit_count(available[worker_id])
+        is_usable = not must_be_idle or available[worker_id] == capacities[worker_id]
+        fitting = demand.fit_count(available[worker_id]) if is_usable else 0
         return fitting if limits is None else min(fitting, limits.get(worker_id, 0))
 
     fitting = {worker_id: count_fitting(worker_id) for worker_id in available}
@@ -51,13 +50,12 @@
     for running in running_by_end:
         is_in_group = False
         for worker_id, occupied in running.occupied:
-            if worker_id not in available:
-                continue
-            is_in_group = True
-            available[worker_id] = available[worker_id].plus(occupied)
-            total -= fitting[worker_id]
-            fitting[worker_id] = count_fitting(worker_id)
-            total += fitting[worker_id]
+            if worker_id in available:
+                is_in_group = True
+                available[worker_id] = available[worker_id].plus(occupied)
+                total -= fitting[worker_id]
+                fitting[worker_id] = count_fitting(worker_id)
+                total += fitting[worker_id]
         if not is_in_group or total < count:
             continue
         workers = fit_tasks(group, demand, count, lambda w: available[w.worker_id], fitting)
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -18,9 +18,11 @@
     total_capacity,
 )
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+from cicadatray.scheduling.taskgraphs.trial_share import may_begin_trials
 from cicadatray.scheduling.taskgraphs.wait_diagnosis import WaitDiagnosis
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
+from cicadatray.scheduling.taskgraphs.worker_limits import remaining_limits
 
 URGENT_PRIORITY = 0
 # Work outside its rack takes this many times as long, because of the platform's network.
@@ -29,8 +31,6 @@
 # workers idle.
 MAX_RESERVED_GANGS = 2
 DEFAULT_LIMITS = StartLimits()
-# The share of a pool on which suspect tasks may be on trial at a time; one worker always may.
-MAX_TRIAL_SHARE = 0.5
 
 
 class PlacementRound:
@@ -115,7 +115,7 @@
             idle = [w for w in group if not w.is_reserved and not w.run_count]
             limits = self._limits(work, idle)
             chosen = fit_tasks(idle, work.step.demand, len(work.indexes), free_now, limits)
-            if chosen is not None and self._may_try(work, chosen):
+            if chosen is not None and may_begin_trials(self.workers, work, chosen):
                 self._assign(work, chosen)
                 for worker in chosen:
                     worker.begin_trial()
@@ -124,18 +124,11 @@
         pool = work.graph.graph.policy.pool
         if pool not in self.reserved_trials:
             earliest = self._earliest_fit_in_any(work, groups, must_be_idle=True)
-            if earliest is not None and self._may_try(work, earliest.workers):
+            if earliest is not None and may_begin_trials(self.workers, work, earliest.workers):
                 self.reserved_trials.add(pool)
                 self._reserve(work, earliest.workers)
         return False
 
-    def _may_try(self, work: WaitingWork, chosen: Sequence[WorkerCapacity]) -> bool:
-        """Returns whether the workers may be on trial beside those of their pool that are."""
-        pool = [w for w in self.workers if w.pool == work.graph.graph.policy.pool]
-        on_trial = sum(worker.is_on_trial for worker in pool)
-        wanted = len({worker.worker_id for worker in chosen})
-        return not on_trial or on_trial + wanted <= int(len(pool) * MAX_TRIAL_SHARE)
-
     def _record_wait(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
         """Records the wait reason of the oldest work of each queue.
 
@@ -187,25 +180,7 @@
         return fit_tasks(group, work.step.demand, count, total_capacity, limits) is not None
 
     def _limits(self, work: WaitingWork, group: list[WorkerCapacity]) -> dict[str, int] | None:
-        """Returns how many more tasks of the step each worker may take, or None without a limit."""
-        step = work.step
-        if not step.max_per_worker:
-            return None
-        limits = {worker.worker_id: step.max_per_worker for worker in group}
-        for index in range(step.count):
-            progress = work.graph.task(work.occurrence, work.step_number, index)
-            if progress is not None and progress.worker_id in limits:
-                limits[progress.worker_id] -= 1
-        for assignment in self.plan.assignments:
-            task = assignment.run.task
-            is_same_step = (task.graph_id, task.occurrence, task.step) == (
-                work.graph.graph.graph_id,
-                work.occurrence,
-                work.step_number,
-            )
-            if is_same_step and assignment.worker_id in limits:
-                limits[assignment.worker_id] -= 1
-        return limits
+        return remaining_limits(work, group, self.plan.assignments)
 
     def _assign(self, work: WaitingWork, chosen: list[WorkerCapacity]) -> None:
         for index, worker in zip(work.indexes, chosen, strict=True):
--- a/tests/cover/taskgraphs/test_crash_evidence.py
+++ b/tests/cover/taskgraphs/test_crash_evidence.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.agent.tasks.run_table import RunTable
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
 from cicadatray.internal.control.graphs.placement_input import build_workers
 from cicadatray.internal.wire.messages.graph_messages import RunReport
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
@@ -94,7 +95,7 @@
             await asyncio.sleep(LEASES.expiry_s + 0.01)
         else:
             session.handle_sync(call(sequence=2, offer=None, ended_worker_id="w-1", **fields))
-        ends = {placed.end.run: placed.end.outcome for placed in session.lost_run_ends("w-1")}
+        ends = {placed.end.run: placed.end.outcome for placed in lost_run_ends(session, "w-1")}
         assert ends[RUN] is outcome
 
     run_virtual(main())
@@ -112,7 +113,7 @@
         assert worker is not None
         worker.offer = msgspec.structs.replace(worker.offer, is_draining=is_draining)
         session.handle_sync(call("w-2", sequence=2))
-        ends = {placed.end.run: placed.end.outcome for placed in session.lost_run_ends("w-1")}
+        ends = {placed.end.run: placed.end.outcome for placed in lost_run_ends(session, "w-1")}
         assert ends[RUN] is outcome
 
     run_virtual(main())
@@ -135,7 +136,7 @@
         session, _ = make_session()
         session.handle_sync(call(runs=(report,)))
         session.handle_sync(call("w-2", sequence=2))
-        ends = {placed.end.run: placed.end.outcome for placed in session.lost_run_ends("w-1")}
+        ends = {placed.end.run: placed.end.outcome for placed in lost_run_ends(session, "w-1")}
         assert ends[RUN] is outcome
 
     run_virtual(main())
--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.graphs.agent_incarnations import INCARNATION_SILENCE_S
 from cicadatray.internal.control.graphs.graph_session import MAX_RELAYS, GraphSession
+from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
 from cicadatray.internal.control.graphs.placement_input import build_running, build_workers
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -109,7 +110,7 @@
         assert session.find_lost_workers() == []
         await asyncio.sleep(0.02)
         assert session.find_lost_workers() == ["w-1"]
-        assert {end.end.outcome for end in session.lost_run_ends("w-1")} == {RunOutcome.LOST}
+        assert {end.end.outcome for end in lost_run_ends(session, "w-1")} == {RunOutcome.LOST}
 
     run_virtual(main())
 
