--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -17,6 +17,7 @@
     GraphState,
     QueueTarget,
     ReadGraph,
+    RunEnd,
     SetQueues,
     SubmitGraph,
 )
@@ -111,13 +112,14 @@
         self.failing_workers: set[str] = set()
         self.done: set[TaskId] = set()
         self.starts: dict[TaskRun, float] = {}
+        self.noted_as_done: dict[TaskId, TaskRun] = {}
         self.running: dict[TaskId, set[tuple[str, TaskRun]]] = {}
         self.cancelled_s: dict[str, float] = {}
         self.graphs: dict[str, SubmitGraph] = {}
         self.layer = LinkLayer(random.Random(seed))
         self.log = SharedLog(lambda: None)
         self.workers = [
-            SimulatedTaskWorker(f"w{n}", seed + n, self._on_start, self._on_end)
+            SimulatedTaskWorker(f"w{n}", seed + n, self._on_start, self._on_end, self._on_note)
             for n in range(size)
         ]
         self.controls = {
@@ -308,11 +310,21 @@
                 task = TaskId(run.task.graph_id, 0, earlier, index)
                 if task not in self.done:
                     self.violations.append(f"{run} started before {task} was done")
+        if run.task in self.noted_as_done:
+            self.violations.append(f"{run} started after {self.noted_as_done[run.task]} was done")
         others = self.running.setdefault(run.task, set())
         if others:
             self.violations.append(f"{run} started on {worker.worker_id} while {others} still ran")
         others.add((worker.worker_id, run))
 
+    def _on_note(self, end: RunEnd) -> None:
+        if end.outcome is not RunOutcome.DONE:
+            return
+        self.noted_as_done[end.run.task] = end.run
+        later = [r for r in self.starts if r.task == end.run.task and r.run > end.run.run]
+        if later:
+            self.violations.append(f"{later} started although {end.run} was done")
+
     def _on_end(self, worker: SimulatedTaskWorker, run: TaskRun, outcome: RunOutcome) -> None:
         self.running.get(run.task, set()).discard((worker.worker_id, run))
 
--- a/tests/cover/taskgraphs/simulated_task_worker.py
+++ b/tests/cover/taskgraphs/simulated_task_worker.py
@@ -38,8 +38,8 @@
     It crashes `crash_delay_s` after the start of a task of one of the `deadly_graphs`, and is down
     for `DOWN_S`. `crashes` holds the runs that were lost in each of its crashes. `capacity` may
     change while it runs. While `is_unresponsive` is set, calls time out and their orders are
-    carried out late. `on_start` and `on_end` are called for each start and end, so that the
-    simulation can check them.
+    carried out late. `on_start` and `on_end` are called for each start and end, and `on_note` for
+    each end when the worker learns that it is durable, so that the simulation can check them.
     """
 
     __slots__ = (
@@ -56,7 +56,9 @@
         "is_unresponsive",
         "lease_until_s",
         "name",
+        "noted_number",
         "on_end",
+        "on_note",
         "on_start",
         "random",
         "running",
@@ -70,6 +72,7 @@
         seed: int,
         on_start: Callable[["SimulatedTaskWorker", TaskRun], None],
         on_end: Callable[["SimulatedTaskWorker", TaskRun, RunOutcome], None],
+        on_note: Callable[[RunEnd], None],
     ) -> None:
         self.name = name
         self.random = random.Random(seed)
@@ -79,6 +82,7 @@
         self.incarnation = 0
         self.on_start = on_start
         self.on_end = on_end
+        self.on_note = on_note
         self.is_unresponsive = False
         self.is_down = False
         self.deadly_graphs: set[str] = set()
@@ -100,6 +104,7 @@
         self.running: dict[TaskRun, float] = {}
         self.stopping: set[TaskRun] = set()
         self.ended: list[RunEnd] = []
+        self.noted_number = 0
         self.highest_runs: dict[TaskId, int] = {}
         self.token = 0
         self.lease_until_s = 0.0
@@ -191,6 +196,10 @@
         self.token = token
         if lease_until_s:
             self._extend(lease_until_s)
+        for end in self.ended:
+            if self.noted_number < end.number <= committed_end_number:
+                self.noted_number = end.number
+                self.on_note(end)
         running = tuple(RunReport(run, 50) for run in self.running)
         return WorkerView(
             running, tuple(end for end in self.ended if end.number > committed_end_number)
