Give the random machine of task graphs time for the deadly jobs it submits

Played again with its logs, nothing is stuck: 21 jobs of up to two steps of 9 s wait for two workers, the late ones last, and the last ends at 131 s. Sequences without deadly jobs keep the bound of 120 s; each deadly job adds the time of its two steps.

--- a/tests/cover/taskgraphs/graph_machine.py
+++ b/tests/cover/taskgraphs/graph_machine.py
@@ -12,6 +12,9 @@
 NUMBERS = st.integers(0, 5)
 # Covers leases, their margin, and the repetition of runs that the last faults interrupted.
 SETTLE_S = 120.0
+# Each deadly job adds two steps at most, whose tasks begin alone on a worker.
+DEADLY_STEPS = 2
+TRIAL_S = 1.5
 # The platform tolerates two more starts after three workers have crashed under a task.
 MOST_CRASHES = 5
 SHAPES = {
@@ -43,6 +46,7 @@
         self.simulation = GraphSimulation(seed, size)
         self.simulation.task_duration_s = task_duration_s
         self.submitted = 0
+        self.deadly = 0
         self.simulation.advance(2.0)
 
     @rule(shape=st.sampled_from(sorted(SHAPES)), urgent=st.booleans())
@@ -54,6 +58,7 @@
     @rule(shape=st.sampled_from(sorted(SHAPES)), crash_delay_s=st.sampled_from((0.0, 0.01, 2.0)))
     def submit_deadly(self, shape: str, crash_delay_s: float) -> None:
         self.submitted += 1
+        self.deadly += 1
         for worker in self.simulation.workers:
             worker.crash_delay_s = crash_delay_s
         self.simulation.submit_deadly(f"{self.submitted:016x}", SHAPES[shape])
@@ -132,7 +137,8 @@
         try:
             if not self.simulation.violations:
                 self.simulation.heal()
-                self.simulation.advance(SETTLE_S)
+                deadly_s = DEADLY_STEPS * (self.simulation.task_duration_s + TRIAL_S)
+                self.simulation.advance(SETTLE_S + self.deadly * deadly_s)
                 states = {g: self.simulation.state_of(g) for g in self.simulation.graphs}
                 open_graphs = {
                     graph_id: state.state
