Let a suspect task and the rest of its step start without each other

What callers would see: after a crash that a task of their job only shared, every other task of its step waited until that one had started alone, on a full pool for seconds. Cause: a round gives up a step when one of its tasks finds no capacity, since equal tasks need equal capacity; a suspect one needs an idle worker.

--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -79,8 +79,11 @@
         for work in sorted(waiting, key=lambda w: w.rank(self.now_s)):
             step = (work.graph.graph.graph_id, work.occurrence, work.step_number)
             # If one task of a step does not fit, the other tasks of that step do not fit either.
-            # Each urgent task is tried, because it may displace other work.
-            if (
+            # Each urgent task is tried, because it may displace other work. A suspect task needs
+            # other workers than the rest of its step.
+            if work.is_suspect:
+                self._try_to_place(work)
+            elif (
                 step not in blocked
                 and not self._try_to_place(work)
                 and work.priority != URGENT_PRIORITY
--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -62,7 +62,7 @@
     @property
     def is_suspect(self) -> bool:
         """Whether a task may crash the worker that starts it, so that it must start alone."""
-        return self.graph.is_suspect(self.task(self.indexes[0]))
+        return self.run > 1 and self.graph.is_suspect(self.task(self.indexes[0]))
 
     def task(self, index: int) -> TaskId:
         """Returns the identifier of one of the tasks."""
--- a/tests/cover/taskgraphs/test_trials.py
+++ b/tests/cover/taskgraphs/test_trials.py
@@ -76,6 +76,24 @@
     assert len({a.worker_id for a in plan.assignments}) == len(plan.assignments) == trials
 
 
+@pytest.mark.parametrize("suspect", [0, 3], ids=["first", "last"])
+@pytest.mark.parametrize("idle", [0, 1], ids=["no worker idle", "one worker idle"])
+def test_suspect_task_and_the_rest_of_its_step_do_not_wait_for_each_other(
+    suspect: int, idle: int
+) -> None:
+    """Guards against a job whose tasks all wait until one of them has started alone."""
+    workers = make_workers((2 + idle,))
+    running = [make_running(workers, [(name, ONE)], f"runs on {name}") for name in ("w0", "w1")]
+    works = make_waiting(Step(4, ONE, 5.0), 1)
+    graph, task = works[0].graph, works[suspect].task(suspect)
+    graph.record_start(task, 1, "gone")
+    graph.record_end(task, 1, "gone", RunOutcome.CRASHED, "")
+    works[suspect].run = 2
+    plan = PlacementRound(workers, running, 0.0).run(works)
+    placed = {a.run.task.index for a in plan.assignments}
+    assert placed == set(range(4)) - ({suspect} if not idle else set())
+
+
 def test_suspect_gang_starts_on_idle_workers_together() -> None:
     """Guards against a gang that can never start because its workers exceed the share of trials."""
     gang = Step(3, WHOLE, 5.0, is_gang=True)
