Choose ranking, workers, victims, guarantees and admission by registered rules

A deployment could not choose any decision of a placement round: rank, candidate workers, reservation and victims were one class. Each decision is now a rule in a registry, named by the setting scheduling_rules of control.

--- a/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
+++ b/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
@@ -1,8 +1,5 @@
 """Runs jobs in rounds of placement on emulated workers."""
 
-from types import SimpleNamespace
-from typing import cast
-
 from cicadatray.internal.bench.graph_experiment.disturbances import CALM, Disturbances
 from cicadatray.internal.bench.graph_experiment.emulated_run import EmulatedRun
 from cicadatray.internal.bench.graph_experiment.errors import InvalidPlanError
@@ -10,7 +7,6 @@
 from cicadatray.internal.bench.graph_experiment.load_sheet import WORKERS_PER_RACK, LoadSheet
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
 from cicadatray.internal.bench.graph_experiment.run_result import RunResult
-from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.placement_input import (
     SILENCE_LIMIT_S,
     mark_displacing,
@@ -19,10 +15,12 @@
 )
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.job_value import URGENT_PRIORITY
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
-from cicadatray.scheduling.taskgraphs.placement_round import REMOTE_SLOWDOWN, URGENT_PRIORITY
 from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
 from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.rules.by_account import cover_by_account
+from cicadatray.scheduling.taskgraphs.rules.packed import REMOTE_SLOWDOWN
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
@@ -45,6 +43,7 @@
         "displacing",
         "disturbances",
         "graphs",
+        "guarantees",
         "jobs",
         "make_round",
         "now_s",
@@ -65,6 +64,8 @@
         self.sheet = sheet
         self.disturbances = disturbances
         self.jobs = {job.graph.graph_id: job for job in jobs}
+        accounts = {job.graph.client_account for job in jobs}
+        self.guarantees = {account: sheet.guarantee_of(account) for account in accounts}
         self.make_round = make_round
         self.now_s = 0.0
         self.racks = {sheet.worker_id(n): f"r{n // WORKERS_PER_RACK}" for n in range(sheet.workers)}
@@ -191,7 +192,7 @@
             return
         workers = self._workers()
         running = self._list_running_work()
-        mark_guaranteed(self._make_session(), waiting, running)
+        mark_guaranteed(cover_by_account, active, self.guarantees, waiting, running)
         mark_displacing(self.displacing, waiting)
         plan = self.make_round(list(workers.values()), running, self.now_s).run(waiting)
         self._apply_plan(plan, waiting)
@@ -212,18 +213,6 @@
                 workers[worker_id].occupy(run.work.step.demand, run.stop_end_s is not None)
         return workers
 
-    def _make_session(self) -> GraphSession:
-        """Returns the part of the leader's session that `mark_guaranteed` reads."""
-        names = {job.graph.client_account for job in self.jobs.values()}
-        accounts = [
-            SimpleNamespace(name=n, guaranteed_accelerators=self.sheet.guarantee_of(n))
-            for n in names
-        ]
-        queues = SimpleNamespace(accounts=accounts)
-        state = SimpleNamespace(graphs=SimpleNamespace(queues=queues))
-        session = SimpleNamespace(graphs=self.graphs, leader=SimpleNamespace(state=state))
-        return cast(GraphSession, session)
-
     def _list_running_work(self) -> list[RunningWork]:
         running_work = []
         for run in self._distinct_runs():
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -231,6 +231,7 @@
             self.session,
             TaskLeases(settings.longest_task_lease_s),
             StartLimits(settings.urgent_start_s, settings.longest_task_stop_s),
+            settings.scheduling_rules,
         )
         try:
             async with asyncio.TaskGroup() as tasks:
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -201,12 +201,24 @@
             self.wait_log.record_round({})
             return
         running = build_running(session)
-        mark_guaranteed(session, waiting, running)
+        mark_guaranteed(
+            session.rules.find_guarantees(),
+            session.graphs.values(),
+            session.guaranteed_accelerators(),
+            waiting,
+            running,
+        )
         mark_displacing(session.displacing_graphs, waiting)
         mark_waves(session, waiting)
         workers = build_workers(session)
         plan = PlacementRound(
-            workers, running, now_s, session.start_limits, session.knows_workers()
+            workers,
+            running,
+            now_s,
+            session.start_limits,
+            session.knows_workers(),
+            session.rules,
+            session.rule_memory,
         ).run(waiting)
         self.wait_log.record_round(plan.waits)
         self._displace(plan)
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -20,6 +20,8 @@
     WorkerOrders,
 )
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
+from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
@@ -43,7 +45,8 @@
     according to the replicated state, with the time of their order. `revoked_runs` are being
     stopped to free capacity, and `displacing_graphs` holds, for each waiting graph for which
     that was done, since when. `replaced_workers` belonged to an earlier leader's term and have been
-    replaced by another worker of the same agent. `relays` holds the time of the latest announcement
+    replaced by another worker of the same agent. `rule_memory` is what the scheduling rules keep
+    between rounds. `relays` holds the time of the latest announcement
     of each relay. `new_ends` are reported ends that are not proposed yet. `wake` starts the next
     scheduling round.
     """
@@ -59,6 +62,8 @@
         "relays",
         "replaced_workers",
         "revoked_runs",
+        "rule_memory",
+        "rules",
         "start_limits",
         "statistics",
         "wake",
@@ -66,11 +71,17 @@
     )
 
     def __init__(
-        self, leader: LeaderSession, leases: TaskLeases, start_limits: StartLimits
+        self,
+        leader: LeaderSession,
+        leases: TaskLeases,
+        start_limits: StartLimits,
+        rules: SchedulingRules = DEFAULT_RULES,
     ) -> None:
         self.leader = leader
         self.leases = leases
         self.start_limits = start_limits
+        self.rules = rules
+        self.rule_memory = RuleMemory()
         self.workers: dict[str, WorkerSession] = {}
         self.agent_incarnations = AgentIncarnations()
         self.new_ends: list[PlacedEnd] = []
@@ -97,6 +108,11 @@
         """Returns the seconds since 1970, by which occurrences become due."""
         return time.time()
 
+    def guaranteed_accelerators(self) -> dict[str, int]:
+        """Returns the guarantee of each account by its name."""
+        accounts = self.leader.state.graphs.queues.accounts
+        return {account.name: account.guaranteed_accelerators for account in accounts}
+
     def knows_workers(self) -> bool:
         """Returns whether the agents had time to call this leader since its term began."""
         return self.now_s() - self.leader.started_s >= AGENTS_RETURN_S
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -1,6 +1,7 @@
 """Converts the leader's workers and runs to the input of a placement round."""
 
 import math
+from collections.abc import Iterable, Mapping
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.pool_capacities import build_pools, waves_of
@@ -9,8 +10,8 @@
 from cicadatray.scheduling.taskgraphs.crash_record import HARMLESS_AFTER_S
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import MAX_LATENESS_FACTOR
-from cicadatray.scheduling.taskgraphs.placement_round import URGENT_PRIORITY
 from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.rules.guarantee_rule import GuaranteeRule
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
@@ -96,29 +97,21 @@
 
 
 def mark_guaranteed(
-    session: GraphSession, waiting: list[WaitingWork], running: list[RunningWork]
+    rule: GuaranteeRule,
+    graphs: Iterable[GraphProgress],
+    guaranteed_accelerators: Mapping[str, int],
+    waiting: list[WaitingWork],
+    running: list[RunningWork],
 ) -> None:
-    """Marks the urgent work of accounts whose urgent jobs need no more than their guarantee."""
-    demand_by_account: dict[str, int] = {}
-    for progress in session.graphs.values():
-        graph = progress.graph
-        if progress.is_active and graph.policy.priority == URGENT_PRIORITY:
-            accelerators = sum(step.count * step.needs.accelerators for step in graph.steps)
-            account = graph.client_account
-            demand_by_account[account] = (
-                demand_by_account.get(account, 0) + accelerators * graph.occurrences
-            )
-    within_guarantee = {
-        account.name
-        for account in session.leader.state.graphs.queues.accounts
-        if demand_by_account.get(account.name, 0) <= account.guaranteed_accelerators
-    }
+    """Marks the work of the urgent graphs that the guarantees of their accounts cover.
+
+    `guaranteed_accelerators` holds the guarantee of each account by its name.
+    """
+    covered = rule(graphs, guaranteed_accelerators)
     for work in waiting:
-        is_urgent = work.priority == URGENT_PRIORITY
-        work.is_guaranteed = is_urgent and work.graph.graph.client_account in within_guarantee
+        work.is_guaranteed = work.graph.graph.graph_id in covered
     for run in running:
-        account_name = session.graphs[run.graph_id].graph.client_account
-        run.is_guaranteed = run.priority == URGENT_PRIORITY and account_name in within_guarantee
+        run.is_guaranteed = run.graph_id in covered
 
 
 def mark_displacing(displacing: dict[str, float], waiting: list[WaitingWork]) -> None:
--- a/src/cicadatray/internal/settings/control_settings.py
+++ b/src/cicadatray/internal/settings/control_settings.py
@@ -7,6 +7,7 @@
     PositiveNumber,
     SettingsStruct,
 )
+from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 
 
 class ControlSettings(SettingsStruct, frozen=True, kw_only=True, tag="control"):
@@ -28,5 +29,7 @@
     """Time limit, in seconds, for starting an urgent task graph within its account's guarantee."""
     longest_task_stop_s: PositiveNumber = 0.4
     """Maximum time, in seconds, that a worker takes to stop a task."""
+    scheduling_rules: SchedulingRules = DEFAULT_RULES
+    """Rules of placement for task graphs."""
     bootstrap_operator_sha256: OptionalSha256 = ""
     """SHA-256 digest, in hexadecimal, of the credential that may set the initial accounts."""
--- a/src/cicadatray/internal/settings/semantic.py
+++ b/src/cicadatray/internal/settings/semantic.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 
 from cicadatray.internal.settings.structure import CheckResult, fault, merge_checks
+from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import RULE_NAMES
 
 CONTROL_COUNTS = (1, 3, 5)
 EVERY_ROLE = ("control", "entry", "agent")
@@ -156,3 +157,15 @@
     if document.get("bootstrap") is not True or document.get("name") in names:
         return Success(None)
     return fault("name", document.get("name"), 'a name listed under "control" when bootstrapping')
+
+
+@semantic_check("control")
+def check_scheduling_rules(document: dict[str, Any]) -> CheckResult:
+    """Rejects rules that are not registered: control could not plan a round."""
+    rules = document.get("scheduling_rules")
+    chosen = rules if isinstance(rules, dict) else {}
+    return merge_checks(
+        fault(f"scheduling_rules.{kind}", chosen[kind], f"one of {', '.join(names)}")
+        for kind, names in RULE_NAMES.items()
+        if isinstance(chosen.get(kind), str) and chosen[kind] not in names
+    )
--- a/src/cicadatray/scheduling/errors.py
+++ b/src/cicadatray/scheduling/errors.py
@@ -13,5 +13,9 @@
     """Raised when no policy is registered under the given name."""
 
 
+class UnknownRuleError(SchedulingError):
+    """Raised when no rule is registered under the given name."""
+
+
 class ConfigurationRefusedError(SchedulingError):
     """Raised when the rules cannot be satisfied by the inventory."""
--- a/src/cicadatray/scheduling/taskgraphs/displacement_search.py
+++ b/src/cicadatray/scheduling/taskgraphs/displacement_search.py
@@ -5,7 +5,7 @@
 from cicadatray.scheduling.taskgraphs.displacement import Displacement, stop_costs, total_cost
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
-from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks
+from cicadatray.scheduling.taskgraphs.task_fit import FillOrder, fit_tasks
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 
@@ -28,6 +28,7 @@
         "available",
         "candidates_by_worker",
         "costs",
+        "fill_order",
         "group",
         "limits",
         "options",
@@ -41,8 +42,10 @@
         group: Sequence[WorkerCapacity],
         candidates: Sequence[RunningWork],
         limits: Mapping[str, int] | None,
+        fill_order: FillOrder | None = None,
     ) -> None:
         self.work = work
+        self.fill_order = fill_order
         self.group = group
         self.limits = limits
         self.available: dict[str, Resources] = {w.worker_id: w.free_after_stops for w in group}
@@ -80,6 +83,7 @@
             len(self.work.indexes),
             lambda worker: self.available[worker.worker_id],
             self.limits,
+            self.fill_order,
         )
 
     def _cheapest_for_one_more_task(self) -> list[RunningWork]:
--- a/src/cicadatray/scheduling/taskgraphs/earliest_fit.py
+++ b/src/cicadatray/scheduling/taskgraphs/earliest_fit.py
@@ -4,7 +4,7 @@
 
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
-from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks
+from cicadatray.scheduling.taskgraphs.task_fit import FillOrder, fit_tasks
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 
 
@@ -29,6 +29,7 @@
     running_by_end: Iterable[RunningWork],
     limits: Mapping[str, int] | None,
     must_be_idle: bool = False,
+    fill_order: FillOrder | None = None,
 ) -> EarliestFit | None:
     """Returns the earliest fit, or None if the tasks never fit.
 
@@ -58,7 +59,9 @@
                 total += fitting[worker_id]
         if not is_in_group or total < count:
             continue
-        workers = fit_tasks(group, demand, count, lambda w: available[w.worker_id], fitting)
+        workers = fit_tasks(
+            group, demand, count, lambda w: available[w.worker_id], fitting, fill_order
+        )
         if workers is not None:
             return EarliestFit(running.remaining_s(), workers)
     return None
--- a/src/cicadatray/scheduling/taskgraphs/job_value.py
+++ b/src/cicadatray/scheduling/taskgraphs/job_value.py
@@ -5,6 +5,8 @@
 when it is late.
 """
 
+# Jobs of queues with this priority may displace others and use guarantees.
+URGENT_PRIORITY = 0
 CORE_SECONDS_PER_WORTH = 435.0
 WORTH_BY_PRIORITY = (4.0, 3.0, 1.0)
 # A late job has this share of its value on time.
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -1,21 +1,23 @@
 """One placement round: assigns waiting work to workers and chooses work to displace."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from cicadatray.scheduling.taskgraphs.assignment import Assignment
 from cicadatray.scheduling.taskgraphs.displacement import Displacement
-from cicadatray.scheduling.taskgraphs.displacement_search import DisplacementSearch
 from cicadatray.scheduling.taskgraphs.earliest_fit import EarliestFit, find_earliest_fit
-from cicadatray.scheduling.taskgraphs.job_value import job_value
+from cicadatray.scheduling.taskgraphs.job_value import URGENT_PRIORITY
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
+from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
+from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
+from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_fit import (
+    AvailableResources,
     fit_tasks,
     free_now,
     free_once_stopped,
-    total_capacity,
 )
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.trial_share import may_begin_trials
@@ -24,9 +26,6 @@
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 from cicadatray.scheduling.taskgraphs.worker_limits import remaining_limits
 
-URGENT_PRIORITY = 0
-# Work outside its rack takes this many times as long, because of the platform's network.
-REMOTE_SLOWDOWN = 3.0
 # Capacity is reserved for at most this many blocked gangs at a time; more reservations would leave
 # workers idle.
 MAX_RESERVED_GANGS = 2
@@ -36,22 +35,28 @@
 class PlacementRound:
     """Plans one round deterministically: the same input gives the same plan.
 
-    `now_s` is in seconds since 1970. Without `may_displace` no running work is stopped, because not
-    all workers are known yet. `reserved_gangs` counts the blocked gangs for which the round
-    has reserved capacity, and `reserved_trials` the pools in which it has reserved workers for a
-    task that must start alone. `running_by_end` holds the running work in the order of its expected
-    ends, None until it is needed.
+    `rules` decide on the order of work, on the workers that may take it and on displacement;
+    `memory` is what they keep between rounds. `now_s` is in seconds since 1970. Without
+    `may_displace` no running work is stopped, because not all workers are known yet.
+    `reserved_gangs` counts the blocked gangs for which the round has reserved capacity, and
+    `reserved_trials` the pools in which it has reserved workers for a task that must start alone.
+    `running_by_end` holds the running work in the order of its expected ends, None until it is
+    needed.
     """
 
     __slots__ = (
+        "candidates",
         "may_displace",
         "now_s",
         "plan",
+        "ranking",
         "reserved_gangs",
         "reserved_trials",
         "running",
         "running_by_end",
         "start_limits",
+        "victims",
+        "view",
         "workers",
     )
 
@@ -62,21 +67,28 @@
         now_s: float,
         start_limits: StartLimits = DEFAULT_LIMITS,
         may_displace: bool = True,
+        rules: SchedulingRules = DEFAULT_RULES,
+        memory: RuleMemory | None = None,
     ) -> None:
+        view = RoundView(workers, running, now_s, start_limits, memory or RuleMemory())
+        self.view = view
         self.may_displace = may_displace
-        self.workers = list(workers)
-        self.running = list(running)
+        self.workers = view.workers
+        self.running = view.running
         self.running_by_end: list[RunningWork] | None = None
         self.now_s = now_s
         self.start_limits = start_limits
         self.reserved_gangs = 0
         self.reserved_trials: set[str] = set()
-        self.plan = PlacementPlan()
+        self.plan: PlacementPlan = view.plan
+        self.ranking = rules.find_ranking()(view)
+        self.candidates = rules.find_candidates()(view)
+        self.victims = rules.find_victims()(view)
 
     def run(self, waiting: Sequence[WaitingWork]) -> PlacementPlan:
-        """Tries to place all waiting work in the order of its rank and returns the plan."""
+        """Tries to place all waiting work in the order of its ranking and returns the plan."""
         blocked: set[tuple[str, int, int]] = set()
-        for work in sorted(waiting, key=lambda w: w.rank(self.now_s)):
+        for work in self.ranking.order(waiting):
             step = (work.graph.graph.graph_id, work.occurrence, work.step_number)
             # If one task of a step does not fit, the other tasks of that step do not fit either.
             # Each urgent task is tried, because it may displace other work. A suspect task needs
@@ -94,14 +106,14 @@
     def _try_to_place(self, work: WaitingWork) -> bool:
         """Places the work; returns False if it must wait."""
         usable = self._usable_workers(work)
-        groups = self._groups(work, usable)
+        groups = self.candidates.groups(work, usable)
         if work.is_suspect:
             return self._try_to_isolate(work, groups)
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
             limits = self._limits(work, unreserved)
-            chosen = fit_tasks(unreserved, work.step.demand, len(work.indexes), free_now, limits)
-            if chosen is not None:
+            chosen = self._fit(work, unreserved, free_now, limits)
+            if chosen is not None and self.candidates.may_use(work, chosen):
                 self._assign(work, chosen)
                 return True
         self._record_wait(work, groups)
@@ -117,7 +129,7 @@
         for group in groups:
             idle = [w for w in group if not w.is_reserved and not w.run_count]
             limits = self._limits(work, idle)
-            chosen = fit_tasks(idle, work.step.demand, len(work.indexes), free_now, limits)
+            chosen = self._fit(work, idle, free_now, limits)
             if chosen is not None and may_begin_trials(self.workers, work, chosen):
                 self._assign(work, chosen)
                 for worker in chosen:
@@ -151,36 +163,17 @@
         not_suspect = [worker for worker in usable if not worker.is_suspect]
         return not_suspect or usable
 
-    def _groups(
-        self, work: WaitingWork, usable: list[WorkerCapacity]
-    ) -> list[list[WorkerCapacity]]:
-        """Returns the sets of workers that may take the work, the preferred set first."""
-        step = work.step
-        can_wait = self.now_s < work.ready_s + step.estimate_s * (REMOTE_SLOWDOWN - 1)
-        if step.data_rack:
-            in_data_rack = [worker for worker in usable if worker.rack == step.data_rack]
-            is_possible = self._fits_when_empty(work, in_data_rack)
-            return [in_data_rack] if can_wait and is_possible else [in_data_rack, usable]
-        if step.is_gang and step.is_rack_local and len(work.indexes) > 1:
-            racks = self._racks(usable)
-            possible = [rack for rack in racks if self._fits_when_empty(work, rack)]
-            return possible if can_wait and possible else [*possible, usable]
-        if step.is_gang:
-            return [usable]
-        # Single tasks fill one rack after the other, so that other racks stay free for gangs.
-        return [*self._racks(usable), usable]
-
-    def _racks(self, workers: list[WorkerCapacity]) -> list[list[WorkerCapacity]]:
-        """Returns the workers by rack, the rack with the fewest free accelerators first."""
-        racks: dict[str, list[WorkerCapacity]] = {}
-        for worker in workers:
-            racks.setdefault(worker.rack, []).append(worker)
-        return sorted(racks.values(), key=lambda rack: sum(w.free.accelerators for w in rack))
-
-    def _fits_when_empty(self, work: WaitingWork, group: list[WorkerCapacity]) -> bool:
+    def _fit(
+        self,
+        work: WaitingWork,
+        group: list[WorkerCapacity],
+        available_of: AvailableResources,
+        limits: Mapping[str, int] | None,
+    ) -> list[WorkerCapacity] | None:
+        """Returns one worker for each task of the work, or None if not all tasks fit."""
+        fill_order = self.candidates.fill_order(work)
         count = len(work.indexes)
-        limits = {w.worker_id: work.step.max_per_worker or count for w in group}
-        return fit_tasks(group, work.step.demand, count, total_capacity, limits) is not None
+        return fit_tasks(group, work.step.demand, count, available_of, limits, fill_order)
 
     def _limits(self, work: WaitingWork, group: list[WorkerCapacity]) -> dict[str, int] | None:
         return remaining_limits(work, group, self.plan.assignments)
@@ -193,18 +186,18 @@
 
     def _reserve_or_displace(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
         """Reserves capacity that becomes free for the work, or displaces other work."""
-        count = len(work.indexes)
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
             limits = self._limits(work, unreserved)
-            chosen = fit_tasks(unreserved, work.step.demand, count, free_once_stopped, limits)
-            if chosen is not None:
+            chosen = self._fit(work, unreserved, free_once_stopped, limits)
+            if chosen is not None and self.candidates.may_use(work, chosen):
                 self._reserve(work, chosen)
                 return
         is_in_time = work.is_guaranteed or self.now_s < work.latest_start_s()
         if self.may_displace and work.priority == URGENT_PRIORITY and is_in_time:
-            if not self._reserve_if_free_in_time(work, groups):
-                self._displace(work, groups)
+            is_served = self._reserve_if_free_in_time(work, groups) or self._displace(work, groups)
+            if not is_served and self.victims.is_reserved_without_displacement(work):
+                self._reserve_for_gang(work, groups)
         elif work.step.is_gang and self.reserved_gangs < MAX_RESERVED_GANGS:
             self._reserve_for_gang(work, groups)
 
@@ -233,31 +226,30 @@
             worker.free_after_stops = worker.free_after_stops.minus(work.step.demand)
             worker.is_reserved = True
 
-    def _displace(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
+    def _displace(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> bool:
         """Displaces the cheapest victims in any group and reserves their capacity.
 
-        Work beyond its account's guarantee displaces only what costs less than its own value.
+        Returns False if nothing suffices or the work does not justify it.
         """
-        candidates = [
-            running
-            for running in self.running
-            if running.can_be_displaced_by(work.priority, work.is_guaranteed)
-        ]
+        candidates = self.victims.candidates(work)
+        fill_order = self.candidates.fill_order(work)
         cheapest: Displacement | None = None
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
             limits = self._limits(work, unreserved)
-            displacement = DisplacementSearch(work, unreserved, candidates, limits).run()
+            displacement = self.victims.find(work, unreserved, candidates, limits, fill_order)
             if displacement is not None and (cheapest is None or displacement.cost < cheapest.cost):
                 cheapest = displacement
-        if cheapest is None or not (work.is_guaranteed or cheapest.cost < job_value(work.priority)):
-            return
+        if cheapest is None or not self.victims.is_worthwhile(work, cheapest):
+            return False
         for victim in cheapest.victims:
             self.running.remove(victim)
             self.running_by_end = None
             self.plan.displaced.update(dict.fromkeys(victim.runs, work.graph.graph.graph_id))
             self._count_as_free_after_stops(victim)
+        self.victims.displaced(work, cheapest)
         self._reserve(work, cheapest.workers)
+        return True
 
     def _count_as_free_after_stops(self, victim: RunningWork) -> None:
         workers = {worker.worker_id: worker for worker in self.workers}
@@ -293,5 +285,11 @@
             self.running_by_end = sorted(self.running, key=RunningWork.remaining_s)
         limits = self._limits(work, group)
         return find_earliest_fit(
-            group, work.step.demand, len(work.indexes), self.running_by_end, limits, must_be_idle
+            group,
+            work.step.demand,
+            len(work.indexes),
+            self.running_by_end,
+            limits,
+            must_be_idle,
+            self.candidates.fill_order(work),
         )
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/rules/candidate_rule.py
@@ -0,0 +1,40 @@
+"""Rules for which workers may take a work, and in which order."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
+from cicadatray.scheduling.taskgraphs.rules.rule_registry import RuleRegistry
+from cicadatray.scheduling.taskgraphs.task_fit import FillOrder
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
+
+
+class CandidateRule(ABC):
+    """Chooses the workers for waiting work; an instance serves one round."""
+
+    __slots__ = ("view",)
+
+    def __init__(self, view: RoundView) -> None:
+        self.view = view
+
+    @abstractmethod
+    def groups(self, work: WaitingWork, usable: list[WorkerCapacity]) -> list[list[WorkerCapacity]]:
+        """Returns the sets of workers that may take the work, the preferred set first.
+
+        `usable` are the workers of its pool that have the required label.
+        """
+
+    def fill_order(self, work: WaitingWork) -> FillOrder | None:
+        """Returns the order in which workers are filled, or None for the fullest first."""
+        return None
+
+    def may_use(self, work: WaitingWork, chosen: Sequence[WorkerCapacity]) -> bool:
+        """Returns whether the work should start on these workers now, which have free capacity.
+
+        If not, it waits or is tried on the next group.
+        """
+        return True
+
+
+candidate_rules: RuleRegistry[type[CandidateRule]] = RuleRegistry("candidates")
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/rules/guarantee_rule.py
@@ -0,0 +1,19 @@
+"""Rules for which urgent jobs the guarantees of their accounts cover."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.rules.rule_registry import RuleRegistry
+
+# Returns the identifiers of the covered graphs. The mapping gives the guaranteed accelerators of
+# each account. A rule uses replicated state alone, so that every leader covers the same graphs.
+GuaranteeRule = Callable[[Iterable[GraphProgress], Mapping[str, int]], set[str]]
+
+guarantee_rules: RuleRegistry[GuaranteeRule] = RuleRegistry("guarantees")
+
+
+def demand_of_graph(progress: GraphProgress) -> int:
+    """Returns the accelerators of all tasks of all occurrences of a graph."""
+    graph = progress.graph
+    accelerators = sum(step.count * step.needs.accelerators for step in graph.steps)
+    return accelerators * graph.occurrences
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/rules/ranking_rule.py
@@ -0,0 +1,24 @@
+"""Rules for the order in which a round tries waiting work."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
+from cicadatray.scheduling.taskgraphs.rules.rule_registry import RuleRegistry
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+
+
+class RankingRule(ABC):
+    """Orders waiting work; an instance serves one round."""
+
+    __slots__ = ("view",)
+
+    def __init__(self, view: RoundView) -> None:
+        self.view = view
+
+    @abstractmethod
+    def order(self, waiting: Sequence[WaitingWork]) -> list[WaitingWork]:
+        """Returns the same work in the order in which the round tries to place it."""
+
+
+rankings: RuleRegistry[type[RankingRule]] = RuleRegistry("ranking")
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/rules/victim_rule.py
@@ -0,0 +1,54 @@
+"""Rules for the running work that gives way to urgent work."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping, Sequence
+
+from cicadatray.scheduling.taskgraphs.displacement import Displacement
+from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
+from cicadatray.scheduling.taskgraphs.rules.rule_registry import RuleRegistry
+from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.task_fit import FillOrder
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
+
+
+class VictimRule(ABC):
+    """Chooses running work to displace for urgent work; an instance serves one round."""
+
+    __slots__ = ("view",)
+
+    def __init__(self, view: RoundView) -> None:
+        self.view = view
+
+    @abstractmethod
+    def candidates(self, work: WaitingWork) -> list[RunningWork]:
+        """Returns the running work that may give way to this urgent work."""
+
+    @abstractmethod
+    def find(
+        self,
+        work: WaitingWork,
+        group: Sequence[WorkerCapacity],
+        candidates: Sequence[RunningWork],
+        limits: Mapping[str, int] | None,
+        fill_order: FillOrder | None,
+    ) -> Displacement | None:
+        """Returns what to stop so that the work fits in a group, or None if nothing suffices.
+
+        `limits` gives how many more tasks of the step each worker may take, or is None without
+        such a limit.
+        """
+
+    @abstractmethod
+    def is_worthwhile(self, work: WaitingWork, displacement: Displacement) -> bool:
+        """Returns whether the work justifies the displacement."""
+
+    def displaced(self, work: WaitingWork, displacement: Displacement) -> None:  # noqa: B027
+        """Is called once the round has decided on a displacement."""
+
+    def is_reserved_without_displacement(self, work: WaitingWork) -> bool:
+        """Returns whether urgent work that neither fits nor displaces reserves capacity."""
+        return False
+
+
+victim_rules: RuleRegistry[type[VictimRule]] = RuleRegistry("victims")
--- a/src/cicadatray/scheduling/taskgraphs/task_fit.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_fit.py
@@ -6,6 +6,8 @@
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 
 AvailableResources = Callable[[WorkerCapacity], Resources]
+# Returns the sort key of a worker with these available resources; the lowest is filled first.
+FillOrder = Callable[[WorkerCapacity, Resources], tuple[float, ...]]
 
 
 def free_now(worker: WorkerCapacity) -> Resources:
@@ -29,12 +31,13 @@
     count: int,
     available_of: AvailableResources,
     limits: Mapping[str, int] | None = None,
+    fill_order: FillOrder | None = None,
 ) -> list[WorkerCapacity] | None:
     """Returns one worker for each task, or None if not all tasks fit.
 
-    Workers with the least available resources are filled first, so that whole workers stay empty
-    for large tasks. `limits` gives the maximum number of tasks for each worker; a worker without an
-    entry takes none.
+    Without `fill_order`, workers with the least available resources are filled first, so that whole
+    workers stay empty for large tasks. `limits` gives the maximum number of tasks for each worker;
+    a worker without an entry takes none.
     """
     fitting_by_worker: list[tuple[WorkerCapacity, int]] = []
     total = 0
@@ -47,7 +50,8 @@
             total += fitting
     if total < count:
         return None
-    fitting_by_worker.sort(key=lambda pair: _resource_order(available_of(pair[0])))
+    order = fill_order or least_available_first
+    fitting_by_worker.sort(key=lambda pair: order(pair[0], available_of(pair[0])))
     chosen: list[WorkerCapacity] = []
     for worker, fitting in fitting_by_worker:
         chosen += [worker] * min(fitting, count - len(chosen))
@@ -56,5 +60,6 @@
     return chosen
 
 
-def _resource_order(available: Resources) -> tuple[int, int, int]:
+def least_available_first(worker: WorkerCapacity, available: Resources) -> tuple[float, ...]:
+    """Returns the sort key that fills the workers with the least available resources first."""
     return (available.accelerators, available.memory_mb, available.cpu_millis)
--- a/tests/cover/taskgraphs/reference_search.py
+++ b/tests/cover/taskgraphs/reference_search.py
@@ -6,6 +6,7 @@
 from cicadatray.scheduling.taskgraphs.earliest_fit import EarliestFit
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.task_fit import FillOrder
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 
@@ -18,6 +19,7 @@
     count: int,
     available_of: Callable[[WorkerCapacity], Resources],
     limits: Mapping[str, int] | None = None,
+    fill_order: FillOrder | None = None,
 ) -> list[WorkerCapacity] | None:
     """Returns the same as the function of this name in `cicadatray.scheduling`."""
 
@@ -43,6 +45,7 @@
     running_by_end: Iterable[RunningWork],
     limits: Mapping[str, int] | None,
     must_be_idle: bool = False,
+    fill_order: FillOrder | None = None,
 ) -> EarliestFit | None:
     """Returns the same as the function of this name in `cicadatray.scheduling`."""
     available = {worker.worker_id: worker.free_after_stops for worker in group}
@@ -70,6 +73,7 @@
         group: Sequence[WorkerCapacity],
         candidates: Sequence[RunningWork],
         limits: Mapping[str, int] | None,
+        fill_order: FillOrder | None = None,
     ) -> None:
         self.work = work
         self.group = group
--- a/tests/cover/taskgraphs/test_search_equivalence.py
+++ b/tests/cover/taskgraphs/test_search_equivalence.py
@@ -10,6 +10,7 @@
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.rules import cheapest, packed
 from cicadatray.scheduling.taskgraphs.step import Step
 from cover.taskgraphs import reference_search
 from cover.taskgraphs.placement_helpers import (
@@ -98,11 +99,10 @@
     plan = make_plan(racks, loads, jobs)
     with (
         patch.object(placement_round, "fit_tasks", reference_search.fit_tasks),
+        patch.object(packed, "fit_tasks", reference_search.fit_tasks),
         patch.object(displacement_search, "fit_tasks", reference_search.fit_tasks),
         patch.object(placement_round, "find_earliest_fit", reference_search.find_earliest_fit),
-        patch.object(
-            placement_round, "DisplacementSearch", reference_search.ReferenceDisplacementSearch
-        ),
+        patch.object(cheapest, "DisplacementSearch", reference_search.ReferenceDisplacementSearch),
     ):
         expected = make_plan(racks, loads, jobs)
     assert [(a.run, a.worker_id) for a in plan.assignments] == [
