--- a/src/cicadatray/internal/control/control_state.py
+++ b/src/cicadatray/internal/control/control_state.py
@@ -7,6 +7,7 @@
 from cicadatray.internal.control.command_registry import appliers
 from cicadatray.internal.control.configuration_record import ConfigurationRecord
 from cicadatray.internal.control.errors import StateError
+from cicadatray.internal.control.evacuation_record import EvacuationRecord
 from cicadatray.internal.control.graphs.graph_store import GraphStore
 from cicadatray.internal.control.job_entry import JobEntry
 from cicadatray.internal.wire.errors import FrameError
@@ -27,6 +28,7 @@
     ended_jobs: list[str]
     graphs: GraphStore = msgspec.field(default_factory=GraphStore)
     rendezvous: tuple[MemberAddress, ...] = ()
+    evacuations: EvacuationRecord = msgspec.field(default_factory=EvacuationRecord)
 
 
 class ControlState:
@@ -41,6 +43,7 @@
         "codec",
         "configuration",
         "ended_jobs",
+        "evacuations",
         "graphs",
         "jobs",
         "keys",
@@ -56,6 +59,7 @@
         self.ended_jobs: list[str] = []
         self.graphs = GraphStore()
         self.rendezvous: tuple[MemberAddress, ...] = ()
+        self.evacuations = EvacuationRecord()
         self.listeners: list[Callable[[MessageStruct], None]] = []
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -85,6 +89,7 @@
                 self.ended_jobs,
                 self.graphs,
                 self.rendezvous,
+                self.evacuations,
             )
         )
 
@@ -104,6 +109,7 @@
         self.ended_jobs = restored.ended_jobs
         self.graphs = restored.graphs
         self.rendezvous = restored.rendezvous
+        self.evacuations = restored.evacuations
 
     def encode_command(self, command: MessageStruct) -> bytes:
         """Returns a command in the encoding that `apply` expects."""
