--- a/tests/cover/control/gangs/simulated_control.py
+++ b/tests/cover/control/gangs/simulated_control.py
@@ -9,6 +9,7 @@
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.messages.directory_messages import AgentRecord
+from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES
 from cover.control.gangs.fake_replica import FakeReplica
 from cover.control.gangs.link_client import LinkClient
 from cover.control.gangs.link_layer import LinkLayer
@@ -40,6 +41,7 @@
         self.settings: Any = SimpleNamespace(
             bootstrap_operator_sha256="",
             longest_task_lease_s=LONGEST_TASK_LEASE_S,
+            scheduling_rules=DEFAULT_RULES,
             longest_task_stop_s=0.4,
             urgent_start_s=2.5,
         )
