Add the load sheets of Sofia and Addis to the experiment

Sheets with accounts of skewed size, workers that differ in speed, arrivals in waves and tails; policies that choose registered rules; figures of urgent lateness, displaced work and the worst-served account.

--- a/src/cicadatray/internal/bench/experiment.py
+++ b/src/cicadatray/internal/bench/experiment.py
@@ -12,7 +12,11 @@
     format_rows,
 )
 from cicadatray.internal.bench.graph_experiment.disturbance_draw import draw_disturbances
-from cicadatray.internal.bench.graph_experiment.experiment_policy import experiment_policies
+from cicadatray.internal.bench.graph_experiment.experiment_policy import (
+    make_policy,
+    policy_names,
+    rules_of,
+)
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
 from cicadatray.internal.bench.graph_experiment.job_stream import draw_jobs
 from cicadatray.internal.bench.graph_experiment.load_sheet import SHEETS
@@ -23,7 +27,13 @@
 
 
 @app.default
-def experiment(*, seeds: int = 40, first_seed: int = 1, sheets: tuple[str, ...] = ()) -> None:
+def experiment(
+    *,
+    seeds: int = 40,
+    first_seed: int = 1,
+    sheets: tuple[str, ...] = (),
+    policies: tuple[str, ...] = (),
+) -> None:
     """Plays every policy on every load.
 
     Parameters
@@ -34,6 +44,8 @@
         The seed of the first of them.
     sheets
         The names of the load sheets, all by default.
+    policies
+        The names of the policies, all by default. Gains are those over the first.
     """
     report: dict[str, list[PolicyFigures]] = {}
     for sheet in [SHEETS[name] for name in sheets or SHEETS]:
@@ -43,12 +55,13 @@
                     FleetEmulator(
                         sheet,
                         draw_jobs(sheet, seed, burst),
-                        make_round,
+                        make_policy(name),
                         draw_disturbances(sheet, seed),
+                        rules_of(name),
                     ).run()
                     for seed in range(first_seed, first_seed + seeds)
                 ]
-                for name, make_round in experiment_policies.items()
+                for name in policies or policy_names()
             }
             title = f"{sheet.name}, burst x{burst:g}"
             report[title] = compare(results)
--- a/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
+++ b/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
@@ -4,7 +4,7 @@
 from cicadatray.internal.bench.graph_experiment.emulated_run import EmulatedRun
 from cicadatray.internal.bench.graph_experiment.errors import InvalidPlanError
 from cicadatray.internal.bench.graph_experiment.experiment_policy import RoundFactory
-from cicadatray.internal.bench.graph_experiment.load_sheet import WORKERS_PER_RACK, LoadSheet
+from cicadatray.internal.bench.graph_experiment.load_sheet import LoadSheet
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
 from cicadatray.internal.bench.graph_experiment.run_result import RunResult
 from cicadatray.internal.control.graphs.placement_input import (
@@ -19,8 +19,8 @@
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
 from cicadatray.scheduling.taskgraphs.resources import Resources
-from cicadatray.scheduling.taskgraphs.rules.by_account import cover_by_account
 from cicadatray.scheduling.taskgraphs.rules.packed import REMOTE_SLOWDOWN
+from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
@@ -51,7 +51,9 @@
         "result",
         "runs",
         "saved_s",
+        "rules",
         "sheet",
+        "speeds",
     )
 
     def __init__(
@@ -60,7 +62,9 @@
         jobs: list[PlannedJob],
         make_round: RoundFactory,
         disturbances: Disturbances = CALM,
+        rules: SchedulingRules = DEFAULT_RULES,
     ) -> None:
+        self.rules = rules
         self.sheet = sheet
         self.disturbances = disturbances
         self.jobs = {job.graph.graph_id: job for job in jobs}
@@ -68,7 +72,9 @@
         self.guarantees = {account: sheet.guarantee_of(account) for account in accounts}
         self.make_round = make_round
         self.now_s = 0.0
-        self.racks = {sheet.worker_id(n): f"r{n // WORKERS_PER_RACK}" for n in range(sheet.workers)}
+        numbers = range(sheet.workers)
+        self.racks = {sheet.worker_id(n): f"r{n // sheet.workers_per_rack}" for n in numbers}
+        self.speeds = {sheet.worker_id(n): sheet.speed_of(n) for n in numbers}
         self.graphs: dict[str, GraphProgress] = {}
         self.runs: dict[TaskRun, EmulatedRun] = {}
         self.displacing: dict[str, float] = {}
@@ -108,7 +114,7 @@
     def _speed(self, run: EmulatedRun) -> float:
         """Returns the speed of the slowest member, in proportion to a sound worker."""
         workers = {worker_id for _, worker_id in run.placed_tasks}
-        factor = max(self.disturbances.slow_factor(w, self.now_s) for w in workers)
+        factor = max(self.disturbances.slow_factor(w, self.now_s) / self.speeds[w] for w in workers)
         if run.work.step.is_rack_local and len({self.racks[w] for w in workers}) > 1:
             factor *= REMOTE_SLOWDOWN
         return 1.0 / factor
@@ -192,7 +198,7 @@
             return
         workers = self._workers()
         running = self._list_running_work()
-        mark_guaranteed(cover_by_account, active, self.guarantees, waiting, running)
+        mark_guaranteed(self.rules.find_guarantees(), active, self.guarantees, waiting, running)
         mark_displacing(self.displacing, waiting)
         plan = self.make_round(list(workers.values()), running, self.now_s).run(waiting)
         self._apply_plan(plan, waiting)
--- a/src/cicadatray/internal/bench/graph_experiment/job_stream.py
+++ b/src/cicadatray/internal/bench/graph_experiment/job_stream.py
@@ -11,7 +11,6 @@
 from cicadatray.scheduling.taskgraphs.step import Step
 from cicadatray.scheduling.taskgraphs.task_graph import TaskGraph
 
-ARRIVALS_END_S = 52.0
 BURST_FROM_S = 20.0
 BURST_UNTIL_S = 30.0
 # Estimates are rough: true durations spread around them by this standard deviation of the log.
@@ -30,14 +29,15 @@
     jobs: list[PlannedJob] = []
     for kind in sheet.kinds:
         now_s = random.expovariate(kind.rate_per_s)
-        while now_s < ARRIVALS_END_S:
+        while now_s < sheet.arrivals_end_s:
             graph_id = f"{kind.name}-{len(jobs)}"
             if kind.variation is None:
                 jobs.append(_draw_job(kind, random, now_s, graph_id))
             else:
                 jobs.append(draw_varied_job(sheet, kind, kind.variation, random, now_s, graph_id))
             is_burst = BURST_FROM_S <= now_s < BURST_UNTIL_S
-            now_s += random.expovariate(kind.rate_per_s * (burst if is_burst else 1.0))
+            rate_per_s = kind.rate_per_s * sheet.wave.factor(now_s)
+            now_s += random.expovariate(rate_per_s * (burst if is_burst else 1.0))
     return sorted(jobs, key=lambda job: job.arrival_s)
 
 
--- a/src/cicadatray/internal/bench/graph_experiment/job_variation.py
+++ b/src/cicadatray/internal/bench/graph_experiment/job_variation.py
@@ -11,7 +11,8 @@
     of the durations of jobs, of the durations of the tasks of one step, and of estimates around the
     true duration. `most_tasks` limits the number of tasks, `most_gang_accelerators` the size of a
     gang. The other figures are shares of the jobs; `rack_local_share` is that of gangs that are
-    slow outside a single rack. `memory_mb` is that of one task.
+    slow outside a single rack. `memory_mb` is that of one task. A `tail_share` of the jobs takes
+    `tail_factor` times as long, which their estimates do not know.
     """
 
     mean_tasks: float
@@ -28,3 +29,5 @@
     cancelled_share: float = 0.0
     failed_share: float = 0.0
     accelerator_sizes: tuple[int, ...] = (1,)
+    tail_share: float = 0.0
+    tail_factor: float = 1.0
--- a/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
+++ b/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
@@ -1,5 +1,7 @@
 """The users' expected loads, from which the experiment generates its jobs."""
 
+import math
+
 import msgspec
 from msgspec.structs import replace
 
@@ -8,7 +10,8 @@
 from cicadatray.scheduling.taskgraphs.job_value import CORE_SECONDS_PER_WORTH
 from cicadatray.scheduling.taskgraphs.resources import Resources
 
-WORKERS_PER_RACK = 3
+# Multiples of it spread evenly over the unit interval, so that each rack has workers of each speed.
+GOLDEN_RATIO = 0.618034
 
 
 class JobKind(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,12 +35,32 @@
     variation: JobVariation | None = None
 
 
+class SpeedClass(msgspec.Struct, frozen=True):
+    """A share of the workers and their speed in proportion to the worker of the estimates."""
+
+    share: float
+    speed: float
+
+
+class ArrivalWave(msgspec.Struct, frozen=True):
+    """A sinusoidal change of the rates of all kinds by a share `swing` over `period_s` seconds."""
+
+    swing: float = 0.0
+    period_s: float = 1.0
+
+    def factor(self, now_s: float) -> float:
+        """Returns the factor of the rates at a time."""
+        return 1.0 + self.swing * math.sin(2 * math.pi * now_s / self.period_s)
+
+
 class LoadSheet(msgspec.Struct, frozen=True, kw_only=True):
-    """The expected load of a deployment whose racks hold three workers.
+    """The expected load of a deployment.
 
     `guaranteed` is the number of accelerators in each account's guarantee; `guarantees` holds those
     of accounts that differ. Jobs with a variation come from `accounts`, in proportion to these
     weights. `core_seconds_per_worth` is the wasted work that costs as much as one unit of worth.
+    `speeds` are the classes of workers, which alternate within a rack in proportion to their
+    shares; without any, all workers are equally fast. `arrivals_end_s` is when the last jobs arrive.
     """
 
     name: str
@@ -49,11 +72,25 @@
     accounts: dict[str, float] = {}
     core_seconds_per_worth: float = CORE_SECONDS_PER_WORTH
     disturbances: DisturbanceSheet | None = None
+    workers_per_rack: int = 3
+    speeds: tuple[SpeedClass, ...] = ()
+    wave: ArrivalWave = ArrivalWave()
+    arrivals_end_s: float = 52.0
 
     def guarantee_of(self, account: str) -> int:
         """Returns the number of accelerators in the guarantee of an account."""
         return self.guarantees.get(account, self.guaranteed)
 
+    def speed_of(self, number: int) -> float:
+        """Returns the speed of a worker, which is constant."""
+        passed = 0.0
+        position = (number * GOLDEN_RATIO) % 1.0
+        for speed_class in self.speeds:
+            passed += speed_class.share
+            if position < passed:
+                return speed_class.speed
+        return 1.0
+
     def worker_id(self, number: int) -> str:
         """Returns the identifier of a worker."""
         return f"w{number}"
@@ -199,3 +236,141 @@
     name="port_louis_disturbed",
     disturbances=DisturbanceSheet(silences=2, outages=1, slow_spells=1),
 )
+
+
+def _skewed_weights(accounts: int, skew: float) -> dict[str, float]:
+    """Returns the weights of accounts of which a few are large; the k-th has `k ** -skew`."""
+    return {f"account-{k}": (k + 1) ** -skew for k in range(accounts)}
+
+
+def _guarantees(weights: dict[str, float], accelerators: float) -> dict[str, int]:
+    """Returns guarantees in proportion to the weights that sum up to at most `accelerators`."""
+    total = sum(weights.values())
+    return {name: int(accelerators * weight / total) for name, weight in weights.items()}
+
+
+# The share of all accelerators that the guarantees of the users' deployments promise.
+GUARANTEED_SHARE = 0.62
+SOFIA_ACCOUNTS = _skewed_weights(10, 1.2)
+SOFIA_STUDY = replace(
+    STUDY_VARIATION,
+    mean_tasks=6.0,
+    most_tasks=34,
+    most_gang_accelerators=110,
+    task_spread=0.15,
+    estimate_spread=0.5,
+    memory_mb=75_000,
+    failed_share=0.02,
+)
+SOFIA_QUOTE = replace(
+    QUOTE_VARIATION,
+    mean_tasks=5.0,
+    most_tasks=32,
+    most_gang_accelerators=110,
+    task_spread=0.15,
+    estimate_spread=0.5,
+    memory_mb=39_000,
+)
+SOFIA_REVIEW = replace(
+    REVIEW_VARIATION,
+    mean_tasks=39.0,
+    most_tasks=230,
+    task_spread=0.15,
+    estimate_spread=0.5,
+    memory_mb=16_000,
+    failed_share=0.01,
+)
+SHEETS["sofia"] = LoadSheet(
+    name="sofia",
+    workers=55,
+    capacity=Resources(128_000, 256_000, 8),
+    guaranteed=0,
+    workers_per_rack=6,
+    kinds=(
+        replace(
+            STUDY,
+            rate_per_s=0.248,
+            tasks=6,
+            estimate_s=22.0,
+            cpu_millis=52_000,
+            late_worth=1.5,
+            variation=SOFIA_STUDY,
+        ),
+        replace(
+            QUOTE,
+            rate_per_s=0.72,
+            tasks=5,
+            cpu_millis=15_000,
+            target_latency_s=0.3,
+            variation=SOFIA_QUOTE,
+        ),
+        replace(
+            REVIEW,
+            rate_per_s=0.166,
+            tasks=39,
+            estimate_s=12.2,
+            cpu_millis=11_000,
+            late_worth=0.5,
+            variation=SOFIA_REVIEW,
+        ),
+    ),
+    accounts=SOFIA_ACCOUNTS,
+    guarantees=_guarantees(SOFIA_ACCOUNTS, GUARANTEED_SHARE * 55 * 8),
+    core_seconds_per_worth=1_120.0,
+    wave=ArrivalWave(0.15, 11.0),
+    arrivals_end_s=34.0,
+)
+ADDIS_ACCOUNTS = _skewed_weights(10, 0.3)
+ADDIS_SPREAD = {"task_spread": 0.3, "tail_share": 0.03, "tail_factor": 7.0}
+SHEETS["addis"] = LoadSheet(
+    name="addis",
+    workers=73,
+    capacity=Resources(128_000, 512_000, 8),
+    guaranteed=0,
+    workers_per_rack=12,
+    kinds=(
+        replace(
+            STUDY,
+            rate_per_s=0.327,
+            tasks=8,
+            estimate_s=14.4,
+            cpu_millis=52_000,
+            variation=replace(
+                SOFIA_STUDY, mean_tasks=8.0, most_tasks=45, memory_mb=210_000, **ADDIS_SPREAD
+            ),
+        ),
+        replace(
+            QUOTE,
+            rate_per_s=0.81,
+            tasks=5,
+            estimate_s=4.2,
+            cpu_millis=15_000,
+            target_latency_s=0.3,
+            variation=replace(SOFIA_QUOTE, memory_mb=61_000, **ADDIS_SPREAD),
+        ),
+        replace(
+            REVIEW,
+            rate_per_s=0.233,
+            tasks=39,
+            estimate_s=10.4,
+            cpu_millis=11_000,
+            variation=replace(SOFIA_REVIEW, memory_mb=32_000, **ADDIS_SPREAD),
+        ),
+    ),
+    accounts=ADDIS_ACCOUNTS,
+    guarantees=_guarantees(ADDIS_ACCOUNTS, GUARANTEED_SHARE * 73 * 8),
+    core_seconds_per_worth=1_350.0,
+    speeds=(SpeedClass(0.25, 0.55), SpeedClass(0.75, 1.2)),
+    wave=ArrivalWave(0.55, 15.0),
+    arrivals_end_s=34.0,
+)
+SHEETS["addis_disturbed"] = replace(
+    SHEETS["addis"],
+    name="addis_disturbed",
+    disturbances=DisturbanceSheet(silences=1, outages=1, slow_spells=2),
+)
+SHEETS["sofia_disturbed"] = replace(
+    SHEETS["sofia"],
+    name="sofia_disturbed",
+    disturbances=DisturbanceSheet(silences=1, outages=1),
+)
--- a/src/cicadatray/internal/bench/graph_experiment/run_result.py
+++ b/src/cicadatray/internal/bench/graph_experiment/run_result.py
@@ -11,7 +11,9 @@
 
     `late` jobs ended after their objective, `lost` ones too late to earn anything or not at all.
     `thrown_away` is the work in core-seconds that stopped and failed runs lost, also by kind and
-    cause in `thrown_away_by`. `missed_by` holds the worth that was offered and not earned, by kind.
+    cause in `thrown_away_by`. `late_by` counts late jobs by kind, and `offered_by_account` and
+    `earned_by_account` hold the worth by account. `missed_by` holds the worth that was offered and
+    not earned, by kind.
     `urgent_waits_s` are the times from arrival to the first start, `guaranteed_waits_s` those of
     work that was within a guarantee at its start. `core_seconds_per_worth` is the price of wasted
     work.
@@ -24,6 +26,9 @@
         "late",
         "lost",
         "missed_by",
+        "offered_by_account",
+        "earned_by_account",
+        "late_by",
         "offered_worth",
         "thrown_away",
         "thrown_away_by",
@@ -39,6 +44,9 @@
         self.thrown_away = 0.0
         self.thrown_away_by: defaultdict[tuple[str, str], float] = defaultdict(float)
         self.missed_by: defaultdict[str, float] = defaultdict(float)
+        self.late_by: defaultdict[str, int] = defaultdict(int)
+        self.offered_by_account: defaultdict[str, float] = defaultdict(float)
+        self.earned_by_account: defaultdict[str, float] = defaultdict(float)
         self.urgent_waits_s: list[float] = []
         self.guaranteed_waits_s: list[float] = []
 
@@ -56,12 +64,30 @@
         elif ended_s is not None and ended_s <= job.worthless_after_s():
             earned = job.kind.late_worth * job.worth_factor
             self.late += 1
+            self.late_by[job.kind.name] += 1
         else:
             self.lost += 1
+        account = job.graph.client_account
+        self.offered_by_account[account] += offered
+        self.earned_by_account[account] += earned
         self.offered_worth += offered
         self.earned_worth += earned
         self.missed_by[job.kind.name] += offered - earned
 
+    def worst_account_share(self) -> float:
+        """Returns the lowest share of its offered worth that an account has earned."""
+        return min(
+            (
+                self.earned_by_account[account] / offered
+                for account, offered in self.offered_by_account.items()
+            ),
+            default=1.0,
+        )
+
+    def displaced_work(self) -> float:
+        """Returns the core-seconds that displaced runs have lost."""
+        return sum(work for (_, cause), work in self.thrown_away_by.items() if cause == "displaced")
+
     def worth(self) -> float:
         """Returns the share of the worth that was earned, less the price of wasted work."""
         if not self.offered_worth:
--- a/src/cicadatray/internal/bench/graph_experiment/varied_job.py
+++ b/src/cicadatray/internal/bench/graph_experiment/varied_job.py
@@ -4,11 +4,7 @@
 from random import Random
 
 from cicadatray.internal.bench.graph_experiment.job_variation import JobVariation
-from cicadatray.internal.bench.graph_experiment.load_sheet import (
-    WORKERS_PER_RACK,
-    JobKind,
-    LoadSheet,
-)
+from cicadatray.internal.bench.graph_experiment.load_sheet import JobKind, LoadSheet
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
 from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
 from cicadatray.scheduling.taskgraphs.resources import Resources
@@ -52,12 +48,15 @@
     needs = Resources(kind.cpu_millis, variation.memory_mb, accelerators)
     is_checkpointable = random.random() < variation.checkpointable_share
     may_be_rack_local = kind.is_gang and random.random() < variation.rack_local_share
-    fitting_in_rack = WORKERS_PER_RACK * needs.fit_count(sheet.capacity)
+    fitting_in_rack = sheet.workers_per_rack * needs.fit_count(sheet.capacity)
     steps: list[Step] = []
     durations_s: list[float] = []
     for number in range(2 if random.random() < variation.second_step_share else 1):
         count = _draw_count(kind, variation, random, accelerators)
         step_s = _draw_lognormal(random, kind.estimate_s, variation.duration_spread)
+        # Loads without a tail draw the same jobs as before there were tails.
+        if variation.tail_share and random.random() < variation.tail_share:
+            step_s *= variation.tail_factor
         spread = 0.0 if kind.is_gang else variation.task_spread
         durations_s += [_draw_lognormal(random, step_s, spread) for _ in range(count)]
         step = Step(
