--- a/src/cicadatray/internal/bench/graph_experiment/comparison.py
+++ b/src/cicadatray/internal/bench/graph_experiment/comparison.py
@@ -70,6 +70,7 @@
         lines.append(
             f"  {row.policy:<22} {row.worth:6.3f} {row.gain:+6.3f} {row.gain_error:5.3f}"
             f" {row.thrown_away:13.0f} {row.displaced:10.0f} {row.late:6.2f}"
-            f" {row.urgent_late:12.2f} {row.lost:6.2f} {row.worst_account:14.3f} {row.longest_urgent_wait_s:10.2f}"
+            f" {row.urgent_late:12.2f} {row.lost:6.2f} {row.worst_account:14.3f}"
+            f" {row.longest_urgent_wait_s:10.2f}"
         )
     return "\n".join(lines)
--- a/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
+++ b/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
@@ -60,7 +60,8 @@
     of accounts that differ. Jobs with a variation come from `accounts`, in proportion to these
     weights. `core_seconds_per_worth` is the wasted work that costs as much as one unit of worth.
     `speeds` are the classes of workers, which alternate within a rack in proportion to their
-    shares; without any, all workers are equally fast. `arrivals_end_s` is when the last jobs arrive.
+    shares; without any, all workers are equally fast. `arrivals_end_s` is when the last jobs
+    arrive.
     """
 
     name: str
