--- a/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
+++ b/src/cicadatray/internal/bench/graph_experiment/load_sheet.py
@@ -361,7 +361,8 @@
     accounts=ADDIS_ACCOUNTS,
     guarantees=_guarantees(ADDIS_ACCOUNTS, GUARANTEED_SHARE * 73 * 8),
     core_seconds_per_worth=1_350.0,
-    speeds=(SpeedClass(0.25, 0.55), SpeedClass(0.75, 1.2)),
+    # Run times of 0.55 and 1.2 times those of the worker of the estimates.
+    speeds=(SpeedClass(0.25, 1 / 0.55), SpeedClass(0.75, 1 / 1.2)),
     wave=ArrivalWave(0.55, 15.0),
     arrivals_end_s=34.0,
 )
