Cover urgent jobs one by one in the order of their acceptance

An account whose urgent jobs together needed more than its guarantee lost it for all of them, also for those that ran: it vanished in the burst for which it was bought.

The rule by_job covers a job if it fits beside every set of earlier jobs that itself fits in the guarantee. This is the most that can be covered while what is covered stays covered until it ends and all jobs are covered as long as their sum is within the guarantee. The demand of a job stays the sum over its steps and turns, by which that promise is defined.

Jobs that have begun do not go first: the replicated state cannot tell a job that competed and began from one that was covered, so an earlier job that waits would lose its cover.

--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -13,9 +13,9 @@
 
     `indexes` lists all tasks of a gang, or one task. `run` is the number of the next run. `ready_s`
     is the earliest time at which it could have started, in seconds since 1970. `is_guaranteed`: the
-    urgent jobs of its account need no more than the account's guarantee. `displaced_s` is when
-    running work was first displaced for its graph, infinite if none was. `waves` has the waves of
-    each step of its graph, if they are known.
+    guarantee of its account covers its graph. `displaced_s` is when running work was first
+    displaced for its graph, infinite if none was. `waves` has the waves of each step of its graph,
+    if they are known.
     """
 
     __slots__ = (
