Rank accounts below their fair share first in a tie

A burst of one account goes before the jobs that others submit a second later, so that theirs are late although they use little.

RunningWork names its account.

--- a/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
+++ b/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
@@ -227,6 +227,7 @@
                 max(0.0, self.now_s - run.started_s),
                 run.percent_done(self.now_s),
             )
+            work.client_account = graph.client_account
             set_deadlines(run.work.graph, run.placed_tasks[0][0].task, work, self.now_s)
             for task_run, worker_id in run.placed_tasks:
                 work.add(task_run, worker_id, step.demand)
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -154,6 +154,7 @@
                     elapsed_s,
                     report.percent if report else -1,
                 )
+                work.client_account = graph.client_account
                 works[key] = work
                 waves = waves_of(pools, graph)
                 set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s(), waves)
--- a/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
@@ -8,6 +8,7 @@
     by_account,
     by_job,
     cheapest,
+    fair_latest_start,
     latest_start,
     packed,
 )
@@ -22,6 +23,7 @@
     by_account,
     by_job,
     cheapest,
+    fair_latest_start,
     latest_start,
     packed,
 )
--- a/src/cicadatray/scheduling/taskgraphs/running_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/running_work.py
@@ -13,9 +13,11 @@
 
     `occupied` holds the worker of each run and what the run occupies there. `percent` is the
     progress, or -1 while it is unknown. `is_guaranteed` has the same meaning as in `WaitingWork`.
+    `client_account` is the account of its graph.
     """
 
     __slots__ = (
+        "client_account",
         "elapsed_s",
         "estimate_s",
         "graph_id",
@@ -39,6 +41,7 @@
         percent: int,
     ) -> None:
         self.graph_id = graph_id
+        self.client_account = ""
         self.priority = priority
         self.is_guaranteed = False
         self.on_time_by_s = 0.0
