Refuse jobs that the known workers of their pool could never hold

A job whose task fits on no worker, or whose gang needs more than the pool has ever had, waited for ever.

With the rule feasible the leader answers such a job at once and does not store it: not_feasible, 422 on the platform. A rule that gives a time to come back leads to not_now, 429 with Retry-After. GraphAdmission knows the largest capacity and the labels of every agent that the leader has heard of. It withholds them while agents may not have called yet: in the first second of a term, for 5 s (the longest pause between two attempts of an agent) after the pool has grown, and while runs are recorded on workers that have not called. A label that no known worker has is no reason to refuse. A repetition of a job that is being stored is not refused.

No job is refused for being hopelessly late: the ends of running work and the rank among waiting jobs are not known at admission, so that the time at which capacity is free would be a guess.

--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -137,7 +137,13 @@
         graph_id, account, resolved.queue.policy, call.spec, call.steps, call.repetition
     )
     graph_session = daemon.require_graph_session(session)
+    admission = graph_session.admission
+    refusal = admission.refuse(graph)
+    if refusal is not None:
+        return refusal
+    admission.pending_graphs.add(graph_id)
     reply = await session.propose(AcceptGraph(graph=graph, now_s=graph_session.wall_s()))
+    admission.pending_graphs.discard(graph_id)
     # The graph is durable now, so the call must be confirmed even if the session has ended.
     log.info(
         "graph accepted",
--- a/src/cicadatray/internal/control/graphs/graph_codes.py
+++ b/src/cicadatray/internal/control/graphs/graph_codes.py
@@ -8,3 +8,6 @@
 GRAPH_ID_MALFORMED = "graph_id_malformed"
 GRAPH_UNKNOWN = "graph_unknown"
 WORKER_UNKNOWN = "worker_unknown"
+# Refusals of a job: the first is final, the second gives a time after which to submit it again.
+NOT_FEASIBLE = "not_feasible"
+NOT_NOW = "not_now"
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -6,6 +6,7 @@
 import structlog
 
 from cicadatray.internal.control.graphs.agent_incarnations import AgentIncarnations
+from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.graphs.task_lookup import find_task_progress
@@ -52,6 +53,7 @@
     """
 
     __slots__ = (
+        "admission",
         "agent_incarnations",
         "displacing_graphs",
         "ends_arrived",
@@ -82,6 +84,7 @@
         self.start_limits = start_limits
         self.rules = rules
         self.rule_memory = RuleMemory()
+        self.admission = GraphAdmission(self)
         self.workers: dict[str, WorkerSession] = {}
         self.agent_incarnations = AgentIncarnations()
         self.new_ends: list[PlacedEnd] = []
@@ -148,6 +151,7 @@
         for former_id in [w for w in self.workers if w != worker_id]:
             self._end_worker(call.agent_id, former_id, WorkerEnd.CRASHED)
         self._end_replaced_workers(call.agent_id, worker_id)
+        self.admission.capacity.record(call.agent_id, call.offer, now_s)
         worker = self.workers.get(worker_id)
         if worker is None:
             worker = WorkerSession(call.agent_id, call.offer, now_s)
--- a/src/cicadatray/internal/observability/graph_metrics.py
+++ b/src/cicadatray/internal/observability/graph_metrics.py
@@ -1,6 +1,7 @@
 """The metrics of task graphs that docs/OPERATIONS.md documents."""
 
 from cicadatray.internal.observability.counter import Counter
+from cicadatray.internal.observability.gauge import Gauge
 from cicadatray.internal.observability.latency_histogram import LatencyHistogram
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 
@@ -19,6 +20,34 @@
     return registry.counter("cicadatray_graphs_accepted_total", "Graphs accepted.", ("queue",))
 
 
+def graphs_refused(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of graphs that this leader refused; labels `queue`, `code`."""
+    return registry.counter(
+        "cicadatray_graphs_refused_total", "Graphs not accepted.", ("queue", "code")
+    )
+
+
+def guarantees_missed(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of covered gangs and tasks that still waited once their time was over.
+
+    The label is `client_account`.
+    """
+    return registry.counter(
+        "cicadatray_guarantees_missed_total",
+        "Covered work that could not start in its time.",
+        ("client_account",),
+    )
+
+
+def covered_accelerators(registry: MetricsRegistry) -> Gauge:
+    """Returns the gauge of accelerators that covered graphs need; label `client_account`."""
+    return registry.gauge(
+        "cicadatray_covered_accelerators",
+        "Accelerators of the urgent graphs that a guarantee covers.",
+        ("client_account",),
+    )
+
+
 def runs_ended(registry: MetricsRegistry) -> Counter:
     """Returns the counter of runs whose end this leader has stored; label `outcome`."""
     return registry.counter("cicadatray_runs_ended_total", "Runs that ended.", ("outcome",))
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -1,6 +1,7 @@
 """The HTTP interface of clients: submitting, reading and cancelling jobs."""
 
 import asyncio
+import math
 from collections.abc import Mapping
 
 import msgspec
@@ -50,6 +51,8 @@
     graph_codes.GRAPH_ID_MALFORMED: 400,
     graph_codes.GRAPH_ID_TAKEN: 409,
     graph_codes.GRAPH_UNKNOWN: 410,
+    graph_codes.NOT_FEASIBLE: 422,
+    graph_codes.NOT_NOW: 429,
 }
 
 log = structlog.get_logger(__name__)
@@ -192,7 +195,10 @@
     if isinstance(reply, QueueState):
         return _json(200, {"Pending": reply.waiting})
     if isinstance(reply, Failure):
-        return _error(STATUS_BY_CODE.get(reply.code, 503), reply.detail)
+        response = _error(STATUS_BY_CODE.get(reply.code, 503), reply.detail)
+        if reply.code == graph_codes.NOT_NOW:
+            response.headers["Retry-After"] = str(max(1, math.ceil(reply.retry_after_s)))
+        return response
     return _error(503, "unexpected reply from control")
 
 
--- a/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
@@ -9,6 +9,7 @@
     by_job,
     cheapest,
     fair_latest_start,
+    feasible,
     latest_start,
     packed,
 )
@@ -24,6 +25,7 @@
     by_job,
     cheapest,
     fair_latest_start,
+    feasible,
     latest_start,
     packed,
 )
--- a/tests/cover/platform/test_client_api.py
+++ b/tests/cover/platform/test_client_api.py
@@ -78,6 +78,26 @@
     assert ("retry-after" in answer.headers) is (status >= 500)
 
 
+@pytest.mark.parametrize(
+    ("code", "retry_after_s", "status", "header"),
+    [
+        (graph_codes.NOT_FEASIBLE, 0.0, 422, None),
+        (graph_codes.NOT_NOW, 0.0, 429, "1"),
+        (graph_codes.NOT_NOW, 0.4, 429, "1"),
+        (graph_codes.NOT_NOW, 2.0, 429, "2"),
+        (graph_codes.NOT_NOW, 2.1, 429, "3"),
+    ],
+)
+def test_status_of_a_refused_job(
+    code: str, retry_after_s: float, status: int, header: str | None
+) -> None:
+    """A client must learn whether to come back, and not before capacity is free."""
+    failure = Failure(code=code, detail="not accepted: full", retry_after_s=retry_after_s)
+    answer = ask(FakeControl(failure), "POST", msgspec.json.encode(JOB))
+    assert (answer.status, answer.headers.get("retry-after")) == (status, header)
+    assert b"not accepted: full" in answer.body
+
+
 @pytest.mark.parametrize(("method", "status"), [("GET", 503), ("POST", 504), ("DELETE", 504)])
 def test_status_of_a_call_that_failed_inside_control(method: str, status: int) -> None:
     """Guards against telling a client that a call had no effect when its handler failed.
