Report covered accelerators and guarantees that are not met

Operators could not see how much of a guarantee is in use, nor that covered work waited for too long.

The leader logs "guarantee not met" once for each covered run that still waits after ReclaimMs, at most one line a second for each account, and counts all of them.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -18,6 +18,7 @@
 from cicadatray.internal.control.fragmentation import current_fragmentation
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.guarantee_log import register_coverage_gauge
 from cicadatray.internal.control.graphs.queue_gauges import register_queue_gauges
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.group_admission import GroupAdmission
@@ -106,6 +107,7 @@
         self.metrics = MetricsRegistry()
         fragmentation_ratio(self.metrics).read_from(self._fragmentation)
         register_queue_gauges(self.metrics, lambda: self.graph_session)
+        register_coverage_gauge(self.metrics, lambda: self.graph_session)
         lost_disks_borne(self.metrics).read_from(self._tolerated_disk_losses)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -8,6 +8,7 @@
 from cicadatray.internal.control.graphs.end_recorder import BATCHING_DELAY_S, EndRecorder
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.graph_statistics import DISPLACED, EVACUATED
+from cicadatray.internal.control.graphs.guarantee_log import GuaranteeLog
 from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
 from cicadatray.internal.control.graphs.placement_input import (
     build_running,
@@ -45,6 +46,7 @@
 
     __slots__ = (
         "displaced_runs",
+        "guarantee_log",
         "next_checkpoints_s",
         "recorder",
         "session",
@@ -55,6 +57,7 @@
     def __init__(self, session: GraphSession) -> None:
         self.session = session
         self.wait_log = WaitLog(session)
+        self.guarantee_log = GuaranteeLog(session)
         self.next_checkpoints_s = 0.0
         metrics = session.leader.metrics
         self.recorder = EndRecorder(session)
@@ -221,6 +224,7 @@
             session.rule_memory,
         ).run(waiting)
         self.wait_log.record_round(plan.waits)
+        self.guarantee_log.record_round(waiting, plan)
         self._displace(plan)
         if not plan.assignments:
             return
