--- a/src/cicadatray/internal/models/specifications.py
+++ b/src/cicadatray/internal/models/specifications.py
@@ -10,6 +10,7 @@
     "gang_start_with_leases",
     "at_most_once",
     "configuration_in_force",
+    "evacuation",
 )
 
 
