--- a/src/cicadatray/internal/entry/http_application.py
+++ b/src/cicadatray/internal/entry/http_application.py
@@ -5,6 +5,7 @@
 
 from cicadatray.internal.entry import (
     http_diagnostics,
+    http_evacuations,
     http_jobs,
     http_metrics,
     http_operators,
@@ -34,6 +35,12 @@
             methods=["GET"],
         ),
         Route("/v1/members", http_diagnostics.change_member, methods=["POST"]),
+        Route("/v1/evacuations", http_evacuations.list_evacuations, methods=["GET"]),
+        Route(
+            "/v1/evacuations/{data_centre}",
+            http_evacuations.order_evacuation,
+            methods=["PUT", "DELETE"],
+        ),
         Route("/v1/directory", http_operators.show_directory, methods=["GET"]),
         Route("/metrics", http_metrics.show_metrics, methods=["GET"]),
     ]
