Evacuate data centres with the tool

Operators need a command that shows what an evacuation leaves and that does not undo a later order when its answer is lost.

--- a/src/cicadatray/internal/cli/application.py
+++ b/src/cicadatray/internal/cli/application.py
@@ -31,10 +31,14 @@
 member_commands = App(
     name="member", help="The control group's members (operators).", help_epilogue=""
 )
+evacuation_commands = App(
+    name="evacuation", help="Evacuations of data centres (operators).", help_epilogue=""
+)
 application.command(request_commands)
 application.command(job_commands)
 application.command(configuration_commands)
 application.command(member_commands)
+application.command(evacuation_commands)
 
 
 def format_examples(*lines: str) -> str:
--- a/src/cicadatray/internal/cli/main.py
+++ b/src/cicadatray/internal/cli/main.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.cli import (
     change_commands,
     configuration_commands,
+    evacuation_commands,
     job_commands,
     local_commands,
     member_commands,
@@ -27,6 +28,7 @@
     change_commands,
     operator_commands,
     member_commands,
+    evacuation_commands,
     local_commands,
 )
 JSON_OPTION = "--json"
--- a/tests/cover/cli/test_commands.py
+++ b/tests/cover/cli/test_commands.py
@@ -43,6 +43,7 @@
         *[f"configuration {name}" for name in ("show", "diff", "history")],
         *[f"configuration {name}" for name in ("import-inventory", "set-rules", "set-accounts")],
         *[f"member {name}" for name in ("add", "promote", "remove")],
+        *[f"evacuation {name}" for name in ("list", "start", "stop")],
         *("directory", "dump", "metrics", "check", "completion"),
     ]
     for command in commands:
