Leave workers of evacuated data centres out of placements of shape jobs

The scheduler of shape jobs could not exclude a data centre without declaring its workers lost, which would stop what runs there.

Scheduler.set_evacuated takes its workers out of service: no placement, trial, reservation, reclaim or move uses them, and runs go on. Guarantees are placed in what is left; those that do not fit are at risk until the return, after which runs are bound to their blocks again.

--- a/src/cicadatray/scheduling/fault_tracker.py
+++ b/src/cicadatray/scheduling/fault_tracker.py
@@ -112,7 +112,9 @@
         due = [w for w, until_s in self.quarantined_until_s.items() if until_s <= now_s]
         ready = [self.fleet.workers[w] for w in due if w not in self.trial_jobs]
         return [
-            worker for worker in ready if not worker.lost and worker.installed > worker.allocated
+            worker
+            for worker in ready
+            if not (worker.lost or worker.evacuated) and worker.installed > worker.allocated
         ]
 
     def end_trial(self, job: Job) -> None:
--- a/src/cicadatray/scheduling/fleet.py
+++ b/src/cicadatray/scheduling/fleet.py
@@ -10,10 +10,14 @@
 
 
 class Fleet:
-    """Maintains the totals of every unit and the rack index of every data centre."""
+    """Maintains the totals of every unit and the rack index of every data centre.
+
+    `evacuated_data_centres` may name data centres without workers, which the inventory may get.
+    """
 
     __slots__ = (
         "data_centres",
+        "evacuated_data_centres",
         "largest_shapes",
         "last_order",
         "rack_indexes",
@@ -30,6 +34,7 @@
         self.records: dict[str, WorkerRecord] = {}
         self.largest_shapes: dict[Scope, Shape] = {}
         self.last_order = 0
+        self.evacuated_data_centres: frozenset[str] = frozenset()
         self.replace_inventory(inventory)
 
     def replace_inventory(self, inventory: Inventory) -> bool:
@@ -118,6 +123,20 @@
         worker.quarantined = quarantined
         self.refresh(worker)
 
+    def set_evacuated(self, data_centres: frozenset[str]) -> list[Unit]:
+        """Takes the workers of evacuated data centres out of service and returns all others.
+
+        Returns the workers for which this is a change.
+        """
+        changed_names = self.evacuated_data_centres ^ data_centres
+        self.evacuated_data_centres = data_centres
+        units = [self.data_centres[name] for name in sorted(changed_names & set(self.data_centres))]
+        changed = [worker for unit in units for worker in unit.workers()]
+        for worker in changed:
+            worker.evacuated = worker.enclosing(Scope.DATA_CENTRE).key in data_centres
+            self.refresh(worker)
+        return changed
+
     def set_reserving_job(self, worker: Unit, job_id: str | None) -> None:
         """Hides the idle capacity of a worker from all searches; None makes it visible again."""
         worker.reserving_job_id = job_id
@@ -159,6 +178,7 @@
             self.workers[record.worker_id] = worker
             rack.children[record.worker_id] = worker
         worker.installed = record.accelerators
+        worker.evacuated = record.data_centre in self.evacuated_data_centres
         self.refresh(worker)
 
     def _find_or_add_rack(self, record: WorkerRecord) -> Unit:
--- a/src/cicadatray/scheduling/policies/policy.py
+++ b/src/cicadatray/scheduling/policies/policy.py
@@ -60,6 +60,9 @@
     def worker_returned(self, worker: Unit, now_s: float) -> None:
         """Handles the return of a worker to service."""
 
+    def evacuation_changed(self, workers: list[Unit], now_s: float) -> None:
+        """Handles the evacuation or return of the data centres of these workers."""
+
     def task_failed(self, job: Job, worker: Unit, now_s: float) -> None:
         """Handles the failure of a task of the job on this worker."""
 
--- a/src/cicadatray/scheduling/policies/production.py
+++ b/src/cicadatray/scheduling/policies/production.py
@@ -170,6 +170,22 @@
         """Makes the worker available to the plan."""
         self.plan.capacity_changed(worker)
 
+    def evacuation_changed(self, workers: list[Unit], now_s: float) -> None:
+        """Moves guarantees out of evacuated data centres, and back to those that have returned.
+
+        Gangs in an evacuated data centre run on, outside the guarantee of their account, which can
+        be claimed in what is left. Those that still run at the return are bound again.
+        """
+        for worker in workers:
+            self.plan.capacity_changed(worker)
+        # Unbinds the gangs in evacuated data centres, because their workers have no capacity left.
+        self.plan.repair(self.state.jobs)
+        returned = [worker for worker in workers if worker.in_service]
+        by_worker = [self.state.jobs_by_worker.get(worker.key, {}) for worker in returned]
+        for job in {job_id: job for jobs in by_worker for job_id, job in jobs.items()}.values():
+            if job.is_active and job.request.job_id not in self.plan.slot_by_job:
+                self._bind_again(job, now_s)
+
     def reconfigured(self, now_s: float) -> None:
         """Applies new guarantees, shares and workers; fails jobs that can no longer run."""
         self.plan.inventory_changed()
@@ -250,6 +266,15 @@
             decisions.append(FailJob(job_id, reason))
         self.failure_reasons.clear()
 
+    def _bind_again(self, job: Job, now_s: float) -> None:
+        if job.request.urgent:
+            is_bound = bind_by_moving(self.plan, job, self.state.jobs)
+        else:
+            is_bound = self.plan.bind_if_inside(job)
+        if is_bound and job.is_charged:
+            job.is_charged = False
+            self.ledger.grant(job.request.client_account, -job.request.shape.accelerators, now_s)
+
     def _bind_or_charge(self, job: Job, now_s: float) -> None:
         if not self.plan.bind_if_inside(job):
             job.is_charged = True
--- a/src/cicadatray/scheduling/scheduler.py
+++ b/src/cicadatray/scheduling/scheduler.py
@@ -104,6 +104,21 @@
         self.state.fleet.set_lost(worker, False)
         self.policy.worker_returned(worker, now_s)
 
+    def set_evacuated(self, data_centres: frozenset[str], now_s: float) -> None:
+        """Excludes the workers of these data centres, and of no others, from all new placements.
+
+        Gangs that hold capacity there keep it. Names that the inventory does not have are kept for
+        later inventories. Guarantees that no longer fit are returned by `guarantees_at_risk`.
+        """
+        changed = self.state.fleet.set_evacuated(data_centres)
+        if changed:
+            self.policy.evacuation_changed(changed, now_s)
+
+    def is_evacuated(self, worker_id: str) -> bool:
+        """Returns whether the worker is in an evacuated data centre."""
+        worker = self.state.fleet.workers.get(worker_id)
+        return worker is not None and worker.evacuated
+
     def task_failed(self, job_id: str, worker_id: str, now_s: float) -> None:
         """Records that a task of the job failed on this worker."""
         job = self.state.jobs.get(job_id)
--- a/src/cicadatray/scheduling/unit.py
+++ b/src/cicadatray/scheduling/unit.py
@@ -8,8 +8,9 @@
 
     `capacity` counts accelerators in service and `idle` those that may be allocated to any job now.
     `reserved_for_guarantees` counts those that the guarantee plan has committed at this unit or
-    below it. `installed`, `allocated`, `claimed`, `lost`, `quarantined` and `reserving_job_id` are
-    set for workers only; `reserving_job_id` identifies the waiting job that has reserved a worker.
+    below it. `installed`, `allocated`, `claimed`, `lost`, `quarantined`, `evacuated` and
+    `reserving_job_id` are set for workers only; `reserving_job_id` identifies the waiting job that
+    has reserved a worker.
     """
 
     __slots__ = (
@@ -17,6 +18,7 @@
         "capacity",
         "children",
         "claimed",
+        "evacuated",
         "idle",
         "installed",
         "key",
@@ -45,12 +47,13 @@
         self.claimed = 0
         self.lost = False
         self.quarantined = False
+        self.evacuated = False
         self.reserving_job_id: str | None = None
 
     @property
     def in_service(self) -> bool:
         """Returns whether gangs may be placed on the worker."""
-        return not (self.lost or self.quarantined)
+        return not (self.lost or self.quarantined or self.evacuated)
 
     @property
     def headroom(self) -> int:
--- a/tests/scheduler_machine.py
+++ b/tests/scheduler_machine.py
@@ -252,14 +252,18 @@
         if not hasattr(self, "scheduler"):
             return
         at_risk = self.scheduler.guarantees_at_risk()
-        lost = self.lost | self.quarantined()
+        unusable = self.unusable()
         safe = [block for block in self.blocks() if block not in at_risk]
         inside = self.inside()
-        assert can_place_all(self.inventory, lost, safe, inside)
+        assert can_place_all(self.inventory, unusable, safe, inside)
         for block in at_risk:
-            possible = can_place_all(self.inventory, lost, [*safe, block], inside)
+            possible = can_place_all(self.inventory, unusable, [*safe, block], inside)
             assert not possible, f"{block} is reported at risk but could be placed"
 
+    def unusable(self) -> set[str]:
+        """Returns the workers on which no guarantee can be placed."""
+        return self.lost | self.quarantined()
+
     def quarantined(self) -> set[str]:
         workers = self.scheduler.state.fleet.workers.values()
         return {worker.key for worker in workers if worker.quarantined}
