Withhold starts of gangs in evacuated data centres

The leader's scheduler did not know the evacuations, and a gang that was placed before the order would have started after it.

A leader passes the evacuations to its scheduler at the start of its term and when an order is applied. A gang driver sends no start there any more: a gang whose members do not all report to run is stopped and queued again, which is logged as 'start withheld' for each such member. Gangs that run go on, also under the next leader.

--- a/src/cicadatray/internal/control/gang_driver.py
+++ b/src/cicadatray/internal/control/gang_driver.py
@@ -37,6 +37,7 @@
 # The agent may have sent its report before it received the task, so a missing report counts as a
 # lost task only after this time.
 REPORT_GRACE_S = 2 * ANNOUNCE_INTERVAL_S + 1.0
+EVACUATED_REASON = "its data centre is evacuated"
 
 log = structlog.get_logger(__name__)
 
@@ -91,6 +92,8 @@
     async def _start(self) -> None:
         if not await self._prepare():
             self.request_stop(GangOutcome.STOPPED, self.reason or "a member could not prepare")
+        if self._is_evacuated():
+            self.request_stop(GangOutcome.STOPPED, EVACUATED_REASON)
         if self.outcome is not None:
             return
         reply = await self.session.propose(StartGang(job_id=self._job_id(), epoch=self.epoch))
@@ -126,6 +129,8 @@
         replies = await asyncio.gather(*(self._start_member(s, order) for s in self._shares()))
         if all(replies):
             self._record_start()
+        elif self._is_evacuated():
+            self.request_stop(GangOutcome.STOPPED, EVACUATED_REASON)
         else:
             self.request_stop(GangOutcome.WORKER_LOST, "a member could not start")
 
@@ -138,11 +143,22 @@
 
     async def _start_member(self, share: WorkerShare, order: StartTask) -> bool:
         deadline_s = self.session.now_s() + START_TIMEOUT_S
-        while self.session.now_s() < deadline_s:
+        while self.session.now_s() < deadline_s and not self._is_evacuated():
             reply = await self._send_order(share.worker_id, order, START_TIMEOUT_S)
             if isinstance(reply, TaskAccepted):
                 return True
             await asyncio.sleep(ORDER_RETRY_S)
+        return self._is_evacuated() and await self._has_started(share)
+
+    async def _has_started(self, share: WorkerShare) -> bool:
+        """Returns whether the agent reports that the task has started without a further order."""
+        waits_since_s = self.session.now_s()
+        while (state := self._member_state(share, waits_since_s)) == "silent":
+            await asyncio.sleep(ORDER_RETRY_S)
+        if state not in ("lost", "prepared"):
+            return True
+        run = self._job_id()
+        log.info("start withheld", run=run, worker=share.worker_id, reason=EVACUATED_REASON)
         return False
 
     async def _monitor_members(self) -> None:
@@ -277,5 +293,8 @@
             raise LeadershipLostError("another leader has released the gang")
         return gang.placement.shares
 
+    def _is_evacuated(self) -> bool:
+        return any(self.session.scheduler.is_evacuated(s.worker_id) for s in self._shares())
+
     def _job_id(self) -> str:
         return self.entry.request.job_id
--- a/src/cicadatray/internal/control/leader_session.py
+++ b/src/cicadatray/internal/control/leader_session.py
@@ -9,6 +9,7 @@
 from cicadatray.internal.control.errors import LeadershipLostError
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.messages.evacuation_messages import RecordEvacuation
 from cicadatray.internal.wire.messages.job_messages import (
     FINAL_JOB_STATES,
     CancelJob,
@@ -84,7 +85,7 @@
             raise LeadershipLostError(str(error)) from error
 
     def on_command_applied(self, command: MessageStruct) -> None:
-        """Informs the scheduler of jobs that were submitted or cancelled.
+        """Informs the scheduler of submitted and cancelled jobs, and of evacuations.
 
         This includes calls that were answered as in doubt, because their command may commit later.
         """
@@ -96,6 +97,9 @@
             entry = self.state.jobs.get(command.job_id)
             if entry is not None and entry.state in FINAL_JOB_STATES:
                 self.scheduler.cancel(command.job_id, self.scheduling_time_s())
+        elif isinstance(command, RecordEvacuation):
+            evacuated = frozenset(self.state.evacuations.active)
+            self.scheduler.set_evacuated(evacuated, self.scheduling_time_s())
         self.wake.set()
 
     def _compute_clock_offset_s(self) -> float:
@@ -115,4 +119,5 @@
                 scheduler.restore_running(entry.request, entry.gang.placement, now_s)
             elif entry.state is JobState.WAITING:
                 scheduler.submit(entry.request, now_s)
+        scheduler.set_evacuated(frozenset(self.state.evacuations.active), now_s)
         return scheduler
