Check a configuration before it is sent

Faults of a change showed only when control refused it, and entries that can never match did not show at all.

--- a/src/cicadatray/internal/cli/main.py
+++ b/src/cicadatray/internal/cli/main.py
@@ -9,6 +9,7 @@
 
 from cicadatray.internal.cli import (
     change_commands,
+    check_commands,
     configuration_commands,
     evacuation_commands,
     job_commands,
@@ -26,6 +27,7 @@
     job_commands,
     configuration_commands,
     change_commands,
+    check_commands,
     operator_commands,
     member_commands,
     evacuation_commands,
--- a/tests/cover/cli/test_commands.py
+++ b/tests/cover/cli/test_commands.py
@@ -40,7 +40,7 @@
     commands = [
         "request send",
         *[f"job {name}" for name in ("submit", "show", "wait", "list", "cancel", "explain")],
-        *[f"configuration {name}" for name in ("show", "diff", "history")],
+        *[f"configuration {name}" for name in ("show", "diff", "history", "check")],
         *[f"configuration {name}" for name in ("import-inventory", "set-rules", "set-accounts")],
         *[f"member {name}" for name in ("add", "promote", "remove")],
         *[f"evacuation {name}" for name in ("list", "start", "stop")],
