--- a/src/cicadatray/internal/cli/main.py
+++ b/src/cicadatray/internal/cli/main.py
@@ -9,7 +9,9 @@
 
 from cicadatray.internal.cli import (
     change_commands,
+    check_commands,
     configuration_commands,
+    evacuation_commands,
     job_commands,
     local_commands,
     member_commands,
@@ -25,8 +27,10 @@
     job_commands,
     configuration_commands,
     change_commands,
+    check_commands,
     operator_commands,
     member_commands,
+    evacuation_commands,
     local_commands,
 )
 JSON_OPTION = "--json"
