Add the time limits of evacuations to the settings and to agents' orders

Agents need to know until when they may send starts, and control which bound to keep. Adds evacuation_start_limit_s (0 sets no limit), evacuation_drain_s and WorkerOrders.start_permission_s, with defaults that change nothing.

--- a/src/cicadatray/internal/settings/common.py
+++ b/src/cicadatray/internal/settings/common.py
@@ -17,6 +17,7 @@
 NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0)]
 PositiveInteger = Annotated[int, msgspec.Meta(ge=1)]
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
+NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/cicadatray/internal/settings/control_settings.py
+++ b/src/cicadatray/internal/settings/control_settings.py
@@ -2,6 +2,7 @@
 
 from cicadatray.internal.settings.common import (
     NonNegativeInteger,
+    NonNegativeNumber,
     OptionalSha256,
     PathText,
     PositiveNumber,
@@ -29,6 +30,15 @@
     """Time limit, in seconds, for starting an urgent task graph within its account's guarantee."""
     longest_task_stop_s: PositiveNumber = 0.4
     """Maximum time, in seconds, that a worker takes to stop a task."""
+    evacuation_start_limit_s: NonNegativeNumber = 0.0
+    """Maximum time, in seconds, from the confirmation of an evacuation to the last start there.
+
+    Agents may send starts for half of it after their latest contact with control; 0 sets no limit.
+    """
+    evacuation_drain_s: PositiveNumber = 60.0
+    """Time, in seconds, after the order to evacuate within which tasks there may still end.
+
+    Tasks that are expected to end later are restarted elsewhere at once."""
     scheduling_rules: SchedulingRules = DEFAULT_RULES
     """Rules of placement for task graphs."""
     bootstrap_operator_sha256: OptionalSha256 = ""
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -156,6 +156,8 @@
     `lease_s` counts from when the agent sent its call. `committed_end_number` is the highest number
     of the worker's ends that is committed; all lower ones are committed too. `committed_clears` are
     the committed ends of runs that were confirmed never to have started, which have no number.
+    `start_permission_s` is the time, from when the agent sent its call, for which it may send
+    starts to the worker; 0 means no limit.
     """
 
     term: int
@@ -165,6 +167,7 @@
     starts: tuple[RunOrder, ...] = ()
     stops: tuple[TaskRun, ...] = ()
     committed_clears: tuple[TaskRun, ...] = ()
+    start_permission_s: float = 0.0
 
 
 class MemberAddress(msgspec.Struct, frozen=True, array_like=True):
