Start nothing in evacuated data centres and move long work away from them

The replicated record of evacuations had no effect yet. Workers of evacuated data centres are left out of placement and of pool capacities, and their agents get no starts. Every reply to such an agent revokes the runs that its worker has not listed, with their gangs: an agent that holds a start would otherwise send it under the permission which that reply renews. Work that will not end within evacuation_drain_s of the order restarts elsewhere, as on a draining worker.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -16,6 +16,7 @@
     leadership_lost,
 )
 from cicadatray.internal.control.fragmentation import current_fragmentation
+from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.queue_gauges import register_queue_gauges
@@ -232,6 +233,7 @@
             TaskLeases(settings.longest_task_lease_s),
             StartLimits(settings.urgent_start_s, settings.longest_task_stop_s),
             settings.scheduling_rules,
+            EvacuationLimits(settings.evacuation_start_limit_s, settings.evacuation_drain_s),
         )
         try:
             async with asyncio.TaskGroup() as tasks:
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -280,6 +280,9 @@
         return NotLeader()
     if worker.is_lost:
         return Failure(code=graph_codes.WORKER_UNKNOWN, detail="the worker was declared lost")
+    if orders.starts and graph_session.is_evacuated(worker):
+        # The evacuation was committed while leadership was confirmed.
+        orders = graph_session.orders_for(worker)
     worker.last_orders = orders
     worker.last_reply_s = graph_session.now_s()
     return orders
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -6,8 +6,10 @@
 
 from cicadatray.internal.control.errors import LeadershipLostError, leadership_lost
 from cicadatray.internal.control.graphs.end_recorder import BATCHING_DELAY_S, EndRecorder
+from cicadatray.internal.control.graphs.evacuated_runs import revoke_evacuated, revoke_unstarted
 from cicadatray.internal.control.graphs.graph_session import GraphSession
-from cicadatray.internal.control.graphs.graph_statistics import DISPLACED, EVACUATED
+from cicadatray.internal.control.graphs.graph_statistics import DISPLACED
+from cicadatray.internal.control.graphs.leaving_work import find_leaving, staying_times
 from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
 from cicadatray.internal.control.graphs.placement_input import (
     build_running,
@@ -160,33 +162,21 @@
         )
 
     def _evacuate(self) -> None:
-        """Stops work that a draining worker cannot finish, so that it restarts elsewhere."""
+        """Stops work that must leave its workers, so that it restarts elsewhere."""
         session = self.session
-        draining = {
-            worker_id: worker.offer.remaining_s
-            for worker_id, worker in session.workers.items()
-            if worker.offer.is_draining and not worker.is_lost
-        }
-        if not draining:
+        for worker in list(session.workers.values()):
+            if session.is_evacuated(worker):
+                revoke_unstarted(session, worker)
+        staying_s = staying_times(session)
+        if not staying_s:
             return
-        for work in build_running(session):
-            stays_s = min(
-                (draining[worker_id] for worker_id, _ in work.occupied if worker_id in draining),
-                default=None,
-            )
-            if stays_s is None or work.remaining_s() <= stays_s:
-                continue
-            for run in work.runs:
-                session.revoked_runs.add(run)
-                self.displaced_runs.increment(reason=EVACUATED)
-                session.statistics.record_displacement(run, EVACUATED)
-                log.info(
-                    "run evacuated",
-                    graph=run.task.graph_id,
-                    task=run.task.key,
-                    run=run.run,
-                    remaining_s=round(work.remaining_s(), 1),
-                    worker_stays_s=stays_s,
+        for leaving in find_leaving(build_running(session), staying_s):
+            for run in leaving.work.runs:
+                revoke_evacuated(
+                    session,
+                    run,
+                    remaining_s=round(leaving.work.remaining_s(), 1),
+                    worker_stays_s=round(leaving.stays_s, 1),
                 )
             session.wake_all()
 
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -6,6 +6,8 @@
 import structlog
 
 from cicadatray.internal.control.graphs.agent_incarnations import AgentIncarnations
+from cicadatray.internal.control.graphs.evacuated_runs import revoke_unstarted
+from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.graphs.task_lookup import find_task_progress
@@ -33,6 +35,7 @@
 AGENTS_RETURN_S = 1.0
 # A process needs only a few relays to get around a partition.
 MAX_RELAYS = 16
+NO_LIMITS = EvacuationLimits()
 
 log = structlog.get_logger(__name__)
 
@@ -55,6 +58,7 @@
         "agent_incarnations",
         "displacing_graphs",
         "ends_arrived",
+        "evacuation_limits",
         "leader",
         "leases",
         "new_ends",
@@ -76,11 +80,13 @@
         leases: TaskLeases,
         start_limits: StartLimits,
         rules: SchedulingRules = DEFAULT_RULES,
+        evacuation_limits: EvacuationLimits = NO_LIMITS,
     ) -> None:
         self.leader = leader
         self.leases = leases
         self.start_limits = start_limits
         self.rules = rules
+        self.evacuation_limits = evacuation_limits
         self.rule_memory = RuleMemory()
         self.workers: dict[str, WorkerSession] = {}
         self.agent_incarnations = AgentIncarnations()
@@ -117,6 +123,10 @@
         """Returns whether the agents had time to call this leader since its term began."""
         return self.now_s() - self.leader.started_s >= AGENTS_RETURN_S
 
+    def is_evacuated(self, worker: WorkerSession) -> bool:
+        """Returns whether nothing may be started on a worker, by an operator's order."""
+        return worker.offer.data_centre in self.leader.state.evacuations.active
+
     def register_relay(self, relay: MemberAddress | None) -> tuple[MemberAddress, ...]:
         """Registers a relay, if one is given, and returns a selection of the current relays."""
         now_s = self.now_s()
@@ -174,12 +184,15 @@
         """Returns the lease, acknowledgements, starts and stops for the agent of a worker."""
         worker_id = worker.offer.worker_id
         ordered = self.ordered_runs.get(worker_id, {})
+        is_evacuated = self.is_evacuated(worker)
+        if is_evacuated:
+            revoke_unstarted(self, worker)
         starts: list[RunOrder] = []
         stops = [run for run in worker.reports if run not in ordered]
         for run in ordered:
             if not self.is_wanted(run):
                 stops.append(run)
-            elif run not in worker.reports:
+            elif run not in worker.reports and not is_evacuated:
                 starts.append(self._make_order(run))
         return WorkerOrders(
             term=self.leader.term,
@@ -189,6 +202,7 @@
             starts=tuple(starts),
             stops=tuple(stops),
             committed_clears=tuple(worker.committed_clears),
+            start_permission_s=self.evacuation_limits.start_permission_s,
         )
 
     def is_wanted(self, run: TaskRun) -> bool:
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -31,7 +31,7 @@
         is_silent = now_s - worker_session.last_reply_s > SILENCE_LIMIT_S
         if worker_session.is_lost or offer.is_draining or is_silent:
             continue
-        if not worker_session.is_reachable:
+        if not worker_session.is_reachable or session.is_evacuated(worker_session):
             continue
         labels = frozenset(offer.labels)
         worker = WorkerCapacity(worker_id, offer.pool, offer.rack, labels, offer.capacity)
--- a/src/cicadatray/internal/control/graphs/pool_capacities.py
+++ b/src/cicadatray/internal/control/graphs/pool_capacities.py
@@ -11,10 +11,13 @@
 
 
 def build_pools(session: "GraphSession") -> dict[str, PoolCapacity]:
-    """Returns the capacity of each pool, with the workers that are silent for a while."""
+    """Returns the capacity of each pool, with the workers that are silent for a while.
+
+    Workers of evacuated data centres do not count, because nothing can be started there.
+    """
     pools: dict[str, PoolCapacity] = {}
     for worker in session.workers.values():
-        if not worker.is_lost:
+        if not worker.is_lost and not session.is_evacuated(worker):
             pools.setdefault(worker.offer.pool, PoolCapacity()).add(worker.offer.capacity)
     return pools
 
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -31,7 +31,8 @@
     its last call. `last_orders` is the last reply, so that its orders are not sent again at once,
     or None if it was probably lost. `last_reply_s` is the time of the last reply, which grants a
     lease. `is_reachable` is False while the worker refuses connections. `end` is how the worker has
-    ended, or None. Times are the event loop's.
+    ended, or None. `ended_runs` are the runs whose ends the last call reported: every run that has
+    ended and whose end is not durable is among them. Times are the event loop's.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         "committed_end_number",
         "consecutive_failures",
         "end",
+        "ended_runs",
         "first_percent",
         "first_seen_s",
         "is_reachable",
@@ -62,6 +64,7 @@
         self.first_seen_s: dict[TaskRun, float] = {}
         self.first_percent: dict[TaskRun, int] = {}
         self.reports: dict[TaskRun, RunReport] = {}
+        self.ended_runs: frozenset[TaskRun] = frozenset()
         self.received_end_number = 0
         self.committed_end_number = 0
         self.committed_clears: set[TaskRun] = set()
@@ -89,6 +92,7 @@
         self.offer = call.offer
         self.is_reachable = call.is_worker_reachable
         self.reports = {report.run: report for report in call.runs}
+        self.ended_runs = frozenset(end.run for end in call.ends)
         self.first_seen_s = {
             run: self.first_seen_s.get(run, now_s)
             for run, report in self.reports.items()
@@ -120,6 +124,11 @@
             if self.consecutive_failures >= SUSPECT_FAILURES:
                 self.suspect_until_s = now_s + SUSPECT_DURATION_S
 
+    def may_still_start(self, run: TaskRun) -> bool:
+        """Returns whether a run that was ordered here is neither listed by the worker nor ended."""
+        report = self.reports.get(run)
+        return run not in self.ended_runs and (report is None or report.percent < 0)
+
     def elapsed_s(self, run: TaskRun, estimate_s: float, now_s: float) -> float:
         """Returns how long a listed run has worked, in seconds, of which this leader saw a part.
 
--- a/tests/cover/control/gangs/simulated_control.py
+++ b/tests/cover/control/gangs/simulated_control.py
@@ -17,6 +17,8 @@
 from cover.replication.process_loop import Process
 
 LONGEST_TASK_LEASE_S = 6.0
+EVACUATION_START_LIMIT_S = 5.0
+EVACUATION_DRAIN_S = 4.0
 
 
 class _Links(AgentLinks):
@@ -44,6 +46,8 @@
             scheduling_rules=DEFAULT_RULES,
             longest_task_stop_s=0.4,
             urgent_start_s=2.5,
+            evacuation_start_limit_s=EVACUATION_START_LIMIT_S,
+            evacuation_drain_s=EVACUATION_DRAIN_S,
         )
         self.state = ControlState()
         self.replica: Any = FakeReplica(log, name, self.state)
