Send starts only while the permission of control holds

An agent that was paused or cut off would send a start that it holds long after the data centre was evacuated. The permission counts from before the call on the event loop's clock. Without a limit nothing changes. The call of TaskAgent._take_reply in a test has the new argument.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -12,6 +12,7 @@
 )
 from cicadatray.internal.agent.tasks.run_entry import RunEntry, RunPhase
 from cicadatray.internal.agent.tasks.run_table import RunTable
+from cicadatray.internal.agent.tasks.start_permission import StartPermission
 from cicadatray.internal.agent.tasks.worker_lease import WorkerLease
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerPort
 from cicadatray.internal.observability.counter import Counter
@@ -29,9 +30,10 @@
 
     `token` is the term of the leader whose orders are carried out. `has_applied_orders` is set by
     the first reply of control. An earlier process of this agent may have sent the starts in that
-    reply, and the worker may carry those out late. Calls `on_change` when a change must be reported
-    to control, `on_worker_activity` when the worker must be observed, `on_unreachable` when it
-    refused a connection, and `on_replaced` when another incarnation of the worker answered.
+    reply, and the worker may carry those out late. Starts are sent only while `permission` holds,
+    and are kept otherwise. Calls `on_change` when a change must be reported to control,
+    `on_worker_activity` when the worker must be observed, `on_unreachable` when it refused a
+    connection, and `on_replaced` when another incarnation of the worker answered.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "on_replaced",
         "on_unreachable",
         "on_worker_activity",
+        "permission",
         "port",
         "table",
         "tasks",
@@ -68,6 +71,7 @@
         self.on_worker_activity = on_worker_activity
         self.on_replaced = on_replaced
         self.on_unreachable = on_unreachable
+        self.permission = StartPermission()
         self.token = 0
         self.is_draining = False
         self.has_applied_orders = False
@@ -112,19 +116,31 @@
     async def _start(self, entry: RunEntry, order: RunOrder) -> None:
         """Repeats the start until the worker answers or control stops the run."""
         unanswered = RepeatedEvent("start unanswered")
+        withheld = RepeatedEvent("start withheld")
         try:
-            await self._start_until_answered(entry, order, unanswered)
+            await self._start_until_answered(entry, order, unanswered, withheld)
         finally:
             unanswered.record_end()
+            withheld.record_end()
 
     async def _start_until_answered(
-        self, entry: RunEntry, order: RunOrder, unanswered: RepeatedEvent
+        self,
+        entry: RunEntry,
+        order: RunOrder,
+        unanswered: RepeatedEvent,
+        withheld: RepeatedEvent,
     ) -> None:
         task = str(order.run.task)
         while entry.phase is RunPhase.STARTING:
             if self.is_draining:
                 self._abandon_start(entry, "worker drains")
                 return
+            if not self.permission.holds():
+                reason = "control has not renewed the permission to start"
+                withheld.record_failure(task, run=task, worker=self.port.worker_id, reason=reason)
+                await self.permission.wait_for_renewal(ORDER_RETRY_S)
+                continue
+            withheld.record_end()
             had_begun, entry.may_have_begun = entry.may_have_begun, True
             try:
                 lease_end_s = self.lease.end_to_send(self.port.clock_s())
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -234,7 +234,8 @@
             ends=self.table.reported_ends(),
             wait_s=sync_timing.WAIT_S if self.is_control_answering else 0.0,
         )
-        asked_s = port.clock_s() if port else 0.0
+        asked_s = asyncio.get_running_loop().time()
+        worker_asked_s = port.clock_s() if port else 0.0
         try:
             reply = await self.control.call(
                 call, sync_timing.TIMEOUT_S, sync_timing.ATTEMPT_TIMEOUT_S
@@ -250,9 +251,12 @@
         if ended_worker_id == self.ended_worker_id:
             self.ended_worker_id = ""
         if port is not None and self.port is port and sequence > self.answered_sequence:
-            await self._take_reply(sequence, reply, asked_s)
+            await self._take_reply(sequence, reply, worker_asked_s, asked_s)
 
-    async def _take_reply(self, sequence: int, reply: MessageStruct, asked_s: float) -> None:
+    async def _take_reply(
+        self, sequence: int, reply: MessageStruct, worker_asked_s: float, asked_s: float
+    ) -> None:
+        """Carries out a reply to a call at `asked_s`, which is `worker_asked_s` for the worker."""
         executor = self.executor
         if executor is None or not isinstance(reply, WorkerOrders):
             self.is_control_answering = False
@@ -268,5 +272,6 @@
         self.answered_sequence = sequence
         self.term = reply.term
         executor.token = reply.term
-        self.lease.grant(asked_s, reply.lease_s)
+        self.lease.grant(worker_asked_s, reply.lease_s)
+        executor.permission.renew(asked_s, reply.start_permission_s)
         executor.apply(reply)
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -244,7 +244,7 @@
         agent = TaskAgent("a", control)
         agent.term = 2
         assert await agent.receive_offer(OFFER, port)
-        await agent._take_reply(1, orders(term), 100.0)
+        await agent._take_reply(1, orders(term), 100.0, 0.0)
         await asyncio.sleep(1.0)
         assert port.calls == expected
 
