--- a/src/cicadatray/internal/control/calls.py
+++ b/src/cicadatray/internal/control/calls.py
@@ -3,6 +3,7 @@
 from cicadatray.internal.control import (
     diagnostic_calls,
     directory_calls,
+    evacuation_calls,
     job_calls,
     key_calls,
     replica_calls,
@@ -12,6 +13,7 @@
 CALL_MODULES = (
     diagnostic_calls,
     directory_calls,
+    evacuation_calls,
     graph_calls,
     job_calls,
     key_calls,
--- a/src/cicadatray/internal/control/control_description.py
+++ b/src/cicadatray/internal/control/control_description.py
@@ -7,6 +7,7 @@
 
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.internal.wire.messages.evacuation_messages import Evacuation
 from cicadatray.replication.description import ReplicaDescription
 
 LISTED_LIMIT = 200
@@ -52,6 +53,7 @@
     keys_by_state: dict[str, int]
     gangs: tuple[GangSummary, ...]
     leader: LeaderSummary | None
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 def describe_control(
@@ -66,6 +68,7 @@
         keys_by_state=dict(Counter(record.state.value for record in state.keys.values())),
         gangs=_gang_summaries(state),
         leader=_leader_summary(session) if session is not None else None,
+        evacuations=tuple(state.evacuations.active.values())[:LISTED_LIMIT],
     )
 
 
--- a/src/cicadatray/internal/observability/queue_metrics.py
+++ b/src/cicadatray/internal/observability/queue_metrics.py
@@ -71,3 +71,22 @@
 def tasks_running(registry: MetricsRegistry) -> Gauge:
     """Returns the gauge of tasks ordered to start whose end is not yet stored; label `queue`."""
     return registry.gauge("cicadatray_tasks_running", "Tasks that may run.", ("queue",))
+
+
+def evacuated_data_centres(registry: MetricsRegistry) -> Gauge:
+    """Returns the gauge of data centres in which nothing may be started."""
+    return registry.gauge(
+        "cicadatray_evacuated_data_centres", "Data centres in which nothing may be started."
+    )
+
+
+def evacuated_runs_left(registry: MetricsRegistry) -> Gauge:
+    """Returns the gauge of runs that have not ended in evacuated data centres.
+
+    The label is `data_centre`.
+    """
+    return registry.gauge(
+        "cicadatray_evacuated_runs_left",
+        "Runs that have not ended in evacuated data centres.",
+        ("data_centre",),
+    )
--- a/tests/cover/observability/test_dump_names.py
+++ b/tests/cover/observability/test_dump_names.py
@@ -39,7 +39,7 @@
         (
             ControlDescription,
             "replica configuration_version configuration_operator jobs_by_state keys_by_state"
-            " gangs leader",
+            " gangs leader evacuations",
         ),
         (AgentSummary, "agent_id incarnation address silent_s tasks draining"),
         (GangSummary, "job_id client_account state epoch reason"),
