--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -37,7 +37,16 @@
     data centre differs between deployments, and any instance of this role may be named as a seed.
     """
 
-    __slots__ = ("announcer", "client", "daemon", "metrics", "probe", "rendezvous", "server")
+    __slots__ = (
+        "announcer",
+        "client",
+        "daemon",
+        "metrics",
+        "operator_api",
+        "probe",
+        "rendezvous",
+        "server",
+    )
 
     def __init__(self, settings: PlatformSettings) -> None:
         address = settings.control_address
@@ -65,8 +74,8 @@
         self.announcer = SeedAnnouncer(
             self.client, own.name, seeds, self._stored_members, self._stored_rendezvous
         )
-        application = OperatorApi(self.client).application()
-        self.server = HttpServer(application, address.host, address.port)
+        self.operator_api = OperatorApi(self.client, settings.data_centres)
+        self.server = HttpServer(self.operator_api.application(), address.host, address.port)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then transfers leadership and stops."""
@@ -87,7 +96,8 @@
             await self.client.close()
 
     def reload(self, settings: PlatformSettings) -> None:
-        """Applies changed seeds."""
+        """Applies changed seeds and data centres."""
+        self.operator_api.data_centres = settings.data_centres
         seeds = seed_members(settings)
         self.announcer.seeds = seeds
         if self.daemon is None:
@@ -138,6 +148,7 @@
         longest_task_lease_s=settings.longest_lease_s,
         longest_task_stop_s=settings.longest_stop_s,
         urgent_start_s=settings.urgent_start_s,
+        evacuation_start_limit_s=settings.evacuation_start_limit_s,
         dump_folder="/tmp",
     )
 
--- a/src/cicadatray/platform/settings.py
+++ b/src/cicadatray/platform/settings.py
@@ -37,7 +37,9 @@
     longest time that workers continue without a lease renewal, `longest_stop_s` the longest time
     that they take to stop a run. `shutdown_grace_s` is the time between SIGTERM and SIGKILL.
     `tolerated_losses` is the number of instances with a disk, or of whole data centres, that may be
-    lost at once.
+    lost at once. `evacuation_start_limit_s` is the longest time from the confirmation of an
+    evacuation to the last start in that data centre, 0 without a limit. `data_centres` names all
+    data centres, and is empty if the settings do not list them.
     """
 
     name: str
@@ -57,6 +59,8 @@
     shutdown_grace_s: float
     tolerated_losses: int
     body_limit_bytes: int = 262144
+    evacuation_start_limit_s: float = 0.0
+    data_centres: frozenset[str] = frozenset()
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -99,6 +103,9 @@
         urgent_start_s=read_number(bounds, "ReclaimMs", 2700) / MS_PER_S,
         shutdown_grace_s=read_integer(bounds, "GraceS", 6),
         tolerated_losses=max(read_integer(tolerance, name, 0) for name in LOSS_FIELD_NAMES),
+        evacuation_start_limit_s=read_number(bounds, "EvacuateMs", 0) / MS_PER_S,
+        # A table of the region of each data centre.
+        data_centres=frozenset(read_object(document, "Zones")),
     )
 
 
