Evacuate data centres in the random machine of task graphs

The machine knew one data centre and no evacuation. The simulated workers are in two now, and the machine checks that no agent sends a start there later than the bound after the confirmation, whatever fails. A worker that carries out an order late is not counted.

--- a/tests/cover/taskgraphs/graph_machine.py
+++ b/tests/cover/taskgraphs/graph_machine.py
@@ -7,9 +7,11 @@
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.step import Step
 from cover.taskgraphs.graph_simulation import GraphSimulation
+from cover.taskgraphs.simulated_task_worker import DATA_CENTRES
 
 TIMES_S = [0.1, 0.5, 1.5, 4.0, 9.0]
 NUMBERS = st.integers(0, 5)
+DATA_CENTRE_NAMES = st.sampled_from([f"d{number}" for number in range(DATA_CENTRES)])
 # Covers leases, their margin, and the repetition of runs that the last faults interrupted.
 SETTLE_S = 120.0
 # Each deadly job adds two steps at most, whose tasks begin alone on a worker.
@@ -32,7 +34,8 @@
     """Submits graphs and injects faults.
 
     Guards against workers over their capacity, tasks that run twice, steps out of order, runs of
-    cancelled graphs, graphs that never end, and tasks that crash one worker after the other.
+    cancelled graphs, graphs that never end, starts in an evacuated data centre, and tasks that
+    crash one worker after the other.
     """
 
     simulation: GraphSimulation
@@ -121,6 +124,16 @@
     def degrade_links(self) -> None:
         self.simulation.layer.has_random_faults = True
 
+    @rule(data_centre=DATA_CENTRE_NAMES)
+    def evacuate(self, data_centre: str) -> None:
+        self.simulation.evacuate(data_centre)
+        self.simulation.advance(0.3)
+
+    @rule(data_centre=DATA_CENTRE_NAMES)
+    def take_back(self, data_centre: str) -> None:
+        self.simulation.take_back(data_centre)
+        self.simulation.advance(0.3)
+
     @rule()
     def change_leader(self) -> None:
         self.simulation.change_leader()
@@ -137,6 +150,7 @@
         try:
             if not self.simulation.violations:
                 self.simulation.heal()
+                self.simulation.take_all_back()
                 deadly_s = DEADLY_STEPS * (self.simulation.task_duration_s + TRIAL_S)
                 self.simulation.advance(SETTLE_S + self.deadly * deadly_s)
                 states = {g: self.simulation.state_of(g) for g in self.simulation.graphs}
--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -1,6 +1,7 @@
 """A simulation of control daemons, task agents and workers that checks invariants under faults."""
 
 import asyncio
+import math
 import random
 import time
 from collections import Counter
@@ -12,6 +13,10 @@
 from cicadatray.internal.settings.common import ControlMember
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.messages.evacuation_messages import (
+    EvacuationsReply,
+    OrderEvacuation,
+)
 from cicadatray.internal.wire.messages.graph_messages import (
     CancelGraph,
     GraphState,
@@ -36,7 +41,7 @@
 from cover.control.gangs.link_client import LinkClient
 from cover.control.gangs.link_layer import LinkLayer
 from cover.control.gangs.shared_log import SharedLog
-from cover.control.gangs.simulated_control import SimulatedControl
+from cover.control.gangs.simulated_control import EVACUATION_START_LIMIT_S, SimulatedControl
 from cover.replication.process_loop import Process, ProcessLoop, end_other_tasks
 from cover.taskgraphs.simulated_task_worker import (
     CAPACITY,
@@ -97,7 +102,9 @@
 class GraphSimulation:
     """Runs control, agents and workers on virtual time and records violated invariants.
 
-    `task_duration_s` is how long a task works once it, or its whole gang, runs.
+    `task_duration_s` is how long a task works once it, or its whole gang, runs. `evacuated_s` holds
+    when the evacuation of each data centre was confirmed, until its withdrawal is requested, and
+    `withdrawing` how many withdrawals of each are in progress.
     """
 
     def __init__(self, seed: int, size: int) -> None:
@@ -115,6 +122,8 @@
         self.noted_as_done: dict[TaskId, TaskRun] = {}
         self.running: dict[TaskId, set[tuple[str, TaskRun]]] = {}
         self.cancelled_s: dict[str, float] = {}
+        self.evacuated_s: dict[str, float] = {}
+        self.withdrawing: Counter[str] = Counter()
         self.graphs: dict[str, SubmitGraph] = {}
         self.layer = LinkLayer(random.Random(seed))
         self.log = SharedLog(lambda: None)
@@ -193,6 +202,39 @@
 
         self._in_loop(lambda: self.layer.spawn(leader.process, run))
 
+    def evacuate(self, data_centre: str) -> None:
+        """Orders an evacuation as an operator; only a confirmed one must take effect."""
+        leader = self.leader
+        call = OrderEvacuation(data_centre=data_centre, is_evacuated=True)
+
+        async def run() -> None:
+            reply = await leader.answer(call)
+            # An order that overtook a withdrawal may be withdrawn after its confirmation.
+            if isinstance(reply, EvacuationsReply) and not self.withdrawing[data_centre]:
+                self.evacuated_s.setdefault(data_centre, self.loop.time())
+
+        self._in_loop(lambda: self.layer.spawn(leader.process, run))
+
+    def take_back(self, data_centre: str) -> None:
+        """Withdraws the evacuation of a data centre as an operator."""
+        leader = self.leader
+        call = OrderEvacuation(data_centre=data_centre, is_evacuated=False)
+        self.evacuated_s.pop(data_centre, None)
+        self.withdrawing[data_centre] += 1
+
+        async def run() -> None:
+            await leader.answer(call)
+            self.withdrawing[data_centre] -= 1
+
+        self._in_loop(lambda: self.layer.spawn(leader.process, run))
+
+    def take_all_back(self) -> None:
+        """Withdraws all evacuations, and repeats it until they are withdrawn."""
+        while self.log.state.evacuations.active:
+            for data_centre in list(self.log.state.evacuations.active):
+                self.take_back(data_centre)
+            self.advance(ELECTION_S)
+
     def state_of(self, graph_id: str) -> MessageStruct:
         """Returns the leader's answer to a read of a graph."""
         call = ReadGraph(target=self.graphs[graph_id].target)
@@ -304,6 +346,7 @@
 
     def _on_start(self, worker: SimulatedTaskWorker, run: TaskRun) -> None:
         self.starts.setdefault(run, self.loop.time())
+        self._check_evacuated(worker, run)
         step = self.graphs[run.task.graph_id].steps[run.task.step]
         for earlier in step.depends_on:
             for index in range(self.graphs[run.task.graph_id].steps[earlier].count):
@@ -317,6 +360,18 @@
             self.violations.append(f"{run} started on {worker.worker_id} while {others} still ran")
         others.add((worker.worker_id, run))
 
+    def _check_evacuated(self, worker: SimulatedTaskWorker, run: TaskRun) -> None:
+        """Checks that an agent sends no start later than the bound, whatever fails.
+
+        A worker that carries out an order late is not counted.
+        """
+        confirmed_s = self.evacuated_s.get(worker.data_centre, math.inf)
+        late_s = worker.start_sent_s - confirmed_s - EVACUATION_START_LIMIT_S
+        if late_s > 0:
+            self.violations.append(
+                f"{run} started in {worker.data_centre} {late_s:.2f} s after the bound"
+            )
+
     def _on_note(self, end: RunEnd) -> None:
         if end.outcome is not RunOutcome.DONE:
             return
--- a/tests/cover/taskgraphs/simulated_task_worker.py
+++ b/tests/cover/taskgraphs/simulated_task_worker.py
@@ -30,6 +30,7 @@
 CRASH_DELAY_S = 0.01
 DOWN_S = 3.2
 CAPACITY = Resources(8000, 8000, 8)
+DATA_CENTRES = 2
 
 
 class SimulatedTaskWorker:
@@ -42,6 +43,8 @@
     each end when the worker learns that it is durable, so that the simulation can check them. An
     end that is durable only after the lease has expired does not count: control may have started
     the task again by then. `expired_number` is the last end before the latest expiry.
+    `start_sent_s` is when the agent sent the start that was carried out last; an order in flight
+    may arrive late.
     """
 
     __slots__ = (
@@ -65,6 +68,7 @@
         "on_start",
         "random",
         "running",
+        "start_sent_s",
         "stopping",
         "token",
     )
@@ -88,6 +92,7 @@
         self.on_note = on_note
         self.is_unresponsive = False
         self.is_down = False
+        self.start_sent_s = 0.0
         self.deadly_graphs: set[str] = set()
         self.crash_delay_s = CRASH_DELAY_S
         self.crashes: list[set[TaskRun]] = []
@@ -98,6 +103,11 @@
         """The identifier of the current incarnation."""
         return f"{self.name}-{self.incarnation}"
 
+    @property
+    def data_centre(self) -> str:
+        """The data centre; workers with adjacent numbers are in different ones."""
+        return f"d{int(self.name[1:]) % DATA_CENTRES}"
+
     def restart(self) -> None:
         """Loses all runs and the list of ends, and begins the next incarnation."""
         for run in list(getattr(self, "running", {})):
@@ -135,7 +145,7 @@
         return WorkerOffer(
             self.worker_id,
             "pool",
-            "d0",
+            self.data_centre,
             rack,
             ("a", rack),
             self.capacity,
@@ -164,8 +174,10 @@
         self.ended.append(RunEnd(run, outcome, number))
         self.on_end(self, run, outcome)
 
-    def start(self, order: RunOrder, token: int, lease_until_s: float) -> StartAnswer:
-        """Carries out a start order."""
+    def start(
+        self, order: RunOrder, token: int, lease_until_s: float, sent_s: float
+    ) -> StartAnswer:
+        """Carries out a start order that was sent at `sent_s`."""
         if token < self.token:
             return StartAnswer.REFUSED
         self.token = token
@@ -178,6 +190,7 @@
         if run.run <= self.highest_runs.get(run.task, 0):
             return StartAnswer.REFUSED
         self.highest_runs[run.task] = run.run
+        self.start_sent_s = sent_s
         self.running[run] = asyncio.get_event_loop().time()
         self.on_start(self, run)
         if run.task.graph_id in self.deadly_graphs:
@@ -237,8 +250,9 @@
         return self.clock.lower_bound_s(asyncio.get_running_loop().time())
 
     async def start(self, order: RunOrder, token: int, lease_until_s: float) -> StartAnswer:
-        await self._deliver(lambda: self.worker.start(order, token, lease_until_s))
-        return self.worker.start(order, token, lease_until_s)
+        sent_s = asyncio.get_running_loop().time()
+        await self._deliver(lambda: self.worker.start(order, token, lease_until_s, sent_s))
+        return self.worker.start(order, token, lease_until_s, sent_s)
 
     async def stop(self, run: TaskRun, token: int) -> None:
         await self._deliver(lambda: self.worker.stop(run, token))
