--- /dev/null
+++ b/tests/cover/control/test_evacuation_calls.py
@@ -0,0 +1,203 @@
+"""Orders to evacuate data centres while the leader changes, and what operators are told."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from cicadatray.internal.control.control_description import describe_control
+from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
+from cicadatray.internal.wire.messages.directory_messages import NotLeader
+from cicadatray.internal.wire.messages.evacuation_messages import (
+    EvacuationsReply,
+    OrderEvacuation,
+    ReadEvacuations,
+)
+from cicadatray.internal.wire.messages.graph_messages import SetQueues, SyncWorker, WorkerOffer
+from cicadatray.internal.wire.messages.queue_configuration import QueueAccount, QueueConfiguration
+from cicadatray.scheduling.taskgraphs.resources import Resources
+from cover.control.gangs.link_layer import LinkLayer
+from cover.control.gangs.shared_log import ROUND_TRIP_S, SharedLog
+from cover.control.gangs.simulated_control import SimulatedControl
+from cover.replication.process_loop import ProcessLoop, end_other_tasks
+
+NAMES = ("c1", "c2")
+
+
+class Group:
+    """Two control instances on one log; the first one leads."""
+
+    def __init__(self) -> None:
+        self.log = SharedLog(lambda: None)
+        layer = LinkLayer(random.Random(1))
+        self.controls = {name: SimulatedControl(name, self.log, layer) for name in NAMES}
+
+    async def elect(self, name: str) -> None:
+        """Makes an instance the leader and waits until it acts."""
+        self.log.elect(name)
+        await asyncio.sleep(1.0)
+
+    async def order(
+        self, name: str, data_centre: str, is_evacuated: bool, operation_id: str = ""
+    ) -> MessageStruct:
+        """Returns the reply of an instance to an order."""
+        call = OrderEvacuation(
+            data_centre=data_centre, is_evacuated=is_evacuated, operation_id=operation_id
+        )
+        return await self.controls[name].answer(call)
+
+    def active(self) -> set[str]:
+        """Returns the evacuations in the log."""
+        return set(self.log.state.evacuations.active)
+
+
+def run_group(scenario: Callable[[Group], Awaitable[None]]) -> None:
+    loop = ProcessLoop()
+    asyncio.set_event_loop(loop)
+
+    async def main() -> None:
+        group = Group()
+        await group.elect("c1")
+        await scenario(group)
+        await end_other_tasks()
+
+    try:
+        loop.run_until_complete(main())
+    finally:
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+def names(reply: MessageStruct) -> set[str]:
+    assert isinstance(reply, EvacuationsReply), reply
+    return {progress.evacuation.data_centre for progress in reply.evacuations}
+
+
+# The leader confirms its leadership in two delays of the group before it proposes the order.
+@pytest.mark.parametrize(
+    ("cut_after_s", "is_committed"),
+    [(0.5 * ROUND_TRIP_S, False), (2.5 * ROUND_TRIP_S, False), (3.5 * ROUND_TRIP_S, True)],
+    ids=["before the proposal", "before the commit", "before the answer"],
+)
+def test_leader_lost_during_an_order(cut_after_s: float, is_committed: bool) -> None:
+    """Guards against a confirmation without a commit, and a repeat that is not confirmed."""
+
+    async def scenario(group: Group) -> None:
+        order = asyncio.create_task(group.order("c1", "north", True))
+        await asyncio.sleep(cut_after_s)
+        group.log.cut_members.add("c1")
+        await group.elect("c2")
+        assert group.active() == ({"north"} if is_committed else set())
+        reply = await order
+        assert isinstance(reply, Failure | NotLeader)
+        assert isinstance(reply, NotLeader) or reply.code == IN_DOUBT_CODE
+        repeated = await group.order("c2", "north", True)
+        assert isinstance(repeated, EvacuationsReply)
+        assert (names(repeated), repeated.is_repeated) == ({"north"}, is_committed)
+        assert group.active() == {"north"}
+
+    run_group(scenario)
+
+
+def test_isolated_former_leader_confirms_nothing() -> None:
+    """Guards against a repeat that a former leader confirms by its old copy of the state."""
+
+    async def scenario(group: Group) -> None:
+        assert names(await group.order("c1", "north", True)) == {"north"}
+        group.log.cut_members.add("c1")
+        await group.elect("c2")
+        assert names(await group.order("c2", "north", False)) == set()
+        assert "north" in group.controls["c1"].state.evacuations.active
+        assert isinstance(await group.order("c1", "north", True), NotLeader)
+        assert group.active() == set()
+
+    run_group(scenario)
+
+
+@pytest.mark.parametrize(
+    ("orders", "active", "is_repeated", "commits"),
+    [
+        ([("a", True, "")], {"a"}, False, 1),
+        ([("a", True, ""), ("a", True, "")], {"a"}, True, 1),
+        ([("a", True, "1"), ("a", True, "1")], {"a"}, True, 1),
+        ([("a", True, "1"), ("a", True, "2")], {"a"}, True, 2),
+        ([("a", False, "")], set(), True, 0),
+        ([("a", True, "1"), ("a", True, "2"), ("a", False, "3"), ("a", True, "2")], set(), True, 3),
+        ([("a", True, ""), ("b", True, ""), ("a", False, "")], {"b"}, False, 3),
+    ],
+    ids=[
+        "first",
+        "repeated",
+        "repeated operation",
+        "another operation",
+        "nothing to withdraw",
+        "late operation",
+        "one of two withdrawn",
+    ],
+)
+def test_orders_without_an_effect_are_not_committed(
+    orders: list[tuple[str, bool, str]], active: set[str], is_repeated: bool, commits: int
+) -> None:
+    """Guards against a log that grows by repeats, and a late repeat that is taken for an order."""
+
+    async def scenario(group: Group) -> None:
+        before = len(group.log.commands)
+        replies = [await group.order("c1", *order) for order in orders]
+        assert names(replies[-1]) == group.active() == active
+        assert isinstance(replies[-1], EvacuationsReply)
+        assert replies[-1].is_repeated is is_repeated
+        assert len(group.log.commands) - before == commits
+
+    run_group(scenario)
+
+
+def announce(group: Group, number: int, data_centre: str) -> Awaitable[MessageStruct]:
+    offer = WorkerOffer(f"w{number}", "pool", data_centre, "r", ("a",), Resources(8000, 8000, 8))
+    return group.controls["c1"].answer(
+        SyncWorker(agent_id=f"a{number}", agent_incarnation="one", sequence=1, offer=offer)
+    )
+
+
+@pytest.mark.parametrize(
+    ("evacuated", "unmet"),
+    [((), ()), (("north",), ()), (("north", "south"), ("one", "two")), (("north", "mars"), ())],
+    ids=["none", "the rest suffices", "nothing is left", "no workers there"],
+)
+def test_accounts_whose_guarantees_do_not_fit_are_named(
+    evacuated: tuple[str, ...], unmet: tuple[str, ...]
+) -> None:
+    """Guards against an operator who does not learn which callers an order affects."""
+
+    async def scenario(group: Group) -> None:
+        accounts = (QueueAccount("one", (), 6), QueueAccount("two", (), 2), QueueAccount("three"))
+        configuration = QueueConfiguration(1, (), (), accounts)
+        queues = SetQueues(configuration=configuration, source=b"{}")
+        group.log.commit(group.log.state.encode_command(queues))
+        for number, data_centre in enumerate(("north", "south")):
+            await announce(group, number, data_centre)
+        reply: Any = None
+        for data_centre in evacuated:
+            reply = await group.order("c1", data_centre, True)
+            assert reply.is_announced is (data_centre != "mars")
+        read = await group.controls["c1"].answer(ReadEvacuations())
+        assert isinstance(read, EvacuationsReply)
+        assert read.unmet_accounts == unmet
+        assert reply is None or reply.unmet_accounts == unmet
+        workers = {p.evacuation.data_centre: p.workers for p in read.evacuations}
+        assert workers == {name: int(name != "mars") for name in evacuated}
+
+    run_group(scenario)
+
+
+def test_dump_lists_evacuations() -> None:
+    """Guards against an operator who cannot see from a dump why nothing starts."""
+
+    async def scenario(group: Group) -> None:
+        await group.order("c1", "north", True)
+        replica: Any = None
+        description = describe_control(group.controls["c2"].state, replica, None)
+        assert [evacuation.data_centre for evacuation in description.evacuations] == ["north"]
+
+    run_group(scenario)
