--- a/tests/cover/taskgraphs/simulated_task_worker.py
+++ b/tests/cover/taskgraphs/simulated_task_worker.py
@@ -39,7 +39,9 @@
     It crashes `crash_delay_s` after the start of a task of one of the `deadly_graphs`, and is down
     for `DOWN_S`. `crashes` holds the runs that were lost in each of its crashes. `capacity` may
     change while it runs. While `is_unresponsive` is set, calls time out and their orders are
-    carried out late. `on_start` and `on_end` are called for each start and end, and `on_note` for
+    carried out late, or never with `loses_orders`.
+
+    `on_start` and `on_end` are called for each start and end, and `on_note` for
     each end when the worker learns that it is durable, so that the simulation can check them. An
     end that is durable only after the lease has expired does not count: control may have started
     the task again by then. `expired_number` is the last end before the latest expiry.
@@ -61,6 +63,7 @@
         "is_draining",
         "is_unresponsive",
         "lease_until_s",
+        "loses_orders",
         "name",
         "noted_number",
         "on_end",
@@ -91,6 +94,7 @@
         self.on_end = on_end
         self.on_note = on_note
         self.is_unresponsive = False
+        self.loses_orders = False
         self.is_down = False
         self.start_sent_s = 0.0
         self.deadly_graphs: set[str] = set()
@@ -286,7 +290,7 @@
         incarnation = self.worker.incarnation
 
         def act() -> None:
-            if self.worker.incarnation == incarnation:
+            if self.worker.incarnation == incarnation and not self.worker.loses_orders:
                 try:
                     late_action()
                 except WorkerUnansweredError:
--- a/tests/cover/taskgraphs/test_evacuation.py
+++ b/tests/cover/taskgraphs/test_evacuation.py
@@ -112,37 +112,35 @@
     assert (count_running(simulation, "d0"), count_running(simulation, "d1")) == (0, 10)
 
 
-@pytest.mark.parametrize("fault", ["frozen", "cut off", "restarted", "late worker"])
+@pytest.mark.parametrize("fault", ["", "frozen", "cut off", "frozen and cut off", "restarted"])
+@pytest.mark.parametrize("loses_orders", [False, True], ids=["late worker", "lost orders"])
 def test_agent_that_holds_a_start_sends_none_after_the_bound(
-    simulation: GraphSimulation, fault: str
+    simulation: GraphSimulation, fault: str, loses_orders: bool
 ) -> None:
     """Guards against a start that an agent holds while it is paused or hears nothing.
 
-    The simulation checks when each start was sent. The worker carries out orders that it did not
+    The simulation checks when each start was sent. A late worker carries out orders that it did not
     answer up to 6 s later; such runs must be stopped.
     """
-    workers = workers_in(simulation, "d0")
-    for worker in workers:
-        worker.is_unresponsive = True
-    simulation.task_duration_s = 60.0
-    simulation.submit(GRAPH, (Step(32, SMALL, 60.0),))
+    numbers = [n for n, worker in enumerate(simulation.workers) if worker.data_centre == "d0"]
+    for number in numbers:
+        simulation.workers[number].is_unresponsive = True
+        simulation.workers[number].loses_orders = loses_orders
+    simulation.task_duration_s = 2 * LONG_S
+    simulation.submit(GRAPH, (Step(32, SMALL, 2 * LONG_S),))
     simulation.advance(0.3)
-    numbers = [simulation.workers.index(worker) for worker in workers]
-    assert all(simulation.agents[n].agent.table.runs for n in numbers)
+    assert all(simulation.agents[number].agent.table.runs for number in numbers)
     for number in numbers:
-        if fault == "frozen":
-            simulation.agents[number].process.is_frozen = True
-        elif fault == "cut off":
+        simulation.agents[number].process.is_frozen = "frozen" in fault
+        if "cut off" in fault:
             simulation.cut_agent(number)
-        elif fault == "restarted":
+        if fault == "restarted":
             simulation.restart_agent(number)
     evacuate(simulation, "d0")
     simulation.advance(EVACUATION_START_LIMIT_S + 0.1)
-    for worker in workers:
-        worker.is_unresponsive = False
-    if fault == "frozen":
-        for number in numbers:
-            simulation.agents[number].process.thaw()
+    for number in numbers:
+        simulation.workers[number].is_unresponsive = False
+        simulation.agents[number].process.thaw()
     # An agent that is cut off hears nothing, and its permission must not come back by itself.
     simulation.advance(2.0)
     simulation.layer.cuts.clear()
--- a/tests/cover/taskgraphs/test_start_permission.py
+++ b/tests/cover/taskgraphs/test_start_permission.py
@@ -1,18 +1,31 @@
 """Starts of an agent whose permission to send them has expired."""
 
 import asyncio
+from typing import Any
 
+import msgspec
 import pytest
 
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
-from cicadatray.internal.agent.tasks.worker_port import StartAnswer
+from cicadatray.internal.agent.tasks.task_agent import TaskAgent
+from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.wire.messages.graph_messages import RunOrder, WorkerOrders
-from cover.taskgraphs.test_task_agent import ORDER, RUN, FakePort, make_executor
+from cover.taskgraphs.test_task_agent import OFFER, ORDER, RUN, FakePort, make_executor
 
 PERMISSION_S = 2.5
 
 
+class WaitingPort(FakePort):
+    """Answers each observation after the time for which the agent lets it wait."""
+
+    async def observe(
+        self, token: int, committed_end_number: int, lease_until_s: float, wait_s: float
+    ) -> WorkerView:
+        await asyncio.sleep(wait_s)
+        return WorkerView((), ())
+
+
 def reply(starts: tuple[RunOrder, ...] = (), has_stop: bool = False) -> WorkerOrders:
     return WorkerOrders(
         term=1,
@@ -90,6 +103,37 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("reply_after_s", "calls"),
+    [(PERMISSION_S - 0.1, ["start"]), (PERMISSION_S + 0.1, [])],
+    ids=["in time", "too late"],
+)
+def test_permission_counts_from_before_the_call(reply_after_s: float, calls: list[str]) -> None:
+    """Guards against a reply that was on its way while the data centre was evacuated."""
+
+    class SlowControl:
+        leader_name = "c1"
+        has_replied = False
+
+        async def call(self, *arguments: Any) -> WorkerOrders:
+            await asyncio.sleep(60.0 if self.has_replied else reply_after_s)
+            self.has_replied = True
+            return msgspec.structs.replace(reply((ORDER,)), start_permission_s=PERMISSION_S)
+
+    async def main() -> None:
+        port = WaitingPort(StartAnswer.ACCEPTED)
+        control: Any = SlowControl()
+        agent = TaskAgent("a", control)
+        agent.term = 1
+        running = asyncio.create_task(agent.run())
+        assert await agent.receive_offer(OFFER, port)
+        await asyncio.sleep(reply_after_s + 0.05)
+        assert port.calls == calls
+        running.cancel()
+
+    run_virtual(main())
+
+
 def test_start_without_an_answer_is_not_repeated_without_a_permission() -> None:
     """Guards against an agent that is cut off and repeats a start for as long as it likes."""
 
