Give urgent work to cold workers only if nothing else fits

Workers of a data centre that was taken back may be slow for a while (ColdRemainingMs in their announcements). Urgent work tries the workers that are not cold first. Where no worker is cold, the plans are the same.

--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -35,6 +35,7 @@
             continue
         labels = frozenset(offer.labels)
         worker = WorkerCapacity(worker_id, offer.pool, offer.rack, labels, offer.capacity)
+        worker.is_cold = offer.cold_remaining_s > 0
         worker.is_suspect = now_s < worker_session.suspect_until_s
         if not _charge_runs(session, worker_session, worker):
             continue
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -106,7 +106,8 @@
 class WorkerOffer(msgspec.Struct, frozen=True, array_like=True):
     """The capacity and location of a worker; `worker_id` changes with each incarnation.
 
-    `remaining_s` is the minimum time for which a draining worker remains.
+    `remaining_s` is the minimum time for which a draining worker remains. `cold_remaining_s` is the
+    time for which a worker that has just started remains slow.
     """
 
     worker_id: str
@@ -117,6 +118,7 @@
     capacity: Resources
     is_draining: bool = False
     remaining_s: float = 0.0
+    cold_remaining_s: float = 0.0
 
 
 class SyncWorker(MessageStruct, frozen=True):
--- a/src/cicadatray/platform/worker_document.py
+++ b/src/cicadatray/platform/worker_document.py
@@ -82,6 +82,7 @@
         capacity=_decode_resources(read_object(document, "Capacity")),
         is_draining=state == DRAINING,
         remaining_s=read_number(document, "RemainingMs", 0) / MS_PER_S,
+        cold_remaining_s=_decode_cold_remaining_s(document),
     )
     sequence = read_integer(document, "Seq", 0)
     clock_s = read_number(document, "ClockMs", 0) / MS_PER_S
@@ -142,6 +143,15 @@
         return 0.0
 
 
+def _decode_cold_remaining_s(document: dict[str, Any]) -> float:
+    try:
+        return read_number(document, "ColdRemainingMs", 0) / MS_PER_S
+    except DocumentError as error:
+        # The time is only a hint; without it the worker counts as warm.
+        log.warning("time until the worker is warm ignored", reason=str(error))
+        return 0.0
+
+
 def _decode_running(row: object) -> RunReport | None:
     """Decodes a row [task, run, checkpoint, percent] with an optional load figure at the end.
 
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -23,6 +23,7 @@
 from cicadatray.scheduling.taskgraphs.trial_share import may_begin_trials
 from cicadatray.scheduling.taskgraphs.wait_diagnosis import WaitDiagnosis
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+from cicadatray.scheduling.taskgraphs.warm_candidates import warm_first
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 from cicadatray.scheduling.taskgraphs.worker_limits import remaining_limits
 
@@ -106,7 +107,7 @@
     def _try_to_place(self, work: WaitingWork) -> bool:
         """Places the work; returns False if it must wait."""
         usable = self._usable_workers(work)
-        groups = self.candidates.groups(work, usable)
+        groups = warm_first(self.candidates, work, usable)
         if work.is_suspect:
             return self._try_to_isolate(work, groups)
         for group in groups:
--- a/src/cicadatray/scheduling/taskgraphs/worker_capacity.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_capacity.py
@@ -10,13 +10,15 @@
     being stopped still occupy. A reserved worker accepts no further work in this round, because its
     capacity is reserved for a job that waits for it. Tasks have failed repeatedly on a suspect
     worker. A worker on trial runs a task that may crash it, and accepts no other work until that
-    task is known to be harmless. `run_count` is the number of runs on the worker.
+    task is known to be harmless. A cold worker has just started and is slow, so it takes urgent
+    work only if nothing else fits. `run_count` is the number of runs on the worker.
     """
 
     __slots__ = (
         "capacity",
         "free",
         "free_after_stops",
+        "is_cold",
         "is_on_trial",
         "is_reserved",
         "is_suspect",
@@ -43,6 +45,7 @@
         self.free = capacity
         self.free_after_stops = capacity
         self.run_count = 0
+        self.is_cold = False
         self.is_on_trial = False
         self.is_reserved = False
         self.is_suspect = False
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -242,3 +242,15 @@
         assert len(numbers) != 3 or not all(
             number.isdecimal() and int(number) <= MAX_NUMBER for number in numbers
         )
+
+
+@pytest.mark.parametrize(
+    ("value", "expected_s"), [(4500, 4.5), (0, 0.0), (None, 0.0), (-1, 0.0), ("soon", 0.0)]
+)
+def test_time_until_a_worker_is_warm(value: Any, expected_s: float) -> None:
+    """Guards against refusing a worker because of a hint that is absent or malformed."""
+    document = {**ANNOUNCEMENT, "ColdRemainingMs": value}
+    if value is None:
+        del document["ColdRemainingMs"]
+    offer = decode_announcement("i-1", encode(document)).offer
+    assert offer.cold_remaining_s == expected_s
