Take the data centre of an agent for a worker that names none

The Zone of an announcement is optional, and an evacuation had no effect on a worker without one. The agent is on the same machine.

--- a/src/cicadatray/platform/agent_role.py
+++ b/src/cicadatray/platform/agent_role.py
@@ -31,7 +31,7 @@
         self.probe = LeaderProbe(self.control)
         self.metrics = MetricsRegistry()
         self.agent = TaskAgent(settings.name, self.control, self.metrics, settings.longest_lease_s)
-        application = WorkerApi(self.agent).application()
+        application = WorkerApi(self.agent, settings.data_centre).application()
         self.server = HttpServer(application, address.host, address.port)
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/src/cicadatray/platform/worker_api.py
+++ b/src/cicadatray/platform/worker_api.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import structlog
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -26,12 +27,14 @@
 
     `latest_sequences` holds the highest sequence number of each incarnation, and
     `latest_identities` the incarnation of each identifier that the agent accepted last.
+    `data_centre` is that of the agent, which is also that of its worker.
     """
 
-    __slots__ = ("agent", "late", "latest_identities", "latest_sequences")
+    __slots__ = ("agent", "data_centre", "late", "latest_identities", "latest_sequences")
 
-    def __init__(self, agent: TaskAgent) -> None:
+    def __init__(self, agent: TaskAgent, data_centre: str = "") -> None:
         self.agent = agent
+        self.data_centre = data_centre
         self.latest_identities: dict[str, WorkerIdentity] = {}
         self.latest_sequences: dict[str, int] = {}
         self.late = RepeatedEvent("late announcement ignored")
@@ -65,9 +68,11 @@
             )
             return Response(b"{}", 200, media_type=JSON_TYPE)
         self.latest_sequences[worker_id] = announcement.sequence
-        is_accepted = await self.agent.receive_offer(
-            announcement.offer, self._worker_port(announcement)
-        )
+        offer = announcement.offer
+        if not offer.data_centre:
+            # Otherwise an evacuation would have no effect on the worker.
+            offer = msgspec.structs.replace(offer, data_centre=self.data_centre)
+        is_accepted = await self.agent.receive_offer(offer, self._worker_port(announcement))
         if is_accepted or identifier not in self.latest_identities:
             # The starts of two processes do not tell their order: clocks may have been set back.
             self.latest_identities[identifier] = announcement.identity
