--- a/tests/cover/control/test_evacuation_calls.py
+++ b/tests/cover/control/test_evacuation_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -14,10 +15,25 @@
     EvacuationsReply,
     OrderEvacuation,
     ReadEvacuations,
+    RecordEvacuation,
 )
-from cicadatray.internal.wire.messages.graph_messages import SetQueues, SyncWorker, WorkerOffer
-from cicadatray.internal.wire.messages.queue_configuration import QueueAccount, QueueConfiguration
+from cicadatray.internal.wire.messages.graph_messages import (
+    QueueTarget,
+    SetQueues,
+    SubmitGraph,
+    SyncWorker,
+    WorkerOffer,
+    WorkerOrders,
+)
+from cicadatray.internal.wire.messages.queue_configuration import (
+    Pool,
+    Queue,
+    QueueAccount,
+    QueueConfiguration,
+)
+from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
 from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.step import Step
 from cover.control.gangs.link_layer import LinkLayer
 from cover.control.gangs.shared_log import ROUND_TRIP_S, SharedLog
 from cover.control.gangs.simulated_control import SimulatedControl
@@ -153,13 +169,48 @@
     run_group(scenario)
 
 
-def announce(group: Group, number: int, data_centre: str) -> Awaitable[MessageStruct]:
+def announce(
+    group: Group, number: int, data_centre: str, sequence: int = 1
+) -> Awaitable[MessageStruct]:
     offer = WorkerOffer(f"w{number}", "pool", data_centre, "r", ("a",), Resources(8000, 8000, 8))
     return group.controls["c1"].answer(
-        SyncWorker(agent_id=f"a{number}", agent_incarnation="one", sequence=1, offer=offer)
+        SyncWorker(agent_id=f"a{number}", agent_incarnation="one", sequence=sequence, offer=offer)
     )
 
 
+# The leader confirms its leadership in two delays of the group, reads the orders for the agent, and
+# confirms its leadership again before it replies.
+@pytest.mark.parametrize(
+    ("commit_after_s", "has_starts"),
+    [(1.5 * ROUND_TRIP_S, False), (3.0 * ROUND_TRIP_S, False), (6.0 * ROUND_TRIP_S, True)],
+    ids=["before the orders", "between the orders and the reply", "after the reply"],
+)
+def test_reply_after_the_commit_has_no_starts(commit_after_s: float, has_starts: bool) -> None:
+    """Guards against starts that a leader chose before it applied the order and sends after it."""
+
+    async def scenario(group: Group) -> None:
+        queue = Queue("h", "/q/", QueuePolicy("q", "pool", 1, 3, 2.0, 1.0), is_public=True)
+        configuration = QueueConfiguration(1, (queue,), (Pool("pool"),))
+        queues = SetQueues(configuration=configuration, source=b"{}")
+        group.log.commit(group.log.state.encode_command(queues))
+        await announce(group, 0, "north")
+        target = QueueTarget("h", "/q/00000000000000aa", b"")
+        steps = (Step(1, Resources(1000, 1000, 1), 1.0),)
+        await group.controls["c1"].answer(SubmitGraph(target=target, spec="", steps=steps))
+        await asyncio.sleep(0.5)
+        sync = asyncio.ensure_future(announce(group, 0, "north", sequence=2))
+        await asyncio.sleep(commit_after_s)
+        command = RecordEvacuation(
+            order=OrderEvacuation(data_centre="north", is_evacuated=True), now_s=time.time()
+        )
+        group.log.commit(group.log.state.encode_command(command))
+        reply = await sync
+        assert isinstance(reply, WorkerOrders)
+        assert (len(reply.starts), len(reply.stops)) == ((1, 0) if has_starts else (0, 1))
+
+    run_group(scenario)
+
+
 @pytest.mark.parametrize(
     ("evacuated", "unmet"),
     [((), ()), (("north",), ()), (("north", "south"), ("one", "two")), (("north", "mars"), ())],
