--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -31,10 +31,11 @@
         is_silent = now_s - worker_session.last_reply_s > SILENCE_LIMIT_S
         if worker_session.is_lost or offer.is_draining or is_silent:
             continue
-        if not worker_session.is_reachable:
+        if not worker_session.is_reachable or session.is_evacuated(worker_session):
             continue
         labels = frozenset(offer.labels)
         worker = WorkerCapacity(worker_id, offer.pool, offer.rack, labels, offer.capacity)
+        worker.is_cold = offer.cold_remaining_s > 0
         worker.is_suspect = now_s < worker_session.suspect_until_s
         if not _charge_runs(session, worker_session, worker):
             continue
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -106,7 +106,8 @@
 class WorkerOffer(msgspec.Struct, frozen=True, array_like=True):
     """The capacity and location of a worker; `worker_id` changes with each incarnation.
 
-    `remaining_s` is the minimum time for which a draining worker remains.
+    `remaining_s` is the minimum time for which a draining worker remains. `cold_remaining_s` is the
+    time for which a worker that has just started remains slow.
     """
 
     worker_id: str
@@ -117,6 +118,7 @@
     capacity: Resources
     is_draining: bool = False
     remaining_s: float = 0.0
+    cold_remaining_s: float = 0.0
 
 
 class SyncWorker(MessageStruct, frozen=True):
@@ -156,6 +158,8 @@
     `lease_s` counts from when the agent sent its call. `committed_end_number` is the highest number
     of the worker's ends that is committed; all lower ones are committed too. `committed_clears` are
     the committed ends of runs that were confirmed never to have started, which have no number.
+    `start_permission_s` is the time, from when the agent sent its call, for which it may send
+    starts to the worker; 0 means no limit.
     """
 
     term: int
@@ -165,6 +169,7 @@
     starts: tuple[RunOrder, ...] = ()
     stops: tuple[TaskRun, ...] = ()
     committed_clears: tuple[TaskRun, ...] = ()
+    start_permission_s: float = 0.0
 
 
 class MemberAddress(msgspec.Struct, frozen=True, array_like=True):
