Move the wait for a permission into its own method

The loop that sends a start had become long.

Tests: test_start_permission, test_task_agent, test_evacuation, test_run_table, test_graph_machine, test_reborn_workers and cover/platform passed, linter.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -136,9 +136,7 @@
                 self._abandon_start(entry, "worker drains")
                 return
             if not self.permission.holds():
-                reason = "control has not renewed the permission to start"
-                withheld.record_failure(task, run=task, worker=self.port.worker_id, reason=reason)
-                await self.permission.wait_for_renewal(ORDER_RETRY_S)
+                await self._withhold(task, withheld)
                 continue
             withheld.record_end()
             had_begun, entry.may_have_begun = entry.may_have_begun, True
@@ -174,6 +172,12 @@
                 return
             await asyncio.sleep(ORDER_RETRY_S)
 
+    async def _withhold(self, task: str, withheld: RepeatedEvent) -> None:
+        """Keeps a start that may not be sent now, until the next reply of control or a retry."""
+        reason = "control has not renewed the permission to start"
+        withheld.record_failure(task, run=task, worker=self.port.worker_id, reason=reason)
+        await self.permission.wait_for_renewal(ORDER_RETRY_S)
+
     def _abandon_start(self, entry: RunEntry, reason: str) -> None:
         log.info("start refused", run=str(entry.run.task), number=entry.run.run, reason=reason)
         if entry.is_in_doubt:
