Name accounts whose shape guarantees an evacuation leaves without capacity

The answer to an operator's order named only accounts of task graphs. The scheduler of shape jobs knows which guarantees no longer fit. Tests of the calls and of evacuations pass; the case of shape guarantees has no test of its own.

--- a/src/cicadatray/internal/control/graphs/evacuation_progress.py
+++ b/src/cicadatray/internal/control/graphs/evacuation_progress.py
@@ -51,17 +51,25 @@
 def unmet_accounts(session: GraphSession) -> tuple[str, ...]:
     """Returns the accounts whose guarantees no longer fit the workers that are left.
 
-    These are all accounts with a guarantee as soon as the sum of the guarantees exceeds the
-    accelerators of all pools, because no account takes precedence over another. Nothing is known
-    while nothing is evacuated or before the agents had time to call this leader.
+    For task graphs these are all accounts with a guarantee as soon as the sum of the guarantees
+    exceeds the accelerators of all pools, because no account takes precedence over another. Nothing
+    is known while nothing is evacuated or before the agents had time to call this leader.
     """
-    if not session.leader.state.evacuations.active or not session.knows_workers():
+    if not session.leader.state.evacuations.active:
         return ()
+    blocks = session.leader.scheduler.guarantees_at_risk()
+    at_risk = {block.client_account for block in blocks}
+    if session.knows_workers():
+        at_risk |= _unmet_by_pools(session)
+    return tuple(sorted(at_risk))
+
+
+def _unmet_by_pools(session: GraphSession) -> set[str]:
     guaranteed = {
         name: count for name, count in session.guaranteed_accelerators().items() if count > 0
     }
     left = sum(pool.total.accelerators for pool in build_pools(session).values())
-    return tuple(sorted(guaranteed)) if sum(guaranteed.values()) > left else ()
+    return set(guaranteed) if sum(guaranteed.values()) > left else set()
 
 
 def _is_announced(session: GraphSession, data_centre: str) -> bool:
