Add the victim rule worthwhile

An urgent gang displaced up to 96 runs and was late all the same: a displacement was compared with the full value of the job, whatever it gained by starting now. The default rules plan as before (test_default_rules.py).

--- a/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
+++ b/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Sequence
 
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
+from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
+from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import SchedulingRules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -19,6 +21,25 @@
     return make_round
 
 
+class RulePolicy:
+    """A policy with these scheduling rules, whose memory lasts for one run of the experiment."""
+
+    __slots__ = ("memory", "rules")
+
+    def __init__(self, rules: SchedulingRules) -> None:
+        self.rules = rules
+        self.memory = RuleMemory()
+
+    def __call__(self, workers: Workers, running: Running, now_s: float) -> PlacementRound:
+        """Returns a round with these rules."""
+        return PlacementRound(workers, running, now_s, rules=self.rules, memory=self.memory)
+
+
+def begin_run(make_round: RoundFactory) -> RoundFactory:
+    """Returns the policy with an empty memory."""
+    return RulePolicy(make_round.rules) if isinstance(make_round, RulePolicy) else make_round
+
+
 @experiment_policy
 def present(workers: Workers, running: Running, now_s: float) -> PlacementRound:
     """Returns a round with the start limits that control uses."""
@@ -35,3 +56,6 @@
 def patient(workers: Workers, running: Running, now_s: float) -> PlacementRound:
     """Returns a round that promises the start of urgent work in twice the time."""
     return PlacementRound(workers, running, now_s, StartLimits(urgent_start_s=5.0))
+
+
+experiment_policies["worthwhile"] = RulePolicy(SchedulingRules(victims="worthwhile"))
--- a/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
+++ b/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
@@ -3,7 +3,7 @@
 from cicadatray.internal.bench.graph_experiment.disturbances import CALM, Disturbances
 from cicadatray.internal.bench.graph_experiment.emulated_run import EmulatedRun
 from cicadatray.internal.bench.graph_experiment.errors import InvalidPlanError
-from cicadatray.internal.bench.graph_experiment.experiment_policy import RoundFactory
+from cicadatray.internal.bench.graph_experiment.experiment_policy import RoundFactory, begin_run
 from cicadatray.internal.bench.graph_experiment.load_sheet import WORKERS_PER_RACK, LoadSheet
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
 from cicadatray.internal.bench.graph_experiment.run_result import RunResult
@@ -66,7 +66,7 @@
         self.jobs = {job.graph.graph_id: job for job in jobs}
         accounts = {job.graph.client_account for job in jobs}
         self.guarantees = {account: sheet.guarantee_of(account) for account in accounts}
-        self.make_round = make_round
+        self.make_round = begin_run(make_round)
         self.now_s = 0.0
         self.racks = {sheet.worker_id(n): f"r{n // WORKERS_PER_RACK}" for n in range(sheet.workers)}
         self.graphs: dict[str, GraphProgress] = {}
--- a/src/cicadatray/scheduling/taskgraphs/displacement_search.py
+++ b/src/cicadatray/scheduling/taskgraphs/displacement_search.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
-from cicadatray.scheduling.taskgraphs.displacement import Displacement, stop_costs, total_cost
+from cicadatray.scheduling.taskgraphs.displacement import (
+    CostsOf,
+    Displacement,
+    stop_costs,
+    total_cost,
+)
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_fit import FillOrder, fit_tasks
@@ -18,7 +23,7 @@
     Each iteration frees capacity for one more task on the worker where that costs least. Stopping
     the cheapest work anywhere would free a little on many workers, and a task that needs a whole
     worker would still not fit. `limits` gives how many more tasks of the step each worker may take,
-    or is None without such a limit.
+    or is None without such a limit. `costs_of` returns what a stop costs.
 
     `candidates_by_worker` holds the candidates of each worker, the cheapest first. `options` caches
     the victims for one more task on a worker until a victim changes what is available there.
@@ -28,6 +33,7 @@
         "available",
         "candidates_by_worker",
         "costs",
+        "costs_of",
         "fill_order",
         "group",
         "limits",
@@ -43,8 +49,10 @@
         candidates: Sequence[RunningWork],
         limits: Mapping[str, int] | None,
         fill_order: FillOrder | None = None,
+        costs_of: CostsOf = stop_costs,
     ) -> None:
         self.work = work
+        self.costs_of = costs_of
         self.fill_order = fill_order
         self.group = group
         self.limits = limits
@@ -73,7 +81,7 @@
 
     def _add_candidate(self, candidate: RunningWork, worker_id: str, occupied: Resources) -> None:
         if candidate not in self.costs:
-            self.costs[candidate] = stop_costs(candidate)
+            self.costs[candidate] = self.costs_of(candidate)
         self.candidates_by_worker.setdefault(worker_id, []).append((candidate, occupied))
 
     def _fit(self) -> list[WorkerCapacity] | None:
@@ -134,7 +142,7 @@
             else:
                 self.victims.remove(victim)
                 workers = fitting
-        return Displacement(self.victims, workers)
+        return Displacement(self.victims, workers, self.costs.__getitem__)
 
     def _change_available(self, victim: RunningWork, change: ResourceChange) -> None:
         for worker_id, occupied in victim.occupied:
--- a/src/cicadatray/scheduling/taskgraphs/placement_plan.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_plan.py
@@ -1,6 +1,8 @@
 """The result of a placement round."""
 
 from cicadatray.scheduling.taskgraphs.assignment import Assignment
+from cicadatray.scheduling.taskgraphs.displacement import Displacement
+from cicadatray.scheduling.taskgraphs.passed_over_job import PassedOverJob
 from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 
@@ -9,12 +11,15 @@
     """The runs to start and to stop after a placement round.
 
     `displaced` maps each run to stop to the identifier of the graph that gets its capacity.
-    `waits` maps each queue to its oldest work that was not placed.
+    `displacements` has their costs. `waits` maps each queue to its oldest work that was not placed.
+    `passed_over` names jobs that are passed over since this round.
     """
 
-    __slots__ = ("assignments", "displaced", "waits")
+    __slots__ = ("assignments", "displaced", "displacements", "passed_over", "waits")
 
     def __init__(self) -> None:
         self.assignments: list[Assignment] = []
         self.displaced: dict[TaskRun, str] = {}
+        self.displacements: list[Displacement] = []
+        self.passed_over: list[PassedOverJob] = []
         self.waits: dict[str, PlacementWait] = {}
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -88,6 +88,7 @@
     def run(self, waiting: Sequence[WaitingWork]) -> PlacementPlan:
         """Tries to place all waiting work in the order of its ranking and returns the plan."""
         blocked: set[tuple[str, int, int]] = set()
+        self.victims.observe(waiting)
         for work in self.ranking.order(waiting):
             step = (work.graph.graph.graph_id, work.occurrence, work.step_number)
             # If one task of a step does not fit, the other tasks of that step do not fit either.
@@ -247,6 +248,7 @@
             self.running_by_end = None
             self.plan.displaced.update(dict.fromkeys(victim.runs, work.graph.graph.graph_id))
             self._count_as_free_after_stops(victim)
+        self.plan.displacements.append(cheapest)
         self.victims.displaced(work, cheapest)
         self._reserve(work, cheapest.workers)
         return True
--- a/src/cicadatray/scheduling/taskgraphs/rules/cheapest.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/cheapest.py
@@ -39,4 +39,5 @@
 
     def is_worthwhile(self, work: WaitingWork, displacement: Displacement) -> bool:
         """Returns whether the work is guaranteed or worth more than what it stops."""
-        return work.is_guaranteed or displacement.cost < job_value(work.priority)
+        displacement.value = job_value(work.priority)
+        return work.is_guaranteed or displacement.cost < displacement.value
--- a/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
@@ -9,6 +9,7 @@
     cheapest,
     latest_start,
     packed,
+    worthwhile,
 )
 from cicadatray.scheduling.taskgraphs.rules.admission_rule import AdmissionRule, admission_rules
 from cicadatray.scheduling.taskgraphs.rules.candidate_rule import CandidateRule, candidate_rules
@@ -16,7 +17,7 @@
 from cicadatray.scheduling.taskgraphs.rules.ranking_rule import RankingRule, rankings
 from cicadatray.scheduling.taskgraphs.rules.victim_rule import VictimRule, victim_rules
 
-RULE_MODULES = (accept_all, by_account, cheapest, latest_start, packed)
+RULE_MODULES = (accept_all, by_account, cheapest, latest_start, packed, worthwhile)
 
 
 class SchedulingRules(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/src/cicadatray/scheduling/taskgraphs/rules/victim_rule.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/victim_rule.py
@@ -20,6 +20,9 @@
     def __init__(self, view: RoundView) -> None:
         self.view = view
 
+    def observe(self, waiting: Sequence[WaitingWork]) -> None:  # noqa: B027
+        """Is called with all waiting work before the round places any."""
+
     @abstractmethod
     def candidates(self, work: WaitingWork) -> list[RunningWork]:
         """Returns the running work that may give way to this urgent work."""
@@ -41,7 +44,7 @@
 
     @abstractmethod
     def is_worthwhile(self, work: WaitingWork, displacement: Displacement) -> bool:
-        """Returns whether the work justifies the displacement."""
+        """Returns whether the work justifies the displacement, whose `value` the rule sets."""
 
     def displaced(self, work: WaitingWork, displacement: Displacement) -> None:  # noqa: B027
         """Is called once the round has decided on a displacement."""
--- a/src/cicadatray/scheduling/taskgraphs/running_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/running_work.py
@@ -91,13 +91,20 @@
 
         The factor protects work that has been restarted before from being restarted again.
         """
+        starts = max((run.run for run in self.runs), default=1)
+        return (self.lost_core_seconds() + STOP_COST * len(self.runs)) * starts
+
+    def lost_core_seconds(self) -> float:
+        """Returns the work that a stop throws away."""
         lost_s = 0.5 if self.is_checkpointable else self.elapsed_s
-        cores = sum(
+        return lost_s * self.cores()
+
+    def cores(self) -> float:
+        """Returns the cores that all its runs occupy, with accelerators converted to cores."""
+        return sum(
             demand.cpu_millis / 1000 + ACCELERATOR_CORES * demand.accelerators
             for _, demand in self.occupied
         )
-        starts = max((run.run for run in self.runs), default=1)
-        return (lost_s * cores + STOP_COST * len(self.runs)) * starts
 
 
 # The time to stop a run, record its end, wait for capacity elsewhere and start it again.
