--- a/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
+++ b/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
@@ -4,7 +4,7 @@
 
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
-from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import SchedulingRules
+from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -13,6 +13,8 @@
 Running = Sequence[RunningWork]
 RoundFactory = Callable[[Workers, Running, float], PlacementRound]
 experiment_policies: dict[str, RoundFactory] = {}
+# Policies that are a choice of registered rules; others use the default rules.
+ruled_policies: dict[str, SchedulingRules] = {}
 
 
 def experiment_policy(make_round: RoundFactory) -> RoundFactory:
@@ -21,25 +23,6 @@
     return make_round
 
 
-class RulePolicy:
-    """A policy with these scheduling rules, whose memory lasts for one run of the experiment."""
-
-    __slots__ = ("memory", "rules")
-
-    def __init__(self, rules: SchedulingRules) -> None:
-        self.rules = rules
-        self.memory = RuleMemory()
-
-    def __call__(self, workers: Workers, running: Running, now_s: float) -> PlacementRound:
-        """Returns a round with these rules."""
-        return PlacementRound(workers, running, now_s, rules=self.rules, memory=self.memory)
-
-
-def begin_run(make_round: RoundFactory) -> RoundFactory:
-    """Returns the policy with an empty memory."""
-    return RulePolicy(make_round.rules) if isinstance(make_round, RulePolicy) else make_round
-
-
 @experiment_policy
 def present(workers: Workers, running: Running, now_s: float) -> PlacementRound:
     """Returns a round with the start limits that control uses."""
@@ -58,4 +41,26 @@
     return PlacementRound(workers, running, now_s, StartLimits(urgent_start_s=5.0))
 
 
-experiment_policies["worthwhile"] = RulePolicy(SchedulingRules(victims="worthwhile"))
+def rules_of(policy: str) -> SchedulingRules:
+    """Returns the rules of a policy."""
+    return ruled_policies.get(policy, DEFAULT_RULES)
+
+
+def make_policy(policy: str) -> RoundFactory:
+    """Returns a factory of rounds for one run; the rules of each run have a memory of their own."""
+    if policy not in ruled_policies:
+        return experiment_policies[policy]
+    rules, memory = ruled_policies[policy], RuleMemory()
+
+    def make_round(workers: Workers, running: Running, now_s: float) -> PlacementRound:
+        return PlacementRound(workers, running, now_s, rules=rules, memory=memory)
+
+    return make_round
+
+
+def policy_names() -> tuple[str, ...]:
+    """Returns the names of all policies, the present one first."""
+    return (*experiment_policies, *ruled_policies)
+
+
+ruled_policies["worthwhile"] = SchedulingRules(victims="worthwhile")
