Add the ranking least_cost; log and count what is displaced and passed over

When not all jobs can be on time, earliest latest start first makes more of them late than necessary. The line 'run displaced' has cost and value; 'job passed over' and the counter of displaced core-seconds by queue are new. Default rules plan as before.

--- a/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
+++ b/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
@@ -64,3 +64,7 @@
 
 
 ruled_policies["worthwhile"] = SchedulingRules(victims="worthwhile")
+ruled_policies["least_cost"] = SchedulingRules(ranking="least_cost")
+ruled_policies["least_cost_worthwhile"] = SchedulingRules(
+    ranking="least_cost", victims="worthwhile"
+)
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -25,9 +25,11 @@
     RunCheckpoint,
     RunsRecorded,
 )
+from cicadatray.scheduling.taskgraphs.displacement import Displacement
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
+from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 # The interval of rounds without a wake-up, for occurrences that become due and leases that expire.
@@ -255,7 +257,28 @@
 
     def _displace(self, plan: PlacementPlan) -> None:
         session = self.session
-        for run, for_graph in plan.displaced.items():
+        for displacement in plan.displacements:
+            for victim in displacement.victims:
+                self._displace_work(victim, plan, displacement)
+        for job in plan.passed_over:
+            log.info(
+                "job passed over",
+                graph=job.graph_id,
+                preferred=job.preferred,
+                density=round(job.density, 2),
+                preferred_density=round(job.preferred_density, 2),
+                lateness_s=round(job.lateness_s, 1),
+            )
+        if plan.displaced:
+            session.wake_all()
+
+    def _displace_work(
+        self, victim: RunningWork, plan: PlacementPlan, displacement: Displacement
+    ) -> None:
+        session = self.session
+        session.statistics.record_displaced_work(victim)
+        for run in victim.runs:
+            for_graph = plan.displaced[run]
             session.revoked_runs.add(run)
             session.displacing_graphs.setdefault(for_graph, session.now_s())
             self.displaced_runs.increment(reason=DISPLACED)
@@ -266,6 +289,6 @@
                 task=run.task.key,
                 run=run.run,
                 for_graph=for_graph,
+                cost=round(displacement.cost),
+                value=round(displacement.value),
             )
-        if plan.displaced:
-            session.wake_all()
--- a/src/cicadatray/internal/control/graphs/graph_statistics.py
+++ b/src/cicadatray/internal/control/graphs/graph_statistics.py
@@ -9,6 +9,7 @@
     graph_end_seconds,
     graph_start_seconds,
     graphs_ended,
+    queue_core_seconds_displaced,
     queue_runs_displaced,
     queue_runs_ended,
 )
@@ -16,6 +17,7 @@
 from cicadatray.scheduling.taskgraphs.graph_outcome import GraphOutcome, classify_graph
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 
 if TYPE_CHECKING:
@@ -98,6 +100,13 @@
         queue_runs_displaced(metrics).increment(queue=progress.graph.policy.queue, reason=reason)
         self._count_interruption(run.task.graph_id, reason)
 
+    def record_displaced_work(self, victim: RunningWork) -> None:
+        """Records the work that is lost when a gang or a task is stopped for another job."""
+        progress = self.session.graphs.get(victim.graph_id)
+        if progress is not None:
+            counter = queue_core_seconds_displaced(self.session.leader.metrics)
+            counter.increment(victim.lost_core_seconds(), queue=progress.graph.policy.queue)
+
     def record_run_end(self, placed: PlacedEnd) -> None:
         """Records the end of a run once it is durable."""
         graph_id = placed.end.run.task.graph_id
--- a/src/cicadatray/internal/observability/queue_metrics.py
+++ b/src/cicadatray/internal/observability/queue_metrics.py
@@ -51,6 +51,15 @@
     )
 
 
+def queue_core_seconds_displaced(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of core-seconds that displaced runs have lost; label `queue`."""
+    return registry.counter(
+        "cicadatray_queue_core_seconds_displaced_total",
+        "Work lost by runs stopped for others, an accelerator counted as eight cores.",
+        ("queue",),
+    )
+
+
 def queue_blocked_seconds(registry: MetricsRegistry) -> Counter:
     """Returns the counter of seconds in which the oldest waiting work of a queue was not placed.
 
--- a/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
@@ -8,6 +8,7 @@
     by_account,
     cheapest,
     latest_start,
+    least_cost,
     packed,
     worthwhile,
 )
@@ -17,7 +18,7 @@
 from cicadatray.scheduling.taskgraphs.rules.ranking_rule import RankingRule, rankings
 from cicadatray.scheduling.taskgraphs.rules.victim_rule import VictimRule, victim_rules
 
-RULE_MODULES = (accept_all, by_account, cheapest, latest_start, packed, worthwhile)
+RULE_MODULES = (accept_all, by_account, cheapest, latest_start, least_cost, packed, worthwhile)
 
 
 class SchedulingRules(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/tests/cover/guides/test_pages.py
+++ b/tests/cover/guides/test_pages.py
@@ -30,6 +30,7 @@
     queue_metrics.graph_end_seconds,
     queue_metrics.queue_runs_ended,
     queue_metrics.queue_runs_displaced,
+    queue_metrics.queue_core_seconds_displaced,
     queue_metrics.queue_blocked_seconds,
     queue_metrics.tasks_waiting,
     queue_metrics.tasks_running,
