--- a/src/cicadatray/scheduling/taskgraphs/rules/least_cost.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/least_cost.py
@@ -1,5 +1,6 @@
 """Ranking that chooses which jobs are late when not all can be on time."""
 
+import heapq
 from collections.abc import Sequence
 
 from cicadatray.scheduling.taskgraphs.job_value import LATE_VALUE_SHARE, job_value
@@ -128,49 +129,35 @@
         """Returns the graphs of one pool that are passed over in this round."""
         workers = [worker for worker in self.view.workers if worker.pool == pool]
         schedule = ProjectedSchedule(workers, self.view.running)
-        now_s = self.view.now_s
-        chosen: list[_WaitingJob] = []
+        # Candidates by priority, the lowest density first; a heap, because thousands may wait.
+        candidates: dict[int, list[tuple[float, int, _WaitingJob]]] = {}
         passed: dict[str, tuple[_WaitingJob, _WaitingJob, float]] = {}
         demand = 0.0
-        for job in jobs:
-            if job.graph_id in passed or (job.rank[0] or job.rank[3]):
+        for number, job in enumerate(jobs):
+            if job.rank[0] or job.rank[3]:
                 continue
-            if not job.is_fixed and self._is_held(job, demand, schedule):
+            if self._is_held(job, demand, schedule):
                 passed[job.graph_id] = (job, job, 0.0)
                 continue
-            chosen.append(job)
             demand += job.demand
-            while (lateness_s := self._lateness_s(job, demand, schedule)) > 0:
-                same = [
-                    other
-                    for other in chosen
-                    if not other.is_fixed
-                    and other.rank[1] == job.rank[1]
-                    and not self.memory.is_exhausted(other.graph_id, now_s)
-                ]
-                victim = min(same, key=lambda other: other.density, default=None)
-                if victim is None:
-                    break
-                chosen.remove(victim)
+            if job.is_fixed:
+                continue
+            heap = candidates.setdefault(job.rank[1], [])
+            if not self.memory.is_exhausted(job.graph_id, self.view.now_s):
+                heapq.heappush(heap, (job.density, number, job))
+            while heap and (lateness_s := schedule.end_s(demand) - job.due_s) > 0:
+                victim = heapq.heappop(heap)[2]
                 demand -= victim.demand
                 passed[victim.graph_id] = (victim, job, lateness_s)
-                if victim is job:
-                    break
-        self._report(passed, chosen)
+        self._report(passed)
         return set(passed)
 
     def _is_held(self, job: _WaitingJob, demand: float, schedule: ProjectedSchedule) -> bool:
         """Returns whether the job was passed over a moment ago and is not on time by a margin."""
-        if not self.memory.is_held(job.graph_id, self.view.now_s):
+        if job.is_fixed or not self.memory.is_held(job.graph_id, self.view.now_s):
             return False
         return schedule.end_s(demand + job.demand) > job.due_s / 2
 
-    def _lateness_s(self, job: _WaitingJob, demand: float, schedule: ProjectedSchedule) -> float:
-        """Returns by how much the job ends late when all work up to it is done one by one."""
-        if job.is_fixed:
-            return 0.0
-        return schedule.end_s(demand) - job.due_s
-
     def _next_exhausted(self, jobs: list[_WaitingJob]) -> set[str]:
         """Returns, for each priority, the job that has been passed over longest and too long."""
         found: dict[int, str] = {}
@@ -184,16 +171,13 @@
                 found[job.rank[1]] = graph_id
         return set(found.values())
 
-    def _report(
-        self,
-        passed: dict[str, tuple[_WaitingJob, _WaitingJob, float]],
-        chosen: list[_WaitingJob],
-    ) -> None:
-        """Adds jobs that were not passed over before to the plan."""
+    def _report(self, passed: dict[str, tuple[_WaitingJob, _WaitingJob, float]]) -> None:
+        """Adds jobs that were not passed over before to the plan, with what goes before them."""
+        dearest = max(passed.values(), key=lambda entry: entry[1].density, default=None)
         for graph_id, (job, cause, lateness_s) in passed.items():
             if graph_id in self.memory.since_s or len(self.view.plan.passed_over) >= MAX_REPORTED:
                 continue
-            preferred = cause if cause is not job else chosen[0] if chosen else cause
+            preferred = dearest[1] if cause is job and dearest else cause
             self.view.plan.passed_over.append(
                 PassedOverJob(
                     graph_id, preferred.graph_id, job.density, preferred.density, lateness_s
