--- a/src/cicadatray/scheduling/taskgraphs/rules/expected_value.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/expected_value.py
@@ -7,7 +7,6 @@
     MAX_LATENESS_FACTOR,
     job_value,
 )
-from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 
 # Standard deviation of the log of true durations divided by estimates (load sheets of the users).
@@ -30,16 +29,8 @@
         slack_s = lateness * stretched_s - path_s
         return chance_of_ratio(slack_s, waited_s - lateness * latency_s)
 
-    return _value(work.priority, chance(1.0), chance(MAX_LATENESS_FACTOR))
-
-
-def value_of_end(running: RunningWork, remaining_s: float) -> float:
-    """Returns the expected value of the job of running work that takes this long to end."""
-    return _value(
-        running.priority,
-        chance_of_ratio(running.on_time_by_s, remaining_s),
-        chance_of_ratio(running.worthless_after_s, remaining_s),
-    )
+    late, on_time = chance(MAX_LATENESS_FACTOR), chance(1.0)
+    return job_value(work.priority) * (LATE_VALUE_SHARE * late + (1 - LATE_VALUE_SHARE) * on_time)
 
 
 def chance_of_ratio(allowed_s: float, needed_s: float) -> float:
@@ -51,7 +42,3 @@
     return 0.5 * (
         1 + math.erf(math.log(allowed_s / needed_s) / (ESTIMATE_LOG_ERROR * math.sqrt(2)))
     )
-
-
-def _value(priority: int, on_time: float, useful: float) -> float:
-    return job_value(priority) * (LATE_VALUE_SHARE * useful + (1 - LATE_VALUE_SHARE) * on_time)
--- a/src/cicadatray/scheduling/taskgraphs/rules/worthwhile.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/worthwhile.py
@@ -3,27 +3,32 @@
 import math
 from collections.abc import Mapping, Sequence
 
-from cicadatray.scheduling.taskgraphs.displacement import Displacement
+from cicadatray.scheduling.taskgraphs.displacement import Displacement, stop_costs
 from cicadatray.scheduling.taskgraphs.earliest_fit import find_earliest_fit
 from cicadatray.scheduling.taskgraphs.job_value import job_value
 from cicadatray.scheduling.taskgraphs.rules.displacement_history import DisplacementHistory
-from cicadatray.scheduling.taskgraphs.rules.expected_value import value_of_end, value_of_start
+from cicadatray.scheduling.taskgraphs.rules.expected_value import value_of_start
 from cicadatray.scheduling.taskgraphs.rules.job_sizes import JobSizes
 from cicadatray.scheduling.taskgraphs.rules.pruned_search import PrunedSearch
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.rules.victim_rule import VictimRule, victim_rules
-from cicadatray.scheduling.taskgraphs.running_work import RESTART_S, STOP_COST, RunningWork
+from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.task_fit import FillOrder
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 
 # As for other blocked gangs: more reservations would leave workers idle.
 MAX_RESERVED_GANGS = 2
+# A job may displace this many times its value: the prices of wasted work differ between load sheets
+# (1/250 to 1/1,350 of a unit of worth for a core-second), and `job_value` has one of the highest.
+VALUE_SCALE = 1.5
+# A smaller gain, as a share of the job's value, is within the error of estimates.
+LEAST_GAIN_SHARE = 0.2
 
 
 @victim_rules.register("worthwhile")
 class WorthwhileVictims(VictimRule):
-    """Displaces work only where the expected gain of the urgent job exceeds all that it displaces.
+    """Displaces work for a job that gains by it and is worth more than all that it displaces.
 
     The gain is the difference between a start after a stop and one when running work ends.
     Guaranteed work may displace whatever it costs; it stops what is protected last.
@@ -82,11 +87,17 @@
         return PrunedSearch(work, group, candidates, limits, fill_order, self.costs_of).run()
 
     def is_worthwhile(self, work: WaitingWork, displacement: Displacement) -> bool:
-        """Returns whether the work is guaranteed or gains more than its job displaces in all."""
+        """Returns whether the work is guaranteed, or gains by a stop and its job justifies it.
+
+        All that was stopped for the job counts.
+        """
         graph_id = work.graph.graph.graph_id
-        displacement.value = self._gain(work)
+        factor = max(1.0, self.sizes.worth_factor(graph_id))
+        displacement.value = VALUE_SCALE * factor * job_value(work.priority)
+        if work.is_guaranteed:
+            return True
         spent = self.history.spent.get(graph_id, 0.0)
-        return work.is_guaranteed or spent + displacement.cost < displacement.value
+        return spent + displacement.cost < displacement.value and self._gains(work)
 
     def displaced(self, work: WaitingWork, displacement: Displacement) -> None:
         """Remembers the displacement."""
@@ -101,35 +112,28 @@
         return True
 
     def costs_of(self, victim: RunningWork) -> tuple[float, float]:
-        """Returns the cost of stopping one work and the value that its job loses."""
+        """Returns the cost of stopping one work and the value that its job loses.
+
+        The cost is higher for what displaced or was displaced just now.
+        """
         costs = self.costs.get(victim)
         if costs is None:
-            costs = self.costs[victim] = self._stop_cost(victim), self._lost_value(victim)
+            stop_cost, lost_value = stop_costs(victim)
+            stop_cost += job_value(victim.priority) * self.history.is_protected(victim)
+            costs = self.costs[victim] = stop_cost, lost_value
         return costs
 
-    def _gain(self, work: WaitingWork) -> float:
-        """Returns the expected value of a start after a stop, less that of waiting for a fit."""
+    def _gains(self, work: WaitingWork) -> bool:
+        """Returns whether a start after a stop is worth clearly more than one without a stop.
+
+        The wait for running work counts only for a gang for which that capacity is reserved; other
+        work would take it before.
+        """
+        if not work.step.is_gang or self.reserved_gangs >= MAX_RESERVED_GANGS:
+            return True
         now_s = self.view.now_s
-        factor = self.sizes.worth_factor(work.graph.graph.graph_id)
         stopped_s = now_s + self.view.start_limits.displacement_s()
-        value = value_of_start(work, stopped_s)
+        gain = value_of_start(work, stopped_s)
         if math.isfinite(self.wait_s):
-            value -= value_of_start(work, max(stopped_s, now_s + self.wait_s))
-        return value * factor
-
-    def _stop_cost(self, victim: RunningWork) -> float:
-        """Returns the lost work, and what the capacity would do until it is used again.
-
-        The number of starts protects work that has been restarted before.
-        """
-        idle_s = self.view.start_limits.displacement_s()
-        starts = max((run.run for run in victim.runs), default=1)
-        lost = victim.lost_core_seconds() + idle_s * victim.cores()
-        cost = (lost + STOP_COST * len(victim.runs)) * starts
-        return cost + job_value(victim.priority) * self.history.is_protected(victim)
-
-    def _lost_value(self, victim: RunningWork) -> float:
-        remaining_s = victim.remaining_s()
-        rerun_s = remaining_s if victim.is_checkpointable else victim.elapsed_s + remaining_s
-        lost = value_of_end(victim, remaining_s) - value_of_end(victim, rerun_s + RESTART_S)
-        return lost * self.sizes.worth_factor(victim.graph_id)
+            gain -= value_of_start(work, max(stopped_s, now_s + self.wait_s))
+        return gain >= LEAST_GAIN_SHARE * job_value(work.priority)
