--- a/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
+++ b/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
@@ -61,3 +61,10 @@
 def policy_names() -> tuple[str, ...]:
     """Returns the names of all policies, the present one first."""
     return (*experiment_policies, *ruled_policies)
+
+
+ruled_policies["worthwhile"] = SchedulingRules(victims="worthwhile")
+ruled_policies["least_cost"] = SchedulingRules(ranking="least_cost")
+ruled_policies["least_cost_worthwhile"] = SchedulingRules(
+    ranking="least_cost", victims="worthwhile"
+)
--- a/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
@@ -11,7 +11,9 @@
     fair_latest_start,
     feasible,
     latest_start,
+    least_cost,
     packed,
+    worthwhile,
 )
 from cicadatray.scheduling.taskgraphs.rules.admission_rule import AdmissionRule, admission_rules
 from cicadatray.scheduling.taskgraphs.rules.candidate_rule import CandidateRule, candidate_rules
@@ -27,7 +29,9 @@
     fair_latest_start,
     feasible,
     latest_start,
+    least_cost,
     packed,
+    worthwhile,
 )
 
 
