Estimate the speeds of workers and place by them

Workers of Addis differ in speed, and placement did not see it. An estimator separates effects of workers and steps on the rates of runs; the rule `by_speed` gives fast workers to urgent work.

--- a/src/cicadatray/internal/bench/experiment.py
+++ b/src/cicadatray/internal/bench/experiment.py
@@ -13,6 +13,7 @@
 )
 from cicadatray.internal.bench.graph_experiment.disturbance_draw import draw_disturbances
 from cicadatray.internal.bench.graph_experiment.experiment_policy import (
+    TOLD_POLICIES,
     make_policy,
     policy_names,
     rules_of,
@@ -58,6 +59,7 @@
                         make_policy(name),
                         draw_disturbances(sheet, seed),
                         rules_of(name),
+                        name in TOLD_POLICIES,
                     ).run()
                     for seed in range(first_seed, first_seed + seeds)
                 ]
--- a/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
+++ b/src/cicadatray/internal/bench/graph_experiment/experiment_policy.py
@@ -14,7 +14,12 @@
 RoundFactory = Callable[[Workers, Running, float], PlacementRound]
 experiment_policies: dict[str, RoundFactory] = {}
 # Policies that are a choice of registered rules; others use the default rules.
-ruled_policies: dict[str, SchedulingRules] = {}
+ruled_policies: dict[str, SchedulingRules] = {
+    "by_speed": SchedulingRules(candidates="by_speed"),
+    "true_speeds": SchedulingRules(candidates="by_speed"),
+}
+# Policies that are told the true speeds of the workers, as an upper bound.
+TOLD_POLICIES = frozenset(("true_speeds",))
 
 
 def experiment_policy(make_round: RoundFactory) -> RoundFactory:
--- a/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
+++ b/src/cicadatray/internal/bench/graph_experiment/fleet_emulator.py
@@ -7,6 +7,7 @@
 from cicadatray.internal.bench.graph_experiment.load_sheet import LoadSheet
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
 from cicadatray.internal.bench.graph_experiment.run_result import RunResult
+from cicadatray.internal.bench.graph_experiment.speed_reports import SpeedReports, run_id_of
 from cicadatray.internal.control.graphs.placement_input import (
     SILENCE_LIMIT_S,
     mark_displacing,
@@ -53,6 +54,7 @@
         "saved_s",
         "rules",
         "sheet",
+        "speed_reports",
         "speeds",
     )
 
@@ -63,6 +65,7 @@
         make_round: RoundFactory,
         disturbances: Disturbances = CALM,
         rules: SchedulingRules = DEFAULT_RULES,
+        knows_speeds: bool = False,
     ) -> None:
         self.rules = rules
         self.sheet = sheet
@@ -75,6 +78,8 @@
         numbers = range(sheet.workers)
         self.racks = {sheet.worker_id(n): f"r{n // sheet.workers_per_rack}" for n in numbers}
         self.speeds = {sheet.worker_id(n): sheet.speed_of(n) for n in numbers}
+        uses_speeds = rules.find_candidates().uses_speeds
+        self.speed_reports = SpeedReports(knows_speeds) if uses_speeds else None
         self.graphs: dict[str, GraphProgress] = {}
         self.runs: dict[TaskRun, EmulatedRun] = {}
         self.displacing: dict[str, float] = {}
@@ -89,6 +94,7 @@
             if not self.disturbances.is_control_out(self.now_s):
                 self._process_arrivals()
                 self._process_ends()
+                self._report_progress()
                 self._place_waiting_work()
             self.now_s += ROUND_S
         for graph_id, job in self.jobs.items():
@@ -174,6 +180,8 @@
                 self._count_lost_work(run, end_s)
                 outcome = RunOutcome.FAILED if run.fails else RunOutcome.STOPPED
             for task_run, worker_id in run.placed_tasks:
+                if self.speed_reports is not None and outcome is RunOutcome.DONE:
+                    self.speed_reports.speeds.end(worker_id, run_id_of(task_run), self.now_s)
                 del self.runs[task_run]
                 run.work.graph.record_end(task_run.task, task_run.run, worker_id, outcome, "")
             run.work.graph.finish_if_done(end_s)
@@ -191,6 +199,11 @@
         kept_s = max(0.0, run.progress_at_s(end_s) - lost_s)
         self.saved_s[run.placed_tasks[0][0]] = run.saved_s + kept_s
 
+    def _report_progress(self) -> None:
+        if self.speed_reports is not None:
+            heard = [w for w in self.racks if not self.disturbances.is_silent(w, self.now_s)]
+            self.speed_reports.report(heard, self._distinct_runs(), self.now_s)
+
     def _place_waiting_work(self) -> None:
         active = [graph for graph in self.graphs.values() if graph.is_active]
         waiting = [work for graph in active for work in find_ready_work(graph, self.now_s)]
@@ -200,7 +213,16 @@
         running = self._list_running_work()
         mark_guaranteed(self.rules.find_guarantees(), active, self.guarantees, waiting, running)
         mark_displacing(self.displacing, waiting)
-        plan = self.make_round(list(workers.values()), running, self.now_s).run(waiting)
+        if self.speed_reports is not None:
+            true_speeds = {
+                w: speed / self.disturbances.slow_factor(w, self.now_s)
+                for w, speed in self.speeds.items()
+            }
+            self.speed_reports.set_speeds(workers, running, true_speeds)
+        placement = self.make_round(list(workers.values()), running, self.now_s)
+        if self.speed_reports is not None:
+            self.speed_reports.share_corrections(placement.view.memory)
+        plan = placement.run(waiting)
         self._apply_plan(plan, waiting)
 
     def _distinct_runs(self) -> list[EmulatedRun]:
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -193,6 +193,7 @@
             if chosen is not None and self.candidates.may_use(work, chosen):
                 self._reserve(work, chosen)
                 return
+        groups = self.candidates.groups_to_clear(work, groups)
         is_in_time = work.is_guaranteed or self.now_s < work.latest_start_s()
         if self.may_displace and work.priority == URGENT_PRIORITY and is_in_time:
             is_served = self._reserve_if_free_in_time(work, groups) or self._displace(work, groups)
--- a/src/cicadatray/scheduling/taskgraphs/rules/candidate_rule.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/candidate_rule.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from typing import ClassVar
 
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.rules.rule_registry import RuleRegistry
@@ -11,9 +12,13 @@
 
 
 class CandidateRule(ABC):
-    """Chooses the workers for waiting work; an instance serves one round."""
+    """Chooses the workers for waiting work; an instance serves one round.
+
+    Only if `uses_speeds` is set does the leader estimate the speeds of workers.
+    """
 
     __slots__ = ("view",)
+    uses_speeds: ClassVar[bool] = False
 
     def __init__(self, view: RoundView) -> None:
         self.view = view
@@ -36,5 +41,11 @@
         """
         return True
 
+    def groups_to_clear(
+        self, work: WaitingWork, groups: list[list[WorkerCapacity]]
+    ) -> list[list[WorkerCapacity]]:
+        """Returns those of its groups on which work that does not fit now waits or displaces."""
+        return groups
+
 
 candidate_rules: RuleRegistry[type[CandidateRule]] = RuleRegistry("candidates")
--- a/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/scheduling_rules.py
@@ -6,6 +6,7 @@
 from cicadatray.scheduling.taskgraphs.rules import (
     accept_all,
     by_account,
+    by_speed,
     cheapest,
     latest_start,
     packed,
@@ -16,7 +17,7 @@
 from cicadatray.scheduling.taskgraphs.rules.ranking_rule import RankingRule, rankings
 from cicadatray.scheduling.taskgraphs.rules.victim_rule import VictimRule, victim_rules
 
-RULE_MODULES = (accept_all, by_account, cheapest, latest_start, packed)
+RULE_MODULES = (accept_all, by_account, by_speed, cheapest, latest_start, packed)
 
 
 class SchedulingRules(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/src/cicadatray/scheduling/taskgraphs/running_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/running_work.py
@@ -13,6 +13,8 @@
 
     `occupied` holds the worker of each run and what the run occupies there. `percent` is the
     progress, or -1 while it is unknown. `is_guaranteed` has the same meaning as in `WaitingWork`.
+    `pace_remaining_s` is the remaining time at the pace of the last seconds, None unless paces are
+    measured.
     """
 
     __slots__ = (
@@ -23,6 +25,7 @@
         "is_guaranteed",
         "occupied",
         "on_time_by_s",
+        "pace_remaining_s",
         "percent",
         "priority",
         "runs",
@@ -47,6 +50,7 @@
         self.estimate_s = estimate_s
         self.elapsed_s = elapsed_s
         self.percent = percent
+        self.pace_remaining_s: float | None = None
         self.runs: list[TaskRun] = []
         self.occupied: list[tuple[str, Resources]] = []
 
@@ -56,7 +60,12 @@
         self.occupied.append((worker_id, demand))
 
     def remaining_s(self) -> float:
-        """Returns the expected remaining time, from the speed so far or from the estimate."""
+        """Returns the expected remaining time, from the speed or from the estimate.
+
+        The pace of the last seconds is closer than the mean, if the worker has changed its speed.
+        """
+        if self.pace_remaining_s is not None:
+            return self.pace_remaining_s
         if self.percent >= MIN_PERCENT_FOR_SPEED:
             return self.elapsed_s * (100 - self.percent) / self.percent
         return max(0.0, self.estimate_s - self.elapsed_s)
--- a/src/cicadatray/scheduling/taskgraphs/worker_capacity.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_capacity.py
@@ -10,7 +10,9 @@
     being stopped still occupy. A reserved worker accepts no further work in this round, because its
     capacity is reserved for a job that waits for it. Tasks have failed repeatedly on a suspect
     worker. A worker on trial runs a task that may crash it, and accepts no other work until that
-    task is known to be harmless. `run_count` is the number of runs on the worker.
+    task is known to be harmless. `run_count` is the number of runs on the worker. `speed` is
+    relative to the typical worker of the pool, `speed_uncertainty` the standard deviation of its
+    log.
     """
 
     __slots__ = (
@@ -24,6 +26,8 @@
         "pool",
         "rack",
         "run_count",
+        "speed",
+        "speed_uncertainty",
         "worker_id",
     )
 
@@ -43,6 +47,8 @@
         self.free = capacity
         self.free_after_stops = capacity
         self.run_count = 0
+        self.speed = 1.0
+        self.speed_uncertainty = 0.0
         self.is_on_trial = False
         self.is_reserved = False
         self.is_suspect = False
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -0,0 +1,253 @@
+"""Estimates the speed of each worker from the progress of its runs."""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from statistics import median
+
+import msgspec
+
+from cicadatray.scheduling.taskgraphs.estimate_corrections import EstimateCorrections
+from cicadatray.scheduling.taskgraphs.run_pace import PaceSample, ProgressReport, RunPace
+from cicadatray.scheduling.taskgraphs.speed_solver import (
+    LOWEST_LOG,
+    TASK_DEVIATION,
+    WORKER_DEVIATION,
+    RateObservation,
+    StepPrior,
+    WorkerEvidence,
+    solve,
+)
+from cicadatray.scheduling.taskgraphs.speed_spread import SpeedSpread
+
+# An update costs about 2 µs for each observation; the interval grows with their number, so that
+# the load is bounded.
+UPDATE_INTERVAL_S = 0.5
+OBSERVATIONS_PER_UPDATE = 4_000
+# At most this many runs are followed, evenly by worker, which bounds space and the cost of an
+# update; runs beyond it are followed as others end.
+MAX_RUNS = 8_000
+MAX_ENDED_RUNS = 8
+MAX_RUNS_PER_WORKER = 16
+# An observation of a run that has ended loses half of its weight with this much newer work of its
+# worker, or in this time without any.
+WORK_HALF_LIFE_S = 6.0
+IDLE_HALF_LIFE_S = 30.0
+
+
+class EndedRun(msgspec.Struct, frozen=True):
+    """The pace of a run that is done, and the clocks of its worker at its end."""
+
+    report: ProgressReport
+    sample: PaceSample
+    ended_s: float
+    worked_s: float
+
+
+class WorkerRecord:
+    """What is kept of one worker: its followed runs, its last ended ones and the solution.
+
+    `worked_s` is for how long the worker was seen with runs.
+    """
+
+    __slots__ = ("effect", "ended", "last_report_s", "observations", "pool", "runs", "variance")
+    __slots__ += ("worked_s",)
+
+    def __init__(self, pool: str, now_s: float) -> None:
+        self.pool = pool
+        self.last_report_s = now_s
+        self.worked_s = 0.0
+        self.runs: dict[str, RunPace] = {}
+        self.ended: deque[EndedRun] = deque(maxlen=MAX_ENDED_RUNS)
+        self.effect = 0.0
+        self.variance = WORKER_DEVIATION**2
+        self.observations = 0
+
+
+class WorkerSpeeds:
+    """Estimates speeds relative to the typical worker of a pool.
+
+    Model: the log of a run's rate is the sum of an effect of its step, an effect of its worker and
+    noise. Members of a gang advance at the pace of the slowest, so a gang only bounds the speeds of
+    its members from below. `gangs` holds the workers of each gang by its step. `solved_observations` counts the observations of the last update.
+    """
+
+    __slots__ = ("corrections", "gangs", "solved_observations", "spreads", "updated_s", "workers")
+
+    def __init__(self, corrections: EstimateCorrections | None = None) -> None:
+        self.corrections = corrections or EstimateCorrections()
+        self.workers: dict[str, WorkerRecord] = {}
+        self.gangs: dict[str, set[str]] = {}
+        self.spreads = SpeedSpread()
+        self.updated_s = -math.inf
+        self.solved_observations = 0
+
+    def speed(self, worker_id: str) -> float:
+        """Returns the speed, where 1 is that of the typical or an unknown worker."""
+        record = self.workers.get(worker_id)
+        return math.exp(record.effect) if record else 1.0
+
+    def uncertainty(self, worker_id: str) -> float:
+        """Returns the standard deviation of the log of the speed."""
+        record = self.workers.get(worker_id)
+        return math.sqrt(record.variance) if record else WORKER_DEVIATION
+
+    def observations(self, worker_id: str) -> int:
+        """Returns the number of runs on which the speed is based."""
+        record = self.workers.get(worker_id)
+        return record.observations if record else 0
+
+    def spread(self, pool: str) -> bool:
+        """Returns whether the speeds in a pool differ by more than their uncertainty."""
+        return pool in self.spreads.pools
+
+    def remaining_s(self, worker_id: str, run_id: str) -> float | None:
+        """Returns the remaining time of a run at its present pace, or None if it is unknown."""
+        record = self.workers.get(worker_id)
+        pace = record.runs.get(run_id) if record else None
+        return pace.remaining_s() if pace else None
+
+    def report(
+        self, worker_id: str, pool: str, reports: Iterable[ProgressReport], now_s: float
+    ) -> None:
+        """Records the runs that a worker reports; the others have ended."""
+        record = self.workers.get(worker_id)
+        if record is None or record.pool != pool:
+            record = self.workers[worker_id] = WorkerRecord(pool, now_s)
+        if record.runs:
+            # A worker that was silent may have done anything.
+            record.worked_s += min(2.0, now_s - record.last_report_s)
+        record.last_report_s = now_s
+        runs: dict[str, RunPace] = {}
+        limit = max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // len(self.workers)))
+        for report in reports:
+            pace = record.runs.get(report.run_id)
+            if pace is not None:
+                pace.add(report.percent, now_s)
+                runs[report.run_id] = pace
+            elif report.percent >= 0 and report.estimate_s > 0 and len(runs) < limit:
+                runs[report.run_id] = RunPace(report, now_s)
+                if report.is_gang:
+                    self._add_member(report.step_id, worker_id)
+        record.runs = runs
+
+    def _add_member(self, step_id: str, worker_id: str) -> None:
+        self.gangs.setdefault(step_id, set()).add(worker_id)
+        if len(self.gangs) > MAX_RUNS:
+            # The oldest gang has ended without being done.
+            del self.gangs[next(iter(self.gangs))]
+
+    def end(self, worker_id: str, run_id: str, now_s: float) -> None:
+        """Records that a run is done. It must be called before the report that omits the run."""
+        record = self.workers.get(worker_id)
+        pace = record.runs.pop(run_id, None) if record else None
+        sample = pace.whole(now_s) if pace else None
+        if record is None or pace is None or sample is None:
+            return
+        report = pace.report
+        if not report.is_gang:
+            record.ended.append(EndedRun(report, sample, now_s, record.worked_s))
+            self._learn(report, sample, record.effect)
+            return
+        # All members end together, and the first end of one stands for all.
+        members = self.gangs.pop(report.step_id, set())
+        effects = [self.workers[name].effect for name in members if name in self.workers]
+        if effects:
+            self._learn(report, sample, min(effects))
+
+    def _learn(self, report: ProgressReport, sample: PaceSample, log_speed: float) -> None:
+        """Corrects the estimates of a queue by a run at this pace on workers of this speed."""
+        time_s = math.exp(log_speed - sample.log_rate)
+        self.corrections.add(report.queue, report.step_id, report.estimate_s, time_s)
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Forgets a worker that has ended."""
+        self.workers.pop(worker_id, None)
+
+    def update(self, now_s: float) -> bool:
+        """Computes all speeds anew; returns False if the last update was a moment ago."""
+        interval_s = UPDATE_INTERVAL_S * max(
+            1.0, self.solved_observations / OBSERVATIONS_PER_UPDATE
+        )
+        if now_s - self.updated_s < interval_s:
+            return False
+        self.updated_s = now_s
+        self.solved_observations = 0
+        pools: dict[str, list[WorkerRecord]] = {}
+        for record in self.workers.values():
+            pools.setdefault(record.pool, []).append(record)
+        for pool, records in pools.items():
+            self._update_pool(records, now_s)
+            speeds = [(math.exp(r.effect), math.sqrt(r.variance)) for r in records]
+            self.spreads.update(pool, speeds)
+        return True
+
+    def _update_pool(self, records: list[WorkerRecord], now_s: float) -> None:
+        steps: dict[str, int] = {}
+        priors: list[StepPrior] = []
+        evidence = [self._evidence(record, now_s, steps, priors) for record in records]
+        solve(evidence, priors)
+        known = [worker.effect for worker in evidence if worker.recent or worker.earlier]
+        centre = median(known) if known else 0.0
+        for record, worker in zip(records, evidence, strict=True):
+            record.observations = len(worker.recent) + len(worker.earlier)
+            self.solved_observations += record.observations
+            record.effect = max(LOWEST_LOG, worker.effect - centre) if record.observations else 0.0
+            record.variance = worker.variance
+            self._apply_gang_bounds(record, centre)
+
+    def _evidence(
+        self,
+        record: WorkerRecord,
+        now_s: float,
+        steps: dict[str, int],
+        priors: list[StepPrior],
+    ) -> WorkerEvidence:
+        evidence = WorkerEvidence([], [], record.effect)
+        for pace in record.runs.values():
+            sample = None if pace.report.is_gang else pace.recent()
+            if sample is not None:
+                age_s = now_s - pace.last_report_s
+                weight = 0.5 ** (age_s / IDLE_HALF_LIFE_S)
+                observation = self._observation(pace.report, sample, weight, steps, priors)
+                evidence.recent.append(observation)
+        for ended in record.ended:
+            work_s = record.worked_s - ended.worked_s
+            age_s = now_s - ended.ended_s
+            weight = 0.5 ** (work_s / WORK_HALF_LIFE_S + age_s / IDLE_HALF_LIFE_S)
+            if weight > 0.01:
+                observation = self._observation(ended.report, ended.sample, weight, steps, priors)
+                evidence.earlier.append(observation)
+        return evidence
+
+    def _observation(
+        self,
+        report: ProgressReport,
+        sample: PaceSample,
+        weight: float,
+        steps: dict[str, int],
+        priors: list[StepPrior],
+    ) -> RateObservation:
+        step = steps.get(report.step_id)
+        if step is None:
+            step = steps[report.step_id] = len(priors)
+            ratio = self.corrections.log_ratio(report.queue)
+            priors.append(StepPrior(-ratio.mean, 1 / ratio.variance))
+        precision = weight / (TASK_DEVIATION**2 + sample.error**2)
+        return RateObservation(step, sample.log_rate + math.log(report.estimate_s), precision)
+
+    def _apply_gang_bounds(self, record: WorkerRecord, centre: float) -> None:
+        """Raises the speed of a worker that a gang shows to be faster than was known.
+
+        The time of a gang is known only from its estimate.
+        """
+        for pace in record.runs.values():
+            sample = pace.recent() if pace.report.is_gang else None
+            if sample is None:
+                continue
+            ratio = self.corrections.log_ratio(pace.report.queue)
+            bound = sample.log_rate + math.log(pace.report.estimate_s) + ratio.mean - centre
+            if bound > record.effect:
+                variance = ratio.variance + TASK_DEVIATION**2 + sample.error**2
+                share = record.variance / (record.variance + variance)
+                record.effect += share * (bound - record.effect)
