--- a/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable, Sequence
+from statistics import NormalDist
 from typing import ClassVar
 
 from cicadatray.scheduling.taskgraphs.earliest_fit import find_earliest_fit
@@ -12,7 +13,7 @@
 from cicadatray.scheduling.taskgraphs.rules.packed import PackedCandidates
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
-from cicadatray.scheduling.taskgraphs.speed_spread import SpeedSpread
+from cicadatray.scheduling.taskgraphs.speed_spread import UNKNOWN_UNCERTAINTY, SpeedSpread
 from cicadatray.scheduling.taskgraphs.task_fit import FillOrder, least_available_first
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -21,17 +22,30 @@
 STILL_SPEED = 0.25
 # Workers below it are slow, and work with enough slack fills them first.
 SLOW_SPEED = 0.8
-# Urgent work accepts any worker of this speed, even if a still faster one would be on time.
-FAST_SPEED = 0.9
-# One observed run leaves an uncertainty of 0.2, none leaves one of 0.3.
-UNKNOWN_UNCERTAINTY = 0.25
+# Urgent work prefers workers that are fast enough with this chance, which a gang needs of each of
+# its members.
+URGENT_CHANCES = (0.97, 0.9, 0.75)
+# Urgent work that has just arrived starts if all its workers are fast enough with this chance.
+START_CHANCE = 0.6
+# An unknown worker gets another probe after this time: a run shows its pace within 3 s.
+PROBE_INTERVAL_S = 4.0
 # Work with slack goes to a slow worker if it is on time there with this chance.
 SLACK_CHANCE = 0.7
+STANDARD = NormalDist()
 
 Groups = list[list[WorkerCapacity]]
 WorkerTest = Callable[[WorkerCapacity], bool]
 
 
+class Probes:
+    """When unknown workers last got a single task to learn their speed."""
+
+    __slots__ = ("started_s",)
+
+    def __init__(self) -> None:
+        self.started_s: dict[str, float] = {}
+
+
 @candidate_rules.register("by_speed")
 class BySpeedCandidates(PackedCandidates):
     """Gives fast workers to urgent work and slow ones to work with slack.
@@ -41,13 +55,17 @@
     `earliest_s` caches, by step, the expected time until the step fits on fast enough workers.
     """
 
-    __slots__ = ("corrections", "earliest_s", "uneven_pools")
+    __slots__ = ("corrections", "earliest_s", "probes", "uneven_pools")
     uses_speeds: ClassVar[bool] = True
 
     def __init__(self, view: RoundView) -> None:
         super().__init__(view)
         self.corrections = view.memory.get(EstimateCorrections)
         self.earliest_s: dict[tuple[str, int, int], float] = {}
+        self.probes = view.memory.get(Probes).started_s
+        known_ids = {worker.worker_id for worker in view.workers if _is_known(worker)}
+        for worker_id in [name for name in self.probes if name in known_ids]:
+            del self.probes[worker_id]
         spread = view.memory.get(SpeedSpread)
         speeds: dict[str, list[tuple[float, float]]] = {}
         for worker in view.workers:
@@ -61,7 +79,9 @@
             return groups
         required = self._required_speed(work)
         if work.priority == URGENT_PRIORITY:
-            divided = _intersect(groups, lambda w: _is_known(w) and w.speed >= required)
+            divided = []
+            for chance in URGENT_CHANCES:
+                divided += _intersect(groups, _is_fast_test(required, chance))
         else:
             divided = self._groups_with_slack(work, groups, usable, required)
         divided += _intersect(groups, lambda w: w.speed >= STILL_SPEED)
@@ -92,23 +112,32 @@
             return self.view.now_s >= self._last_useful_start_s(work)
         is_urgent = work.priority == URGENT_PRIORITY
         if not is_urgent and not work.step.is_gang:
+            for worker in chosen:
+                if not _is_known(worker):
+                    self.probes[worker.worker_id] = self.view.now_s
             return True
-        if speed >= self._required_speed(work) and (not is_urgent or all(map(_is_known, chosen))):
-            return True
+        required = self._required_speed(work)
         spare_s = self._left_s(work) - self._expected_s(work)
-        if spare_s <= 0:
+        if spare_s <= 0 or (speed >= required and not is_urgent):
             return True
-        if is_urgent and self._fits_when_empty(work, self._fast_enough(work)):
-            # Capacity that becomes free or is freed by a displacement is tried first.
-            return False
-        return self._earliest_fast_s(work) > spare_s
+        if not is_urgent:
+            return self._earliest_fast_s(work) > spare_s
+        # The longer the work has waited, the less a further wait may gain.
+        waited_s = max(0.0, self.view.now_s - work.ready_s)
+        least_chance = START_CHANCE * spare_s / (spare_s + waited_s)
+        members = {worker.worker_id: worker for worker in chosen}.values()
+        chance = math.prod(_chance_of(worker, required) for worker in members)
+        # Capacity that becomes free or is freed by a displacement is tried first.
+        return chance >= least_chance or not self._fits_when_empty(work, self._fast_enough(work))
 
     def groups_to_clear(self, work: WaitingWork, groups: Groups) -> Groups:
         """Returns the groups on whose workers the work would be on time, if it fits in any."""
         if not self._is_uneven(work) or self._left_s(work) <= self._expected_s(work):
             return groups
         required = self._required_speed(work)
-        fast = [g for g in groups if g and all(_is_known(w) and w.speed >= required for w in g)]
+        chance = URGENT_CHANCES[1] if work.priority == URGENT_PRIORITY else 0.5
+        is_fast = _is_fast_test(required, chance)
+        fast = [group for group in groups if group and all(map(is_fast, group))]
         return [group for group in fast if self._fits_when_empty(work, group)] or groups
 
     def _groups_with_slack(
@@ -123,13 +152,21 @@
         def is_slow_enough(worker: WorkerCapacity) -> bool:
             return _speed_class(worker) == 1 and worker.speed >= max(STILL_SPEED, required)
 
-        slow = [usable] if not work.step.is_gang and not work.step.data_rack else groups
+        is_single = not work.step.is_gang and not work.step.data_rack
+        probes = [w for w in usable if is_single and not _is_known(w) and self._may_probe(w)]
+        slow = [usable] if is_single else groups
         return [
+            *([probes] if probes else []),
             *_intersect(slow, is_slow_enough),
             *_intersect(groups, lambda w: _speed_class(w) == 2 and w.speed >= required),
             *_intersect(groups, lambda w: w.speed >= max(STILL_SPEED, required)),
         ]
 
+    def _may_probe(self, worker: WorkerCapacity) -> bool:
+        """Returns whether the last probe of an unknown worker has ended without a result."""
+        started_s = self.probes.get(worker.worker_id, -math.inf)
+        return self.view.now_s >= started_s + PROBE_INTERVAL_S
+
     def _is_uneven(self, work: WaitingWork) -> bool:
         return work.graph.graph.policy.pool in self.uneven_pools
 
@@ -154,7 +191,7 @@
         left_s = self._left_s(work)
         required = self._expected_s(work) / left_s if left_s > 0 else math.inf
         if work.priority == URGENT_PRIORITY:
-            return min(max(required, SLOW_SPEED), FAST_SPEED)
+            return min(max(required, SLOW_SPEED), 1.0)
         return required
 
     def _must_start(self, work: WaitingWork) -> bool:
@@ -174,8 +211,7 @@
             for worker in self.view.workers
             if worker.pool == policy.pool
             and (not label or label in worker.labels)
-            and _is_known(worker)
-            and worker.speed >= required
+            and _chance_of(worker, required) >= URGENT_CHANCES[-1]
         ]
 
     def _earliest_fast_s(self, work: WaitingWork) -> float:
@@ -195,11 +231,24 @@
     return worker.speed_uncertainty < UNKNOWN_UNCERTAINTY
 
 
+def _chance_of(worker: WorkerCapacity, required: float) -> float:
+    """Returns the chance that a worker has at least the required speed."""
+    distance = math.log(worker.speed / required) if required > 0 else math.inf
+    if worker.speed_uncertainty <= 0:
+        return float(distance >= 0)
+    return STANDARD.cdf(distance / worker.speed_uncertainty)
+
+
+def _is_fast_test(required: float, chance: float) -> WorkerTest:
+    """Returns a test for workers that have at least the required speed with this chance."""
+    return lambda worker: _chance_of(worker, required) >= chance
+
+
 def _speed_class(worker: WorkerCapacity) -> int:
-    """Returns 0 for a worker that stands still, 1 for a slow or unknown one, 2 for others."""
+    """Returns 0 for a worker that stands still, 1 for a slow one, 2 for others."""
     if worker.speed < STILL_SPEED:
         return 0
-    return 1 if worker.speed < SLOW_SPEED or not _is_known(worker) else 2
+    return 1 if worker.speed < SLOW_SPEED else 2
 
 
 def _intersect(groups: Groups, includes: WorkerTest) -> Groups:
--- a/src/cicadatray/scheduling/taskgraphs/speed_spread.py
+++ b/src/cicadatray/scheduling/taskgraphs/speed_spread.py
@@ -7,6 +7,8 @@
 SPREAD_OFF = 1.2
 # Below this number of workers a percentile is a single worker.
 MIN_WORKERS = 4
+# One observed run leaves an uncertainty of 0.2, none leaves one of 0.3.
+UNKNOWN_UNCERTAINTY = 0.25
 
 
 class SpeedSpread:
@@ -30,10 +32,12 @@
 def certain_ratio(speeds: Iterable[tuple[float, float]]) -> float:
     """Returns the ratio of the 90th and 10th percentile, each speed moved to 1 by its uncertainty.
 
-    The uncertainty is a standard deviation of the log.
+    The uncertainty is a standard deviation of the log. Unknown workers do not count.
     """
     logs = []
     for speed, uncertainty in speeds:
+        if uncertainty >= UNKNOWN_UNCERTAINTY:
+            continue
         log_speed = math.log(speed)
         logs.append(math.copysign(max(0.0, abs(log_speed) - uncertainty), log_speed))
     if len(logs) < MIN_WORKERS:
--- a/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -3,7 +3,7 @@
 import math
 from collections import deque
 from collections.abc import Iterable
-from statistics import median
+from statistics import NormalDist, median
 
 import msgspec
 
@@ -28,11 +28,13 @@
 # update; runs beyond it are followed as others end.
 MAX_RUNS = 8_000
 MAX_ENDED_RUNS = 8
+MAX_ENDED_GANGS = 4
 MAX_RUNS_PER_WORKER = 16
 # An observation of a run that has ended loses half of its weight with this much newer work of its
 # worker, or in this time without any.
 WORK_HALF_LIFE_S = 6.0
 IDLE_HALF_LIFE_S = 30.0
+STANDARD = NormalDist()
 
 
 class EndedRun(msgspec.Struct, frozen=True):
@@ -50,7 +52,16 @@
     `worked_s` is for how long the worker was seen with runs.
     """
 
-    __slots__ = ("effect", "ended", "last_report_s", "observations", "pool", "runs", "variance")
+    __slots__ = (
+        "effect",
+        "ended",
+        "ended_gangs",
+        "last_report_s",
+        "observations",
+        "pool",
+        "runs",
+        "variance",
+    )
     __slots__ += ("worked_s",)
 
     def __init__(self, pool: str, now_s: float) -> None:
@@ -59,6 +70,7 @@
         self.worked_s = 0.0
         self.runs: dict[str, RunPace] = {}
         self.ended: deque[EndedRun] = deque(maxlen=MAX_ENDED_RUNS)
+        self.ended_gangs: deque[EndedRun] = deque(maxlen=MAX_ENDED_GANGS)
         self.effect = 0.0
         self.variance = WORKER_DEVIATION**2
         self.observations = 0
@@ -149,6 +161,7 @@
             record.ended.append(EndedRun(report, sample, now_s, record.worked_s))
             self._learn(report, sample, record.effect)
             return
+        record.ended_gangs.append(EndedRun(report, sample, now_s, record.worked_s))
         # All members end together, and the first end of one stands for all.
         members = self.gangs.pop(report.step_id, set())
         effects = [self.workers[name].effect for name in members if name in self.workers]
@@ -187,14 +200,18 @@
         priors: list[StepPrior] = []
         evidence = [self._evidence(record, now_s, steps, priors) for record in records]
         solve(evidence, priors)
-        known = [worker.effect for worker in evidence if worker.recent or worker.earlier]
-        centre = median(known) if known else 0.0
+        known = []
         for record, worker in zip(records, evidence, strict=True):
             record.observations = len(worker.recent) + len(worker.earlier)
             self.solved_observations += record.observations
-            record.effect = max(LOWEST_LOG, worker.effect - centre) if record.observations else 0.0
-            record.variance = worker.variance
-            self._apply_gang_bounds(record, centre)
+            record.effect, record.variance = worker.effect, worker.variance
+            if self._apply_gang_bounds(record) or record.observations:
+                known.append(record)
+            else:
+                record.effect = 0.0
+        centre = median(record.effect for record in known) if known else 0.0
+        for record in known:
+            record.effect = max(LOWEST_LOG, record.effect - centre)
 
     def _evidence(
         self,
@@ -236,18 +253,28 @@
         precision = weight / (TASK_DEVIATION**2 + sample.error**2)
         return RateObservation(step, sample.log_rate + math.log(report.estimate_s), precision)
 
-    def _apply_gang_bounds(self, record: WorkerRecord, centre: float) -> None:
-        """Raises the speed of a worker that a gang shows to be faster than was known.
+    def _apply_gang_bounds(self, record: WorkerRecord) -> int:
+        """Conditions the speed of a worker on being at least that of its gangs.
 
-        The time of a gang is known only from its estimate.
+        The time of a gang is known only from its estimate, so the bound is uncertain. The result is
+        the normal distribution with the mean and variance of the conditioned one. Returns the
+        number of gangs.
         """
+        bounds = {
+            ended.report.step_id: (ended.report, ended.sample) for ended in record.ended_gangs
+        }
         for pace in record.runs.values():
-            sample = pace.recent() if pace.report.is_gang else None
-            if sample is None:
-                continue
-            ratio = self.corrections.log_ratio(pace.report.queue)
-            bound = sample.log_rate + math.log(pace.report.estimate_s) + ratio.mean - centre
-            if bound > record.effect:
-                variance = ratio.variance + TASK_DEVIATION**2 + sample.error**2
-                share = record.variance / (record.variance + variance)
-                record.effect += share * (bound - record.effect)
+            if pace.report.is_gang and (running := pace.recent()) is not None:
+                bounds[pace.report.step_id] = (pace.report, running)
+        for report, sample in bounds.values():
+            ratio = self.corrections.log_ratio(report.queue)
+            bound = sample.log_rate + math.log(report.estimate_s) + ratio.mean
+            deviation = math.sqrt(
+                record.variance + ratio.variance + TASK_DEVIATION**2 + sample.error**2
+            )
+            distance = max(-3.0, (record.effect - bound) / deviation)
+            hazard = STANDARD.pdf(distance) / STANDARD.cdf(distance)
+            share = record.variance / deviation
+            record.effect += share * hazard
+            record.variance -= share**2 * hazard * (hazard + distance)
+        return len(bounds)
