Feed worker speeds from the reports of agents

The leader estimates speeds only if its candidate rule uses them. The default rules create no observer.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -19,6 +19,10 @@
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.queue_gauges import register_queue_gauges
+from cicadatray.internal.control.graphs.speed_description import (
+    describe_speeds,
+    register_speed_gauge,
+)
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.group_admission import GroupAdmission
 from cicadatray.internal.control.handler_registry import call_handlers
@@ -103,9 +107,11 @@
         self.replica = Replica(replica_settings(settings), self.state, self.replica_link)
         self.dump = StateDump(Path(settings.dump_folder), settings.name)
         self.dump.register("control", self.describe)
+        self.dump.register("worker_speeds", lambda: describe_speeds(self.graph_session))
         self.metrics = MetricsRegistry()
         fragmentation_ratio(self.metrics).read_from(self._fragmentation)
         register_queue_gauges(self.metrics, lambda: self.graph_session)
+        register_speed_gauge(self.metrics, lambda: self.graph_session)
         lost_disks_borne(self.metrics).read_from(self._tolerated_disk_losses)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -193,6 +193,8 @@
     async def _place(self) -> None:
         self._evacuate()
         session = self.session
+        if session.speed_observer is not None:
+            session.speed_observer.update(session.now_s())
         now_s = session.wall_s()
         waiting = [
             work for graph in session.graphs.values() for work in find_ready_work(graph, now_s)
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -7,6 +7,7 @@
 
 from cicadatray.internal.control.graphs.agent_incarnations import AgentIncarnations
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
+from cicadatray.internal.control.graphs.speed_observer import SpeedObserver
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.graphs.task_lookup import find_task_progress
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
@@ -64,6 +65,7 @@
         "revoked_runs",
         "rule_memory",
         "rules",
+        "speed_observer",
         "start_limits",
         "statistics",
         "wake",
@@ -82,6 +84,8 @@
         self.start_limits = start_limits
         self.rules = rules
         self.rule_memory = RuleMemory()
+        uses_speeds = rules.find_candidates().uses_speeds
+        self.speed_observer = SpeedObserver(self) if uses_speeds else None
         self.workers: dict[str, WorkerSession] = {}
         self.agent_incarnations = AgentIncarnations()
         self.new_ends: list[PlacedEnd] = []
@@ -164,6 +168,8 @@
         if worker.is_lost:
             return None
         ends = worker.update(call, now_s)
+        if self.speed_observer is not None:
+            self.speed_observer.observe(worker, ends, now_s)
         if ends:
             self.new_ends += ends
             self.ends_arrived.set()
@@ -253,6 +259,8 @@
         self.workers.pop(worker_id, None)
         self.replaced_workers.discard(worker_id)
         self.ordered_runs.pop(worker_id, None)
+        if self.speed_observer is not None:
+            self.speed_observer.remove_worker(worker_id)
 
     def wake_all(self) -> None:
         """Wakes every waiting call of an agent to check for new orders."""
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -36,6 +36,8 @@
         labels = frozenset(offer.labels)
         worker = WorkerCapacity(worker_id, offer.pool, offer.rack, labels, offer.capacity)
         worker.is_suspect = now_s < worker_session.suspect_until_s
+        if session.speed_observer is not None:
+            session.speed_observer.set_speed(worker)
         if not _charge_runs(session, worker_session, worker):
             continue
         runs = {*session.ordered_runs.get(worker_id, {}), *worker_session.reports}
@@ -158,4 +160,7 @@
                 waves = waves_of(pools, graph)
                 set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s(), waves)
             work.add(run, worker_id, step.demand)
+    if session.speed_observer is not None:
+        for work in works.values():
+            session.speed_observer.set_remaining(work)
     return list(works.values())
--- a/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -32,8 +32,8 @@
 MAX_RUNS_PER_WORKER = 16
 # An observation of a run that has ended loses half of its weight with this much newer work of its
 # worker, or in this time without any.
-WORK_HALF_LIFE_S = 6.0
-IDLE_HALF_LIFE_S = 30.0
+WORK_HALF_LIFE_S = 12.0
+IDLE_HALF_LIFE_S = 60.0
 STANDARD = NormalDist()
 
 
@@ -81,7 +81,8 @@
 
     Model: the log of a run's rate is the sum of an effect of its step, an effect of its worker and
     noise. Members of a gang advance at the pace of the slowest, so a gang only bounds the speeds of
-    its members from below. `gangs` holds the workers of each gang by its step. `solved_observations` counts the observations of the last update.
+    its members from below. `gangs` holds the workers of each gang by its step.
+    `solved_observations` counts the observations of the last update.
     """
 
     __slots__ = ("corrections", "gangs", "solved_observations", "spreads", "updated_s", "workers")
