--- a/src/cicadatray/scheduling/taskgraphs/run_pace.py
+++ b/src/cicadatray/scheduling/taskgraphs/run_pace.py
@@ -11,13 +11,16 @@
 MIN_SPAN_S = 0.7
 # A run does not progress while it starts or restores a checkpoint.
 LONGEST_START_S = 0.6
-# Reports come about once a second. A shorter pause is the grain of the reports.
-MIN_STILL_S = 1.5
-REPORT_INTERVAL_S = 1.0
-# The reports of a change may be late by about this much.
+# A run that has not begun to progress for longer than this, or for this part of its estimate,
+# counts as standing still.
+LONGEST_PAUSE_S = 2.0
+LONGEST_PAUSE_SHARE = 0.25
+# Reports are late by about this much.
 REPORT_DELAY_S = 0.1
-# The progress that a run without a visible change may have made: half a percent.
-UNSEEN_PERCENT = 0.5
+# The standard deviation of a difference of two percentages, each rounded down to a multiple of 1.
+ROUNDING_DEVIATION = 0.41
+# Estimates are off by a log deviation of 0.5, so a rate this far below them shows a slow worker.
+UNMEASURED_LOG = -1.5
 
 
 class ProgressReport(msgspec.Struct, frozen=True):
@@ -45,16 +48,17 @@
 class RunPace:
     """Measures the pace of one run over its last seconds.
 
-    `marks` holds the times and percentages of changes, at most one of them before the window. The
-    first change after the run was seen begins the measurement, because progress may have begun at
-    any time before it.
+    `marks` holds the times and percentages of changes, at most one of them before the window, and
+    at least the last two. The first change after the run was seen begins the measurement, because
+    progress may have begun at any time before it. `grain` is the step by which the worker rounds
+    percentages, as far as they show it.
     """
 
     __slots__ = (
         "begun_percent",
         "begun_s",
-        "changes",
         "first_s",
+        "grain",
         "last_report_s",
         "marks",
         "percent",
@@ -66,58 +70,55 @@
         self.first_s = now_s
         self.last_report_s = now_s
         self.percent = report.percent
+        self.grain = report.percent
         self.begun_s: float | None = None
         self.begun_percent = report.percent
-        self.changes = 0
         self.marks: list[tuple[float, int]] = []
 
     def add(self, percent: int, now_s: float) -> None:
         """Records a report that arrived now."""
         self.last_report_s = max(now_s, self.last_report_s)
-        if percent == self.percent:
-            return
-        if percent < self.percent:
-            # A report that was overtaken by a newer one; a restarted task is another run.
+        if percent <= self.percent:
+            # A lower value is from a report that a newer one has overtaken.
             return
         self.percent = percent
+        self.grain = math.gcd(self.grain, percent)
         if self.begun_s is None:
             self.begun_s, self.begun_percent = now_s, percent
-        else:
-            self.changes += 1
         self.marks.append((now_s, percent))
         while len(self.marks) > 2 and self.marks[1][0] <= now_s - PACE_WINDOW_S:
             del self.marks[0]
 
-    def is_still(self) -> bool:
-        """Returns whether reports have gone on without progress for longer than their grain."""
-        if self.begun_s is None:
-            idle_s = self.last_report_s - self.first_s - LONGEST_START_S
-        else:
-            idle_s = self.last_report_s - self.marks[-1][0]
-        return idle_s > self._longest_pause_s()
-
     def recent(self) -> PaceSample | None:
-        """Returns the pace over the last seconds, or None if it is not known yet."""
+        """Returns the pace over the last seconds, or None if it is not known yet.
+
+        While reports go on without a change, the run has done at most one more grain.
+        """
         if self.begun_s is None:
-            if not self.is_still():
+            idle_s = self.last_report_s - self.first_s - LONGEST_START_S
+            if idle_s <= max(LONGEST_PAUSE_S, LONGEST_PAUSE_SHARE * self.report.estimate_s):
                 return None
-            start_s, start_percent = self.first_s + LONGEST_START_S, float(self.percent)
-        else:
-            start_s, start_percent = self.marks[0][0], float(self.marks[0][1])
-        if self.is_still():
-            end_s, end_percent = self.last_report_s, self.percent + UNSEEN_PERCENT
-            for mark_s, mark_percent in self.marks:
-                if mark_s <= end_s - PACE_WINDOW_S:
-                    start_s, start_percent = mark_s, float(mark_percent)
-        else:
-            end_s, end_percent = self.marks[-1][0], float(self.marks[-1][1])
-        return make_sample(end_percent - start_percent, end_s - start_s)
+            return make_sample(1.0, idle_s, 1)
+        start, end = self.marks[0], self.marks[-1]
+        measured = make_sample(end[1] - start[1], end[0] - start[0], self.grain)
+        for mark in self.marks:
+            if mark[0] <= self.last_report_s - PACE_WINDOW_S:
+                start = mark
+        grown = end[1] + self.grain - start[1]
+        longest = make_sample(grown, self.last_report_s - start[0], self.grain)
+        if longest is None or end[0] >= self.last_report_s:
+            return measured
+        if measured is None:
+            # A single change shows no pace until the run is certainly slower than its estimate.
+            is_slow = longest.log_rate + math.log(self.report.estimate_s) < UNMEASURED_LOG
+            return longest if is_slow else None
+        return min(measured, longest, key=lambda sample: sample.log_rate)
 
     def whole(self, end_s: float) -> PaceSample | None:
         """Returns the pace of a run that is done, or None if hardly any of it was seen."""
         if self.begun_s is None:
             return None
-        return make_sample(100.0 - self.begun_percent, end_s - self.begun_s)
+        return make_sample(100.0 - self.begun_percent, end_s - self.begun_s, self.grain)
 
     def remaining_s(self) -> float | None:
         """Returns the remaining time at the pace of the last seconds, or None if it is unknown."""
@@ -126,17 +127,10 @@
             return None
         return (100 - self.percent) / 100 / math.exp(sample.log_rate)
 
-    def _longest_pause_s(self) -> float:
-        """Returns how long a run may go on without a visible change."""
-        pause_s = max(REPORT_INTERVAL_S, self.report.estimate_s / 100)
-        if self.changes and self.begun_s is not None:
-            pause_s = (self.marks[-1][0] - self.begun_s) / self.changes
-        return max(MIN_STILL_S, 0.5 + 1.5 * pause_s)
-
 
-def make_sample(percent: float, span_s: float) -> PaceSample | None:
+def make_sample(percent: float, span_s: float, grain: int) -> PaceSample | None:
     """Returns the pace of this progress in this time, or None if the time is too short."""
     if span_s < MIN_SPAN_S or percent <= 0:
         return None
-    error = math.hypot(0.5 / max(percent, 1.0), REPORT_DELAY_S / span_s)
+    error = math.hypot(ROUNDING_DEVIATION * grain / percent, REPORT_DELAY_S / span_s)
     return PaceSample(math.log(percent / 100 / span_s), error)
--- a/src/cicadatray/scheduling/taskgraphs/speed_solver.py
+++ b/src/cicadatray/scheduling/taskgraphs/speed_solver.py
@@ -7,10 +7,11 @@
 
 # Effects are added, so a few sweeps that start from the last solution suffice.
 SWEEPS = 3
-# The standard deviation of the log speed of workers before anything is known.
-WORKER_DEVIATION = 0.3
+# The standard deviation of the log speed of workers before anything is known. With 0.3, workers at
+# half speed were estimated at 0.7 and their steps at too long times.
+WORKER_DEVIATION = 0.4
 # The tasks of one step differ by a log deviation of 0.15 to 0.3.
-TASK_DEVIATION = 0.2
+TASK_DEVIATION = 0.25
 # An observation further from the median of its worker than this many of its standard deviations
 # counts less, so that one outlier task does not decide.
 OUTLIER_DEVIATIONS = 1.5
--- a/src/cicadatray/scheduling/taskgraphs/speed_spread.py
+++ b/src/cicadatray/scheduling/taskgraphs/speed_spread.py
@@ -7,8 +7,8 @@
 SPREAD_OFF = 1.2
 # Below this number of workers a percentile is a single worker.
 MIN_WORKERS = 4
-# One observed run leaves an uncertainty of 0.2, none leaves one of 0.3.
-UNKNOWN_UNCERTAINTY = 0.25
+# One observed run leaves an uncertainty of 0.2, none leaves one of 0.4.
+UNKNOWN_UNCERTAINTY = 0.3
 
 
 class SpeedSpread:
--- a/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -25,7 +25,7 @@
 UPDATE_INTERVAL_S = 0.5
 OBSERVATIONS_PER_UPDATE = 4_000
 # At most this many runs are followed, evenly by worker, which bounds space and the cost of an
-# update; runs beyond it are followed as others end.
+# update; runs beyond it are followed as others end. An update also uses as many ended runs.
 MAX_RUNS = 8_000
 MAX_ENDED_RUNS = 8
 MAX_ENDED_GANGS = 4
@@ -132,18 +132,23 @@
             record.worked_s += min(2.0, now_s - record.last_report_s)
         record.last_report_s = now_s
         runs: dict[str, RunPace] = {}
-        limit = max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // len(self.workers)))
+        limit = self._runs_per_worker()
         for report in reports:
             pace = record.runs.get(report.run_id)
+            if len(runs) >= limit:
+                break
             if pace is not None:
                 pace.add(report.percent, now_s)
                 runs[report.run_id] = pace
-            elif report.percent >= 0 and report.estimate_s > 0 and len(runs) < limit:
+            elif report.percent >= 0 and report.estimate_s > 0:
                 runs[report.run_id] = RunPace(report, now_s)
                 if report.is_gang:
                     self._add_member(report.step_id, worker_id)
         record.runs = runs
 
+    def _runs_per_worker(self) -> int:
+        return max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // max(1, len(self.workers))))
+
     def _add_member(self, step_id: str, worker_id: str) -> None:
         self.gangs.setdefault(step_id, set()).add(worker_id)
         if len(self.gangs) > MAX_RUNS:
@@ -229,7 +234,8 @@
                 weight = 0.5 ** (age_s / IDLE_HALF_LIFE_S)
                 observation = self._observation(pace.report, sample, weight, steps, priors)
                 evidence.recent.append(observation)
-        for ended in record.ended:
+        limit = self._runs_per_worker()
+        for ended in list(record.ended)[-limit:]:
             work_s = record.worked_s - ended.worked_s
             age_s = now_s - ended.ended_s
             weight = 0.5 ** (work_s / WORK_HALF_LIFE_S + age_s / IDLE_HALF_LIFE_S)
