Tighten types of the speed estimator; accept unknown workers last for urgent gangs

With a prior deviation of 0.4 an unknown worker is fast enough with a chance of 0.71, below the last tier of 0.75, so that urgent gangs never used one.

--- a/src/cicadatray/internal/control/graphs/speed_observer.py
+++ b/src/cicadatray/internal/control/graphs/speed_observer.py
@@ -111,7 +111,8 @@
 
     def count_by_class(self) -> dict[tuple[str, ...], float]:
         """Returns the number of workers in each class of speed."""
-        counts = {(name,): 0.0 for name in ("unknown", "still", "slow", "typical", "fast")}
+        names = ("unknown", "still", "slow", "typical", "fast")
+        counts: dict[tuple[str, ...], float] = {(name,): 0.0 for name in names}
         for worker_id in self.speeds.workers:
             counts[(self._class_of(worker_id),)] += 1
         return counts
--- a/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
@@ -24,7 +24,7 @@
 SLOW_SPEED = 0.8
 # Urgent work prefers workers that are fast enough with this chance, which a gang needs of each of
 # its members.
-URGENT_CHANCES = (0.97, 0.9, 0.75)
+URGENT_CHANCES = (0.97, 0.9, 0.7)
 # Urgent work that has just arrived starts if all its workers are fast enough with this chance.
 START_CHANCE = 0.6
 # An unknown worker gets another probe after this time: a run shows its pace within 3 s.
--- a/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -61,8 +61,8 @@
         "pool",
         "runs",
         "variance",
+        "worked_s",
     )
-    __slots__ += ("worked_s",)
 
     def __init__(self, pool: str, now_s: float) -> None:
         self.pool = pool
