--- a/src/cicadatray/scheduling/taskgraphs/speed_solver.py
+++ b/src/cicadatray/scheduling/taskgraphs/speed_solver.py
@@ -6,7 +6,7 @@
 import msgspec
 
 # Effects are added, so a few sweeps that start from the last solution suffice.
-SWEEPS = 3
+SWEEPS = 2
 # The standard deviation of the log speed of workers before anything is known. With 0.3, workers at
 # half speed were estimated at 0.7 and their steps at too long times.
 WORKER_DEVIATION = 0.4
--- a/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -20,16 +20,18 @@
 )
 from cicadatray.scheduling.taskgraphs.speed_spread import SpeedSpread
 
-# An update costs about 2 µs for each observation; the interval grows with their number, so that
-# the load is bounded.
 UPDATE_INTERVAL_S = 0.5
-OBSERVATIONS_PER_UPDATE = 4_000
-# At most this many runs are followed, evenly by worker, which bounds space and the cost of an
-# update; runs beyond it are followed as others end. An update also uses as many ended runs.
-MAX_RUNS = 8_000
+# An update costs 6 to 9 µs for each observation on a busy machine. It computes the speeds of at
+# most this many workers of one pool, relative to each other, from the bounded number of runs of
+# each; larger pools take several updates in turn, at most one in the interval.
+WORKERS_PER_UPDATE = 80
+PART_INTERVAL_S = 0.2
 MAX_ENDED_RUNS = 8
 MAX_ENDED_GANGS = 4
-MAX_RUNS_PER_WORKER = 16
+MAX_RUNS_PER_WORKER = 6
+# At most this many runs are followed, evenly by worker, which bounds space; runs beyond it are
+# followed as others end.
+MAX_RUNS = 12_000
 # An observation of a run that has ended loses half of its weight with this much newer work of its
 # worker, or in this time without any.
 WORK_HALF_LIFE_S = 12.0
@@ -82,10 +84,19 @@
     Model: the log of a run's rate is the sum of an effect of its step, an effect of its worker and
     noise. Members of a gang advance at the pace of the slowest, so a gang only bounds the speeds of
     its members from below. `gangs` holds the workers of each gang by its step.
-    `solved_observations` counts the observations of the last update.
+    `solved_observations` counts the observations of the last update, `next_part` the parts of
+    large pools in turn.
     """
 
-    __slots__ = ("corrections", "gangs", "solved_observations", "spreads", "updated_s", "workers")
+    __slots__ = (
+        "corrections",
+        "gangs",
+        "next_part",
+        "solved_observations",
+        "spreads",
+        "updated_s",
+        "workers",
+    )
 
     def __init__(self, corrections: EstimateCorrections | None = None) -> None:
         self.corrections = corrections or EstimateCorrections()
@@ -93,6 +104,7 @@
         self.gangs: dict[str, set[str]] = {}
         self.spreads = SpeedSpread()
         self.updated_s = -math.inf
+        self.next_part = 0
         self.solved_observations = 0
 
     def speed(self, worker_id: str) -> float:
@@ -132,7 +144,7 @@
             record.worked_s += min(2.0, now_s - record.last_report_s)
         record.last_report_s = now_s
         runs: dict[str, RunPace] = {}
-        limit = self._runs_per_worker()
+        limit = max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // len(self.workers)))
         for report in reports:
             pace = record.runs.get(report.run_id)
             if len(runs) >= limit:
@@ -146,9 +158,6 @@
                     self._add_member(report.step_id, worker_id)
         record.runs = runs
 
-    def _runs_per_worker(self) -> int:
-        return max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // max(1, len(self.workers))))
-
     def _add_member(self, step_id: str, worker_id: str) -> None:
         self.gangs.setdefault(step_id, set()).add(worker_id)
         if len(self.gangs) > MAX_RUNS:
@@ -184,24 +193,31 @@
         self.workers.pop(worker_id, None)
 
     def update(self, now_s: float) -> bool:
-        """Computes all speeds anew; returns False if the last update was a moment ago."""
-        interval_s = UPDATE_INTERVAL_S * max(
-            1.0, self.solved_observations / OBSERVATIONS_PER_UPDATE
-        )
-        if now_s - self.updated_s < interval_s:
+        """Computes speeds anew; returns False if the last update was a moment ago."""
+        is_divided = len(self.workers) > WORKERS_PER_UPDATE
+        if now_s - self.updated_s < (PART_INTERVAL_S if is_divided else UPDATE_INTERVAL_S):
             return False
-        self.updated_s = now_s
-        self.solved_observations = 0
         pools: dict[str, list[WorkerRecord]] = {}
         for record in self.workers.values():
             pools.setdefault(record.pool, []).append(record)
+        self.updated_s = now_s
+        self.solved_observations = 0
+        parts = [
+            records[first : first + WORKERS_PER_UPDATE]
+            for records in pools.values()
+            for first in range(0, len(records), WORKERS_PER_UPDATE)
+        ]
+        if is_divided:
+            self.next_part = (self.next_part + 1) % len(parts)
+            parts = [parts[self.next_part]]
+        for part in parts:
+            self._update_part(part, now_s)
         for pool, records in pools.items():
-            self._update_pool(records, now_s)
             speeds = [(math.exp(r.effect), math.sqrt(r.variance)) for r in records]
             self.spreads.update(pool, speeds)
         return True
 
-    def _update_pool(self, records: list[WorkerRecord], now_s: float) -> None:
+    def _update_part(self, records: list[WorkerRecord], now_s: float) -> None:
         steps: dict[str, int] = {}
         priors: list[StepPrior] = []
         evidence = [self._evidence(record, now_s, steps, priors) for record in records]
@@ -234,8 +250,7 @@
                 weight = 0.5 ** (age_s / IDLE_HALF_LIFE_S)
                 observation = self._observation(pace.report, sample, weight, steps, priors)
                 evidence.recent.append(observation)
-        limit = self._runs_per_worker()
-        for ended in list(record.ended)[-limit:]:
+        for ended in record.ended:
             work_s = record.worked_s - ended.worked_s
             age_s = now_s - ended.ended_s
             weight = 0.5 ** (work_s / WORK_HALF_LIFE_S + age_s / IDLE_HALF_LIFE_S)
