--- a/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
@@ -22,6 +22,8 @@
 STILL_SPEED = 0.25
 # Workers below it are slow, and work with enough slack fills them first.
 SLOW_SPEED = 0.8
+# Workers above it, beyond their uncertainty, are fast. They are kept for urgent work.
+FAST_SPEED = 1.25
 # Urgent work prefers workers that are fast enough with this chance, which a gang needs of each of
 # its members.
 URGENT_CHANCES = (0.97, 0.9, 0.7)
@@ -33,6 +35,7 @@
 SLACK_CHANCE = 0.7
 STANDARD = NormalDist()
 
+STILL, SLOW, TYPICAL, FAST = range(4)
 Groups = list[list[WorkerCapacity]]
 WorkerTest = Callable[[WorkerCapacity], bool]
 
@@ -79,7 +82,7 @@
             return groups
         required = self._required_speed(work)
         if work.priority == URGENT_PRIORITY:
-            divided = []
+            divided = _intersect(groups, lambda w: _speed_class(w) == FAST)
             for chance in URGENT_CHANCES:
                 divided += _intersect(groups, _is_fast_test(required, chance))
         else:
@@ -88,18 +91,19 @@
         return divided + groups
 
     def fill_order(self, work: WaitingWork) -> FillOrder | None:
-        """Returns the order by class of speed: slow workers last for urgent work, else first."""
+        """Returns the order by class of speed.
+
+        Work with slack fills slow workers first. Urgent work that does not fit on fast workers
+        alone fills typical ones first, because a gang with one of them runs at its speed.
+        """
         if not self._is_uneven(work):
             return None
         is_urgent = work.priority == URGENT_PRIORITY
+        classes = (TYPICAL, FAST, SLOW, STILL) if is_urgent else (SLOW, TYPICAL, FAST, STILL)
 
         def order(worker: WorkerCapacity, available: Resources) -> tuple[float, ...]:
-            speed_class = _speed_class(worker)
-            if is_urgent:
-                speed_class = -speed_class
-            elif speed_class == 0:
-                speed_class = 3
-            return (speed_class, *least_available_first(worker, available))
+            place = classes.index(_speed_class(worker))
+            return (place, *least_available_first(worker, available))
 
         return order
 
@@ -150,7 +154,7 @@
         """Returns slow workers that are fast enough first, then the other fast enough ones."""
 
         def is_slow_enough(worker: WorkerCapacity) -> bool:
-            return _speed_class(worker) == 1 and worker.speed >= max(STILL_SPEED, required)
+            return _speed_class(worker) == SLOW and worker.speed >= max(STILL_SPEED, required)
 
         is_single = not work.step.is_gang and not work.step.data_rack
         probes = [w for w in usable if is_single and not _is_known(w) and self._may_probe(w)]
@@ -158,7 +162,7 @@
         return [
             *([probes] if probes else []),
             *_intersect(slow, is_slow_enough),
-            *_intersect(groups, lambda w: _speed_class(w) == 2 and w.speed >= required),
+            *_intersect(groups, lambda w: _speed_class(w) == TYPICAL and w.speed >= required),
             *_intersect(groups, lambda w: w.speed >= max(STILL_SPEED, required)),
         ]
 
@@ -245,10 +249,13 @@
 
 
 def _speed_class(worker: WorkerCapacity) -> int:
-    """Returns 0 for a worker that stands still, 1 for a slow one, 2 for others."""
+    """Returns the class of speed."""
     if worker.speed < STILL_SPEED:
-        return 0
-    return 1 if worker.speed < SLOW_SPEED else 2
+        return STILL
+    if worker.speed < SLOW_SPEED:
+        return SLOW
+    is_fast = worker.speed * math.exp(-worker.speed_uncertainty) > FAST_SPEED
+    return FAST if is_fast else TYPICAL
 
 
 def _intersect(groups: Groups, includes: WorkerTest) -> Groups:
--- a/tests/cover/taskgraphs/test_by_speed.py
+++ b/tests/cover/taskgraphs/test_by_speed.py
@@ -96,6 +96,29 @@
     assert set(places(made)).isdisjoint({"w0", "w4"})
 
 
+@pytest.mark.parametrize(("count", "fast"), [(2, {"w0", "w1"}), (3, set())])
+def test_urgent_gang_takes_fast_workers_if_they_hold_all_of_it(count: int, fast: set[str]) -> None:
+    """Load: a quarter of the workers is twice as fast as the others.
+
+    Guards against gangs that hold fast workers at the pace of a typical one.
+    """
+    workers = make_workers([8])
+    for worker in workers[:2]:
+        worker.speed, worker.speed_uncertainty = 2.2, 0.1
+    made = plan(workers, make_waiting(Step(count, WHOLE, 5.0, is_gang=True), 0))
+    assert set(places(made)) & {"w0", "w1"} == fast
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_work_with_slack_stays_off_fast_workers(is_gang: bool) -> None:
+    """Guards against batches on the fast workers while typical ones are free."""
+    workers = make_workers([8])
+    for worker in workers[:2]:
+        worker.speed, worker.speed_uncertainty = 2.2, 0.1
+    made = plan(workers, make_waiting(Step(6, WHOLE, 5.0, is_gang=is_gang), 2))
+    assert set(places(made)) == {f"w{n}" for n in range(2, 8)}
+
+
 @pytest.mark.parametrize("count", [2, 3])
 def test_gang_with_slack_is_not_mixed(count: int) -> None:
     """Guards against gangs that hold fast workers at the pace of a slow one."""
