--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
 from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
+from cicadatray.internal.control.graphs.speed_observer import SpeedObserver
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.control.graphs.task_lookup import find_task_progress
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
@@ -70,6 +71,7 @@
         "revoked_runs",
         "rule_memory",
         "rules",
+        "speed_observer",
         "start_limits",
         "statistics",
         "wake",
@@ -91,6 +93,8 @@
         self.evacuation_limits = evacuation_limits
         self.rule_memory = RuleMemory()
         self.admission = GraphAdmission(self)
+        uses_speeds = rules.find_candidates().uses_speeds
+        self.speed_observer = SpeedObserver(self) if uses_speeds else None
         self.workers: dict[str, WorkerSession] = {}
         self.agent_incarnations = AgentIncarnations()
         self.new_ends: list[PlacedEnd] = []
@@ -178,6 +182,8 @@
         if worker.is_lost:
             return None
         ends = worker.update(call, now_s)
+        if self.speed_observer is not None:
+            self.speed_observer.observe(worker, ends, now_s)
         if ends:
             self.new_ends += ends
             self.ends_arrived.set()
@@ -271,6 +277,8 @@
         self.workers.pop(worker_id, None)
         self.replaced_workers.discard(worker_id)
         self.ordered_runs.pop(worker_id, None)
+        if self.speed_observer is not None:
+            self.speed_observer.remove_worker(worker_id)
 
     def wake_all(self) -> None:
         """Wakes every waiting call of an agent to check for new orders."""
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -0,0 +1,303 @@
+"""Estimates the speed of each worker from the progress of its runs."""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from statistics import NormalDist, median
+
+import msgspec
+
+from cicadatray.scheduling.taskgraphs.estimate_corrections import EstimateCorrections
+from cicadatray.scheduling.taskgraphs.run_pace import PaceSample, ProgressReport, RunPace
+from cicadatray.scheduling.taskgraphs.speed_solver import (
+    LOWEST_LOG,
+    TASK_DEVIATION,
+    WORKER_DEVIATION,
+    RateObservation,
+    StepPrior,
+    WorkerEvidence,
+    solve,
+)
+from cicadatray.scheduling.taskgraphs.speed_spread import SpeedSpread
+
+UPDATE_INTERVAL_S = 0.5
+# An update costs 6 to 9 µs for each observation on a busy machine. It computes the speeds of at
+# most this many workers of one pool, relative to each other, from the bounded number of runs of
+# each; larger pools take several updates in turn, at most one in the interval.
+WORKERS_PER_UPDATE = 80
+PART_INTERVAL_S = 0.2
+MAX_ENDED_RUNS = 8
+MAX_ENDED_GANGS = 4
+MAX_RUNS_PER_WORKER = 6
+# At most this many runs are followed, evenly by worker, which bounds space; runs beyond it are
+# followed as others end.
+MAX_RUNS = 12_000
+# An observation of a run that has ended loses half of its weight with this much newer work of its
+# worker, or in this time without any.
+WORK_HALF_LIFE_S = 12.0
+IDLE_HALF_LIFE_S = 60.0
+STANDARD = NormalDist()
+
+
+class EndedRun(msgspec.Struct, frozen=True):
+    """The pace of a run that is done, and the clocks of its worker at its end."""
+
+    report: ProgressReport
+    sample: PaceSample
+    ended_s: float
+    worked_s: float
+
+
+class WorkerRecord:
+    """What is kept of one worker: its followed runs, its last ended ones and the solution.
+
+    `worked_s` is for how long the worker was seen with runs.
+    """
+
+    __slots__ = (
+        "effect",
+        "ended",
+        "ended_gangs",
+        "last_report_s",
+        "observations",
+        "pool",
+        "runs",
+        "variance",
+        "worked_s",
+    )
+
+    def __init__(self, pool: str, now_s: float) -> None:
+        self.pool = pool
+        self.last_report_s = now_s
+        self.worked_s = 0.0
+        self.runs: dict[str, RunPace] = {}
+        self.ended: deque[EndedRun] = deque(maxlen=MAX_ENDED_RUNS)
+        self.ended_gangs: deque[EndedRun] = deque(maxlen=MAX_ENDED_GANGS)
+        self.effect = 0.0
+        self.variance = WORKER_DEVIATION**2
+        self.observations = 0
+
+
+class WorkerSpeeds:
+    """Estimates speeds relative to the typical worker of a pool.
+
+    Model: the log of a run's rate is the sum of an effect of its step, an effect of its worker and
+    noise. Members of a gang advance at the pace of the slowest, so a gang only bounds the speeds of
+    its members from below. `gangs` holds the workers of each gang by its step.
+    `solved_observations` counts the observations of the last update, `next_part` the parts of
+    large pools in turn.
+    """
+
+    __slots__ = (
+        "corrections",
+        "gangs",
+        "next_part",
+        "solved_observations",
+        "spreads",
+        "updated_s",
+        "workers",
+    )
+
+    def __init__(self, corrections: EstimateCorrections | None = None) -> None:
+        self.corrections = corrections or EstimateCorrections()
+        self.workers: dict[str, WorkerRecord] = {}
+        self.gangs: dict[str, set[str]] = {}
+        self.spreads = SpeedSpread()
+        self.updated_s = -math.inf
+        self.next_part = 0
+        self.solved_observations = 0
+
+    def speed(self, worker_id: str) -> float:
+        """Returns the speed, where 1 is that of the typical or an unknown worker."""
+        record = self.workers.get(worker_id)
+        return math.exp(record.effect) if record else 1.0
+
+    def uncertainty(self, worker_id: str) -> float:
+        """Returns the standard deviation of the log of the speed."""
+        record = self.workers.get(worker_id)
+        return math.sqrt(record.variance) if record else WORKER_DEVIATION
+
+    def observations(self, worker_id: str) -> int:
+        """Returns the number of runs on which the speed is based."""
+        record = self.workers.get(worker_id)
+        return record.observations if record else 0
+
+    def spread(self, pool: str) -> bool:
+        """Returns whether the speeds in a pool differ by more than their uncertainty."""
+        return pool in self.spreads.pools
+
+    def remaining_s(self, worker_id: str, run_id: str) -> float | None:
+        """Returns the remaining time of a run at its present pace, or None if it is unknown."""
+        record = self.workers.get(worker_id)
+        pace = record.runs.get(run_id) if record else None
+        return pace.remaining_s() if pace else None
+
+    def report(
+        self, worker_id: str, pool: str, reports: Iterable[ProgressReport], now_s: float
+    ) -> None:
+        """Records the runs that a worker reports; the others have ended."""
+        record = self.workers.get(worker_id)
+        if record is None or record.pool != pool:
+            record = self.workers[worker_id] = WorkerRecord(pool, now_s)
+        if record.runs:
+            # A worker that was silent may have done anything.
+            record.worked_s += min(2.0, now_s - record.last_report_s)
+        record.last_report_s = now_s
+        runs: dict[str, RunPace] = {}
+        limit = max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // len(self.workers)))
+        for report in reports:
+            pace = record.runs.get(report.run_id)
+            if len(runs) >= limit:
+                break
+            if pace is not None:
+                pace.add(report.percent, now_s)
+                runs[report.run_id] = pace
+            elif report.percent >= 0 and report.estimate_s > 0:
+                runs[report.run_id] = RunPace(report, now_s)
+                if report.is_gang:
+                    self._add_member(report.step_id, worker_id)
+        record.runs = runs
+
+    def _add_member(self, step_id: str, worker_id: str) -> None:
+        self.gangs.setdefault(step_id, set()).add(worker_id)
+        if len(self.gangs) > MAX_RUNS:
+            # The oldest gang has ended without being done.
+            del self.gangs[next(iter(self.gangs))]
+
+    def end(self, worker_id: str, run_id: str, now_s: float) -> None:
+        """Records that a run is done. It must be called before the report that omits the run."""
+        record = self.workers.get(worker_id)
+        pace = record.runs.pop(run_id, None) if record else None
+        sample = pace.whole(now_s) if pace else None
+        if record is None or pace is None or sample is None:
+            return
+        report = pace.report
+        if not report.is_gang:
+            record.ended.append(EndedRun(report, sample, now_s, record.worked_s))
+            self._learn(report, sample, record.effect)
+            return
+        record.ended_gangs.append(EndedRun(report, sample, now_s, record.worked_s))
+        # All members end together, and the first end of one stands for all.
+        members = self.gangs.pop(report.step_id, set())
+        effects = [self.workers[name].effect for name in members if name in self.workers]
+        if effects:
+            self._learn(report, sample, min(effects))
+
+    def _learn(self, report: ProgressReport, sample: PaceSample, log_speed: float) -> None:
+        """Corrects the estimates of a queue by a run at this pace on workers of this speed."""
+        time_s = math.exp(log_speed - sample.log_rate)
+        self.corrections.add(report.queue, report.step_id, report.estimate_s, time_s)
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Forgets a worker that has ended."""
+        self.workers.pop(worker_id, None)
+
+    def update(self, now_s: float) -> bool:
+        """Computes speeds anew; returns False if the last update was a moment ago."""
+        is_divided = len(self.workers) > WORKERS_PER_UPDATE
+        if now_s - self.updated_s < (PART_INTERVAL_S if is_divided else UPDATE_INTERVAL_S):
+            return False
+        pools: dict[str, list[WorkerRecord]] = {}
+        for record in self.workers.values():
+            pools.setdefault(record.pool, []).append(record)
+        self.updated_s = now_s
+        self.solved_observations = 0
+        parts = [
+            records[first : first + WORKERS_PER_UPDATE]
+            for records in pools.values()
+            for first in range(0, len(records), WORKERS_PER_UPDATE)
+        ]
+        if is_divided:
+            self.next_part = (self.next_part + 1) % len(parts)
+            parts = [parts[self.next_part]]
+        for part in parts:
+            self._update_part(part, now_s)
+        for pool, records in pools.items():
+            speeds = [(math.exp(r.effect), math.sqrt(r.variance)) for r in records]
+            self.spreads.update(pool, speeds)
+        return True
+
+    def _update_part(self, records: list[WorkerRecord], now_s: float) -> None:
+        steps: dict[str, int] = {}
+        priors: list[StepPrior] = []
+        evidence = [self._evidence(record, now_s, steps, priors) for record in records]
+        solve(evidence, priors)
+        known = []
+        for record, worker in zip(records, evidence, strict=True):
+            record.observations = len(worker.recent) + len(worker.earlier)
+            self.solved_observations += record.observations
+            record.effect, record.variance = worker.effect, worker.variance
+            if self._apply_gang_bounds(record) or record.observations:
+                known.append(record)
+            else:
+                record.effect = 0.0
+        # Unknown workers count as typical: the few known ones may all be fast or slow.
+        centre = median(record.effect for record in records) if known else 0.0
+        for record in known:
+            record.effect = max(LOWEST_LOG, record.effect - centre)
+
+    def _evidence(
+        self,
+        record: WorkerRecord,
+        now_s: float,
+        steps: dict[str, int],
+        priors: list[StepPrior],
+    ) -> WorkerEvidence:
+        evidence = WorkerEvidence([], [], record.effect)
+        for pace in record.runs.values():
+            sample = None if pace.report.is_gang else pace.recent()
+            if sample is not None:
+                age_s = now_s - pace.last_report_s
+                weight = 0.5 ** (age_s / IDLE_HALF_LIFE_S)
+                observation = self._observation(pace.report, sample, weight, steps, priors)
+                evidence.recent.append(observation)
+        for ended in record.ended:
+            work_s = record.worked_s - ended.worked_s
+            age_s = now_s - ended.ended_s
+            weight = 0.5 ** (work_s / WORK_HALF_LIFE_S + age_s / IDLE_HALF_LIFE_S)
+            if weight > 0.01:
+                observation = self._observation(ended.report, ended.sample, weight, steps, priors)
+                evidence.earlier.append(observation)
+        return evidence
+
+    def _observation(
+        self,
+        report: ProgressReport,
+        sample: PaceSample,
+        weight: float,
+        steps: dict[str, int],
+        priors: list[StepPrior],
+    ) -> RateObservation:
+        step = steps.get(report.step_id)
+        if step is None:
+            step = steps[report.step_id] = len(priors)
+            ratio = self.corrections.log_ratio(report.queue)
+            priors.append(StepPrior(-ratio.mean, 1 / ratio.variance))
+        precision = weight / (TASK_DEVIATION**2 + sample.error**2)
+        return RateObservation(step, sample.log_rate + math.log(report.estimate_s), precision)
+
+    def _apply_gang_bounds(self, record: WorkerRecord) -> int:
+        """Conditions the speed of a worker on being at least that of its gangs.
+
+        The time of a gang is known only from its estimate, so the bound is uncertain. The result is
+        the normal distribution with the mean and variance of the conditioned one. Returns the
+        number of gangs.
+        """
+        bounds = {
+            ended.report.step_id: (ended.report, ended.sample) for ended in record.ended_gangs
+        }
+        for pace in record.runs.values():
+            if pace.report.is_gang and (running := pace.recent()) is not None:
+                bounds[pace.report.step_id] = (pace.report, running)
+        for report, sample in bounds.values():
+            ratio = self.corrections.log_ratio(report.queue)
+            bound = sample.log_rate + math.log(report.estimate_s) + ratio.mean
+            deviation = math.sqrt(
+                record.variance + ratio.variance + TASK_DEVIATION**2 + sample.error**2
+            )
+            distance = max(-3.0, (record.effect - bound) / deviation)
+            hazard = STANDARD.pdf(distance) / STANDARD.cdf(distance)
+            share = record.variance / deviation
+            record.effect += share * hazard
+            record.variance -= share**2 * hazard * (hazard + distance)
+        return len(bounds)
