Find the members of a revoked gang without reading all runs

While a data centre with many unstarted gangs was evacuated, the leader answered no calls: each revoked gang member read the runs of all workers, and each reply that revoked something woke the calls of all agents.

The members come from the gang's own tasks, and only their workers are woken. test_revocation_reads_only_its_gang failed before.

--- a/src/cicadatray/internal/control/graphs/evacuated_runs.py
+++ b/src/cicadatray/internal/control/graphs/evacuated_runs.py
@@ -7,7 +7,7 @@
 from cicadatray.internal.control.graphs.graph_statistics import EVACUATED
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.observability.graph_metrics import runs_displaced
-from cicadatray.scheduling.taskgraphs.task_id import TaskRun
+from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 
 if TYPE_CHECKING:
     from cicadatray.internal.control.graphs.graph_session import GraphSession
@@ -21,16 +21,19 @@
     An agent may still send the start of a run that its worker has not listed, and with its next
     reply it may do so for longer. Hence every reply to an evacuated data centre revokes them.
     """
-    ordered = session.ordered_runs.get(worker.offer.worker_id, {})
+    worker_id = worker.offer.worker_id
+    ordered = session.ordered_runs.get(worker_id, {})
     unstarted = [
         run for run in ordered if run not in session.revoked_runs and worker.may_still_start(run)
     ]
     for run in unstarted:
-        for member in _gang_members(session, run):
-            if member not in session.revoked_runs:
-                revoke_evacuated(session, member, reason="not started")
-    if unstarted:
-        session.wake_all()
+        for member, member_worker_id in _gang_members(session, run, worker_id):
+            if member in session.revoked_runs:
+                continue
+            revoke_evacuated(session, member, reason="not started")
+            member_worker = session.workers.get(member_worker_id)
+            if member_worker is not None:
+                member_worker.wake.set()
 
 
 def revoke_evacuated(session: "GraphSession", run: TaskRun, **fields: object) -> None:
@@ -41,17 +44,22 @@
     log.info("run evacuated", graph=run.task.graph_id, task=run.task.key, run=run.run, **fields)
 
 
-def _gang_members(session: "GraphSession", run: TaskRun) -> list[TaskRun]:
-    """Returns the runs that may exist and make no progress without this run, with itself."""
-    progress = session.graphs.get(run.task.graph_id)
-    if progress is None or not progress.graph.steps[run.task.step].is_gang:
-        return [run]
-    task = run.task
-    return [
-        other
-        for ordered in session.ordered_runs.values()
-        for other in ordered
-        if other.run == run.run
-        and (other.task.graph_id, other.task.occurrence, other.task.step)
-        == (task.graph_id, task.occurrence, task.step)
-    ]
+def _gang_members(
+    session: "GraphSession", run: TaskRun, worker_id: str
+) -> list[tuple[TaskRun, str]]:
+    """Returns the runs that may exist and make no progress without this run, with itself.
+
+    Each is returned with its worker. Reads only the tasks of the gang, because an evacuation calls
+    this for every start that is under way.
+    """
+    progress, task = session.graphs.get(run.task.graph_id), run.task
+    if progress is None or not progress.graph.steps[task.step].is_gang:
+        return [(run, worker_id)]
+    members = [(run, worker_id)]
+    for index in range(progress.graph.steps[task.step].count):
+        member = progress.task(task.occurrence, task.step, index)
+        if index != task.index and member is not None and member.worker_id:
+            if member.run == run.run:
+                member_id = TaskId(task.graph_id, task.occurrence, task.step, index)
+                members.append((TaskRun(member_id, run.run), member.worker_id))
+    return members
--- a/tests/cover/taskgraphs/test_leaving_work.py
+++ b/tests/cover/taskgraphs/test_leaving_work.py
@@ -1,6 +1,8 @@
 """Which work must leave draining workers and evacuated data centres."""
 
 import asyncio
+from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
@@ -11,7 +13,12 @@
 from cicadatray.internal.control.graphs.pool_capacities import build_pools
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.messages.evacuation_messages import Evacuation
-from cicadatray.internal.wire.messages.graph_messages import RunEnd, RunReport, WorkerOffer
+from cicadatray.internal.wire.messages.graph_messages import (
+    RunEnd,
+    RunReport,
+    SyncWorker,
+    WorkerOffer,
+)
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
@@ -148,3 +155,42 @@
         assert (orders.starts, orders.stops, session.revoked_runs) == ((), (), set())
 
     run_virtual(main())
+
+
+class Unscannable(dict[str, Any]):
+    """A mapping that can be read by key only."""
+
+    def __iter__(self) -> Iterator[str]:
+        raise AssertionError("all entries are read")
+
+    values = items = keys = __iter__  # type: ignore[assignment]
+
+
+def test_revocation_reads_only_its_gang() -> None:
+    """Guards against replies whose cost grows with the fleet during an evacuation.
+
+    Each agent of a large data centre may hold the start of a gang, beside 6,100 workers and 52,000
+    runs.
+    """
+
+    async def main() -> None:
+        session, graph = make_session()
+        session.leader.metrics = MetricsRegistry()
+        ordered_s = session.ordered_runs["w-1"].pop(run(1))
+        session.ordered_runs["v-1"] = {run(1): ordered_s}
+        graph.tasks["0.0.1"].worker_id = "v-1"
+        worker = session.handle_sync(call())
+        other_call = SyncWorker(
+            agent_id="b", sequence=1, agent_incarnation="one", offer=call("v-1").offer
+        )
+        other = session.handle_sync(other_call)
+        assert worker is not None and other is not None
+        other.wake.clear()
+        session.leader.state.evacuations.active["d0"] = Evacuation("d0", session.wall_s())
+        session.ordered_runs = Unscannable(session.ordered_runs)
+        session.workers = Unscannable(session.workers)
+        assert session.orders_for(worker).stops == (run(0),)
+        assert session.revoked_runs == {run(0), run(1)}
+        assert other.wake.is_set()
+
+    run_virtual(main())
