Commit an order that follows an uncommitted one for the same data centre

An operator who got no answer to an order and sent the opposite one was told that the second was confirmed, and then the first took effect: tasks started in a data centre whose evacuation was confirmed last, or a returned one stayed empty. The second order seemed to change nothing, because the first was proposed but not yet applied.

An order without an operation ID is now confirmed without a commit only if no order for its data centre is being committed. test_order_after_an_uncommitted_opposite_one_is_the_last failed before.

--- a/src/cicadatray/internal/control/evacuation_calls.py
+++ b/src/cicadatray/internal/control/evacuation_calls.py
@@ -1,6 +1,7 @@
 """Handlers of operators' calls that evacuate data centres."""
 
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import structlog
@@ -32,11 +33,15 @@
     """Evacuates a data centre or takes it back into use, and replies once that is durable."""
     session = await daemon.require_leader_session()
     graph_session = daemon.require_graph_session(session)
+    pending = graph_session.pending_evacuations
     # Leadership is confirmed and nothing was awaited since, so this read is linearizable.
-    if _changes_nothing(session.state.evacuations, call):
+    if _changes_nothing(session.state.evacuations, call, pending):
         reply = evacuations_reply(graph_session, call.data_centre, is_repeated=True)
     else:
+        pending[call.data_centre] += 1
         committed = await session.propose(RecordEvacuation(order=call, now_s=time.time()))
+        # Not reached by a call that fails or is cancelled, whose order may still be committed.
+        pending[call.data_centre] -= 1
         if not isinstance(committed, EvacuationsReply):
             return committed
         # The order is durable now, so it must be confirmed even if the session has ended.
@@ -55,14 +60,19 @@
     return evacuations_reply(daemon.require_graph_session(session))
 
 
-def _changes_nothing(record: EvacuationRecord, call: OrderEvacuation) -> bool:
+def _changes_nothing(
+    record: EvacuationRecord, call: OrderEvacuation, pending: Counter[str]
+) -> bool:
     """Returns whether an order need not be committed.
 
     An order with a new `operation_id` is committed in any case, so that a late repeat of it is
-    recognised after the data centre was returned.
+    recognised after the data centre was returned. So is one that follows a `pending` order for the
+    same data centre, because that one may be the opposite and must not take effect after this one.
     """
     if call.operation_id:
         return record.has_operation(call.data_centre, call.operation_id)
+    if pending[call.data_centre]:
+        return False
     return (call.data_centre in record.active) is call.is_evacuated
 
 
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 
 import structlog
 
@@ -51,8 +52,9 @@
     that was done, since when. `replaced_workers` belonged to an earlier leader's term and have been
     replaced by another worker of the same agent. `rule_memory` is what the scheduling rules keep
     between rounds. `relays` holds the time of the latest announcement
-    of each relay. `new_ends` are reported ends that are not proposed yet. `wake` starts the next
-    scheduling round.
+    of each relay. `new_ends` are reported ends that are not proposed yet. `pending_evacuations`
+    counts the orders for each data centre that were proposed and are not known to be committed.
+    `wake` starts the next scheduling round.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         "leases",
         "new_ends",
         "ordered_runs",
+        "pending_evacuations",
         "relays",
         "replaced_workers",
         "revoked_runs",
@@ -91,6 +94,7 @@
         self.evacuation_limits = evacuation_limits
         self.rule_memory = RuleMemory()
         self.admission = GraphAdmission(self)
+        self.pending_evacuations: Counter[str] = Counter()
         self.workers: dict[str, WorkerSession] = {}
         self.agent_incarnations = AgentIncarnations()
         self.new_ends: list[PlacedEnd] = []
--- a/tests/cover/control/test_evacuation_calls.py
+++ b/tests/cover/control/test_evacuation_calls.py
@@ -169,6 +169,26 @@
     run_group(scenario)
 
 
+@pytest.mark.parametrize("last", [True, False], ids=["evacuation last", "withdrawal last"])
+def test_order_after_an_uncommitted_opposite_one_is_the_last(last: bool) -> None:
+    """Guards against a confirmed order that an earlier, slower one undoes.
+
+    The operator got no answer in time to the first order, whose commit is slow, and sends the
+    opposite one.
+    """
+
+    async def scenario(group: Group) -> None:
+        if last:
+            await group.order("c1", "north", True)
+        earlier = asyncio.create_task(group.order("c1", "north", not last))
+        await asyncio.sleep(0.5 * ROUND_TRIP_S)
+        reply = await group.order("c1", "north", last)
+        await earlier
+        assert names(reply) == group.active() == ({"north"} if last else set())
+
+    run_group(scenario)
+
+
 def announce(
     group: Group, number: int, data_centre: str, sequence: int = 1
 ) -> Awaitable[MessageStruct]:
