Name no accounts for shape guarantees before agents had time to announce

Shortly after a change of leader, the answer to an order, the list of evacuations and the log named every account with a shape guarantee as not met, although capacity was left. The scheduler counts workers without an agent as lost, and agents of shape jobs announce themselves once a second.

The shape guarantees are left out until AGENT_TIMEOUT_S after the term began. They had no test; test_accounts_whose_shape_guarantees_do_not_fit_are_named covers them, and three of its four cases failed before.

--- a/src/cicadatray/internal/control/graphs/evacuation_progress.py
+++ b/src/cicadatray/internal/control/graphs/evacuation_progress.py
@@ -2,6 +2,7 @@
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.pool_capacities import build_pools
+from cicadatray.internal.control.leases import AGENT_TIMEOUT_S
 from cicadatray.internal.wire.messages.evacuation_messages import (
     Evacuation,
     EvacuationProgress,
@@ -53,12 +54,15 @@
 
     For task graphs these are all accounts with a guarantee as soon as the sum of the guarantees
     exceeds the accelerators of all pools, because no account takes precedence over another. Nothing
-    is known while nothing is evacuated or before the agents had time to call this leader.
+    is known while nothing is evacuated or before the agents had time to call this leader. Those of
+    shape jobs announce themselves less often, and a worker without an agent counts as lost.
     """
     if not session.leader.state.evacuations.active:
         return ()
-    blocks = session.leader.scheduler.guarantees_at_risk()
-    at_risk = {block.client_account for block in blocks}
+    at_risk: set[str] = set()
+    if session.now_s() - session.leader.started_s >= AGENT_TIMEOUT_S:
+        blocks = session.leader.scheduler.guarantees_at_risk()
+        at_risk |= {block.client_account for block in blocks}
     if session.knows_workers():
         at_risk |= _unmet_by_pools(session)
     return tuple(sorted(at_risk))
--- a/tests/cover/control/test_evacuation_calls.py
+++ b/tests/cover/control/test_evacuation_calls.py
@@ -9,8 +9,10 @@
 import pytest
 
 from cicadatray.internal.control.control_description import describe_control
+from cicadatray.internal.control.leases import AGENT_TIMEOUT_S
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
-from cicadatray.internal.wire.messages.directory_messages import NotLeader
+from cicadatray.internal.wire.messages.configuration_messages import ChangeConfiguration
+from cicadatray.internal.wire.messages.directory_messages import AgentRecord, Announce, NotLeader
 from cicadatray.internal.wire.messages.evacuation_messages import (
     EvacuationsReply,
     OrderEvacuation,
@@ -38,6 +40,7 @@
 from cover.control.gangs.shared_log import ROUND_TRIP_S, SharedLog
 from cover.control.gangs.simulated_control import SimulatedControl
 from cover.replication.process_loop import ProcessLoop, end_other_tasks
+from scheduling_helpers import data_centres, rules
 
 NAMES = ("c1", "c2")
 
@@ -262,6 +265,54 @@
     run_group(scenario)
 
 
+@pytest.mark.parametrize(
+    ("evacuated", "unmet"),
+    [((), ()), (("d0",), ("large",)), (("d1",), ()), (("d0", "d1"), ("large", "small"))],
+    ids=["none", "the large block", "capacity is left", "nothing is left"],
+)
+def test_accounts_whose_shape_guarantees_do_not_fit_are_named(
+    evacuated: tuple[str, ...], unmet: tuple[str, ...]
+) -> None:
+    """Guards against an operator who learns too late, or wrongly, whom an order affects.
+
+    The block of the large account fits only into d0, and the block of the small one anywhere. A new
+    leader names nobody before the agents had time to announce themselves.
+    """
+
+    async def scenario(group: Group) -> None:
+        inventory = data_centres(((8, 8, 8),), ((8,),))
+        guarantees = rules(("large", "16r", 1), ("small", "4w", 1), large="8w")
+        documents: Any = ({"inventory": inventory}, {"rules": guarantees})
+        for version, document in enumerate(documents):
+            change = ChangeConfiguration(
+                operation_id=str(version), operator="o", replaces_version=version, **document
+            )
+            group.log.commit(group.log.state.encode_command(change))
+        for data_centre in evacuated:
+            await group.order("c1", data_centre, True)
+        for leader in NAMES:
+            await group.elect(leader)
+            read = await group.controls[leader].answer(ReadEvacuations())
+            assert isinstance(read, EvacuationsReply) and read.unmet_accounts == ()
+            for worker in inventory.workers:
+                agent = AgentRecord(
+                    worker.worker_id, "one", "host", 1, worker.data_centre, "", 1, worker.worker_id
+                )
+                await group.controls[leader].answer(Announce(agent=agent))
+            await asyncio.sleep(AGENT_TIMEOUT_S)
+            repeated = await group.order(leader, "d0", "d0" in evacuated)
+            read = await group.controls[leader].answer(ReadEvacuations())
+            for reply in (repeated, read):
+                assert isinstance(reply, EvacuationsReply)
+                assert reply.unmet_accounts == unmet
+        for data_centre in evacuated:
+            reply = await group.order(NAMES[-1], data_centre, False)
+            assert isinstance(reply, EvacuationsReply)
+        assert reply.unmet_accounts == ()
+
+    run_group(scenario)
+
+
 def test_dump_lists_evacuations() -> None:
     """Guards against an operator who cannot see from a dump why nothing starts."""
 
