Count a new label as growth of a pool

While operators gave workers a new label one after the other, a gang that needs the label was refused for ever as soon as the first of them had called, although no gang is refused before that. Only more capacity and new agents postponed the judgement.

test_pool_that_gets_a_label_is_not_settled failed before.

--- a/src/cicadatray/internal/control/graphs/known_capacity.py
+++ b/src/cicadatray/internal/control/graphs/known_capacity.py
@@ -36,7 +36,7 @@
     Workers are kept by agent, because a worker gets another identifier with each restart and would
     count twice. `agents` is in the order of the last call, and the one that has been silent longest
     is dropped beyond `MAX_AGENTS`. `grown_s` is when a new agent or a larger worker was last heard
-    of, by pool, in seconds of the event loop.
+    of, or a new label of one, by pool, in seconds of the event loop.
     """
 
     __slots__ = ("agents", "grown_s")
@@ -49,10 +49,10 @@
         """Records the worker that an agent offers."""
         key = (offer.pool, agent_id)
         agent = self.agents.pop(key, None) or _KnownAgent()
-        before = agent.capacity
+        before = (agent.capacity, agent.labels)
         agent.add(offer)
         self.agents[key] = agent
-        if agent.capacity != before:
+        if (agent.capacity, agent.labels) != before:
             self.grown_s[offer.pool] = now_s
         if len(self.agents) > MAX_AGENTS:
             del self.agents[next(iter(self.agents))]
--- a/tests/cover/taskgraphs/test_feasible_admission.py
+++ b/tests/cover/taskgraphs/test_feasible_admission.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from random import Random
 
+import msgspec
 import pytest
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
@@ -137,6 +138,21 @@
     assert known.is_settled("pool", now_s) is settled
 
 
+def test_pool_that_gets_a_label_is_not_settled() -> None:
+    """A gang must not be refused while workers restart one after the other with its label.
+
+    Load: two agents of which one offers the label "new" long after the first calls.
+    """
+    known = KnownCapacity()
+    for agent in ("x", "y"):
+        known.record(agent, offer(), 0.0)
+    labelled = msgspec.structs.replace(offer("w-2"), labels=("a", "new"))
+    known.record("x", labelled, 100.0)
+    assert not known.is_settled("pool", 101.0)
+    known.record("x", labelled, 103.0)
+    assert known.is_settled("pool", 100.0 + SETTLING_S)
+
+
 def test_number_of_agents_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """Instances that are replaced every day must not fill the leader's memory.
 
