Cover urgent jobs in the order of the log under by_job

After a change to a leader with a slower clock, a covered urgent job lost its cover to a job that was accepted later but had an earlier time, and its running gang could be displaced. The rule compared times of acceptance, which are wall-clock times of different leaders.

The rule takes the graphs in the order of the log.

--- a/src/cicadatray/scheduling/taskgraphs/rules/by_job.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/by_job.py
@@ -1,4 +1,9 @@
-"""Guarantees that cover urgent jobs one by one in the order of their acceptance."""
+"""Guarantees that cover urgent jobs one by one in the order of their acceptance.
+
+The order is that of `graphs`, which is the order in the replicated log and survives snapshots. The
+times of acceptance are not compared: they are the clocks of the leaders, and a job that a leader
+with a slow clock accepts later would take the cover of one that waits or runs.
+"""
 
 from collections.abc import Iterable, Mapping
 
@@ -37,14 +42,14 @@
 
 
 def _cover(urgent: list[GraphProgress], guarantee: int) -> set[str]:
-    """Returns the covered graphs of one account."""
+    """Returns the covered graphs of one account, whose graphs are in the order of acceptance."""
     if guarantee < 0:
         return set()
     covered: set[str] = set()
     # Bit n is set if some of the earlier graphs need n accelerators together.
     reachable_sums = 1
     within_guarantee = (1 << (guarantee + 1)) - 1
-    for progress in sorted(urgent, key=lambda p: (p.accepted_s, p.graph.graph_id)):
+    for progress in urgent:
         demand = demand_of_graph(progress)
         if demand > guarantee:
             continue
--- a/src/cicadatray/scheduling/taskgraphs/rules/guarantee_rule.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/guarantee_rule.py
@@ -5,7 +5,8 @@
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.rules.rule_registry import RuleRegistry
 
-# Returns the identifiers of the covered graphs. The mapping gives the guaranteed accelerators of
+# Returns the identifiers of the covered graphs. They are given in the order in which they were
+# accepted, which every leader has. The mapping gives the guaranteed accelerators of
 # each account. A rule uses replicated state alone, so that every leader covers the same graphs.
 GuaranteeRule = Callable[[Iterable[GraphProgress], Mapping[str, int]], set[str]]
 
--- a/tests/cover/taskgraphs/test_guarantees_by_job.py
+++ b/tests/cover/taskgraphs/test_guarantees_by_job.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from cicadatray.internal.control.control_state import ControlState
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.rules.by_account import cover_by_account
@@ -145,21 +146,35 @@
 
 @settings(derandomize=True, deadline=None)
 @given(DEMANDS, GUARANTEES, st.integers(0, 12), st.randoms(use_true_random=False))
-def test_one_more_job_and_any_order(
+def test_one_more_job_and_another_leader(
     demands: list[int], guarantee: int, more: int, random: Random
 ) -> None:
     """One more job must uncover none, and a new leader must find the same cover.
 
-    The order of the graphs in a leader's state depends on its snapshot.
-    Load: any urgent gangs of one account, some of them accepted at the same time.
+    Load: any urgent gangs of one account, accepted by leaders whose clocks differ, in a state that
+    a new leader restores from a snapshot.
     """
-    jobs = [job(str(i), demand, float(i // 2)) for i, demand in enumerate(demands)]
+    names = [str(number) for number in range(len(demands) + 1)]
+    random.shuffle(names)
+    jobs = [
+        job(name, demand, random.uniform(0.0, 9.0))
+        for name, demand in zip(names, demands, strict=False)
+    ]
     covered = cover(guarantee, *jobs)
-    shuffled = list(jobs)
-    random.shuffle(shuffled)
-    decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(shuffled), type=list[GraphProgress])
-    assert cover(guarantee, *decoded) == covered
-    assert covered <= cover(guarantee, *jobs, job("x", 2 * more, 9.0))
+    state, restored = ControlState(), ControlState()
+    state.graphs.graphs = {progress.graph.graph_id: progress for progress in jobs}
+    restored.restore(state.snapshot())
+    restored_jobs = list(restored.graphs.graphs.values())
+    assert cover(guarantee, *restored_jobs) == covered
+    last = job(names[-1], 2 * more, random.uniform(0.0, 9.0))
+    assert covered <= cover(guarantee, *restored_jobs, last)
+
+
+def test_slow_clock_of_a_new_leader_uncovers_nothing() -> None:
+    """A job must not lose its cover to one that was accepted later, but has an earlier time."""
+    running, later = job("b", 10, 100.0), job("a", 10, 99.5)
+    begin(running)
+    assert cover(16, running, later) == {"b"}
 
 
 @settings(derandomize=True, deadline=None)
@@ -198,7 +213,9 @@
     def accept(self, half: int, occurrences: int) -> None:
         self.now_s += 1.0
         name = f"{len(self.jobs) * 7 % 10}-{self.now_s}"
-        self.jobs[name] = job(name, 2 * half, self.now_s, occurrences=occurrences)
+        # The clocks of successive leaders differ by up to 3 s.
+        accepted_s = self.now_s - len(self.jobs) * 5 % 4
+        self.jobs[name] = job(name, 2 * half, accepted_s, occurrences=occurrences)
 
     @precondition(lambda self: self.jobs)
     @rule(number=st.integers(0, 50))
