Split the graph session and the graph calls along their seams

Relays and reported checkpoints leave the session, and calls about members of the group leave the graph calls. No behaviour changes.

--- a/src/cicadatray/internal/control/calls.py
+++ b/src/cicadatray/internal/control/calls.py
@@ -8,7 +8,7 @@
     key_calls,
     replica_calls,
 )
-from cicadatray.internal.control.graphs import graph_calls
+from cicadatray.internal.control.graphs import graph_calls, member_calls
 
 CALL_MODULES = (
     diagnostic_calls,
@@ -17,5 +17,6 @@
     graph_calls,
     job_calls,
     key_calls,
+    member_calls,
     replica_calls,
 )
--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -5,6 +5,7 @@
 import structlog
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.reported_checkpoints import new_checkpoints
 from cicadatray.internal.control.graphs.task_lookup import find_task_progress
 from cicadatray.internal.observability.graph_metrics import runs_ended
 from cicadatray.internal.wire.messages.graph_messages import PlacedEnd, RecordRuns
@@ -53,7 +54,7 @@
     async def _commit(self, ends: list[PlacedEnd]) -> None:
         session = self.session
         command = RecordRuns(
-            now_s=session.wall_s(), ends=tuple(ends), checkpoints=session.new_checkpoints()
+            now_s=session.wall_s(), ends=tuple(ends), checkpoints=new_checkpoints(session)
         )
         await session.leader.propose(command)
         self.apply_committed(ends)
--- a/src/cicadatray/internal/control/graphs/evacuated_runs.py
+++ b/src/cicadatray/internal/control/graphs/evacuated_runs.py
@@ -58,8 +58,8 @@
     members = [(run, worker_id)]
     for index in range(progress.graph.steps[task.step].count):
         member = progress.task(task.occurrence, task.step, index)
-        if index != task.index and member is not None and member.worker_id:
-            if member.run == run.run:
-                member_id = TaskId(task.graph_id, task.occurrence, task.step, index)
-                members.append((TaskRun(member_id, run.run), member.worker_id))
+        if index == task.index or member is None or not member.worker_id or member.run != run.run:
+            continue
+        member_id = TaskId(task.graph_id, task.occurrence, task.step, index)
+        members.append((TaskRun(member_id, run.run), member.worker_id))
     return members
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -15,28 +15,21 @@
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.observability.graph_metrics import graphs_accepted
 from cicadatray.internal.wire.message import Failure, MessageStruct
-from cicadatray.internal.wire.messages.directory_messages import Acknowledged, NotLeader
+from cicadatray.internal.wire.messages.directory_messages import NotLeader
 from cicadatray.internal.wire.messages.graph_messages import (
     AcceptGraph,
-    AnnounceMembers,
     CancelGraph,
     EndGraph,
-    JoinGroup,
-    MemberAddress,
-    MembersReply,
     QueuesReply,
     QueueState,
     QueueTarget,
     ReadGraph,
-    ReadMembers,
     ReadQueues,
-    RecordRendezvous,
     SetQueues,
     SubmitGraph,
     SyncWorker,
 )
 from cicadatray.internal.wire.messages.queue_configuration import Queue, QueueAccount
-from cicadatray.replication.member import Member
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.task_graph import TaskGraph
 
@@ -227,38 +220,6 @@
     return QueuesReply(version=store.queues.version, source=store.source)
 
 
-@register_handler(ReadMembers)
-async def read_members(daemon: "ControlDaemon", call: ReadMembers) -> MessageStruct:
-    """Returns the members of the control group, and records a new instance without a replica."""
-    session = await daemon.require_leader_session()
-    if call.rendezvous is not None and call.rendezvous not in session.state.rendezvous:
-        await session.propose(RecordRendezvous(address=call.rendezvous))
-        log.info("rendezvous recorded", rendezvous=call.rendezvous.name)
-    return MembersReply(
-        members=tuple(
-            MemberAddress(member.member_id, member.host, member.port)
-            for member in daemon.replica.members()
-        ),
-        term=session.term,
-        relays=daemon.require_graph_session(session).register_relay(call.relay),
-    )
-
-
-@register_handler(AnnounceMembers)
-async def learn_members(daemon: "ControlDaemon", call: AnnounceMembers) -> MessageStruct:
-    """Stores where the group can be reached, for an instance that has lost its disk."""
-    daemon.control_client.learn_members(call.members)
-    return Acknowledged()
-
-
-@register_handler(JoinGroup)
-async def join_group(daemon: "ControlDaemon", call: JoinGroup) -> MessageStruct:
-    """Requests membership for a control instance; the leader admits it later."""
-    address = call.member
-    daemon.replica.request_join(Member(address.name, address.host, address.port))
-    return Acknowledged()
-
-
 @register_handler(SyncWorker)
 async def sync_worker(daemon: "ControlDaemon", call: SyncWorker) -> MessageStruct:
     """Records an agent's report and returns the orders for its worker.
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -19,6 +19,7 @@
     mark_guaranteed,
 )
 from cicadatray.internal.control.graphs.pool_capacities import mark_waves
+from cicadatray.internal.control.graphs.reported_checkpoints import new_checkpoints
 from cicadatray.internal.control.graphs.wait_log import WaitLog
 from cicadatray.internal.observability.graph_metrics import runs_displaced, task_wait_seconds
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -131,7 +132,7 @@
         if not is_committing and now_s < self.next_checkpoints_s:
             return ()
         self.next_checkpoints_s = now_s + CHECKPOINT_INTERVAL_S
-        return self.session.new_checkpoints()
+        return new_checkpoints(self.session)
 
     def _mark_lost_workers(self) -> list[str]:
         """Marks workers whose leases have expired; returns all lost or replaced workers."""
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -11,14 +11,12 @@
 from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
 from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
+from cicadatray.internal.control.graphs.relay_directory import RelayDirectory
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
-from cicadatray.internal.control.graphs.task_lookup import find_task_progress
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.wire.messages.graph_messages import (
-    MemberAddress,
     PlacedEnd,
-    RunCheckpoint,
     RunOrder,
     SyncWorker,
     WorkerOrders,
@@ -30,13 +28,9 @@
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
-# A relay announces itself with each of its leader probes.
-RELAY_EXPIRY_S = 5.0
 # After a change of leader the agents that can reach the new one have called it by then: the slowest
 # of 50 took 0.75 s on days with faults.
 AGENTS_RETURN_S = 1.0
-# A process needs only a few relays to get around a partition.
-MAX_RELAYS = 16
 NO_LIMITS = EvacuationLimits()
 
 log = structlog.get_logger(__name__)
@@ -51,8 +45,7 @@
     stopped to free capacity, and `displacing_graphs` holds, for each waiting graph for which
     that was done, since when. `replaced_workers` belonged to an earlier leader's term and have been
     replaced by another worker of the same agent. `rule_memory` is what the scheduling rules keep
-    between rounds. `relays` holds the time of the latest announcement
-    of each relay. `new_ends` are reported ends that are not proposed yet. `pending_evacuations`
+    between rounds. `new_ends` are reported ends that are not proposed yet. `pending_evacuations`
     counts the orders for each data centre that were proposed and are not known to be committed.
     `wake` starts the next scheduling round.
     """
@@ -100,7 +93,7 @@
         self.new_ends: list[PlacedEnd] = []
         self.ends_arrived = asyncio.Event()
         self.ordered_runs: dict[str, dict[TaskRun, float]] = {}
-        self.relays: dict[MemberAddress, float] = {}
+        self.relays = RelayDirectory()
         self.replaced_workers: set[str] = set()
         self.revoked_runs: set[TaskRun] = set()
         self.displacing_graphs: dict[str, float] = {}
@@ -134,18 +127,6 @@
         """Returns whether nothing may be started on a worker, by an operator's order."""
         return worker.offer.data_centre in self.leader.state.evacuations.active
 
-    def register_relay(self, relay: MemberAddress | None) -> tuple[MemberAddress, ...]:
-        """Registers a relay, if one is given, and returns a selection of the current relays."""
-        now_s = self.now_s()
-        if relay is not None:
-            self.relays[relay] = now_s
-        for expired in [r for r, seen_s in self.relays.items() if now_s - seen_s > RELAY_EXPIRY_S]:
-            del self.relays[expired]
-        # Instances of one data centre have adjacent names, so equal distances spread the selection.
-        relays = sorted(self.relays, key=lambda address: address.name)
-        count = min(len(relays), MAX_RELAYS)
-        return tuple(relays[number * len(relays) // count] for number in range(count))
-
     def handle_sync(self, call: SyncWorker) -> WorkerSession | None:
         """Records the report of an agent and returns the session of its worker.
 
@@ -254,22 +235,6 @@
                 lost.append(worker_id)
         return lost
 
-    def new_checkpoints(self) -> tuple[RunCheckpoint, ...]:
-        """Returns the reported checkpoints that are not durable yet, at most one for each gang."""
-        checkpoints: dict[tuple[str, int, int, int], RunCheckpoint] = {}
-        for worker in self.workers.values():
-            for run, report in worker.reports.items():
-                progress = find_task_progress(self.graphs, run)
-                if progress is None or not report.checkpoint or progress.run != run.run:
-                    continue
-                if report.checkpoint == progress.checkpoint:
-                    continue
-                task = run.task
-                is_gang = self.graphs[task.graph_id].graph.steps[task.step].is_gang
-                key = (task.graph_id, task.occurrence, task.step, -1 if is_gang else task.index)
-                checkpoints[key] = RunCheckpoint(run, report.checkpoint)
-        return tuple(checkpoints.values())
-
     def remove_worker(self, worker_id: str) -> None:
         """Removes a worker after the ends of its runs are durable."""
         self.workers.pop(worker_id, None)
--- a/tests/cover/control/test_rendezvous_state.py
+++ b/tests/cover/control/test_rendezvous_state.py
@@ -8,7 +8,8 @@
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control import commands
 from cicadatray.internal.control.control_state import ControlState
-from cicadatray.internal.control.graphs.graph_calls import read_members
+from cicadatray.internal.control.graphs.member_calls import read_members
+from cicadatray.internal.control.graphs.relay_directory import RelayDirectory
 from cicadatray.internal.control.rendezvous_state import RENDEZVOUS_LIMIT
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -74,9 +75,10 @@
         async def require_leader_session() -> Any:
             return SimpleNamespace(state=state, propose=propose, term=1)
 
+        graph_session = SimpleNamespace(relays=RelayDirectory(), now_s=lambda: 0.0)
         daemon: Any = SimpleNamespace(
             require_leader_session=require_leader_session,
-            require_graph_session=lambda session: SimpleNamespace(register_relay=lambda relay: ()),
+            require_graph_session=lambda session: graph_session,
             replica=SimpleNamespace(members=lambda: ()),
         )
         await read_members(daemon, ReadMembers(rendezvous=rendezvous))
--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -9,9 +9,10 @@
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.graphs.agent_incarnations import INCARNATION_SILENCE_S
-from cicadatray.internal.control.graphs.graph_session import MAX_RELAYS, GraphSession
+from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
 from cicadatray.internal.control.graphs.placement_input import build_running, build_workers
+from cicadatray.internal.control.graphs.relay_directory import MAX_RELAYS
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
 from cicadatray.internal.wire.messages.graph_messages import (
     MemberAddress,
@@ -281,10 +282,11 @@
         session, _ = make_session()
         for number in range(count):
             centre = "abc"[3 * number // count]
-            session.register_relay(MemberAddress(f"{centre}-{number:03}", "127.0.0.1", number + 1))
-        selected = session.register_relay(None)
+            relay = MemberAddress(f"{centre}-{number:03}", "127.0.0.1", number + 1)
+            session.relays.register(relay, session.now_s())
+        selected = session.relays.register(None, session.now_s())
         assert len(selected) == min(count, MAX_RELAYS)
         assert {relay.name[0] for relay in selected} == {"a", "b", "c"}
-        assert session.register_relay(None) == selected
+        assert session.relays.register(None, session.now_s()) == selected
 
     run_virtual(main())
