Give agents of shape jobs a permission to start that expires

A task of a shape job could start in an evacuated data centre up to 6 s after the confirmation, although the bound is 5 s: an agent that was paused with the order of its leader in hand carried it out as long as its lease lasted, and nothing else limits it.

The reply to an announcement grants the same permission as that to an agent of task graphs, half of evacuation_start_limit_s, and an agent refuses to start a prepared task without it. Deployments without the limit are unchanged.

--- a/src/cicadatray/internal/agent/task_table.py
+++ b/src/cicadatray/internal/agent/task_table.py
@@ -14,6 +14,7 @@
     STOPPED,
     TaskEntry,
 )
+from cicadatray.internal.agent.tasks.start_permission import StartPermission
 from cicadatray.internal.agent.worker_client import ReserveOrder, WorkerClient, WorkerTask
 from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.wire.message import MessageStruct
@@ -31,6 +32,7 @@
 STALE_TERM_CODE = "stale_term"
 STALE_EPOCH_CODE = "stale_epoch"
 NO_LEASE_CODE = "no_lease"
+NO_PERMISSION_CODE = "no_start_permission"
 DRAINING_CODE = "draining"
 WORKER_FAILED_CODE = "worker_failed"
 
@@ -42,7 +44,8 @@
 class TaskTable:
     """Carries out orders of control; refuses those of stopped gangs and those without a lease.
 
-    `lease_until_s` is event loop time, `lease_term` the highest leader term in a reply. `changed`
+    `lease_until_s` is event loop time, `lease_term` the highest leader term in a reply. Tasks are
+    started only while `permission` holds. `changed`
     is set when reports must be announced at once. `stopped_epochs` holds the highest stopped epoch
     of each job. `unlisted` records listings of the worker that failed.
     """
@@ -53,6 +56,7 @@
         "lease_term",
         "lease_until_s",
         "lock",
+        "permission",
         "stopped_epochs",
         "tasks",
         "unlisted",
@@ -65,6 +69,7 @@
         self.stopped_epochs: OrderedDict[str, int] = OrderedDict()
         self.lease_term = 0
         self.lease_until_s = 0.0
+        self.permission = StartPermission()
         self.draining = False
         self.changed = asyncio.Event()
         self.lock = asyncio.Lock()
@@ -100,6 +105,7 @@
             return
         self.lease_term = reply.term
         self.lease_until_s = max(self.lease_until_s, sent_at_s + reply.lease_s)
+        self.permission.renew(sent_at_s, reply.start_permission_s)
         continuing = {(task.job_id, task.epoch) for task in reply.continuing}
         async with self.lock:
             for report in reported:
@@ -197,6 +203,10 @@
         if self._remaining_lease_s() <= 0:
             return TaskRefused(code=NO_LEASE_CODE, detail="the agent holds no lease")
         if entry.state == PREPARED:
+            if not self.permission.holds():
+                detail = "control has not renewed the permission to start"
+                log.info("start withheld", run=order.job_id, reason=detail)
+                return TaskRefused(code=NO_PERMISSION_CODE, detail=detail)
             await self.worker.start(order.job_id, order.epoch)
             entry.state = RUNNING
         return TaskAccepted()
--- a/src/cicadatray/internal/control/directory_calls.py
+++ b/src/cicadatray/internal/control/directory_calls.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
 from cicadatray.internal.control.handler_registry import register_handler
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.leases import AGENT_TIMEOUT_S, LEASE_S
@@ -42,6 +43,7 @@
     agent = session.directory.announce(call, session.now_s())
     _report_usage(session, call)
     daemon.notify()
+    limits = EvacuationLimits(daemon.settings.evacuation_start_limit_s)
     return AnnounceReply(
         lease_s=LEASE_S,
         term=session.term,
@@ -51,6 +53,7 @@
             for report in call.tasks
             if _may_continue(daemon, report)
         ),
+        start_permission_s=limits.start_permission_s,
     )
 
 
--- a/src/cicadatray/internal/wire/messages/directory_messages.py
+++ b/src/cicadatray/internal/wire/messages/directory_messages.py
@@ -47,13 +47,15 @@
 
     `lease_s` counts from when the agent sent the announcement. `continuing` lists the announced
     tasks that may continue; the agent stops the others. The tasks of a gang that is being stopped
-    are not listed, so their lease expires although their agent is alive.
+    are not listed, so their lease expires although their agent is alive. `start_permission_s`, from
+    the same moment, is for how long the agent may start prepared tasks; 0 means no limit.
     """
 
     lease_s: float
     term: int
     session: int
     continuing: tuple[TaskReference, ...]
+    start_permission_s: float = 0.0
 
 
 class RenewLease(MessageStruct, frozen=True):
--- a/tests/cover/control/gangs/test_gang_evacuations.py
+++ b/tests/cover/control/gangs/test_gang_evacuations.py
@@ -8,18 +8,18 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, precondition, rule
 
-from cicadatray.internal.control.leases import LEASE_S
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.evacuation_messages import OrderEvacuation, RecordEvacuation
 from cicadatray.internal.wire.messages.job_messages import JobState, PlaceGang, StartGang
 from cover.control.gangs.gang_checks import GangChecks
 from cover.control.gangs.gang_machine import GangMachine
 from cover.control.gangs.gang_simulation import GangSimulation
+from cover.control.gangs.simulated_control import EVACUATION_START_LIMIT_S
 
 DATA_CENTRE = "d0"
 # An agent carries out an order of a paused leader, or one that reached it in a pause, until its
-# lease has expired. Without such faults nothing may start at all, which the first test checks.
-START_BOUND_S = LEASE_S
+# permission has expired. Without such faults nothing may start at all, which the first test checks.
+START_BOUND_S = EVACUATION_START_LIMIT_S
 
 
 class EvacuationChecks(GangChecks):
@@ -100,6 +100,41 @@
     assert simulation.checks.runs_completely("j")
 
 
+# Without a permission the agents started the gang until their lease of 6 s had expired.
+@pytest.mark.parametrize("pause_s", [3.0, 5.1])
+def test_an_agent_that_was_paused_starts_nothing_late(
+    simulation: GangSimulation, pause_s: float
+) -> None:
+    """Guards against a start that reached an agent in a pause, before the evacuation."""
+    loop = asyncio.get_event_loop()
+
+    def pause() -> None:
+        for agent in simulation.agents:
+            agent.process.is_frozen = True
+
+    def resume() -> None:
+        for agent in simulation.agents:
+            agent.process.thaw()
+
+    def on_command(command: MessageStruct) -> None:
+        if isinstance(command, StartGang):
+            simulation.log.state.listeners.clear()
+            loop.call_later(0.005, pause)
+            loop.call_later(0.02, lambda: commit_order(simulation, True))
+            loop.call_later(0.02 + pause_s, resume)
+
+    checks = simulation.checks
+    assert isinstance(checks, EvacuationChecks)
+    checks.allowed_s = START_BOUND_S / 2
+    simulation.log.state.listeners.append(on_command)
+    simulation.submit("j", 16, 1000.0)
+    simulation.advance(20.0)
+    assert simulation.log.state.jobs["j"].state is JobState.WAITING
+    order(simulation, False)
+    simulation.advance(5.0)
+    assert simulation.checks.runs_completely("j")
+
+
 @pytest.mark.parametrize("is_leader_changed", [False, True])
 def test_a_gang_that_runs_goes_on(simulation: GangSimulation, is_leader_changed: bool) -> None:
     """Guards against an evacuation that stops what runs, also under the next leader."""
