--- a/src/cicadatray/internal/control/graphs/graph_admission.py
+++ b/src/cicadatray/internal/control/graphs/graph_admission.py
@@ -68,8 +68,8 @@
         """Returns what the rule of admission may know about a pool.
 
         The capacity is left out while agents may not have called this leader yet: shortly after its
-        term began, while the pool grows, and while runs are recorded on workers that it has not
-        heard of.
+        term began, while the pool grows, and while an agent that has had runs under any leader has
+        not called.
         """
         session, capacity = self.session, self.capacity
         is_known = (
@@ -77,6 +77,7 @@
             and session.knows_workers()
             and capacity.is_settled(pool, session.now_s())
             and all(worker_id in session.workers for worker_id in session.ordered_runs)
+            and capacity.agent_ids().issuperset(session.leader.state.graphs.agents.values())
         )
         if not is_known:
             return AdmissionView(now_s=session.wall_s())
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -35,7 +35,9 @@
             continue
         labels = frozenset(offer.labels)
         worker = WorkerCapacity(worker_id, offer.pool, offer.rack, labels, offer.capacity)
-        worker.is_cold = offer.cold_remaining_s > 0
+        # Deployments without evacuations place work on cold workers as on any other.
+        has_evacuations = session.evacuation_limits.start_limit_s > 0
+        worker.is_cold = has_evacuations and offer.cold_remaining_s > 0
         worker.is_suspect = now_s < worker_session.suspect_until_s
         if session.speed_observer is not None:
             session.speed_observer.set_speed(worker)
--- a/tests/cover/taskgraphs/test_cold_workers.py
+++ b/tests/cover/taskgraphs/test_cold_workers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
 from cicadatray.internal.control.graphs.placement_input import build_workers
 from cicadatray.internal.wire.messages.graph_messages import WorkerOffer
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
@@ -49,16 +50,26 @@
     assert {a.worker_id for a in plan.assignments} == expected
 
 
-@pytest.mark.parametrize("cold_remaining_s", [0.0, 3.0])
-def test_offer_tells_whether_a_worker_is_cold(cold_remaining_s: float) -> None:
-    """Guards against a worker that counts as warm before it is, or stays cold."""
+@pytest.mark.parametrize(
+    ("cold_remaining_s", "start_limit_s", "is_cold"),
+    [(0.0, 5.0, False), (3.0, 5.0, True), (3.0, 0.0, False)],
+    ids=["warm", "cold", "no evacuations are configured"],
+)
+def test_offer_tells_whether_a_worker_is_cold(
+    cold_remaining_s: float, start_limit_s: float, is_cold: bool
+) -> None:
+    """Guards against a worker that counts as warm before it is, or stays cold.
+
+    Also guards against other placements in deployments without evacuations.
+    """
 
     async def main() -> None:
         session, _ = make_session()
+        session.evacuation_limits = EvacuationLimits(start_limit_s)
         offer = WorkerOffer(
             "w-1", "pool", "d0", "r0", ("a",), CAPACITY, cold_remaining_s=cold_remaining_s
         )
         session.handle_sync(call(offer=offer))
-        assert [worker.is_cold for worker in build_workers(session)] == [cold_remaining_s > 0]
+        assert [worker.is_cold for worker in build_workers(session)] == [is_cold]
 
     run_virtual(main())
--- a/tests/cover/taskgraphs/test_feasible_admission.py
+++ b/tests/cover/taskgraphs/test_feasible_admission.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from random import Random
 
+import msgspec
 import pytest
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
@@ -137,6 +138,21 @@
     assert known.is_settled("pool", now_s) is settled
 
 
+def test_pool_that_gets_a_label_is_not_settled() -> None:
+    """A gang must not be refused while workers restart one after the other with its label.
+
+    Load: two agents of which one offers the label "new" long after the first calls.
+    """
+    known = KnownCapacity()
+    for agent in ("x", "y"):
+        known.record(agent, offer(), 0.0)
+    labelled = msgspec.structs.replace(offer("w-2"), labels=("a", "new"))
+    known.record("x", labelled, 100.0)
+    assert not known.is_settled("pool", 101.0)
+    known.record("x", labelled, 103.0)
+    assert known.is_settled("pool", 100.0 + SETTLING_S)
+
+
 def test_number_of_agents_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """Instances that are replaced every day must not fill the leader's memory.
 
@@ -151,15 +167,20 @@
 
 
 @pytest.mark.parametrize(
-    ("worker_id", "after_s", "known"),
+    ("worker_id", "after_s", "recorded", "known"),
     [
-        ("w-1", SETTLING_S + 0.1, 1),
-        ("w-1", AGENTS_RETURN_S, 0),
+        ("w-1", SETTLING_S + 0.1, {}, 1),
+        ("w-1", AGENTS_RETURN_S, {}, 0),
         # Runs are recorded on the worker w-1, which has not called this leader.
-        ("v-1", SETTLING_S + 0.1, 0),
+        ("v-1", SETTLING_S + 0.1, {}, 0),
+        ("w-1", SETTLING_S + 0.1, {"w-9": "a"}, 1),
+        # The agent b had runs under an earlier leader and has not called this one.
+        ("w-1", SETTLING_S + 0.1, {"w-9": "b"}, 0),
     ],
 )
-def test_new_leader_refuses_nothing_yet(worker_id: str, after_s: float, known: int) -> None:
+def test_new_leader_refuses_nothing_yet(
+    worker_id: str, after_s: float, recorded: dict[str, str], known: int
+) -> None:
     """A new leader must not refuse a job for lack of workers that have not called it yet.
 
     Load: a leader whose log has a gang on the worker w-1 of the agent a.
@@ -174,6 +195,7 @@
             else type(former)(agent_id="b", sequence=1, agent_incarnation="one", offer=former.offer)
         )
         session.handle_sync(agent)
+        session.leader.state.graphs.agents.update(recorded)
         session.leader.started_s = session.now_s() - after_s
         session.admission.capacity.grown_s["pool"] = session.now_s() - after_s
         return session.admission.view("pool")
