Keep the estimated speeds of equal workers equal

Corrections of estimates were learned from the estimated speeds, which depend on the corrections, so an error of one grew through the other.

Corrections are now learned from true times alone. The solver sets the level of each connected set of steps and workers by the priors, and counts its variance relative to the other sets.

--- a/src/cicadatray/scheduling/taskgraphs/estimate_corrections.py
+++ b/src/cicadatray/scheduling/taskgraphs/estimate_corrections.py
@@ -42,7 +42,7 @@
         self.fits: dict[str, NormalDist] = {}
 
     def add(self, queue: str, step_id: str, estimate_s: float, time_s: float) -> None:
-        """Records a run that took `time_s`, converted to a worker of speed 1."""
+        """Records a run that took `time_s` on its worker, whatever the speed of that is."""
         if estimate_s <= 0 or time_s <= 0:
             return
         steps = self.queues.setdefault(queue, OrderedDict())
@@ -65,11 +65,11 @@
         return fit
 
     def expected_s(self, queue: str, estimate_s: float) -> float:
-        """Returns the median of the true time of a run on a worker of speed 1."""
+        """Returns the median of the true time of a run on a typical worker."""
         return estimate_s * math.exp(self.log_ratio(queue).mean)
 
     def quantile_s(self, queue: str, estimate_s: float, chance: float) -> float:
-        """Returns the time by which a run ends with this chance on a worker of speed 1."""
+        """Returns the time by which a run ends with this chance on a typical worker."""
         return estimate_s * math.exp(self.log_ratio(queue).inv_cdf(chance))
 
     def _fit(self, queue: str) -> NormalDist:
--- a/src/cicadatray/scheduling/taskgraphs/speed_solver.py
+++ b/src/cicadatray/scheduling/taskgraphs/speed_solver.py
@@ -53,8 +53,10 @@
 def solve(workers: Sequence[WorkerEvidence], priors: Sequence[StepPrior]) -> list[float]:
     """Sets the effects of the workers and returns those of the steps.
 
-    Shrunken means of workers and steps are computed in turns.
+    Shrunken means of workers and steps are computed in turns. The turns alone move the common
+    level of a step and its workers by little, so it is set by itself.
     """
+    components = _find_components(workers, len(priors))
     effects = [prior.mean for prior in priors]
     variances = [1 / prior.precision for prior in priors]
     weights = [1.0] * len(workers)
@@ -71,12 +73,69 @@
                 sums[observation.step] += (observation.value - effect) * precision
                 precisions[observation.step] += precision
         effects = [total / precision for total, precision in zip(sums, precisions, strict=True)]
+        level_variances = _set_levels(workers, priors, effects, components)
         variances = [1 / precision for precision in precisions]
         for number, worker in enumerate(workers):
             weights[number] = _solve_worker(worker, effects, variances)
+            variance = worker.variance + level_variances[number]
+            worker.variance = min(WORKER_DEVIATION**2, variance)
     return effects
 
 
+def _find_components(workers: Sequence[WorkerEvidence], step_count: int) -> list[int]:
+    """Returns a number for each step that is equal for steps which workers connect."""
+    parents = list(range(step_count))
+
+    def find(step: int) -> int:
+        while parents[step] != step:
+            parents[step] = parents[parents[step]]
+            step = parents[step]
+        return step
+
+    for worker in workers:
+        steps = [observation.step for observation in (*worker.recent, *worker.earlier)]
+        for step in steps[1:]:
+            parents[find(step)] = find(steps[0])
+    return [find(step) for step in range(step_count)]
+
+
+def _set_levels(
+    workers: Sequence[WorkerEvidence],
+    priors: Sequence[StepPrior],
+    effects: list[float],
+    components: Sequence[int],
+) -> list[float]:
+    """Adds to the workers of each component, and takes from its steps, what the priors ask for.
+
+    Observations determine only the sum of both effects. Returns for each worker the variance of its
+    level relative to those of the other components: by it all workers of one are wrong together.
+    """
+    totals, precisions = [0.0] * len(priors), [0.0] * len(priors)
+    for component, prior, effect in zip(components, priors, effects, strict=True):
+        totals[component] += prior.precision * (effect - prior.mean)
+        precisions[component] += prior.precision
+    sizes = [0] * len(priors)
+    members = [
+        components[observations[0].step] if observations else None
+        for observations in (worker.recent or worker.earlier for worker in workers)
+    ]
+    for worker, member in zip(workers, members, strict=True):
+        if member is not None:
+            totals[member] -= worker.effect / WORKER_DEVIATION**2
+            precisions[member] += 1 / WORKER_DEVIATION**2
+            sizes[member] += 1
+    for worker, member in zip(workers, members, strict=True):
+        if member is not None:
+            worker.effect += totals[member] / precisions[member]
+    for step, component in enumerate(components):
+        effects[step] -= totals[component] / precisions[component]
+    observed = sum(sizes)
+    return [
+        0.0 if member is None else (1 - sizes[member] / observed) / precisions[member]
+        for member in members
+    ]
+
+
 def _solve_worker(
     worker: WorkerEvidence, effects: Sequence[float], variances: Sequence[float]
 ) -> float:
--- a/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -83,14 +83,13 @@
 
     Model: the log of a run's rate is the sum of an effect of its step, an effect of its worker and
     noise. Members of a gang advance at the pace of the slowest, so a gang only bounds the speeds of
-    its members from below. `gangs` holds the workers of each gang by its step.
+    its members from below.
     `solved_observations` counts the observations of the last update, `next_part` the parts of
     large pools in turn.
     """
 
     __slots__ = (
         "corrections",
-        "gangs",
         "next_part",
         "solved_observations",
         "spreads",
@@ -101,7 +100,6 @@
     def __init__(self, corrections: EstimateCorrections | None = None) -> None:
         self.corrections = corrections or EstimateCorrections()
         self.workers: dict[str, WorkerRecord] = {}
-        self.gangs: dict[str, set[str]] = {}
         self.spreads = SpeedSpread()
         self.updated_s = -math.inf
         self.next_part = 0
@@ -154,16 +152,8 @@
                 runs[report.run_id] = pace
             elif report.percent >= 0 and report.estimate_s > 0:
                 runs[report.run_id] = RunPace(report, now_s)
-                if report.is_gang:
-                    self._add_member(report.step_id, worker_id)
         record.runs = runs
 
-    def _add_member(self, step_id: str, worker_id: str) -> None:
-        self.gangs.setdefault(step_id, set()).add(worker_id)
-        if len(self.gangs) > MAX_RUNS:
-            # The oldest gang has ended without being done.
-            del self.gangs[next(iter(self.gangs))]
-
     def end(self, worker_id: str, run_id: str, now_s: float) -> None:
         """Records that a run is done. It must be called before the report that omits the run."""
         record = self.workers.get(worker_id)
@@ -172,20 +162,11 @@
         if record is None or pace is None or sample is None:
             return
         report = pace.report
-        if not report.is_gang:
-            record.ended.append(EndedRun(report, sample, now_s, record.worked_s))
-            self._learn(report, sample, record.effect)
-            return
-        record.ended_gangs.append(EndedRun(report, sample, now_s, record.worked_s))
-        # All members end together, and the first end of one stands for all.
-        members = self.gangs.pop(report.step_id, set())
-        effects = [self.workers[name].effect for name in members if name in self.workers]
-        if effects:
-            self._learn(report, sample, min(effects))
-
-    def _learn(self, report: ProgressReport, sample: PaceSample, log_speed: float) -> None:
-        """Corrects the estimates of a queue by a run at this pace on workers of this speed."""
-        time_s = math.exp(log_speed - sample.log_rate)
+        ended = record.ended_gangs if report.is_gang else record.ended
+        ended.append(EndedRun(report, sample, now_s, record.worked_s))
+        # Not converted to a worker of speed 1: speeds depend on corrections, and an error of one
+        # would grow through the other.
+        time_s = math.exp(-sample.log_rate)
         self.corrections.add(report.queue, report.step_id, report.estimate_s, time_s)
 
     def remove_worker(self, worker_id: str) -> None:
