Set the bounds of the tests of speeds from their targets

Three bounds were set to what was measured: 2 of 24 workers misjudged, a standing worker known after 4.5 s, speeds under a new leader below 2.0. They are 1, 4 s (3 s of work and a report a second) and 1.6 (about two deviations of a task) again.

--- a/tests/cover/taskgraphs/test_worker_speeds.py
+++ b/tests/cover/taskgraphs/test_worker_speeds.py
@@ -39,8 +39,11 @@
     """
     fleet = make_fleet({n: constant(0.5) for n in range(0, NUMBER, 4)}, seed, grain, delay_s)
     fleet.run(12.0)
-    wrong = [n for n in range(NUMBER) if (fleet.speed(f"w{n}") < 0.75) != (n % 4 == 0)]
-    assert len(wrong) <= NUMBER // 12
+    is_slow = [fleet.speed(f"w{n}") < 0.75 for n in range(NUMBER)]
+    # Targets: a slow worker is known after 3 s of work, a false verdict costs at most an eighth of
+    # the pool (3 workers). One wrong verdict of either kind is allowed.
+    wrong = [n for n in range(NUMBER) if is_slow[n] != (n % 4 == 0)]
+    assert len(wrong) <= 1
     assert fleet.estimator.spread("pool")
 
 
@@ -68,7 +71,8 @@
     Guards against a worker without any progress that counts as one without any news.
     """
     fleet = make_fleet({5: spell(0.0, 10.0, math.inf)}, seed)
-    fleet.run(14.5)
+    # Target: known with 3 s of work at the new pace, reported once a second.
+    fleet.run(14.0)
     assert fleet.speed("w5") < 0.25
 
 
@@ -101,7 +105,8 @@
     assert fleet.speed("w0") == fleet.speed("w1") == 1.0
     for tenth in range(104, 130):
         fleet.run(tenth / 10)
-        assert max(fleet.speed(f"w{n}") for n in range(NUMBER)) < 2.0
+        # No worker is faster than 1; 1.6 is about two deviations (0.25 each) of a single task.
+        assert max(fleet.speed(f"w{n}") for n in range(NUMBER)) < 1.6
     fleet.run(15.3)
     logs = [math.log(fleet.speed(f"w{n}")) for n in range(NUMBER)]
     slow = mean(logs[n] for n in range(0, NUMBER, 4))
