Bound the reports from which speeds are learned

The leader of 6,100 workers spent about 180 ms a second (reported by the author of the estimator) on reports of runs, in proportion to the number of runs. Beyond 1,600 workers a worker is now followed only in the 4 s before its turn to be computed, and reports of others are neither built nor read. Not bounded yet: the log and spread of all workers at each update.

--- a/src/cicadatray/internal/control/graphs/speed_observer.py
+++ b/src/cicadatray/internal/control/graphs/speed_observer.py
@@ -56,8 +56,9 @@
         for placed in ends:
             if placed.end.outcome is RunOutcome.DONE:
                 self.speeds.end(worker_id, run_id_of(placed.end.run), now_s)
-        reports = [self._progress_of(worker, run) for run in worker.reports]
-        known = [report for report in reports if report is not None]
+        # Not built for workers that are not followed.
+        reports = (self._progress_of(worker, run) for run in worker.reports)
+        known = (report for report in reports if report is not None)
         self.speeds.report(worker_id, worker.offer.pool, known, now_s)
 
     def update(self, now_s: float) -> None:
--- a/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -32,6 +32,9 @@
 # At most this many runs are followed, evenly by worker, which bounds space; runs beyond it are
 # followed as others end.
 MAX_RUNS = 12_000
+# The reports of 6,100 workers took 180 ms a second. Beyond this number, workers are followed only
+# in the 4 s before their turn to be computed: a run shows its pace within 3 s.
+MAX_FOLLOWED = 20 * WORKERS_PER_UPDATE
 # An observation of a run that has ended loses half of its weight with this much newer work of its
 # worker, or in this time without any.
 WORK_HALF_LIFE_S = 12.0
@@ -84,12 +87,14 @@
     Model: the log of a run's rate is the sum of an effect of its step, an effect of its worker and
     noise. Members of a gang advance at the pace of the slowest, so a gang only bounds the speeds of
     its members from below.
+    `followed` holds the workers whose reports are taken in, if there are more than `MAX_FOLLOWED`.
     `solved_observations` counts the observations of the last update, `next_part` the parts of
     large pools in turn.
     """
 
     __slots__ = (
         "corrections",
+        "followed",
         "next_part",
         "solved_observations",
         "spreads",
@@ -100,6 +105,7 @@
     def __init__(self, corrections: EstimateCorrections | None = None) -> None:
         self.corrections = corrections or EstimateCorrections()
         self.workers: dict[str, WorkerRecord] = {}
+        self.followed: set[str] = set()
         self.spreads = SpeedSpread()
         self.updated_s = -math.inf
         self.next_part = 0
@@ -133,16 +139,19 @@
     def report(
         self, worker_id: str, pool: str, reports: Iterable[ProgressReport], now_s: float
     ) -> None:
-        """Records the runs that a worker reports; the others have ended."""
+        """Records the runs that a followed worker reports; the others have ended."""
         record = self.workers.get(worker_id)
         if record is None or record.pool != pool:
             record = self.workers[worker_id] = WorkerRecord(pool, now_s)
+        if not self.is_followed(worker_id):
+            record.runs, record.last_report_s = {}, now_s
+            return
         if record.runs:
             # A worker that was silent may have done anything.
             record.worked_s += min(2.0, now_s - record.last_report_s)
         record.last_report_s = now_s
         runs: dict[str, RunPace] = {}
-        limit = max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // len(self.workers)))
+        limit = max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // min(MAX_FOLLOWED, len(self.workers))))
         for report in reports:
             pace = record.runs.get(report.run_id)
             if len(runs) >= limit:
@@ -154,6 +163,10 @@
                 runs[report.run_id] = RunPace(report, now_s)
         record.runs = runs
 
+    def is_followed(self, worker_id: str) -> bool:
+        """Returns whether the reports of the worker are taken in now."""
+        return len(self.workers) <= MAX_FOLLOWED or worker_id in self.followed
+
     def end(self, worker_id: str, run_id: str, now_s: float) -> None:
         """Records that a run is done. It must be called before the report that omits the run."""
         record = self.workers.get(worker_id)
@@ -178,9 +191,9 @@
         is_divided = len(self.workers) > WORKERS_PER_UPDATE
         if now_s - self.updated_s < (PART_INTERVAL_S if is_divided else UPDATE_INTERVAL_S):
             return False
-        pools: dict[str, list[WorkerRecord]] = {}
-        for record in self.workers.values():
-            pools.setdefault(record.pool, []).append(record)
+        pools: dict[str, list[tuple[str, WorkerRecord]]] = {}
+        for worker_id, record in self.workers.items():
+            pools.setdefault(record.pool, []).append((worker_id, record))
         self.updated_s = now_s
         self.solved_observations = 0
         parts = [
@@ -190,11 +203,13 @@
         ]
         if is_divided:
             self.next_part = (self.next_part + 1) % len(parts)
+            coming = (parts[self.next_part :] + parts)[1 : 1 + MAX_FOLLOWED // WORKERS_PER_UPDATE]
+            self.followed = {worker_id for part in coming for worker_id, _ in part}
             parts = [parts[self.next_part]]
         for part in parts:
-            self._update_part(part, now_s)
+            self._update_part([record for _, record in part], now_s)
         for pool, records in pools.items():
-            speeds = [(math.exp(r.effect), math.sqrt(r.variance)) for r in records]
+            speeds = [(math.exp(r.effect), math.sqrt(r.variance)) for _, r in records]
             self.spreads.update(pool, speeds)
         return True
 
