Use the pace of the last seconds only where it is more precise

With `by_speed` the remaining time of a run jumped with the rounding of its last two reports. The mean of the whole run now counts if its standard error is smaller, unless the last seconds differ from it by more than two standard errors of the difference; no pace counts whose error reaches that of an estimate (a log deviation of 0.5).

--- a/src/cicadatray/scheduling/taskgraphs/run_pace.py
+++ b/src/cicadatray/scheduling/taskgraphs/run_pace.py
@@ -21,6 +21,11 @@
 ROUNDING_DEVIATION = 0.41
 # Estimates are off by a log deviation of 0.5, so a rate this far below them shows a slow worker.
 UNMEASURED_LOG = -1.5
+# The log deviation of the true time by the estimate. A pace that is less precise says less.
+ESTIMATE_ERROR = 0.5
+# The pace of the last seconds that differs from the mean of the run by more than this many standard
+# errors shows that the worker has changed its speed.
+CHANGED_ERRORS = 2.0
 
 
 class ProgressReport(msgspec.Struct, frozen=True):
@@ -121,12 +126,31 @@
         return make_sample(100.0 - self.begun_percent, end_s - self.begun_s, self.grain)
 
     def remaining_s(self) -> float | None:
-        """Returns the remaining time at the pace of the last seconds, or None if it is unknown."""
-        sample = self.recent()
-        if sample is None:
+        """Returns the remaining time, or None if no pace is more precise than the estimate.
+
+        The mean of the whole run is more precise than the pace of the last seconds, unless both
+        differ by more than their errors.
+        """
+        recent = self.recent()
+        if recent is None:
+            return None
+        mean = self._mean()
+        sample = recent
+        if mean is not None and mean.error < recent.error:
+            difference = abs(mean.log_rate - recent.log_rate)
+            if difference <= CHANGED_ERRORS * math.hypot(mean.error, recent.error):
+                sample = mean
+        if sample.error >= ESTIMATE_ERROR:
             return None
         return (100 - self.percent) / 100 / math.exp(sample.log_rate)
 
+    def _mean(self) -> PaceSample | None:
+        """Returns the pace from the first to the last change."""
+        if self.begun_s is None:
+            return None
+        changed_s, percent = self.marks[-1]
+        return make_sample(percent - self.begun_percent, changed_s - self.begun_s, self.grain)
+
 
 def make_sample(percent: float, span_s: float, grain: int) -> PaceSample | None:
     """Returns the pace of this progress in this time, or None if the time is too short."""
