Look only at the work of a group for its earliest fit

Each urgent gang looked at all running work for each rack, so the cost of a round grew with the racks times the runs. `RunsByEnd` keeps the work by worker in the order of its ends.

--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -12,6 +12,7 @@
 from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
 from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.runs_by_end import RunsByEnd
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_fit import (
     AvailableResources,
@@ -76,7 +77,7 @@
         self.may_displace = may_displace
         self.workers = view.workers
         self.running = view.running
-        self.running_by_end: list[RunningWork] | None = None
+        self.running_by_end: RunsByEnd | None = None
         self.now_s = now_s
         self.start_limits = start_limits
         self.reserved_gangs = 0
@@ -286,13 +287,13 @@
     ) -> EarliestFit | None:
         """Returns the earliest fit after running work has ended, or None if the work never fits."""
         if self.running_by_end is None:
-            self.running_by_end = sorted(self.running, key=RunningWork.remaining_s)
+            self.running_by_end = RunsByEnd(self.running)
         limits = self._limits(work, group)
         return find_earliest_fit(
             group,
             work.step.demand,
             len(work.indexes),
-            self.running_by_end,
+            self.running_by_end.on(group),
             limits,
             must_be_idle,
             self.candidates.fill_order(work),
--- a/src/cicadatray/scheduling/taskgraphs/rules/worthwhile.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/worthwhile.py
@@ -13,6 +13,7 @@
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.rules.victim_rule import VictimRule, victim_rules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.runs_by_end import RunsByEnd
 from cicadatray.scheduling.taskgraphs.task_fit import FillOrder
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -49,7 +50,7 @@
         self.history = view.memory.get(DisplacementHistory)
         self.history.forget(view.now_s)
         self.costs: dict[RunningWork, tuple[float, float]] = {}
-        self.running_by_end: list[RunningWork] = []
+        self.running_by_end: RunsByEnd | None = None
         self.wait_s = math.inf
         self.reserved_gangs = 0
 
@@ -60,8 +61,6 @@
     def candidates(self, work: WaitingWork) -> list[RunningWork]:
         """Returns the work that may give way, without what displaced or was displaced just now."""
         self.wait_s = math.inf
-        if not self.running_by_end:
-            self.running_by_end = sorted(self.view.running, key=RunningWork.remaining_s)
         return [
             running
             for running in self.view.running
@@ -78,10 +77,11 @@
         fill_order: FillOrder | None,
     ) -> Displacement | None:
         """Returns the cheapest displacement found, and notes when the work fits without one."""
+        if self.running_by_end is None:
+            self.running_by_end = RunsByEnd(self.view.running)
         demand, count = work.step.demand, len(work.indexes)
-        fit = find_earliest_fit(
-            group, demand, count, self.running_by_end, limits, fill_order=fill_order
-        )
+        on_group = self.running_by_end.on(group)
+        fit = find_earliest_fit(group, demand, count, on_group, limits, fill_order=fill_order)
         if fit is not None:
             self.wait_s = min(self.wait_s, fit.remaining_s)
         return PrunedSearch(work, group, candidates, limits, fill_order, self.costs_of).run()
@@ -102,7 +102,7 @@
     def displaced(self, work: WaitingWork, displacement: Displacement) -> None:
         """Remembers the displacement."""
         self.history.record(work, displacement, self.view.now_s)
-        self.running_by_end = []
+        self.running_by_end = None
 
     def is_reserved_without_displacement(self, work: WaitingWork) -> bool:
         """Returns whether the work is one of the first gangs that neither fit nor displace."""
