--- a/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -32,6 +32,9 @@
 # At most this many runs are followed, evenly by worker, which bounds space; runs beyond it are
 # followed as others end.
 MAX_RUNS = 12_000
+# The reports of 6,100 workers took 180 ms a second. Beyond this number, workers are followed only
+# in the 4 s before their turn to be computed: a run shows its pace within 3 s.
+MAX_FOLLOWED = 20 * WORKERS_PER_UPDATE
 # An observation of a run that has ended loses half of its weight with this much newer work of its
 # worker, or in this time without any.
 WORK_HALF_LIFE_S = 12.0
@@ -83,14 +86,15 @@
 
     Model: the log of a run's rate is the sum of an effect of its step, an effect of its worker and
     noise. Members of a gang advance at the pace of the slowest, so a gang only bounds the speeds of
-    its members from below. `gangs` holds the workers of each gang by its step.
+    its members from below.
+    `followed` holds the workers whose reports are taken in, if there are more than `MAX_FOLLOWED`.
     `solved_observations` counts the observations of the last update, `next_part` the parts of
     large pools in turn.
     """
 
     __slots__ = (
         "corrections",
-        "gangs",
+        "followed",
         "next_part",
         "solved_observations",
         "spreads",
@@ -101,7 +105,7 @@
     def __init__(self, corrections: EstimateCorrections | None = None) -> None:
         self.corrections = corrections or EstimateCorrections()
         self.workers: dict[str, WorkerRecord] = {}
-        self.gangs: dict[str, set[str]] = {}
+        self.followed: set[str] = set()
         self.spreads = SpeedSpread()
         self.updated_s = -math.inf
         self.next_part = 0
@@ -135,16 +139,19 @@
     def report(
         self, worker_id: str, pool: str, reports: Iterable[ProgressReport], now_s: float
     ) -> None:
-        """Records the runs that a worker reports; the others have ended."""
+        """Records the runs that a followed worker reports; the others have ended."""
         record = self.workers.get(worker_id)
         if record is None or record.pool != pool:
             record = self.workers[worker_id] = WorkerRecord(pool, now_s)
+        if not self.is_followed(worker_id):
+            record.runs, record.last_report_s = {}, now_s
+            return
         if record.runs:
             # A worker that was silent may have done anything.
             record.worked_s += min(2.0, now_s - record.last_report_s)
         record.last_report_s = now_s
         runs: dict[str, RunPace] = {}
-        limit = max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // len(self.workers)))
+        limit = max(1, min(MAX_RUNS_PER_WORKER, MAX_RUNS // min(MAX_FOLLOWED, len(self.workers))))
         for report in reports:
             pace = record.runs.get(report.run_id)
             if len(runs) >= limit:
@@ -154,15 +161,11 @@
                 runs[report.run_id] = pace
             elif report.percent >= 0 and report.estimate_s > 0:
                 runs[report.run_id] = RunPace(report, now_s)
-                if report.is_gang:
-                    self._add_member(report.step_id, worker_id)
         record.runs = runs
 
-    def _add_member(self, step_id: str, worker_id: str) -> None:
-        self.gangs.setdefault(step_id, set()).add(worker_id)
-        if len(self.gangs) > MAX_RUNS:
-            # The oldest gang has ended without being done.
-            del self.gangs[next(iter(self.gangs))]
+    def is_followed(self, worker_id: str) -> bool:
+        """Returns whether the reports of the worker are taken in now."""
+        return len(self.workers) <= MAX_FOLLOWED or worker_id in self.followed
 
     def end(self, worker_id: str, run_id: str, now_s: float) -> None:
         """Records that a run is done. It must be called before the report that omits the run."""
@@ -172,20 +175,11 @@
         if record is None or pace is None or sample is None:
             return
         report = pace.report
-        if not report.is_gang:
-            record.ended.append(EndedRun(report, sample, now_s, record.worked_s))
-            self._learn(report, sample, record.effect)
-            return
-        record.ended_gangs.append(EndedRun(report, sample, now_s, record.worked_s))
-        # All members end together, and the first end of one stands for all.
-        members = self.gangs.pop(report.step_id, set())
-        effects = [self.workers[name].effect for name in members if name in self.workers]
-        if effects:
-            self._learn(report, sample, min(effects))
-
-    def _learn(self, report: ProgressReport, sample: PaceSample, log_speed: float) -> None:
-        """Corrects the estimates of a queue by a run at this pace on workers of this speed."""
-        time_s = math.exp(log_speed - sample.log_rate)
+        ended = record.ended_gangs if report.is_gang else record.ended
+        ended.append(EndedRun(report, sample, now_s, record.worked_s))
+        # Not converted to a worker of speed 1: speeds depend on corrections, and an error of one
+        # would grow through the other.
+        time_s = math.exp(-sample.log_rate)
         self.corrections.add(report.queue, report.step_id, report.estimate_s, time_s)
 
     def remove_worker(self, worker_id: str) -> None:
@@ -197,9 +191,9 @@
         is_divided = len(self.workers) > WORKERS_PER_UPDATE
         if now_s - self.updated_s < (PART_INTERVAL_S if is_divided else UPDATE_INTERVAL_S):
             return False
-        pools: dict[str, list[WorkerRecord]] = {}
-        for record in self.workers.values():
-            pools.setdefault(record.pool, []).append(record)
+        pools: dict[str, list[tuple[str, WorkerRecord]]] = {}
+        for worker_id, record in self.workers.items():
+            pools.setdefault(record.pool, []).append((worker_id, record))
         self.updated_s = now_s
         self.solved_observations = 0
         parts = [
@@ -209,11 +203,13 @@
         ]
         if is_divided:
             self.next_part = (self.next_part + 1) % len(parts)
+            coming = (parts[self.next_part :] + parts)[1 : 1 + MAX_FOLLOWED // WORKERS_PER_UPDATE]
+            self.followed = {worker_id for part in coming for worker_id, _ in part}
             parts = [parts[self.next_part]]
         for part in parts:
-            self._update_part(part, now_s)
+            self._update_part([record for _, record in part], now_s)
         for pool, records in pools.items():
-            speeds = [(math.exp(r.effect), math.sqrt(r.variance)) for r in records]
+            speeds = [(math.exp(r.effect), math.sqrt(r.variance)) for _, r in records]
             self.spreads.update(pool, speeds)
         return True
 
