Judge missed slow workers and false verdicts by their own targets

The test counted both kinds of wrong verdict against one bound that came from no target. A slow worker must be known after 3 s of work, so none of the six may be missed after 12 s; false verdicts may cost an eighth of the pool.

--- a/tests/cover/taskgraphs/test_worker_speeds.py
+++ b/tests/cover/taskgraphs/test_worker_speeds.py
@@ -41,11 +41,12 @@
     """
     fleet = make_fleet({n: constant(0.5) for n in range(0, NUMBER, 4)}, seed, grain, delay_s)
     fleet.run(12.0)
-    is_slow = [fleet.speed(f"w{n}") < 0.75 for n in range(NUMBER)]
-    # Targets: a slow worker is known after 3 s of work, a false verdict costs at most an eighth of
-    # the pool (3 workers). One wrong verdict of either kind is allowed.
-    wrong = [n for n in range(NUMBER) if is_slow[n] != (n % 4 == 0)]
-    assert len(wrong) <= 1
+    judged_slow = {n for n in range(NUMBER) if fleet.speed(f"w{n}") < 0.75}
+    slow = set(range(0, NUMBER, 4))
+    # Targets: a slow worker is known after 3 s of work; false verdicts cost at most an eighth of the
+    # pool.
+    assert slow <= judged_slow
+    assert len(judged_slow - slow) <= NUMBER / 8
     assert fleet.estimator.spread("pool")
 
 
