--- a/tests/cover/taskgraphs/test_worker_speeds.py
+++ b/tests/cover/taskgraphs/test_worker_speeds.py
@@ -43,8 +43,7 @@
     fleet.run(12.0)
     judged_slow = {n for n in range(NUMBER) if fleet.speed(f"w{n}") < 0.75}
     slow = set(range(0, NUMBER, 4))
-    # Targets: a slow worker is known after 3 s of work; false verdicts cost at most an eighth of the
-    # pool.
+    # Targets: a slow worker is known after 3 s of work; false verdicts cost an eighth of the pool.
     assert slow <= judged_slow
     assert len(judged_slow - slow) <= NUMBER / 8
     assert fleet.estimator.spread("pool")
