--- a/src/cicadatray/internal/bench/experiment.py
+++ b/src/cicadatray/internal/bench/experiment.py
@@ -20,7 +20,7 @@
 )
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
 from cicadatray.internal.bench.graph_experiment.job_stream import draw_jobs
-from cicadatray.internal.bench.graph_experiment.load_sheet import SHEETS
+from cicadatray.internal.bench.graph_experiment.load_sheets import SHEETS
 
 BURSTS = (1.0, 3.0)
 
--- a/src/cicadatray/internal/bench/graph_experiment/comparison.py
+++ b/src/cicadatray/internal/bench/graph_experiment/comparison.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cicadatray.internal.bench.graph_experiment.load_sheet import QUOTE
+from cicadatray.internal.bench.graph_experiment.load_sheets import QUOTE
 from cicadatray.internal.bench.graph_experiment.run_result import RunResult
 
 URGENT_KIND = QUOTE.name
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -6,6 +6,7 @@
 import structlog
 
 from cicadatray.internal.control.graphs import graph_codes
+from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.graph_store import GraphStore
 from cicadatray.internal.control.graphs.graph_view import view_graph
 from cicadatray.internal.control.graphs.pool_capacities import objective_of
@@ -138,22 +139,26 @@
     reply = await session.propose(AcceptGraph(graph=graph, now_s=graph_session.wall_s()))
     admission.pending_graphs.discard(graph_id)
     # The graph is durable now, so the call must be confirmed even if the session has ended.
+    _log_accepted(graph_session, graph)
+    graphs_accepted(daemon.metrics).increment(queue=resolved.queue.policy.queue)
+    graph_session.statistics.track(graph_id)
+    graph_session.wake.set()
+    return reply
+
+
+def _log_accepted(session: GraphSession, graph: TaskGraph) -> None:
     log.info(
         "graph accepted",
-        graph=graph_id,
-        queue=resolved.queue.policy.queue,
-        account=account,
-        configuration=session.state.graphs.queues.version,
+        graph=graph.graph_id,
+        queue=graph.policy.queue,
+        account=graph.client_account,
+        configuration=session.leader.state.graphs.queues.version,
         priority=graph.policy.priority,
-        tasks=[step.count for step in call.steps],
-        accelerators=[step.needs.accelerators for step in call.steps],
-        objective_s=round(objective_of(graph_session, graph), 1),
+        tasks=[step.count for step in graph.steps],
+        accelerators=[step.needs.accelerators for step in graph.steps],
+        objective_s=round(objective_of(session, graph), 1),
         occurrences=graph.occurrences,
     )
-    graphs_accepted(daemon.metrics).increment(queue=resolved.queue.policy.queue)
-    graph_session.statistics.track(graph_id)
-    graph_session.wake.set()
-    return reply
 
 
 @register_handler(CancelGraph)
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -34,6 +34,7 @@
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 # The interval of rounds without a wake-up, for occurrences that become due and leases that expire.
@@ -198,6 +199,17 @@
         if not waiting:
             self.wait_log.record_round({})
             return
+        plan = self._plan(waiting, now_s)
+        self.wait_log.record_round(plan.waits)
+        self.guarantee_log.record_round(waiting, plan)
+        self._displace(plan)
+        if plan.assignments:
+            self._observe_waits(waiting, plan, now_s)
+            await self._start(plan, now_s)
+
+    def _plan(self, waiting: list[WaitingWork], now_s: float) -> PlacementPlan:
+        """Plans a round over the waiting work; `now_s` is in seconds since 1970."""
+        session = self.session
         running = build_running(session)
         mark_guaranteed(
             session.rules.find_guarantees(),
@@ -208,9 +220,8 @@
         )
         mark_displacing(session.displacing_graphs, waiting)
         mark_waves(session, waiting)
-        workers = build_workers(session)
-        plan = PlacementRound(
-            workers,
+        return PlacementRound(
+            build_workers(session),
             running,
             now_s,
             session.start_limits,
@@ -218,14 +229,15 @@
             session.rules,
             session.rule_memory,
         ).run(waiting)
-        self.wait_log.record_round(plan.waits)
-        self.guarantee_log.record_round(waiting, plan)
-        self._displace(plan)
-        if not plan.assignments:
-            return
+
+    def _observe_waits(self, waiting: list[WaitingWork], plan: PlacementPlan, now_s: float) -> None:
         for work in waiting:
             if any(a.run.task == work.task(work.indexes[0]) for a in plan.assignments):
                 self.start_wait.observe(max(0.0, now_s - work.ready_s), priority=str(work.priority))
+
+    async def _start(self, plan: PlacementPlan, now_s: float) -> None:
+        """Stores the starts of a plan, and sends those that took effect."""
+        session = self.session
         starts = tuple(
             PlacedRun(a.run, a.worker_id, session.workers[a.worker_id].agent_id)
             for a in plan.assignments
--- a/tests/cover/experiment/test_disturbances.py
+++ b/tests/cover/experiment/test_disturbances.py
@@ -10,7 +10,7 @@
 from cicadatray.internal.bench.graph_experiment.experiment_policy import experiment_policies
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
 from cicadatray.internal.bench.graph_experiment.job_stream import draw_jobs
-from cicadatray.internal.bench.graph_experiment.load_sheet import QUOTE, SHEETS
+from cicadatray.internal.bench.graph_experiment.load_sheets import QUOTE, SHEETS
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
 from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
 from cicadatray.scheduling.taskgraphs.resources import Resources
--- a/tests/cover/experiment/test_equal_speeds.py
+++ b/tests/cover/experiment/test_equal_speeds.py
@@ -7,7 +7,7 @@
 from cicadatray.internal.bench.graph_experiment.experiment_policy import make_policy, rules_of
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
 from cicadatray.internal.bench.graph_experiment.job_stream import draw_jobs
-from cicadatray.internal.bench.graph_experiment.load_sheet import SHEETS
+from cicadatray.internal.bench.graph_experiment.load_sheets import SHEETS
 from cicadatray.scheduling.taskgraphs.worker_speeds import WorkerSpeeds
 
 SEEDS = (4, 13, 14, 16, 19)
--- a/tests/cover/experiment/test_late_guaranteed_gang.py
+++ b/tests/cover/experiment/test_late_guaranteed_gang.py
@@ -6,7 +6,11 @@
 from cicadatray.internal.bench.graph_experiment.disturbances import Disturbances, Spell
 from cicadatray.internal.bench.graph_experiment.experiment_policy import experiment_policies
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
-from cicadatray.internal.bench.graph_experiment.load_sheet import QUOTE, REVIEW, SHEETS
+from cicadatray.internal.bench.graph_experiment.load_sheets import (
+    QUOTE,
+    REVIEW,
+    SHEETS,
+)
 from cover.experiment.job_plans import plan_job
 
 SHEET = replace(SHEETS["port_louis"], workers=3, guaranteed=16)
--- a/tests/cover/experiment/test_overload.py
+++ b/tests/cover/experiment/test_overload.py
@@ -8,7 +8,12 @@
 
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import ROUND_S, FleetEmulator
 from cicadatray.internal.bench.graph_experiment.job_stream import draw_jobs
-from cicadatray.internal.bench.graph_experiment.load_sheet import REVIEW, SHEETS, STUDY, ArrivalWave
+from cicadatray.internal.bench.graph_experiment.load_sheet import ArrivalWave
+from cicadatray.internal.bench.graph_experiment.load_sheets import (
+    REVIEW,
+    SHEETS,
+    STUDY,
+)
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
 from cicadatray.scheduling.taskgraphs.rules.passed_over_memory import MAX_PASSED_OVER_S
 from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import SchedulingRules
--- a/tests/cover/experiment/test_urgent_burst.py
+++ b/tests/cover/experiment/test_urgent_burst.py
@@ -5,11 +5,11 @@
 
 from cicadatray.internal.bench.graph_experiment.experiment_policy import experiment_policies
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
-from cicadatray.internal.bench.graph_experiment.load_sheet import (
+from cicadatray.internal.bench.graph_experiment.load_sheet import LoadSheet
+from cicadatray.internal.bench.graph_experiment.load_sheets import (
     QUOTE,
     REVIEW,
     SHEETS,
-    LoadSheet,
 )
 from cover.experiment.job_plans import plan_job
 
--- a/tests/cover/experiment/test_worthwhile_victims.py
+++ b/tests/cover/experiment/test_worthwhile_victims.py
@@ -5,7 +5,11 @@
 
 from cicadatray.internal.bench.graph_experiment.disturbances import Disturbances, Spell
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
-from cicadatray.internal.bench.graph_experiment.load_sheet import QUOTE, REVIEW, SHEETS
+from cicadatray.internal.bench.graph_experiment.load_sheets import (
+    QUOTE,
+    REVIEW,
+    SHEETS,
+)
 from cicadatray.internal.bench.graph_experiment.planned_job import PlannedJob
 from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import SchedulingRules
 from cover.experiment.checked_policy import CheckedPolicy
