--- a/src/cicadatray/internal/bench/experiment.py
+++ b/src/cicadatray/internal/bench/experiment.py
@@ -20,7 +20,9 @@
 )
 from cicadatray.internal.bench.graph_experiment.fleet_emulator import FleetEmulator
 from cicadatray.internal.bench.graph_experiment.job_stream import draw_jobs
+from cicadatray.internal.bench.graph_experiment.load_sheet import LoadSheet
 from cicadatray.internal.bench.graph_experiment.load_sheets import SHEETS
+from cicadatray.internal.bench.graph_experiment.run_result import RunResult
 
 BURSTS = (1.0, 3.0)
 
@@ -53,15 +55,7 @@
         for burst in BURSTS:
             results = {
                 name: [
-                    FleetEmulator(
-                        sheet,
-                        draw_jobs(sheet, seed, burst),
-                        make_policy(name),
-                        draw_disturbances(sheet, seed),
-                        rules_of(name),
-                        name in TOLD_POLICIES,
-                    ).run()
-                    for seed in range(first_seed, first_seed + seeds)
+                    play(name, sheet, seed, burst) for seed in range(first_seed, first_seed + seeds)
                 ]
                 for name in policies or policy_names()
             }
@@ -71,5 +65,17 @@
     print(msgspec.json.encode(report).decode())
 
 
+def play(policy: str, sheet: LoadSheet, seed: int, burst: float) -> RunResult:
+    """Plays a policy on one load and returns its result."""
+    return FleetEmulator(
+        sheet,
+        draw_jobs(sheet, seed, burst),
+        make_policy(policy),
+        draw_disturbances(sheet, seed),
+        rules_of(policy),
+        policy in TOLD_POLICIES,
+    ).run()
+
+
 if __name__ == "__main__":
     app()
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -7,6 +7,7 @@
 from cicadatray.internal.control.errors import LeadershipLostError, leadership_lost
 from cicadatray.internal.control.graphs.end_recorder import BATCHING_DELAY_S, EndRecorder
 from cicadatray.internal.control.graphs.evacuated_runs import revoke_evacuated, revoke_unstarted
+from cicadatray.internal.control.graphs.expired_graphs import find_expired_graphs
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.graph_statistics import DISPLACED
 from cicadatray.internal.control.graphs.guarantee_log import GuaranteeLog
@@ -41,8 +42,6 @@
 ROUND_INTERVAL_S = 0.25
 # At most this much work of a checkpointable task is repeated after a power loss.
 CHECKPOINT_INTERVAL_S = 1.0
-# The retention period of ended graphs, during which clients can read them.
-ENDED_RETENTION_S = 150.0
 
 log = structlog.get_logger(__name__)
 
@@ -103,7 +102,7 @@
         session = self.session
         lost = self._mark_lost_workers()
         ends = self._lost_run_ends(lost)
-        removed_graph_ids = self._find_expired_graphs()
+        removed_graph_ids = find_expired_graphs(session.graphs, session.wall_s())
         checkpoints = self._due_checkpoints(bool(ends))
         if ends or removed_graph_ids or checkpoints:
             await session.leader.propose(
@@ -158,16 +157,6 @@
         ]
         return lost + replaced
 
-    def _find_expired_graphs(self) -> tuple[str, ...]:
-        now_s = self.session.wall_s()
-        return tuple(
-            graph_id
-            for graph_id, progress in self.session.graphs.items()
-            if progress.ended_s
-            and now_s - progress.ended_s > ENDED_RETENTION_S
-            and not any(task.worker_id for task in progress.tasks.values())
-        )
-
     def _evacuate(self) -> None:
         """Stops work that must leave its workers, so that it restarts elsewhere."""
         session = self.session
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -47,8 +47,7 @@
     that was done, since when. `replaced_workers` belonged to an earlier leader's term and have been
     replaced by another worker of the same agent. `rule_memory` is what the scheduling rules keep
     between rounds. `new_ends` are reported ends that are not proposed yet. `pending_evacuations`
-    counts the orders for each data centre that were proposed and are not known to be committed.
-    `wake` starts the next scheduling round.
+    counts the orders by data centre that may not be committed yet. `wake` starts the next round.
     """
 
     __slots__ = (
--- a/src/cicadatray/scheduling/taskgraphs/estimate_corrections.py
+++ b/src/cicadatray/scheduling/taskgraphs/estimate_corrections.py
@@ -4,6 +4,8 @@
 from collections import OrderedDict
 from statistics import NormalDist
 
+from cicadatray.scheduling.taskgraphs.step_times import StepTimes
+
 # The standard deviation of the log of true time by estimate before anything is known.
 ESTIMATE_DEVIATION = 0.5
 # The prior counts as much as this many steps.
@@ -13,21 +15,6 @@
 MAX_QUEUES = 256
 
 
-class StepTimes:
-    """The mean of the log of true time by estimate over the runs of one step."""
-
-    __slots__ = ("count", "total")
-
-    def __init__(self) -> None:
-        self.count = 0
-        self.total = 0.0
-
-    @property
-    def mean(self) -> float:
-        """The mean over the runs."""
-        return self.total / self.count
-
-
 class EstimateCorrections:
     """Learns by queue, from the last steps that ended, how far estimates are off.
 
--- a/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
@@ -11,6 +11,7 @@
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.rules.candidate_rule import candidate_rules
 from cicadatray.scheduling.taskgraphs.rules.packed import PackedCandidates
+from cicadatray.scheduling.taskgraphs.rules.probe_times import ProbeTimes
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.speed_spread import UNKNOWN_UNCERTAINTY, SpeedSpread
@@ -42,15 +43,6 @@
 WorkerTest = Callable[[WorkerCapacity], bool]
 
 
-class Probes:
-    """When unknown workers last got a single task to learn their speed."""
-
-    __slots__ = ("started_s",)
-
-    def __init__(self) -> None:
-        self.started_s: dict[str, float] = {}
-
-
 @candidate_rules.register("by_speed")
 class BySpeedCandidates(PackedCandidates):
     """Gives fast workers to urgent work and slow ones to work with slack.
@@ -67,7 +59,7 @@
         super().__init__(view)
         self.corrections = view.memory.get(EstimateCorrections)
         self.earliest_s: dict[tuple[str, int, int], float] = {}
-        self.probes = view.memory.get(Probes).started_s
+        self.probes = view.memory.get(ProbeTimes).started_s
         known_ids = {worker.worker_id for worker in view.workers if _is_known(worker)}
         for worker_id in [name for name in self.probes if name in known_ids]:
             del self.probes[worker_id]
--- a/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_speeds.py
@@ -1,12 +1,10 @@
 """Estimates the speed of each worker from the progress of its runs."""
 
 import math
-from collections import deque
 from collections.abc import Iterable
 from statistics import NormalDist, median
 
-import msgspec
-
+from cicadatray.scheduling.taskgraphs.ended_run import EndedRun
 from cicadatray.scheduling.taskgraphs.estimate_corrections import EstimateCorrections
 from cicadatray.scheduling.taskgraphs.run_pace import PaceSample, ProgressReport, RunPace
 from cicadatray.scheduling.taskgraphs.speed_solver import (
@@ -19,6 +17,7 @@
     solve,
 )
 from cicadatray.scheduling.taskgraphs.speed_spread import SpeedSpread
+from cicadatray.scheduling.taskgraphs.worker_paces import WorkerPaces
 
 UPDATE_INTERVAL_S = 0.5
 # An update costs 6 to 9 µs for each observation on a busy machine. It computes the speeds of at
@@ -26,8 +25,6 @@
 # each; larger pools take several updates in turn, at most one in the interval.
 WORKERS_PER_UPDATE = 80
 PART_INTERVAL_S = 0.2
-MAX_ENDED_RUNS = 8
-MAX_ENDED_GANGS = 4
 MAX_RUNS_PER_WORKER = 6
 # At most this many runs are followed, evenly by worker, which bounds space; runs beyond it are
 # followed as others end.
@@ -42,45 +39,6 @@
 STANDARD = NormalDist()
 
 
-class EndedRun(msgspec.Struct, frozen=True):
-    """The pace of a run that is done, and the clocks of its worker at its end."""
-
-    report: ProgressReport
-    sample: PaceSample
-    ended_s: float
-    worked_s: float
-
-
-class WorkerRecord:
-    """What is kept of one worker: its followed runs, its last ended ones and the solution.
-
-    `worked_s` is for how long the worker was seen with runs.
-    """
-
-    __slots__ = (
-        "effect",
-        "ended",
-        "ended_gangs",
-        "last_report_s",
-        "observations",
-        "pool",
-        "runs",
-        "variance",
-        "worked_s",
-    )
-
-    def __init__(self, pool: str, now_s: float) -> None:
-        self.pool = pool
-        self.last_report_s = now_s
-        self.worked_s = 0.0
-        self.runs: dict[str, RunPace] = {}
-        self.ended: deque[EndedRun] = deque(maxlen=MAX_ENDED_RUNS)
-        self.ended_gangs: deque[EndedRun] = deque(maxlen=MAX_ENDED_GANGS)
-        self.effect = 0.0
-        self.variance = WORKER_DEVIATION**2
-        self.observations = 0
-
-
 class WorkerSpeeds:
     """Estimates speeds relative to the typical worker of a pool.
 
@@ -104,7 +62,7 @@
 
     def __init__(self, corrections: EstimateCorrections | None = None) -> None:
         self.corrections = corrections or EstimateCorrections()
-        self.workers: dict[str, WorkerRecord] = {}
+        self.workers: dict[str, WorkerPaces] = {}
         self.followed: set[str] = set()
         self.spreads = SpeedSpread()
         self.updated_s = -math.inf
@@ -142,7 +100,7 @@
         """Records the runs that a followed worker reports; the others have ended."""
         record = self.workers.get(worker_id)
         if record is None or record.pool != pool:
-            record = self.workers[worker_id] = WorkerRecord(pool, now_s)
+            record = self.workers[worker_id] = WorkerPaces(pool, now_s)
         if not self.is_followed(worker_id):
             record.runs, record.last_report_s = {}, now_s
             return
@@ -191,7 +149,7 @@
         is_divided = len(self.workers) > WORKERS_PER_UPDATE
         if now_s - self.updated_s < (PART_INTERVAL_S if is_divided else UPDATE_INTERVAL_S):
             return False
-        pools: dict[str, list[tuple[str, WorkerRecord]]] = {}
+        pools: dict[str, list[tuple[str, WorkerPaces]]] = {}
         for worker_id, record in self.workers.items():
             pools.setdefault(record.pool, []).append((worker_id, record))
         self.updated_s = now_s
@@ -213,7 +171,7 @@
             self.spreads.update(pool, speeds)
         return True
 
-    def _update_part(self, records: list[WorkerRecord], now_s: float) -> None:
+    def _update_part(self, records: list[WorkerPaces], now_s: float) -> None:
         steps: dict[str, int] = {}
         priors: list[StepPrior] = []
         evidence = [self._evidence(record, now_s, steps, priors) for record in records]
@@ -234,7 +192,7 @@
 
     def _evidence(
         self,
-        record: WorkerRecord,
+        record: WorkerPaces,
         now_s: float,
         steps: dict[str, int],
         priors: list[StepPrior],
@@ -272,7 +230,7 @@
         precision = weight / (TASK_DEVIATION**2 + sample.error**2)
         return RateObservation(step, sample.log_rate + math.log(report.estimate_s), precision)
 
-    def _apply_gang_bounds(self, record: WorkerRecord) -> int:
+    def _apply_gang_bounds(self, record: WorkerPaces) -> int:
         """Conditions the speed of a worker on being at least that of its gangs.
 
         The time of a gang is known only from its estimate, so the bound is uncertain. The result is
--- a/tests/cover/taskgraphs/test_worker_speeds.py
+++ b/tests/cover/taskgraphs/test_worker_speeds.py
@@ -10,8 +10,8 @@
 
 from cicadatray.scheduling.taskgraphs.run_pace import ProgressReport
 from cicadatray.scheduling.taskgraphs.speed_solver import WORKER_DEVIATION
+from cicadatray.scheduling.taskgraphs.worker_paces import MAX_ENDED_RUNS
 from cicadatray.scheduling.taskgraphs.worker_speeds import (
-    MAX_ENDED_RUNS,
     MAX_FOLLOWED,
     MAX_RUNS,
     MAX_RUNS_PER_WORKER,
