--- a/src/cicadatray/internal/agent/task_table.py
+++ b/src/cicadatray/internal/agent/task_table.py
@@ -45,9 +45,9 @@
     """Carries out orders of control; refuses those of stopped gangs and those without a lease.
 
     `lease_until_s` is event loop time, `lease_term` the highest leader term in a reply. Tasks are
-    started only while `permission` holds. `changed`
-    is set when reports must be announced at once. `stopped_epochs` holds the highest stopped epoch
-    of each job. `unlisted` records listings of the worker that failed.
+    started only while `permission` holds. `changed` is set when reports must be announced at once.
+    `stopped_epochs` holds the highest stopped epoch of each job. `unlisted` records listings of the
+    worker that failed.
     """
 
     __slots__ = (
--- a/src/cicadatray/scheduling/taskgraphs/rules/worthwhile.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/worthwhile.py
@@ -20,8 +20,8 @@
 
 # As for other blocked gangs: more reservations would leave workers idle.
 MAX_RESERVED_GANGS = 2
-# A job may displace this many times its value: the prices of wasted work differ between load sheets
-# (1/250 to 1/1,350 of a unit of worth for a core-second), and `job_value` has one of the highest.
+# A job may displace this many times its value. With a limit of one value, large urgent gangs waited
+# instead of displacing and more of them ended too late for any value.
 VALUE_SCALE = 1.5
 # A smaller gain, as a share of the job's value, is within the error of estimates.
 LEAST_GAIN_SHARE = 0.2
