--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -21,16 +21,11 @@
 from cicadatray.platform.roles import RoleProgram, role
 from cicadatray.platform.settings import PlatformSettings
 from cicadatray.replication.membership import required_voters
-from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import SchedulingRules
 
 # The latency between data centres is a few milliseconds, so a leader that is silent for this long
 # is not merely slow.
 ELECTION_TIMEOUT_S = 0.45
 
-# Accounts keep the cover of the jobs that fit in their guarantee when they submit more, and a job
-# that no worker could ever hold is refused at once. The platform's settings choose no rules.
-SCHEDULING_RULES = SchedulingRules(guarantees="by_job", admission="feasible")
-
 log = structlog.get_logger(__name__)
 
 
@@ -154,7 +149,6 @@
         longest_task_stop_s=settings.longest_stop_s,
         urgent_start_s=settings.urgent_start_s,
         evacuation_start_limit_s=settings.evacuation_start_limit_s,
-        scheduling_rules=SCHEDULING_RULES,
         dump_folder="/tmp",
     )
 
