--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -21,23 +21,32 @@
 SERVICE = "huvo11a"
 KEY = "d4a3hwrr6x73d3zji9n7"
 CLIENT_HEADERS = {"Host": "nony24.example", "Authorization": f"Token {KEY}", "Deadline-Ms": "3000"}
+# A queue of priority 2, and one of priority 1.
 PREFIX = "/pule252/"
+FIRST_PREFIX = "/lohu930/"
+
+
+def route(name: str, prefix: str, priority: int, target_ms: int) -> dict[str, object]:
+    return {
+        "Name": name,
+        "Host": "nony24.example",
+        "PathPrefix": prefix,
+        "Kind": "unsafe",
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": target_ms,
+        "Priority": priority,
+        "Service": SERVICE,
+        "MaxAttempts": 3,
+        "Stretch": 3.0,
+        "Public": False,
+    }
+
+
 CONFIGURATION = {
     "Version": 7,
     "Routes": [
-        {
-            "Name": "r-3ajwyy7",
-            "Host": "nony24.example",
-            "PathPrefix": PREFIX,
-            "Kind": "unsafe",
-            "TimeoutMs": 3000,
-            "TargetLatencyMs": 3000,
-            "Priority": 2,
-            "Service": SERVICE,
-            "MaxAttempts": 3,
-            "Stretch": 3.0,
-            "Public": False,
-        }
+        route("r-3ajwyy7", PREFIX, 2, 3000),
+        route("r-ce7ejsm", FIRST_PREFIX, 1, 1000),
     ],
     "Services": [
         {
@@ -249,21 +258,21 @@
         return minion
 
     async def client(
-        self, method: str, job_id: str, body: object = None, entry: int = 0, timeout_s: float = 3.0
+        self, method: str, job_id: str, body: object = None, entry: int = 0, prefix: str = PREFIX
     ) -> tuple[int, object]:
         """Sends a client's call for a job to one entry."""
         address = self.programs[f"entry-{entry}"].ip, self.ports["Front"]
-        path = PREFIX + job_id
-        status, reply = await call(method, *address, path, body, CLIENT_HEADERS, timeout_s)
+        path = prefix + job_id
+        status, reply = await call(method, *address, path, body, CLIENT_HEADERS)
         self.record.add(
             "client", call=f"{method} {job_id}", entry=entry, status=status, reply=reply
         )
         return status, reply
 
-    async def submit(self, job_id: str, body: object) -> None:
+    async def submit(self, job_id: str, body: object, prefix: str = PREFIX) -> None:
         """Hands a job in, with repeats after no clear answer."""
         for attempt in range(8):
-            status, _ = await self.client("POST", job_id, body, entry=attempt % 3)
+            status, _ = await self.client("POST", job_id, body, attempt % 3, prefix)
             if 200 <= status < 300:
                 return
             await asyncio.sleep(0.4)
