--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -47,6 +47,7 @@
         stop_ms: int = 200,
         heartbeat_ms: int = 1500,
         capacity: dict[str, int] | None = None,
+        has_born: bool = False,
     ) -> None:
         self.record = record
         self.id = identifier
@@ -61,6 +62,8 @@
         self.heartbeat_s = heartbeat_ms / 1000
         self.capacity = capacity or {"Cpu": 64000, "MemMb": 131072, "Gpus": 8}
         self.born_s = time.monotonic() - 100.0
+        # Where a deployment's pages name the field `born`.
+        self.born = {"born": int(time.time() * 1000)} if has_born else {}
         self.runs: dict[str, Run] = {}
         self.highest: dict[str, int] = {}
         self.ended: list[list[object]] = []
@@ -95,24 +98,28 @@
     def clock_ms(self) -> int:
         return int((time.monotonic() - self.born_s) * 1000)
 
+    def heartbeat(self) -> dict[str, object]:
+        """Returns the body of the next heartbeat."""
+        self.sequence += 1
+        return {
+            "Service": self.service,
+            "Address": f"{self.host}:{self.port}",
+            "Zone": self.zone,
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Capacity": self.capacity,
+            "Labels": self.labels,
+            "ClockMs": self.clock_ms(),
+            "Seq": self.sequence,
+            **self.born,
+        }
+
     async def _beat(self) -> None:
         while True:
-            self.sequence += 1
-            body = {
-                "Service": self.service,
-                "Address": f"{self.host}:{self.port}",
-                "Zone": self.zone,
-                "Version": "v1",
-                "Slots": 8,
-                "State": "ready",
-                "ColdRemainingMs": 0,
-                "Capacity": self.capacity,
-                "Labels": self.labels,
-                "ClockMs": self.clock_ms(),
-                "Seq": self.sequence,
-            }
             path = f"/cicadatray/instances/{self.id}"
-            status, _ = await call("PUT", *self.agent, path, body, timeout_s=1.0)
+            status, _ = await call("PUT", *self.agent, path, self.heartbeat(), timeout_s=1.0)
             if status != 200:
                 self.record.add("heartbeat", id=self.id, status=status)
             # A heartbeat without acknowledgement goes to the next daemon, here the same one.
@@ -212,6 +219,7 @@
             except TimeoutError:
                 pass
         return 200, {
+            **self.born,
             "ClockMs": self.clock_ms(),
             "Running": [run.row() for run in self.runs.values()],
             "Ended": self.ended[:MAX_ENDS_LISTED],
