Log which runs an agent clears, and count the cleared runs that had ended

Neither the agent nor control logged why a run was given up: `run ended` with outcome `cleared` names no reason, and an end that was listed after the clear looked like any other `run end listed`.

Change: `run cleared` names the run and the lengths of the two lists from which it was missing. `cleared run has ended` and the counter `cicadatray_cleared_runs_ended_total` show a clear that was wrong.

Test: test_end_of_a_cleared_run_is_counted.

--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -4,6 +4,9 @@
 
 from cicadatray.internal.agent.tasks.run_entry import RunEntry, RunPhase
 from cicadatray.internal.agent.tasks.worker_port import WorkerView
+from cicadatray.internal.observability.counter import Counter
+from cicadatray.internal.observability.graph_metrics import cleared_runs_ended
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.messages.graph_messages import RunEnd, RunOrder
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
@@ -19,18 +22,27 @@
     """Tracks the runs on the worker and the ends that control has to record.
 
     `ends` contains the run ends that control has not committed, by number. `finished` contains runs
-    that must not be started again when an order for them arrives late, and `cleared` those that
-    are certain not to run although the worker listed no end of them.
+    that must not be started again when an order for them arrives late, with their outcomes, and
+    `cleared` those that are certain not to run although the worker listed no end of them.
+    `refuted_clears` counts the cleared runs whose ends the worker listed afterwards.
     """
 
-    __slots__ = ("cleared", "committed_end_number", "ends", "finished", "runs")
+    __slots__ = (
+        "cleared",
+        "committed_end_number",
+        "ends",
+        "finished",
+        "refuted_clears",
+        "runs",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, refuted_clears: Counter | None = None) -> None:
         self.runs: dict[TaskRun, RunEntry] = {}
         self.ends: dict[int, RunEnd] = {}
         self.cleared: dict[TaskRun, RunEnd] = {}
-        self.finished: set[TaskRun] = set()
+        self.finished: dict[TaskRun, RunOutcome] = {}
         self.committed_end_number = 0
+        self.refuted_clears = refuted_clears or cleared_runs_ended(MetricsRegistry())
 
     @property
     def is_idle(self) -> bool:
@@ -73,7 +85,7 @@
         missing = [
             entry
             for run, entry in list(self.runs.items())
-            if run not in listed and self._is_missing(entry, asked_s)
+            if run not in listed and self._is_missing(entry, asked_s, view)
         ]
         return has_ended or bool(missing), missing
 
@@ -91,7 +103,7 @@
         """Records that a run is not on the worker and will never start there."""
         if self.runs.pop(entry.run, None) is None:
             return
-        self.finished.add(entry.run)
+        self.finished[entry.run] = RunOutcome.CLEARED
         self.cleared[entry.run] = RunEnd(entry.run, RunOutcome.CLEARED)
 
     def reported_ends(self) -> tuple[RunEnd, ...]:
@@ -112,16 +124,36 @@
                 noted=self.committed_end_number,
             )
             self.runs.pop(end.run, None)
-            self.finished.add(end.run)
+            self._check_clear(end)
+            self.finished[end.run] = end.outcome
             has_ended = True
         return has_ended
 
-    def _is_missing(self, entry: RunEntry, asked_s: float) -> bool:
+    def _check_clear(self, end: RunEnd) -> None:
+        """Records an end that refutes a clear: control may have started the task again."""
+        if self.finished.get(end.run) is not RunOutcome.CLEARED:
+            return
+        self.refuted_clears.increment(outcome=end.outcome.value)
+        log.error(
+            "cleared run has ended",
+            run=str(end.run.task),
+            number=end.run.run,
+            outcome=end.outcome.value,
+        )
+
+    def _is_missing(self, entry: RunEntry, asked_s: float, view: WorkerView) -> bool:
         """Returns whether a run that the worker does not list has ended or needs a stop."""
         if entry.phase is RunPhase.STARTING or asked_s <= entry.answered_s:
             return False
         if entry.phase is RunPhase.STOPPING:
             if entry.answered_s:
+                log.info(
+                    "run cleared",
+                    run=str(entry.run.task),
+                    number=entry.run.run,
+                    runs_listed=len(view.running),
+                    ends_listed=len(view.ended),
+                )
                 self.clear(entry)
                 return True
             return False
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -13,7 +13,7 @@
 from cicadatray.internal.agent.tasks.worker_lease import DEFAULT_WORKER_LEASE_S, WorkerLease
 from cicadatray.internal.agent.tasks.worker_observer import WorkerObserver
 from cicadatray.internal.agent.tasks.worker_port import WorkerPort, WorkerView
-from cicadatray.internal.observability.graph_metrics import worker_starts_total
+from cicadatray.internal.observability.graph_metrics import cleared_runs_ended, worker_starts_total
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.wire.control_client import ControlClient
@@ -50,6 +50,7 @@
         "not_adopted",
         "offer",
         "port",
+        "refuted_clears",
         "sequence",
         "sync_tasks",
         "table",
@@ -66,14 +67,16 @@
         metrics: MetricsRegistry | None = None,
         worker_lease_s: float = DEFAULT_WORKER_LEASE_S,
     ) -> None:
-        self.answers = worker_starts_total(metrics or MetricsRegistry())
+        metrics = metrics or MetricsRegistry()
+        self.answers = worker_starts_total(metrics)
+        self.refuted_clears = cleared_runs_ended(metrics)
         self.agent_id = agent_id
         self.incarnation = uuid4().hex
         self.control = control
         self.offer: WorkerOffer | None = None
         self.port: WorkerPort | None = None
         self.executor: OrderExecutor | None = None
-        self.table = RunTable()
+        self.table = RunTable(self.refuted_clears)
         self.lease = WorkerLease(worker_lease_s)
         self.not_adopted = RepeatedEvent("worker not adopted")
         self.unanswered = RepeatedEvent("worker unanswered")
@@ -166,7 +169,7 @@
 
     def _start_driving(self, offer: WorkerOffer, port: WorkerPort, view: WorkerView) -> None:
         self.port = port
-        self.table = RunTable()
+        self.table = RunTable(self.refuted_clears)
         self.table.apply_view(view, 0.0, asyncio.get_running_loop().time())
         self.lease = WorkerLease(self.lease.longest_s)
         self.executor = OrderExecutor(
@@ -192,7 +195,7 @@
             self.ended_worker_cause = cause
         executor, self.executor = self.executor, None
         self.offer, self.port = None, None
-        self.table = RunTable()
+        self.table = RunTable(self.refuted_clears)
         if executor is not None:
             executor.cancel()
         self.changed.set()
--- a/src/cicadatray/internal/observability/graph_metrics.py
+++ b/src/cicadatray/internal/observability/graph_metrics.py
@@ -82,6 +82,15 @@
     )
 
 
+def cleared_runs_ended(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of ends listed for runs reported as cleared before; label `outcome`."""
+    return registry.counter(
+        "cicadatray_cleared_runs_ended_total",
+        "Ends of runs that had been reported as cleared.",
+        ("outcome",),
+    )
+
+
 def log_lines_dropped(registry: MetricsRegistry) -> Counter:
     """Returns the counter of log lines dropped at the rate limit or because of a slow reader."""
     return registry.counter("cicadatray_log_lines_dropped_total", "Log lines not written.")
--- a/tests/cover/taskgraphs/test_run_table.py
+++ b/tests/cover/taskgraphs/test_run_table.py
@@ -58,6 +58,16 @@
     assert [end.outcome for end in table.reported_ends()] == [RunOutcome.CLEARED] * is_cleared
 
 
+def test_end_of_a_cleared_run_is_counted() -> None:
+    """A task that may have run twice must be visible to operators."""
+    table = running_table()
+    table.clear(table.runs[RUN])
+    table.apply_view(ENDED, asked_s=2.0, received_s=2.0)
+    assert table.refuted_clears.render() == [
+        'cicadatray_cleared_runs_ended_total{outcome="done"} 1'
+    ]
+
+
 def test_ended_run_is_not_started_by_a_late_order() -> None:
     """An order that arrives after the end of its run must not run the task twice."""
     table = running_table()
