Do not take a run for missing while its worker may have unlisted ends

Cause: a worker lists at most 500 ends and the next ones only once these are acknowledged. The agent took its list for complete. A run that was in neither list twice in a row was stopped; the worker answers the stop of a run that has ended; and the next list without it made the agent report the run as cleared, which lets control start the task again. The limit of 500 was not known anywhere.

The random machine also finds the fault without any outage of control: lists of two ends, and more tasks that end together.

Change: `WorkerView` says whether it `is_complete`, without a default, and `find_absent` is the only way to learn that a run is in no list; it knows nothing of the runs that a partial view lacks. The decoder of the platform's documents knows the limit. Runs that are really gone are found once the ends that fill the list are stored and acknowledged. `worker may have unlisted ends` and `cicadatray_partial_worker_views_total` show the state to operators.

--- a/src/cicadatray/internal/agent/tasks/run_entry.py
+++ b/src/cicadatray/internal/agent/tasks/run_entry.py
@@ -25,10 +25,10 @@
     the event loop time at which the worker last answered an order for the run; only a list that was
     requested later shows whether the run exists. `is_in_doubt` is set when an order got no answer
     or may have been sent by an earlier process of this agent: the worker may carry it out at any
-    time until it has answered a stop. `times_missing` counts the lists in a row without the run.
-    `may_have_begun` is set while an order to start it may have been carried out. The worker's first
-    list with the run was received at `first_listed_s`, and the last one requested `observed_s`
-    later.
+    time until it has answered a stop. `times_missing` counts the complete views in a row without
+    the run. `may_have_begun` is set while an order to start it may have been carried out. The
+    worker's first list with the run was received at `first_listed_s`, and the last one requested
+    `observed_s` later.
     """
 
     __slots__ = (
--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -13,7 +13,7 @@
 
 log = structlog.get_logger(__name__)
 
-# A run that is missing from this many lists of the worker in a row is stopped, so that its state
+# A run that is absent from this many views of the worker in a row is stopped, so that its state
 # becomes certain.
 MAX_TIMES_MISSING = 2
 
@@ -71,10 +71,10 @@
 
         They were requested at `asked_s` and received at `received_s`, on the event loop's clock.
         Returns whether any run has ended or is missing, and the missing runs: those that are now
-        cleared, and those whose state is uncertain and that should be stopped for that reason.
+        cleared, and those whose state is uncertain and that should be stopped for that reason. No
+        run is missing from a view that may have left out its end.
         """
         has_ended = self._add_ends(view)
-        listed = {report.run for report in view.running}
         for report in view.running:
             entry = self.runs.get(report.run)
             if entry is None and report.run not in self.finished:
@@ -82,11 +82,8 @@
                 self.runs[report.run] = entry
             if entry is not None:
                 entry.record_listed(report, asked_s, received_s)
-        missing = [
-            entry
-            for run, entry in list(self.runs.items())
-            if run not in listed and self._is_missing(entry, asked_s, view)
-        ]
+        absent = [self.runs[run] for run in view.find_absent(self.runs)]
+        missing = [entry for entry in absent if self._is_missing(entry, asked_s, view)]
         return has_ended or bool(missing), missing
 
     def drop_committed(
@@ -142,7 +139,7 @@
         )
 
     def _is_missing(self, entry: RunEntry, asked_s: float, view: WorkerView) -> bool:
-        """Returns whether a run that the worker does not list has ended or needs a stop."""
+        """Returns whether a run that is absent from a view is cleared now or needs a stop."""
         if entry.phase is RunPhase.STARTING or asked_s <= entry.answered_s:
             return False
         if entry.phase is RunPhase.STOPPING:
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -13,7 +13,11 @@
 from cicadatray.internal.agent.tasks.worker_lease import DEFAULT_WORKER_LEASE_S, WorkerLease
 from cicadatray.internal.agent.tasks.worker_observer import WorkerObserver
 from cicadatray.internal.agent.tasks.worker_port import WorkerPort, WorkerView
-from cicadatray.internal.observability.graph_metrics import cleared_runs_ended, worker_starts_total
+from cicadatray.internal.observability.graph_metrics import (
+    cleared_runs_ended,
+    partial_worker_views,
+    worker_starts_total,
+)
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.wire.control_client import ControlClient
@@ -49,6 +53,7 @@
         "lease",
         "not_adopted",
         "offer",
+        "partial_views",
         "port",
         "refuted_clears",
         "sequence",
@@ -56,6 +61,7 @@
         "table",
         "term",
         "unanswered",
+        "unlisted_ends",
         "without_orders",
         "work_available",
     )
@@ -70,6 +76,7 @@
         metrics = metrics or MetricsRegistry()
         self.answers = worker_starts_total(metrics)
         self.refuted_clears = cleared_runs_ended(metrics)
+        self.partial_views = partial_worker_views(metrics)
         self.agent_id = agent_id
         self.incarnation = uuid4().hex
         self.control = control
@@ -80,6 +87,7 @@
         self.lease = WorkerLease(worker_lease_s)
         self.not_adopted = RepeatedEvent("worker not adopted")
         self.unanswered = RepeatedEvent("worker unanswered")
+        self.unlisted_ends = RepeatedEvent("worker may have unlisted ends")
         self.without_orders = RepeatedEvent("control gave no orders")
         self.former_workers: set[str] = set()
         self.ended_worker_id = ""  # empty once control has replied to the report of its end
@@ -104,7 +112,12 @@
                 task.cancel()
             if self.executor is not None:
                 self.executor.cancel()
-            for repeated in (self.not_adopted, self.unanswered, self.without_orders):
+            for repeated in (
+                self.not_adopted,
+                self.unanswered,
+                self.unlisted_ends,
+                self.without_orders,
+            ):
                 repeated.record_end()
 
     async def receive_offer(self, offer: WorkerOffer, port: WorkerPort) -> bool:
--- a/src/cicadatray/internal/agent/tasks/worker_observer.py
+++ b/src/cicadatray/internal/agent/tasks/worker_observer.py
@@ -12,6 +12,7 @@
 )
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
 from cicadatray.internal.agent.tasks.run_entry import RunPhase
+from cicadatray.internal.agent.tasks.worker_port import WorkerView
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 if TYPE_CHECKING:
@@ -65,6 +66,7 @@
         agent.unanswered.record_end()
         agent.lease.record_contact()
         agent.set_reachable(True)
+        self._record_completeness(executor, view)
         received_s = asyncio.get_running_loop().time()
         has_ended, missing = table.apply_view(view, asked_s, received_s)
         for entry in missing:
@@ -75,6 +77,22 @@
         if has_ended or is_settling:
             await asyncio.sleep(OBSERVE_PAUSE_S)
 
+    def _record_completeness(self, executor: OrderExecutor, view: WorkerView) -> None:
+        """Logs and counts answers that show no run as absent, because ends may be missing."""
+        agent = self.agent
+        if view.is_complete:
+            agent.unlisted_ends.record_end()
+            return
+        agent.partial_views.increment()
+        worker_id = executor.port.worker_id
+        agent.unlisted_ends.record_failure(
+            worker_id,
+            worker=worker_id,
+            ends_listed=len(view.ended),
+            committed=executor.table.committed_end_number,
+            runs_unsettled=len(executor.table.runs),
+        )
+
     def _handle_unanswered(self, executor: OrderExecutor, error: WorkerUnansweredError) -> None:
         """Drops the worker once every lease that it may have received has expired."""
         agent = self.agent
--- a/src/cicadatray/internal/agent/tasks/worker_port.py
+++ b/src/cicadatray/internal/agent/tasks/worker_port.py
@@ -1,5 +1,6 @@
 """The interface of an agent to its worker."""
 
+from collections.abc import Iterable
 from enum import Enum
 from typing import Protocol
 
@@ -23,10 +24,26 @@
 
 
 class WorkerView(msgspec.Struct, frozen=True):
-    """The lists of a worker: all runs, and the ends above the number that control committed."""
+    """The lists of a worker: all runs, and the ends above the number that control committed.
+
+    A worker may limit how many ends it lists in one answer. It then lists the ones with the lowest
+    numbers, and others once control has committed these. `is_complete` is False if a run or an end
+    may have been left out.
+    """
 
     running: tuple[RunReport, ...]
     ended: tuple[RunEnd, ...]
+    is_complete: bool
+
+    def find_absent(self, runs: Iterable[TaskRun]) -> list[TaskRun]:
+        """Returns which of these runs certainly are neither on the worker nor among its ends.
+
+        Nothing is known of a run that lists which are not complete do not contain.
+        """
+        if not self.is_complete:
+            return []
+        listed = {report.run for report in self.running} | {end.run for end in self.ended}
+        return [run for run in runs if run not in listed]
 
 
 class WorkerPort(Protocol):
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -31,8 +31,8 @@
     its last call. `last_orders` is the last reply, so that its orders are not sent again at once,
     or None if it was probably lost. `last_reply_s` is the time of the last reply, which grants a
     lease. `is_reachable` is False while the worker refuses connections. `end` is how the worker has
-    ended, or None. `ended_runs` are the runs whose ends the last call reported: every run that has
-    ended and whose end is not durable is among them. Times are the event loop's.
+    ended, or None. `ended_runs` are the runs whose ends the last call reported and that may not be
+    durable; a run may have ended without being among them. Times are the event loop's.
     """
 
     __slots__ = (
@@ -125,7 +125,7 @@
                 self.suspect_until_s = now_s + SUSPECT_DURATION_S
 
     def may_still_start(self, run: TaskRun) -> bool:
-        """Returns whether a run that was ordered here is neither listed by the worker nor ended."""
+        """Returns whether a run that was ordered here is neither listed nor known to have ended."""
         report = self.reports.get(run)
         return run not in self.ended_runs and (report is None or report.percent < 0)
 
--- a/src/cicadatray/internal/observability/graph_metrics.py
+++ b/src/cicadatray/internal/observability/graph_metrics.py
@@ -91,6 +91,14 @@
     )
 
 
+def partial_worker_views(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of a worker's answers that may have left out ends of runs."""
+    return registry.counter(
+        "cicadatray_partial_worker_views_total",
+        "Answers of the worker with as many ends as it lists at once.",
+    )
+
+
 def log_lines_dropped(registry: MetricsRegistry) -> Counter:
     """Returns the counter of log lines dropped at the rate limit or because of a slow reader."""
     return registry.counter("cicadatray_log_lines_dropped_total", "Log lines not written.")
--- a/src/cicadatray/platform/worker_document.py
+++ b/src/cicadatray/platform/worker_document.py
@@ -29,6 +29,9 @@
 LOGGED_ROW_LENGTH = 200
 # What decoding a row of unknown content raises.
 ROW_ERRORS = (ValueError, TypeError, AttributeError, KeyError, DocumentError)
+# A worker returns at most this many ends in one answer, and the next ones once these are
+# acknowledged.
+MAX_ENDS_LISTED = 500
 READY = "ready"
 DRAINING = "draining"
 OUTCOMES_BY_NAME = {
@@ -93,7 +96,8 @@
     """Returns the runs that a worker lists, the time of its clock, and the start of its process.
 
     The clock is in seconds and the start in milliseconds since 1970; both are 0 if unknown. Rows
-    that cannot be decoded are skipped and logged, because they identify no run to act on.
+    that cannot be decoded are skipped and logged, because they identify no run to act on. An empty
+    list may be omitted. The view is complete if it has fewer ends than a worker lists at once.
 
     Raises:
         DocumentError: the body cannot be decoded.
@@ -104,6 +108,7 @@
     view = WorkerView(
         tuple(report for report in running if report is not None),
         tuple(end for end in ended if end is not None),
+        is_complete=len(ended) < MAX_ENDS_LISTED,
     )
     return view, _decode_clock_s(document), _read_born_ms(document)
 
--- a/tests/cover/observability/test_repeated_event.py
+++ b/tests/cover/observability/test_repeated_event.py
@@ -74,7 +74,7 @@
     async def observe(self, *arguments: Any) -> WorkerView:
         if self.error is not None:
             raise self.error
-        return WorkerView((), ())
+        return WorkerView((), (), is_complete=True)
 
 
 @pytest.mark.parametrize(
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -14,6 +14,7 @@
 from cicadatray.platform.job_document import decode_job
 from cicadatray.platform.worker_document import decode_announcement, decode_task, decode_view
 from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 from cover.platform.documents import ANNOUNCEMENT, CONFIGURATION, JOB, changed
 
 DECODERS: dict[str, tuple[dict[str, Any], Callable[[bytes], object]]] = {
@@ -182,6 +183,33 @@
     msgspec.msgpack.encode(view)
 
 
+def list_ends(count: int) -> list[list[Any]]:
+    return [[number, f"0a.0.1.{number}", 1, "done", ""] for number in range(1, count + 1)]
+
+
+@pytest.mark.parametrize(
+    ("lists", "is_complete"),
+    [
+        ({"Running": [], "Ended": []}, True),
+        ({"Running": [], "Ended": list_ends(499)}, True),
+        ({"Running": [], "Ended": list_ends(500)}, False),
+        ({"Running": [], "Ended": [None, *list_ends(499)]}, False),
+        ({}, True),
+    ],
+    ids=["empty", "short", "full", "full with an invalid row", "omitted"],
+)
+def test_view_is_complete_only_if_no_end_can_be_left_out(
+    lists: dict[str, Any], is_complete: bool
+) -> None:
+    """Guards against starting tasks again whose ends a worker did not list yet.
+
+    A worker lists 500 ends at once.
+    """
+    view, *_ = decode_view(encode({"ClockMs": 1500, **lists}))
+    assert view.is_complete is is_complete
+    assert bool(view.find_absent([TaskRun(TaskId("0b", 0, 0, 0), 1)])) is is_complete
+
+
 @pytest.mark.parametrize("percent", [None, "40", -3, 10**30, [], 41.5])
 def test_run_is_listed_whatever_its_percent(percent: Any) -> None:
     """Guards against stopping a run as missing because its progress cannot be decoded."""
--- a/tests/cover/taskgraphs/graph_machine.py
+++ b/tests/cover/taskgraphs/graph_machine.py
@@ -7,7 +7,7 @@
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.step import Step
 from cover.taskgraphs.graph_simulation import GraphSimulation
-from cover.taskgraphs.simulated_task_worker import DATA_CENTRES
+from cover.taskgraphs.simulated_task_worker import DATA_CENTRES, ENDS_PER_ANSWER
 
 TIMES_S = [0.1, 0.5, 1.5, 4.0, 9.0]
 NUMBERS = st.integers(0, 5)
@@ -44,9 +44,10 @@
         seed=st.integers(0, 1000),
         size=st.integers(2, 4),
         task_duration_s=st.sampled_from((2.0, 9.0)),
+        ends_per_answer=st.sampled_from((ENDS_PER_ANSWER, 1, 2)),
     )
-    def start(self, seed: int, size: int, task_duration_s: float) -> None:
-        self.simulation = GraphSimulation(seed, size)
+    def start(self, seed: int, size: int, task_duration_s: float, ends_per_answer: int) -> None:
+        self.simulation = GraphSimulation(seed, size, ends_per_answer)
         self.simulation.task_duration_s = task_duration_s
         self.submitted = 0
         self.deadly = 0
@@ -100,6 +101,13 @@
     def crash_worker(self, number: int) -> None:
         self.simulation.workers[number % len(self.simulation.workers)].crash()
 
+    @rule(number=NUMBERS)
+    def lose_run(self, number: int) -> None:
+        runs = [(w, run) for w in self.simulation.workers for run in w.running]
+        if runs:
+            worker, run = runs[number % len(runs)]
+            worker.lose(run)
+
     @rule(number=NUMBERS)
     def drain_worker(self, number: int) -> None:
         self.simulation.workers[number % len(self.simulation.workers)].is_draining = True
--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -47,6 +47,7 @@
 from cover.replication.process_loop import Process, ProcessLoop, end_other_tasks
 from cover.taskgraphs.simulated_task_worker import (
     CAPACITY,
+    ENDS_PER_ANSWER,
     SimulatedTaskWorker,
     SimulatedTaskWorkerPort,
 )
@@ -111,7 +112,7 @@
     `withdrawing` how many withdrawals of each are in progress.
     """
 
-    def __init__(self, seed: int, size: int) -> None:
+    def __init__(self, seed: int, size: int, ends_per_answer: int = ENDS_PER_ANSWER) -> None:
         self.loop = ProcessLoop()
         asyncio.set_event_loop(self.loop)
         self.patches = ExitStack()
@@ -135,6 +136,8 @@
             SimulatedTaskWorker(f"w{n}", seed + n, self._on_start, self._on_end, self._on_note)
             for n in range(size)
         ]
+        for worker in self.workers:
+            worker.ends_per_answer = ends_per_answer
         self.controls = {
             name: self._in_loop(lambda name=name: SimulatedControl(name, self.log, self.layer))
             for name in CONTROL_NAMES
--- a/tests/cover/taskgraphs/simulated_task_worker.py
+++ b/tests/cover/taskgraphs/simulated_task_worker.py
@@ -30,6 +30,7 @@
 CRASH_DELAY_S = 0.01
 DOWN_S = 3.2
 CAPACITY = Resources(8000, 8000, 8)
+ENDS_PER_ANSWER = 500
 DATA_CENTRES = 2
 
 
@@ -41,6 +42,8 @@
     change while it runs. While `is_unresponsive` is set, calls time out and their orders are
     carried out late, or never with `loses_orders`.
 
+    It lists at most `ends_per_answer` ends at once, the ones with the lowest numbers.
+
     `on_start` and `on_end` are called for each start and end, and `on_note` for
     each end when the worker learns that it is durable, so that the simulation can check them. An
     end that is durable only after the lease has expired does not count: control may have started
@@ -56,6 +59,7 @@
         "crashes",
         "deadly_graphs",
         "ended",
+        "ends_per_answer",
         "expired_number",
         "highest_runs",
         "incarnation",
@@ -89,6 +93,7 @@
         # The clock of a worker may be 2% slow.
         self.clock_rate = 1.0 - 0.02 * self.random.random()
         self.capacity = CAPACITY
+        self.ends_per_answer = ENDS_PER_ANSWER
         self.incarnation = 0
         self.on_start = on_start
         self.on_end = on_end
@@ -224,9 +229,15 @@
                 if end.number > self.expired_number:
                     self.on_note(end)
         running = tuple(RunReport(run, 50) for run in self.running)
-        return WorkerView(
-            running, tuple(end for end in self.ended if end.number > committed_end_number)
-        )
+        unseen = [end for end in self.ended if end.number > committed_end_number]
+        listed = tuple(unseen[: self.ends_per_answer])
+        return WorkerView(running, listed, is_complete=len(listed) < self.ends_per_answer)
+
+    def lose(self, run: TaskRun) -> None:
+        """Loses a run without an end of it in any list."""
+        if self.running.pop(run, None) is not None:
+            self.stopping.discard(run)
+            self.on_end(self, run, RunOutcome.LOST)
 
     def _crash_under(self, run: TaskRun) -> None:
         if run in self.running:
--- a/tests/cover/taskgraphs/test_crash_evidence.py
+++ b/tests/cover/taskgraphs/test_crash_evidence.py
@@ -18,7 +18,7 @@
 from cover.taskgraphs.test_graph_session import LEASES, RUN, call, make_session
 from cover.taskgraphs.test_task_agent import ORDER, FakePort, make_executor, orders
 
-LISTED = WorkerView((RunReport(RUN, 40),), ())
+LISTED = WorkerView((RunReport(RUN, 40),), (), is_complete=True)
 
 
 @pytest.mark.parametrize(
@@ -69,7 +69,7 @@
     for asked_s in (1.0, 1.5, 3.0):
         table.apply_view(LISTED, asked_s, asked_s + 0.4)
     assert table.runs[RUN].report().observed_s == pytest.approx(1.6)
-    table.apply_view(WorkerView((), ()), 9.0, 9.1)
+    table.apply_view(WorkerView((), (), is_complete=True), 9.0, 9.1)
     assert table.runs[RUN].report().observed_s == pytest.approx(1.6)
 
 
--- a/tests/cover/taskgraphs/test_run_table.py
+++ b/tests/cover/taskgraphs/test_run_table.py
@@ -14,9 +14,11 @@
 
 RUN = TaskRun(TaskId("g", 0, 0, 0), 1)
 ORDER = RunOrder(RUN, "spec")
-EMPTY = WorkerView((), ())
-LISTED = WorkerView((RunReport(RUN, 40, "saved"),), ())
-ENDED = WorkerView((), (RunEnd(RUN, RunOutcome.DONE, 1),))
+EMPTY = WorkerView((), (), is_complete=True)
+LISTED = WorkerView((RunReport(RUN, 40, "saved"),), (), is_complete=True)
+ENDED = WorkerView((), (RunEnd(RUN, RunOutcome.DONE, 1),), is_complete=True)
+OTHER_RUN = TaskRun(TaskId("g", 0, 0, 1), 1)
+PARTIAL = WorkerView((), (RunEnd(OTHER_RUN, RunOutcome.DONE, 1),), is_complete=False)
 
 
 def running_table() -> RunTable:
@@ -58,6 +60,29 @@
     assert [end.outcome for end in table.reported_ends()] == [RunOutcome.CLEARED] * is_cleared
 
 
+@pytest.mark.parametrize("phase", [RunPhase.RUNNING, RunPhase.STOPPING])
+def test_run_whose_end_may_be_unlisted_is_neither_stopped_nor_cleared(phase: RunPhase) -> None:
+    """Guards against starting a task again whose end is not among the ends that fit in a list."""
+    table = running_table()
+    table.runs[RUN].phase = phase
+    for asked_s in (2.0, 3.0, 4.0):
+        has_ended, missing = table.apply_view(PARTIAL, asked_s, asked_s)
+        assert (has_ended, missing) == (asked_s == 2.0, [])
+    assert RUN in table.runs and not table.cleared
+    table.apply_view(ENDED, asked_s=5.0, received_s=5.0)
+    table.drop_committed(1, ())
+    assert [end.outcome for end in table.reported_ends()] == []
+
+
+def test_views_that_may_lack_ends_do_not_count_as_views_without_a_run() -> None:
+    """Guards against a run that is stopped after a single view that shows its absence."""
+    table = running_table()
+    for asked_s, view in ((2.0, EMPTY), (3.0, PARTIAL), (4.0, PARTIAL)):
+        assert table.apply_view(view, asked_s, asked_s)[1] == []
+    _, missing = table.apply_view(EMPTY, asked_s=5.0, received_s=5.0)
+    assert [entry.run for entry in missing] == [RUN]
+
+
 def test_end_of_a_cleared_run_is_counted() -> None:
     """A task that may have run twice must be visible to operators."""
     table = running_table()
--- a/tests/cover/taskgraphs/test_start_permission.py
+++ b/tests/cover/taskgraphs/test_start_permission.py
@@ -23,7 +23,7 @@
         self, token: int, committed_end_number: int, lease_until_s: float, wait_s: float
     ) -> WorkerView:
         await asyncio.sleep(wait_s)
-        return WorkerView((), ())
+        return WorkerView((), (), is_complete=True)
 
 
 def reply(starts: tuple[RunOrder, ...] = (), has_stop: bool = False) -> WorkerOrders:
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -66,7 +66,7 @@
     async def observe(
         self, token: int, committed_end_number: int, lease_until_s: float, wait_s: float
     ) -> WorkerView:
-        return WorkerView((), ())
+        return WorkerView((), (), is_complete=True)
 
     async def close(self) -> None:
         """Does nothing, because there are no connections."""
@@ -265,7 +265,7 @@
             await asyncio.sleep(0.8)
             raise WorkerUnansweredError("no answer")
         self.has_answered = True
-        return WorkerView((RunReport(RUN, 40),), ())
+        return WorkerView((RunReport(RUN, 40),), (), is_complete=True)
 
 
 class ScriptedControl:
@@ -331,7 +331,7 @@
     ) -> WorkerView:
         self.observations += 1
         await asyncio.sleep(self.delays_s.pop(0))
-        return WorkerView((), ())
+        return WorkerView((), (), is_complete=True)
 
 
 @pytest.mark.parametrize(
