Acknowledge the last ends to a worker that has no runs any more

What callers saw: nothing directly.

Cause: the acknowledgement goes out with the next call that observes the worker, and an agent without runs and unstored ends stopped observing as soon as control had stored the last end.

Change: the table also counts as busy until a call with the number of the last stored end was answered by a list without these ends, and such a call does not wait for further ends if nothing runs.

--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -24,10 +24,12 @@
     `ends` contains the run ends that control has not committed, by number. `finished` contains runs
     that must not be started again when an order for them arrives late, with their outcomes, and
     `cleared` those that are certain not to run although the worker listed no end of them.
-    `refuted_clears` counts the cleared runs whose ends the worker listed afterwards.
+    `refuted_clears` counts the cleared runs whose ends the worker listed afterwards. The worker has
+    forgotten the ends up to `acknowledged_end_number`; ends up to `committed_end_number` may be.
     """
 
     __slots__ = (
+        "acknowledged_end_number",
         "cleared",
         "committed_end_number",
         "ends",
@@ -42,19 +44,25 @@
         self.cleared: dict[TaskRun, RunEnd] = {}
         self.finished: dict[TaskRun, RunOutcome] = {}
         self.committed_end_number = 0
+        self.acknowledged_end_number = 0
         self.refuted_clears = refuted_clears or cleared_runs_ended(MetricsRegistry())
 
     @property
     def is_idle(self) -> bool:
         """Returns whether the worker need not be observed."""
-        return not self.runs and not self.ends
+        return not self.runs and not self.ends and not self.has_unacknowledged_ends
 
     @property
     def is_settling(self) -> bool:
-        """Returns whether ends wait to be committed or runs are being stopped."""
-        return bool(self.ends) or any(
-            entry.phase is RunPhase.STOPPING for entry in self.runs.values()
-        )
+        """Returns whether the worker has something to list or to learn that should not wait."""
+        if self.ends or (not self.runs and self.has_unacknowledged_ends):
+            return True
+        return any(entry.phase is RunPhase.STOPPING for entry in self.runs.values())
+
+    @property
+    def has_unacknowledged_ends(self) -> bool:
+        """Returns whether the worker still lists committed ends, and perhaps no later ones."""
+        return self.acknowledged_end_number < self.committed_end_number
 
     def add_start(self, order: RunOrder) -> RunEntry | None:
         """Adds the run of an order; returns None when it has been added or has finished before."""
@@ -86,6 +94,11 @@
         missing = [entry for entry in absent if self._is_missing(entry, asked_s, view)]
         return has_ended or bool(missing), missing
 
+    def record_acknowledged(self, number: int, view: WorkerView) -> None:
+        """Records the answer to a call that acknowledged the ends up to a number."""
+        if all(end.number > number for end in view.ended):
+            self.acknowledged_end_number = max(self.acknowledged_end_number, number)
+
     def drop_committed(
         self, committed_end_number: int, committed_clears: tuple[TaskRun, ...]
     ) -> None:
--- a/src/cicadatray/internal/agent/tasks/worker_observer.py
+++ b/src/cicadatray/internal/agent/tasks/worker_observer.py
@@ -49,11 +49,12 @@
         agent = self.agent
         port, table = executor.port, executor.table
         asked_s = asyncio.get_running_loop().time()
+        acknowledged = table.committed_end_number
         is_settling = table.is_settling
         wait_s = OBSERVE_PAUSE_S if is_settling else OBSERVE_WAIT_S
         try:
             lease_end_s = agent.lease.end_to_send(port.clock_s())
-            view = await port.observe(agent.term, table.committed_end_number, lease_end_s, wait_s)
+            view = await port.observe(agent.term, acknowledged, lease_end_s, wait_s)
         except WorkerUnansweredError as error:
             self._handle_unanswered(executor, error)
             await asyncio.sleep(OBSERVE_RETRY_S)
@@ -69,6 +70,7 @@
         self._record_completeness(executor, view)
         received_s = asyncio.get_running_loop().time()
         has_ended, missing = table.apply_view(view, asked_s, received_s)
+        table.record_acknowledged(acknowledged, view)
         for entry in missing:
             if entry.phase is RunPhase.RUNNING:
                 executor.begin_stop(entry)
--- a/tests/cover/taskgraphs/test_run_table.py
+++ b/tests/cover/taskgraphs/test_run_table.py
@@ -111,6 +111,21 @@
     assert table.apply_view(ENDED, asked_s=3.0, received_s=3.0) == (False, [])
 
 
+@pytest.mark.parametrize(
+    ("view", "is_idle"), [(ENDED, False), (EMPTY, True)], ids=["still listed", "forgotten"]
+)
+def test_worker_is_observed_until_it_has_forgotten_the_last_end(
+    view: WorkerView, is_idle: bool
+) -> None:
+    """Guards against an end that stays listed because the call with its number had no effect."""
+    table = running_table()
+    table.apply_view(ENDED, asked_s=2.0, received_s=2.0)
+    table.drop_committed(1, ())
+    assert not table.is_idle and table.is_settling
+    table.record_acknowledged(1, view)
+    assert table.is_idle is is_idle
+
+
 def test_runs_of_an_earlier_incarnation_are_adopted() -> None:
     """After a restart the agent must manage the runs that it finds on its worker."""
     table = RunTable()
--- a/tests/cover/taskgraphs/test_unlisted_ends.py
+++ b/tests/cover/taskgraphs/test_unlisted_ends.py
@@ -113,6 +113,14 @@
     assert not [line for line in lines if line["event"] == "run cleared"]
 
 
+def test_all_ends_are_acknowledged_to_a_worker_without_runs(simulation: GraphSimulation) -> None:
+    """Guards against a worker that keeps its last ends, and hides later ones behind them."""
+    lose_control(simulation)
+    simulation.advance(2 * TASK_S)
+    (worker,) = simulation.workers
+    assert worker.noted_number == TASKS
+
+
 def test_cancelled_runs_whose_ends_are_not_listed_yet_are_all_settled(
     simulation: GraphSimulation,
 ) -> None:
@@ -145,10 +153,11 @@
 def test_partial_answers_are_logged_and_counted(
     simulation: GraphSimulation, lines: list[Any]
 ) -> None:
-    """Operators must see that a worker has more ends than it lists."""
+    """Operators must see that a worker has more ends than it lists, and until when."""
     lose_control(simulation)
     simulation.advance(TASK_S)
     events = [line["event"] for line in lines]
     assert events.count("worker may have unlisted ends") == 1
+    assert events.count("worker may have unlisted ends, ended") == 1
     (sample,) = simulation.agents[0].agent.partial_views.render()
     assert float(sample.split()[-1]) >= TASKS / ENDS_PER_ANSWER
--- a/tests/cover/taskgraphs/unlisted_ends_machine.py
+++ b/tests/cover/taskgraphs/unlisted_ends_machine.py
@@ -126,5 +126,7 @@
                     if isinstance(state, GraphState) and state.state in ("queued", "running")
                 }
                 assert not open_graphs, open_graphs
+                for worker in self.simulation.workers:
+                    assert not worker.ended or worker.noted_number == worker.ended[-1].number
         finally:
             self.simulation.close()
