Propose reported ends before the loss of their worker

What callers saw: a task that its worker had reported as done could start again when the worker ended within about 10 ms of the report.

Cause: the recorder of ends takes the reported ends and proposes them in an asyncio task that runs later. The scheduling loop, woken by the same call, could propose `lost` for the same runs in between, and the first end of a run counts.

Change: the asyncio task takes the ends itself and proposes them before it awaits anything.

--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -42,17 +42,22 @@
                 await session.ends_arrived.wait()
                 await asyncio.sleep(BATCHING_DELAY_S)
                 session.ends_arrived.clear()
-                ends = self.drain_new_ends()
-                if ends:
-                    commits.create_task(self._commit(ends))
+                commits.create_task(self._commit())
 
     def drain_new_ends(self) -> list[PlacedEnd]:
-        """Returns and clears the ends that are not proposed yet; the caller must propose them."""
+        """Returns and clears the ends that are not proposed yet.
+
+        The caller must propose them before it awaits anything else. Otherwise the loss of their
+        worker may be proposed first, and the tasks start again although they are done.
+        """
         ends, self.session.new_ends = self.session.new_ends, []
         return ends
 
-    async def _commit(self, ends: list[PlacedEnd]) -> None:
+    async def _commit(self) -> None:
         session = self.session
+        ends = self.drain_new_ends()
+        if not ends:
+            return
         command = RecordRuns(
             now_s=session.wall_s(), ends=tuple(ends), checkpoints=new_checkpoints(session)
         )
--- a/tests/cover/taskgraphs/test_end_recorder.py
+++ b/tests/cover/taskgraphs/test_end_recorder.py
@@ -3,8 +3,11 @@
 import asyncio
 from typing import Any
 
+import pytest
+
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control.errors import LeadershipLostError
+from cicadatray.internal.control.graphs.end_recorder import BATCHING_DELAY_S
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.message import MessageStruct
@@ -75,6 +78,33 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("pause_s", [0.0, BATCHING_DELAY_S / 2, BATCHING_DELAY_S, 0.1])
+def test_reported_end_is_proposed_before_the_loss_of_its_worker(pause_s: float) -> None:
+    """Guards against starting a task again that is known to be done.
+
+    The worker ended shortly after it had listed the end, and the first end recorded for a run
+    decides.
+    """
+
+    async def main() -> None:
+        session, _ = make_session()
+        leader = CutOffLeader(session)
+        session.leader = leader  # type: ignore[assignment]
+        loop = asyncio.create_task(GraphLoop(session).run())
+        session.handle_sync(call(sequence=1))
+        await asyncio.sleep(CUT_S / 3)
+        session.handle_sync(call(sequence=2, ends=(end(0, 1),)))
+        await asyncio.sleep(pause_s)
+        session.handle_sync(call(sequence=3, offer=None, ended_worker_id="w-1"))
+        await asyncio.sleep(CUT_S)
+        outcomes = [placed.end.outcome for c in leader.commands for placed in c.ends]
+        assert outcomes[0] is RunOutcome.DONE
+        assert RunOutcome.LOST in outcomes
+        loop.cancel()
+
+    run_virtual(main())
+
+
 def test_loss_of_leadership_ends_the_loop() -> None:
     """A concurrent commit that fails must end the loop, like one that the loop waits for."""
 
