Report the listed ends of a worker that has ended

What callers saw: tasks whose ends the agent had seen, but that control could not store yet, were started again when their worker ended. They also counted as tasks under which a worker had crashed, so they started alone on a worker.

Cause: an agent that drops its worker drops the table with the listed ends, and control records `lost` or `crashed` for every run that no call accounts for.

Change: the call that tells of a worker's end carries the ends that it had listed and that are not known to be committed, also to a new leader. Control proposes them and records no loss for runs whose ends are reported and not stored yet (`unstored_ends`). A leader that fails between its reply and the commit still loses them.

--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -6,6 +6,7 @@
 import structlog
 
 from cicadatray.internal.agent.tasks import sync_timing
+from cicadatray.internal.agent.tasks.ended_worker import EndedWorker
 from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
 from cicadatray.internal.agent.tasks.leader_term import read_leader_term
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
@@ -43,8 +44,7 @@
         "answers",
         "changed",
         "control",
-        "ended_worker_cause",
-        "ended_worker_id",
+        "ended_worker",
         "executor",
         "former_workers",
         "incarnation",
@@ -90,8 +90,7 @@
         self.unlisted_ends = RepeatedEvent("worker may have unlisted ends")
         self.without_orders = RepeatedEvent("control gave no orders")
         self.former_workers: set[str] = set()
-        self.ended_worker_id = ""  # empty once control has replied to the report of its end
-        self.ended_worker_cause = WorkerEnd.CRASHED
+        self.ended_worker: EndedWorker | None = None  # until control has replied to its report
         self.term = 0
         self.sequence = 0
         self.answered_sequence = 0  # replies to calls up to this number are ignored
@@ -204,8 +203,8 @@
     def drop_worker(self, cause: WorkerEnd) -> None:
         """Stops driving the current worker, which has ended, and reports its end to control."""
         if self.offer is not None:
-            self.ended_worker_id = self.offer.worker_id
-            self.ended_worker_cause = cause
+            ends = self.table.reported_ends()
+            self.ended_worker = EndedWorker(self.offer.worker_id, cause, ends)
         executor, self.executor = self.executor, None
         self.offer, self.port = None, None
         self.table = RunTable(self.refuted_clears)
@@ -222,11 +221,11 @@
 
     async def _sync_loop(self) -> None:
         while True:
-            if self.offer is None and not self.ended_worker_id:
+            if self.offer is None and self.ended_worker is None:
                 await self.changed.wait()
             await asyncio.sleep(sync_timing.BATCH_DELAY_S)
             self.changed.clear()
-            if self.offer is None and not self.ended_worker_id:
+            if self.offer is None and self.ended_worker is None:
                 continue
             self.sequence += 1
             sync = asyncio.create_task(self._sync(self.sequence, self.offer))
@@ -237,14 +236,15 @@
             change.cancel()
 
     async def _sync(self, sequence: int, offer: WorkerOffer | None) -> None:
-        port, ended_worker_id = self.port, self.ended_worker_id
+        port, ended = self.port, self.ended_worker
         call = SyncWorker(
             agent_id=self.agent_id,
             agent_incarnation=self.incarnation,
             sequence=sequence,
             offer=offer,
-            ended_worker_id=ended_worker_id,
-            ended_worker_cause=self.ended_worker_cause,
+            ended_worker_id=ended.worker_id if ended else "",
+            ended_worker_cause=ended.cause if ended else WorkerEnd.CRASHED,
+            ended_worker_ends=ended.ends if ended else (),
             is_worker_reachable=self.is_worker_reachable,
             runs=tuple(entry.report() for entry in self.table.runs.values()),
             ends=self.table.reported_ends(),
@@ -264,8 +264,8 @@
             self.is_control_answering = False
             await asyncio.sleep(sync_timing.RETRY_S)
             return
-        if ended_worker_id == self.ended_worker_id:
-            self.ended_worker_id = ""
+        if self.ended_worker is ended:
+            self.ended_worker = None
         if port is not None and self.port is port and sequence > self.answered_sequence:
             await self._take_reply(sequence, reply, worker_asked_s, asked_s)
 
--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -67,10 +67,7 @@
         session.wake.set()
 
     def apply_committed(self, ends: list[PlacedEnd]) -> None:
-        """Updates the session, metrics and log for ends that are durable.
-
-        A run of a lost worker may be among them twice, first with the end that its agent reported.
-        """
+        """Updates the session, metrics and log for ends that are durable."""
         self.session.apply_committed_ends(ends)
         for placed in ends:
             self.ended_runs.increment(outcome=placed.end.outcome.value)
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -9,6 +9,7 @@
 from cicadatray.internal.control.graphs.agent_incarnations import AgentIncarnations
 from cicadatray.internal.control.graphs.evacuated_runs import revoke_unstarted
 from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
+from cicadatray.internal.control.graphs.former_workers import end_replaced_workers, last_ends
 from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
 from cicadatray.internal.control.graphs.relay_directory import RelayDirectory
@@ -46,8 +47,9 @@
     stopped to free capacity, and `displacing_graphs` holds, for each waiting graph for which
     that was done, since when. `replaced_workers` belonged to an earlier leader's term and have been
     replaced by another worker of the same agent. `rule_memory` is what the scheduling rules keep
-    between rounds. `new_ends` are reported ends that are not proposed yet. `pending_evacuations`
-    counts the orders by data centre that may not be committed yet. `wake` starts the next round.
+    between rounds. `new_ends` are reported ends that are not proposed yet, and `unstored_ends` the
+    runs of all reported ends that are not durable yet. `pending_evacuations` counts the orders by
+    data centre that may not be committed yet. `wake` starts the next round.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "speed_observer",
         "start_limits",
         "statistics",
+        "unstored_ends",
         "wake",
         "workers",
     )
@@ -94,6 +97,7 @@
         self.workers: dict[str, WorkerSession] = {}
         self.agent_incarnations = AgentIncarnations()
         self.new_ends: list[PlacedEnd] = []
+        self.unstored_ends: set[TaskRun] = set()
         self.ends_arrived = asyncio.Event()
         self.ordered_runs: dict[str, dict[TaskRun, float]] = {}
         self.relays = RelayDirectory()
@@ -141,6 +145,7 @@
         if not self.agent_incarnations.accept_call(call, self.now_s()):
             return None
         if call.ended_worker_id:
+            self._add_ends(last_ends(self, call))
             self._end_worker(call.agent_id, call.ended_worker_id, call.ended_worker_cause)
         if call.offer is None:
             return None
@@ -148,7 +153,7 @@
         now_s = self.now_s()
         for former_id in [w for w in self.workers if w != worker_id]:
             self._end_worker(call.agent_id, former_id, WorkerEnd.CRASHED)
-        self._end_replaced_workers(call.agent_id, worker_id)
+        end_replaced_workers(self, call.agent_id, worker_id)
         self.admission.capacity.record(call.agent_id, call.offer, now_s)
         worker = self.workers.get(worker_id)
         if worker is None:
@@ -168,9 +173,7 @@
         ends = worker.update(call, now_s)
         if self.speed_observer is not None:
             self.speed_observer.observe(worker, ends, now_s)
-        if ends:
-            self.new_ends += ends
-            self.ends_arrived.set()
+        self._add_ends(ends)
         self.wake.set()
         return worker
 
@@ -220,6 +223,7 @@
         for placed in ends:
             by_worker.setdefault(placed.worker_id, []).append(placed)
             self.revoked_runs.discard(placed.end.run)
+            self.unstored_ends.discard(placed.end.run)
             self.ordered_runs.get(placed.worker_id, {}).pop(placed.end.run, None)
         for worker_id, worker_ends in by_worker.items():
             worker = self.workers.get(worker_id)
@@ -253,6 +257,12 @@
         for worker in self.workers.values():
             worker.wake.set()
 
+    def _add_ends(self, ends: list[PlacedEnd]) -> None:
+        if ends:
+            self.new_ends += ends
+            self.unstored_ends.update(placed.end.run for placed in ends)
+            self.ends_arrived.set()
+
     def _has_successor(self, worker_id: str) -> bool:
         """Returns whether this is a former worker, in a delayed call of a killed agent process."""
         if worker_id in self.workers:
@@ -274,19 +284,6 @@
         log.info("worker ended", worker=worker_id, agent=agent_id, cause=cause.value)
         self.wake.set()
 
-    def _end_replaced_workers(self, agent_id: str, worker_id: str) -> None:
-        """Marks workers on which an earlier leader ordered runs and which the agent replaced."""
-        agents = self.leader.state.graphs.agents
-        for former_id in self.ordered_runs:
-            has_not_called = former_id != worker_id and former_id not in self.workers
-            if (
-                has_not_called
-                and agents.get(former_id) == agent_id
-                and former_id not in self.replaced_workers
-            ):
-                self.replaced_workers.add(former_id)
-                log.info("worker ended", worker=former_id, agent=agent_id, successor=worker_id)
-
     def _make_order(self, run: TaskRun) -> RunOrder:
         graph = self.graphs[run.task.graph_id]
         progress = graph.tasks[run.task.key]
--- a/src/cicadatray/internal/control/graphs/lost_runs.py
+++ b/src/cicadatray/internal/control/graphs/lost_runs.py
@@ -12,10 +12,15 @@
 
 
 def lost_run_ends(session: GraphSession, worker_id: str) -> list[PlacedEnd]:
-    """Returns an end for every run that may exist on a worker that has ended."""
+    """Returns an end for every run that may exist on a worker that has ended.
+
+    Those are left out whose ends the agent has reported, as these are proposed already.
+    """
     worker = session.workers.get(worker_id)
     ends = []
     for run in session.ordered_runs.get(worker_id, {}):
+        if run in session.unstored_ends:
+            continue
         report = worker.reports.get(run) if worker else None
         outcome = _outcome(worker, report)
         checkpoint = report.checkpoint if report else ""
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -101,9 +101,13 @@
         self.first_percent = {
             run: self.first_percent.get(run, self.reports[run].percent) for run in self.first_seen_s
         }
+        return self.receive_ends(call.ends, now_s)
+
+    def receive_ends(self, reported: tuple[RunEnd, ...], now_s: float) -> list[PlacedEnd]:
+        """Records all ends that the agent reports; returns those that were not received before."""
         ends: list[PlacedEnd] = []
         cleared: set[TaskRun] = set()
-        for end in call.ends:
+        for end in reported:
             if end.number == 0:
                 cleared.add(end.run)
                 if end.run not in self.received_clears:
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -128,8 +128,9 @@
     orders, and otherwise after `wait_s`. `agent_incarnation` is drawn when the agent starts and
     `sequence` rises with its calls, so that a call that was overtaken is recognised.
     `ended_worker_id` names a worker of this agent that has certainly ended with all its runs, for
-    the cause `ended_worker_cause`. `is_worker_reachable` is False while the offered worker refuses
-    connections.
+    the cause `ended_worker_cause`; `ended_worker_ends` are the ends that it had listed and that the
+    agent does not know to be committed. `is_worker_reachable` is False while the offered worker
+    refuses connections.
     """
 
     agent_id: str
@@ -142,6 +143,7 @@
     wait_s: float = 0.0
     ended_worker_cause: WorkerEnd = WorkerEnd.CRASHED
     is_worker_reachable: bool = True
+    ended_worker_ends: tuple[RunEnd, ...] = ()
 
 
 class RunOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/cover/taskgraphs/test_unlisted_ends.py
+++ b/tests/cover/taskgraphs/test_unlisted_ends.py
@@ -9,6 +9,7 @@
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.step import Step
 from cover.taskgraphs.graph_simulation import ELECTION_S, GraphSimulation
+from cover.taskgraphs.simulated_task_worker import ENDS_PER_ANSWER as ALL_ENDS
 
 ENDS_PER_ANSWER = 10
 # The last list is full, so it may lack an end, although all of them are listed.
@@ -150,6 +151,28 @@
     assert (line["outcome"], line["attempts"], line["runs"]) == ("on_time", 2, TASKS + 1)
 
 
+@pytest.mark.parametrize("is_leader_changed", [False, True])
+def test_listed_ends_of_a_replaced_worker_are_stored(
+    simulation: GraphSimulation, lines: list[Any], is_leader_changed: bool
+) -> None:
+    """Guards against repeating tasks, and blaming them for a crash, that are known to be done.
+
+    The worker started again before control could store the ends that its agent had seen.
+    """
+    (worker,) = simulation.workers
+    worker.ends_per_answer = ALL_ENDS
+    cut(simulation)
+    worker.restart()
+    simulation.advance(1.0)
+    if is_leader_changed:
+        simulation.change_leader()
+    simulation.heal()
+    simulation.advance(2 * TASK_S)
+    (line,) = [line for line in lines if line["event"] == "graph ended"]
+    assert (line["attempts"], line["runs"], line["crashed"]) == (1, TASKS, 0)
+    assert not [line for line in lines if line["event"] == "run lost with its worker"]
+
+
 def test_partial_answers_are_logged_and_counted(
     simulation: GraphSimulation, lines: list[Any]
 ) -> None:
