--- a/tests/cover/taskgraphs/graph_machine.py
+++ b/tests/cover/taskgraphs/graph_machine.py
@@ -3,7 +3,6 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
-from cicadatray.internal.wire.messages.graph_messages import GraphState
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.step import Step
 from cover.taskgraphs.graph_simulation import GraphSimulation
@@ -161,13 +160,7 @@
                 self.simulation.take_all_back()
                 deadly_s = DEADLY_STEPS * (self.simulation.task_duration_s + TRIAL_S)
                 self.simulation.advance(SETTLE_S + self.deadly * deadly_s)
-                states = {g: self.simulation.state_of(g) for g in self.simulation.graphs}
-                open_graphs = {
-                    graph_id: state.state
-                    for graph_id, state in states.items()
-                    if isinstance(state, GraphState) and state.state in ("queued", "running")
-                }
-                assert not open_graphs, open_graphs
+                assert not self.simulation.open_graphs()
                 assert self.simulation.most_crashes_under_a_task() <= MOST_CRASHES
         finally:
             self.simulation.close()
--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -251,6 +251,15 @@
         call = ReadGraph(target=self.graphs[graph_id].target)
         return self.loop.run_until_complete(self.leader.answer(call))
 
+    def open_graphs(self) -> dict[str, str]:
+        """Returns the states of the graphs that have not ended."""
+        states = {graph_id: self.state_of(graph_id) for graph_id in self.graphs}
+        return {
+            graph_id: state.state
+            for graph_id, state in states.items()
+            if isinstance(state, GraphState) and state.state in ("queued", "running")
+        }
+
     def metrics_text(self) -> str:
         """Returns the metrics of the leader."""
         registry = MetricsRegistry()
--- a/tests/cover/taskgraphs/unlisted_ends_machine.py
+++ b/tests/cover/taskgraphs/unlisted_ends_machine.py
@@ -3,7 +3,6 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
-from cicadatray.internal.wire.messages.graph_messages import GraphState
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.step import Step
 from cover.taskgraphs.graph_machine import TRIAL_S
@@ -129,13 +128,7 @@
                 self.simulation.heal()
                 alone_s = TASKS_ON_A_WORKER * (self.simulation.task_duration_s + TRIAL_S)
                 self.simulation.advance(SETTLE_S + self.worker_restarts * alone_s)
-                states = {g: self.simulation.state_of(g) for g in self.simulation.graphs}
-                open_graphs = {
-                    graph_id: state.state
-                    for graph_id, state in states.items()
-                    if isinstance(state, GraphState) and state.state in ("queued", "running")
-                }
-                assert not open_graphs, open_graphs
+                assert not self.simulation.open_graphs()
                 for worker in self.simulation.workers:
                     assert not worker.ended or worker.noted_number == worker.ended[-1].number
         finally:
