Simulation: judge an evacuation by the committed state, not by the order of replies

Cause, by a trace of commits and confirmations: a withdrawal and two evacuations wait for a frozen leader. It commits the evacuations and then the withdrawal, all at 19.912 s, so the data centre is in use again. The reply to the withdrawal comes first, so no withdrawal was in progress when the simulation saw the evacuations confirmed, and it went on to forbid starts there. The product acted rightly.

Change: a confirmed evacuation is checked if the committed state has it. A confirmed one that is not in force is a violation now, unless a withdrawal was in progress or requested meanwhile. The check is as strict as before for evacuations in force, and it did not see lost ones before.

--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -108,8 +108,9 @@
     """Runs control, agents and workers on virtual time and records violated invariants.
 
     `task_duration_s` is how long a task works once it, or its whole gang, runs. `evacuated_s` holds
-    when the evacuation of each data centre was confirmed, until its withdrawal is requested, and
-    `withdrawing` how many withdrawals of each are in progress.
+    when the evacuation of each data centre was confirmed, until its withdrawal is requested,
+    `withdrawals` how many withdrawals of each were requested, and `withdrawing` how many of these
+    are in progress.
     """
 
     def __init__(self, seed: int, size: int, ends_per_answer: int = ENDS_PER_ANSWER) -> None:
@@ -128,6 +129,7 @@
         self.running: dict[TaskId, set[tuple[str, TaskRun]]] = {}
         self.cancelled_s: dict[str, float] = {}
         self.evacuated_s: dict[str, float] = {}
+        self.withdrawals: Counter[str] = Counter()
         self.withdrawing: Counter[str] = Counter()
         self.graphs: dict[str, SubmitGraph] = {}
         self.layer = LinkLayer(random.Random(seed))
@@ -213,11 +215,18 @@
         """Orders an evacuation as an operator; only a confirmed one must take effect."""
         leader = self.leader
         call = OrderEvacuation(data_centre=data_centre, is_evacuated=True)
+        earlier_withdrawals = self.withdrawals[data_centre]
+        is_contested = self.withdrawing[data_centre] > 0
 
         async def run() -> None:
             reply = await leader.answer(call)
-            # An order that overtook a withdrawal may be withdrawn after its confirmation.
-            if isinstance(reply, EvacuationsReply) and not self.withdrawing[data_centre]:
+            if not isinstance(reply, EvacuationsReply):
+                return
+            # A withdrawal in progress may be committed before the confirmation or after it.
+            if data_centre not in self.log.state.evacuations.active:
+                if not is_contested and self.withdrawals[data_centre] == earlier_withdrawals:
+                    self.violations.append(f"{data_centre} is confirmed, but not evacuated")
+            elif not self.withdrawing[data_centre]:
                 self.evacuated_s.setdefault(data_centre, self.loop.time())
 
         self._in_loop(lambda: self.layer.spawn(leader.process, run))
@@ -227,6 +236,7 @@
         leader = self.leader
         call = OrderEvacuation(data_centre=data_centre, is_evacuated=False)
         self.evacuated_s.pop(data_centre, None)
+        self.withdrawals[data_centre] += 1
         self.withdrawing[data_centre] += 1
 
         async def run() -> None:
