Record the loss of a run whose end another worker reports

An end of a run that another worker listed would have kept the leader from recording its loss, and nothing else ends a run whose worker is gone.

Change: the set names the worker and the run.

Result: test_loss_is_recorded_unless_the_worker_itself_reported_the_end fails without the change in the row w-2 and passes with it.

--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -48,8 +48,8 @@
     that was done, since when. `replaced_workers` belonged to an earlier leader's term and have been
     replaced by another worker of the same agent. `rule_memory` is what the scheduling rules keep
     between rounds. `new_ends` are reported ends that are not proposed yet, and `unstored_ends` the
-    runs of all reported ends that are not durable yet. `pending_evacuations` counts the orders by
-    data centre that may not be committed yet. `wake` starts the next round.
+    workers and runs of all reported ends that are not durable yet. `pending_evacuations` counts the
+    orders by data centre that may not be committed yet. `wake` starts the next round.
     """
 
     __slots__ = (
@@ -97,7 +97,7 @@
         self.workers: dict[str, WorkerSession] = {}
         self.agent_incarnations = AgentIncarnations()
         self.new_ends: list[PlacedEnd] = []
-        self.unstored_ends: set[TaskRun] = set()
+        self.unstored_ends: set[tuple[str, TaskRun]] = set()
         self.ends_arrived = asyncio.Event()
         self.ordered_runs: dict[str, dict[TaskRun, float]] = {}
         self.relays = RelayDirectory()
@@ -223,7 +223,7 @@
         for placed in ends:
             by_worker.setdefault(placed.worker_id, []).append(placed)
             self.revoked_runs.discard(placed.end.run)
-            self.unstored_ends.discard(placed.end.run)
+            self.unstored_ends.discard((placed.worker_id, placed.end.run))
             self.ordered_runs.get(placed.worker_id, {}).pop(placed.end.run, None)
         for worker_id, worker_ends in by_worker.items():
             worker = self.workers.get(worker_id)
@@ -260,7 +260,7 @@
     def _add_ends(self, ends: list[PlacedEnd]) -> None:
         if ends:
             self.new_ends += ends
-            self.unstored_ends.update(placed.end.run for placed in ends)
+            self.unstored_ends.update((placed.worker_id, placed.end.run) for placed in ends)
             self.ends_arrived.set()
 
     def _has_successor(self, worker_id: str) -> bool:
--- a/src/cicadatray/internal/control/graphs/lost_runs.py
+++ b/src/cicadatray/internal/control/graphs/lost_runs.py
@@ -19,7 +19,7 @@
     worker = session.workers.get(worker_id)
     ends = []
     for run in session.ordered_runs.get(worker_id, {}):
-        if run in session.unstored_ends:
+        if (worker_id, run) in session.unstored_ends:
             continue
         report = worker.reports.get(run) if worker else None
         outcome = _outcome(worker, report)
--- a/tests/cover/taskgraphs/test_graph_session.py
+++ b/tests/cover/taskgraphs/test_graph_session.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
@@ -72,6 +73,28 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("reporter", ["w-1", "w-2"])
+def test_loss_is_recorded_unless_the_worker_itself_reported_the_end(reporter: str) -> None:
+    """Guards against a run without any end, because another worker lists an end of it.
+
+    Nothing else would end the run once its worker is gone.
+    """
+
+    async def main() -> None:
+        session, _ = make_session()
+        session.handle_sync(call(runs=reports(0, 1)))
+        offer = msgspec.structs.replace(call().offer, worker_id=reporter)
+        ends = (RunEnd(RUN, RunOutcome.DONE, 1),)
+        agent_id = {"w-1": "a", "w-2": "b"}[reporter]
+        session.handle_sync(SyncWorker(agent_id, "one", 2, offer, ends=ends))
+        lost = [placed.end.run for placed in lost_run_ends(session, "w-1")]
+        assert (RUN in lost) is (reporter == "w-2")
+        session.apply_committed_ends(session.new_ends)
+        assert not session.unstored_ends
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("field", ["is_cancelled", "failure"])
 def test_runs_of_an_ended_graph_are_stopped(field: str) -> None:
     """Runs must not continue after their graph was cancelled or has failed."""
