Name the version, the term and the leader that decided each call

Change: each reply of control that the queue configuration decides carries a Decision (version, term, member). Entries and control instances log it with refusals, confirmations and reads, and add the header Configuration-Decision. 'leading' names the version that a new leader holds; documents are named by a digest. Gauges of the applied version and the term, a counter of the answers to operators. A reply that an older version decided than one that the process had received before the call is logged as an error, counted, and not passed on when it is a refusal or a read.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -31,8 +31,13 @@
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
+from cicadatray.internal.observability.graph_metrics import queues_version
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
-from cicadatray.internal.observability.standard_metrics import fragmentation_ratio, lost_disks_borne
+from cicadatray.internal.observability.standard_metrics import (
+    fragmentation_ratio,
+    lost_disks_borne,
+    replica_term,
+)
 from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.wire.control_client import ControlClient
@@ -116,6 +121,8 @@
         register_coverage_gauge(self.metrics, lambda: self.graph_session)
         register_speed_gauge(self.metrics, lambda: self.graph_session)
         lost_disks_borne(self.metrics).read_from(self._tolerated_disk_losses)
+        queues_version(self.metrics).read_from(lambda: self.state.graphs.queues.version)
+        replica_term(self.metrics).read_from(self._term)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
         self.graph_session: GraphSession | None = None
@@ -196,6 +203,10 @@
     def _fragmentation(self) -> float:
         return current_fragmentation(self.session) if self.session is not None else math.nan
 
+    def _term(self) -> float:
+        core = self.replica.core_or_none
+        return core.term if core is not None else math.nan
+
     def _tolerated_disk_losses(self) -> float:
         core = self.replica.core_or_none
         if core is None or core.leadership is None:
@@ -228,7 +239,12 @@
                 self.scheduling_loop = None
 
     async def _lead(self) -> None:
-        log.info("leading", term=self.replica.term)
+        log.info(
+            "leading",
+            term=self.replica.term,
+            applied_index=self.replica.applied_index,
+            queues_version=self.state.graphs.queues.version,
+        )
         self.session = LeaderSession(
             self.state, self.replica, self.links, self.replica.term, self.metrics
         )
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
 import structlog
 
 from cicadatray.internal.control.graphs import graph_codes
@@ -14,8 +15,10 @@
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.handler_registry import register_handler
 from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.internal.observability.document_digest import digest_document
 from cicadatray.internal.observability.graph_metrics import graphs_accepted
 from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.decision import Decision
 from cicadatray.internal.wire.messages.directory_messages import NotLeader
 from cicadatray.internal.wire.messages.graph_messages import (
     AcceptGraph,
@@ -58,6 +61,11 @@
         self.graph_id = graph_id
 
 
+def _decide(daemon: "ControlDaemon", session: LeaderSession) -> Decision:
+    """Returns which configuration decides a call that is handled now."""
+    return Decision(session.state.graphs.queues.version, session.term, daemon.settings.name)
+
+
 def _resolve(session: LeaderSession, target: QueueTarget) -> "_ResolvedTarget | Failure":
     """Resolves a target with the configuration that this leader has applied."""
     queues = session.state.graphs.queues
@@ -114,6 +122,15 @@
 async def submit_graph(daemon: "ControlDaemon", call: SubmitGraph) -> MessageStruct:
     """Stores a graph and replies once it is durable; does not replace an existing graph."""
     session = await daemon.require_leader_session()
+    # Taken before anything is awaited: a later configuration has not decided this call.
+    decision = _decide(daemon, session)
+    reply = await _submit_graph(daemon, session, call, decision)
+    return msgspec.structs.replace(reply, decision=decision)
+
+
+async def _submit_graph(
+    daemon: "ControlDaemon", session: LeaderSession, call: SubmitGraph, decision: Decision
+) -> MessageStruct:
     resolved = _resolve(session, call.target)
     if isinstance(resolved, Failure):
         return resolved
@@ -139,20 +156,21 @@
     reply = await session.propose(AcceptGraph(graph=graph, now_s=graph_session.wall_s()))
     admission.pending_graphs.discard(graph_id)
     # The graph is durable now, so the call must be confirmed even if the session has ended.
-    _log_accepted(graph_session, graph)
+    _log_accepted(graph_session, graph, decision)
     graphs_accepted(daemon.metrics).increment(queue=resolved.queue.policy.queue)
     graph_session.statistics.track(graph_id)
     graph_session.wake.set()
     return reply
 
 
-def _log_accepted(session: GraphSession, graph: TaskGraph) -> None:
+def _log_accepted(session: GraphSession, graph: TaskGraph, decision: Decision) -> None:
     log.info(
         "graph accepted",
         graph=graph.graph_id,
         queue=graph.policy.queue,
         account=graph.client_account,
-        configuration=session.leader.state.graphs.queues.version,
+        configuration=decision.version,
+        term=decision.term,
         priority=graph.policy.priority,
         tasks=[step.count for step in graph.steps],
         accelerators=[step.needs.accelerators for step in graph.steps],
@@ -165,6 +183,14 @@
 async def cancel_graph(daemon: "ControlDaemon", call: CancelGraph) -> MessageStruct:
     """Cancels a graph and stops its runs."""
     session = await daemon.require_leader_session()
+    decision = _decide(daemon, session)
+    reply = await _cancel_graph(daemon, session, call)
+    return msgspec.structs.replace(reply, decision=decision)
+
+
+async def _cancel_graph(
+    daemon: "ControlDaemon", session: LeaderSession, call: CancelGraph
+) -> MessageStruct:
     resolved = _resolve(session, call.target)
     if isinstance(resolved, Failure):
         return resolved
@@ -187,6 +213,12 @@
 async def read_graph(daemon: "ControlDaemon", call: ReadGraph) -> MessageStruct:
     """Returns the state of a graph, or of the queue when the path names no graph."""
     session = await daemon.require_leader_session()
+    decision = _decide(daemon, session)
+    reply = _read_graph(session, call)
+    return msgspec.structs.replace(reply, decision=decision)
+
+
+def _read_graph(session: LeaderSession, call: ReadGraph) -> MessageStruct:
     resolved = _resolve(session, call.target)
     if isinstance(resolved, Failure):
         return resolved
@@ -209,12 +241,18 @@
 async def set_queues(daemon: "ControlDaemon", call: SetQueues) -> MessageStruct:
     """Stores a queue configuration, unless the current one has the same or a higher version."""
     session = await daemon.require_leader_session()
-    before = session.state.graphs.queues.version
-    if call.configuration.version <= before:
-        return QueuesReply(version=before)
+    decision = _decide(daemon, session)
+    if call.configuration.version <= decision.version:
+        return QueuesReply(version=decision.version, decision=decision)
     reply = await session.propose(call)
-    log.info("queues changed", before=before, version=call.configuration.version)
-    return reply
+    log.info(
+        "queues changed",
+        before=decision.version,
+        version=call.configuration.version,
+        term=decision.term,
+        digest=digest_document(call.source),
+    )
+    return msgspec.structs.replace(reply, decision=decision)
 
 
 @register_handler(ReadQueues)
@@ -222,7 +260,9 @@
     """Returns the newest queue configuration."""
     session = await daemon.require_leader_session()
     store = session.state.graphs
-    return QueuesReply(version=store.queues.version, source=store.source)
+    return QueuesReply(
+        version=store.queues.version, source=store.source, decision=_decide(daemon, session)
+    )
 
 
 @register_handler(SyncWorker)
--- a/src/cicadatray/internal/observability/graph_metrics.py
+++ b/src/cicadatray/internal/observability/graph_metrics.py
@@ -15,6 +15,32 @@
     )
 
 
+def queues_version(registry: MetricsRegistry) -> Gauge:
+    """Returns the gauge of the version of the queue configuration that this replica has applied."""
+    return registry.gauge(
+        "cicadatray_queues_version", "Version of the queue configuration that is applied here."
+    )
+
+
+def configuration_answers(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of answers to operators; label `answer`.
+
+    It is `confirmed`, `overtaken` (confirmed, with a higher version in force), `refused`,
+    `in_doubt`, `read`, or `unreadable`.
+    """
+    return registry.counter(
+        "cicadatray_configuration_answers_total", "Answers to operators.", ("answer",)
+    )
+
+
+def older_decisions(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of replies decided by an older version than an earlier reply was."""
+    return registry.counter(
+        "cicadatray_older_decisions_total",
+        "Replies of control decided by an older configuration than an earlier reply.",
+    )
+
+
 def graphs_accepted(registry: MetricsRegistry) -> Counter:
     """Returns the counter of graphs accepted by this leader; label `queue`."""
     return registry.counter("cicadatray_graphs_accepted_total", "Graphs accepted.", ("queue",))
--- a/src/cicadatray/internal/observability/standard_metrics.py
+++ b/src/cicadatray/internal/observability/standard_metrics.py
@@ -78,3 +78,8 @@
         "cicadatray_lost_disks_borne",
         "Disks of control that may be lost at once without losing what was acknowledged.",
     )
+
+
+def replica_term(registry: MetricsRegistry) -> Gauge:
+    """Returns the gauge of the term that this replica has adopted."""
+    return registry.gauge("cicadatray_replica_term", "Term of the control group.")
--- a/src/cicadatray/internal/wire/message.py
+++ b/src/cicadatray/internal/wire/message.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from cicadatray.internal.wire.messages.decision import Decision
+
 # The command may have been committed; it is safe to resend it.
 IN_DOUBT_CODE = "in_doubt"
 
@@ -18,8 +20,10 @@
     """The peer refused a call.
 
     `code` is stable and machine-readable; `retry_after_s` is zero when a retry cannot succeed.
+    `decision` is set if the queue configuration decided the call.
     """
 
     code: str
     detail: str
     retry_after_s: float = 0.0
+    decision: Decision | None = None
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.messages.decision import Decision
 from cicadatray.internal.wire.messages.queue_configuration import QueueConfiguration
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
@@ -49,12 +50,14 @@
 
     graph_id: str
     state: str
+    decision: Decision | None = None
 
 
 class QueueState(MessageStruct, frozen=True):
     """The backlog of a queue: `waiting` counts its accepted graphs without a started task."""
 
     waiting: int
+    decision: Decision | None = None
 
 
 class SetQueues(MessageStruct, frozen=True):
@@ -73,6 +76,7 @@
 
     version: int
     source: bytes = b""
+    decision: Decision | None = None
 
 
 class RunReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -14,6 +14,7 @@
 from cicadatray.internal.observability.graph_metrics import client_call_seconds
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.decision_watch import DecisionWatch, decision_fields
 from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.message import Failure, MessageStruct
@@ -27,6 +28,7 @@
 )
 from cicadatray.internal.wire.rpc_server import INTERNAL_ERROR_CODE
 from cicadatray.platform.configuration_document import digest_credential
+from cicadatray.platform.decision_header import add_decision
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.fields import MS_PER_S
 from cicadatray.platform.job_document import decode_job
@@ -61,7 +63,7 @@
 class ClientApi:
     """An ASGI application for all paths; control resolves host and path to a queue."""
 
-    __slots__ = ("body_limit_bytes", "call_seconds", "control", "probe")
+    __slots__ = ("body_limit_bytes", "call_seconds", "control", "decisions", "probe")
 
     def __init__(
         self,
@@ -71,6 +73,7 @@
         metrics: MetricsRegistry,
     ) -> None:
         self.call_seconds = client_call_seconds(metrics)
+        self.decisions = DecisionWatch(metrics)
         self.control = control
         self.probe = probe
         self.body_limit_bytes = body_limit_bytes
@@ -99,6 +102,7 @@
         if not self.probe.has_recent_leader_reply():
             log.warning("control unavailable", method=request.method, path=request.url.path)
             return _error(503, "there is currently no control leader")
+        known = self.decisions.latest
         try:
             reply = await self._call(call, _call_timeout_s(request.headers))
         except ControlUnavailableError as error:
@@ -109,15 +113,20 @@
             # The handler may have failed after its command was committed.
             return self._unavailable(request, ControlUnavailableError(f"control: {reply.detail}"))
         response = _render(reply)
+        if self.decisions.is_older(reply, known) and 400 <= response.status_code < 500:
+            # A refusal by an older configuration is not final.
+            response = _error(503, "the newest configuration could not be determined")
         if response.status_code >= 400:
             log.info(
                 "request refused",
                 method=request.method,
+                host=request.headers.get("host", ""),
                 path=request.url.path,
                 status=response.status_code,
-                reason=str(reply),
+                reason=reply.detail if isinstance(reply, Failure) else str(reply),
+                **decision_fields(reply),
             )
-        return response
+        return add_decision(response, reply)
 
     async def _call(self, call: MessageStruct, timeout_s: float) -> MessageStruct:
         """Calls control, and gives up early if no leader received the call.
--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -74,7 +74,7 @@
         self.announcer = SeedAnnouncer(
             self.client, own.name, seeds, self._stored_members, self._stored_rendezvous
         )
-        self.operator_api = OperatorApi(self.client, settings.data_centres)
+        self.operator_api = OperatorApi(self.client, settings.data_centres, self.metrics)
         self.server = HttpServer(self.operator_api.application(), address.host, address.port)
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/src/cicadatray/platform/operator_api.py
+++ b/src/cicadatray/platform/operator_api.py
@@ -7,13 +7,19 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from cicadatray.internal.observability.document_digest import digest_document
+from cicadatray.internal.observability.graph_metrics import configuration_answers
+from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.decision_watch import DecisionWatch, decision_fields
+from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.evacuation_messages import (
     EvacuationsReply,
     OrderEvacuation,
 )
 from cicadatray.internal.wire.messages.graph_messages import QueuesReply, ReadQueues, SetQueues
 from cicadatray.platform.configuration_document import decode_configuration
+from cicadatray.platform.decision_header import add_decision
 from cicadatray.platform.errors import DocumentError
 
 JSON_TYPE = "application/json"
@@ -30,11 +36,19 @@
     `data_centres` names the data centres that may be evacuated; if it is empty, all may.
     """
 
-    __slots__ = ("control", "data_centres")
+    __slots__ = ("answers", "control", "data_centres", "decisions")
 
-    def __init__(self, control: ControlClient, data_centres: frozenset[str] = frozenset()) -> None:
+    def __init__(
+        self,
+        control: ControlClient,
+        data_centres: frozenset[str] = frozenset(),
+        metrics: MetricsRegistry | None = None,
+    ) -> None:
         self.control = control
         self.data_centres = data_centres
+        registry = metrics or MetricsRegistry()
+        self.answers = configuration_answers(registry)
+        self.decisions = DecisionWatch(registry)
 
     def application(self) -> Starlette:
         """Returns the application with all routes."""
@@ -53,31 +67,64 @@
         try:
             configuration = decode_configuration(body)
         except DocumentError as error:
-            log.info("configuration refused", reason=str(error), bytes=len(body))
+            self.answers.increment(answer="refused")
+            log.info(
+                "configuration refused",
+                reason=str(error),
+                bytes=len(body),
+                digest=digest_document(body),
+            )
             return _error(400, str(error))
+        reason = ""
         try:
-            reply = await self.control.call(
+            reply: MessageStruct = await self.control.call(
                 SetQueues(configuration=configuration, source=body), CALL_TIMEOUT_S
             )
+            if not isinstance(reply, QueuesReply):
+                reason = str(reply)
         except ControlUnavailableError as error:
-            log.warning("configuration in doubt", version=configuration.version, reason=str(error))
+            reason = str(error)
+        if reason:
+            self.answers.increment(answer="in_doubt")
+            log.warning(
+                "configuration in doubt",
+                version=configuration.version,
+                digest=digest_document(body),
+                reason=reason,
+            )
             return _error(503, "no leader confirmed the configuration in time")
-        if not isinstance(reply, QueuesReply):
-            log.warning("configuration in doubt", version=configuration.version, reply=str(reply))
-            return _error(503, "the configuration was not confirmed")
-        log.info("configuration confirmed", version=configuration.version, in_force=reply.version)
-        return Response(b"{}", 200, media_type=JSON_TYPE)
+        assert isinstance(reply, QueuesReply)
+        is_overtaken = reply.version > configuration.version
+        self.answers.increment(answer="overtaken" if is_overtaken else "confirmed")
+        log.info(
+            "configuration confirmed",
+            version=configuration.version,
+            in_force=reply.version,
+            digest=digest_document(body),
+            **decision_fields(reply),
+        )
+        return add_decision(Response(b"{}", 200, media_type=JSON_TYPE), reply)
 
     async def read_configuration(self, request: Request) -> Response:
         """Returns the newest configuration, or 503 if it cannot be determined."""
+        known = self.decisions.latest
         try:
             reply = await self.control.call(ReadQueues(), CALL_TIMEOUT_S)
         except ControlUnavailableError as error:
+            self.answers.increment(answer="unreadable")
             log.warning("configuration not readable", reason=str(error))
             return _error(503, "no leader replied in time")
+        if self.decisions.is_older(reply, known):
+            self.answers.increment(answer="unreadable")
+            return _error(503, "the newest configuration could not be determined")
         if not isinstance(reply, QueuesReply) or not reply.version:
+            self.answers.increment(answer="unreadable")
             return _error(503, "there is no configuration yet")
-        return Response(reply.source, 200, media_type=JSON_TYPE)
+        self.answers.increment(answer="read")
+        log.info(
+            "configuration read", digest=digest_document(reply.source), **decision_fields(reply)
+        )
+        return add_decision(Response(reply.source, 200, media_type=JSON_TYPE), reply)
 
     async def evacuate(self, request: Request) -> Response:
         """Evacuates a data centre; responds 200 once the order is durable."""
--- a/tests/cover/control/gangs/fake_replica.py
+++ b/tests/cover/control/gangs/fake_replica.py
@@ -31,6 +31,11 @@
             self.applied += 1
             self.state.apply(self.applied, self.log.commands[self.applied - 1])
 
+    @property
+    def applied_index(self) -> int:
+        """The number of the last command that was applied."""
+        return self.applied
+
     def find_member(self, member_id: str) -> Member | None:
         """Returns None: simulated links address instances by name."""
         return None
--- a/tests/cover/control/gangs/simulated_control.py
+++ b/tests/cover/control/gangs/simulated_control.py
@@ -41,6 +41,7 @@
         self.name = name
         self.process = Process()
         self.settings: Any = SimpleNamespace(
+            name=name,
             bootstrap_operator_sha256="",
             longest_task_lease_s=LONGEST_TASK_LEASE_S,
             scheduling_rules=DEFAULT_RULES,
--- a/tests/cover/taskgraphs/test_graph_calls.py
+++ b/tests/cover/taskgraphs/test_graph_calls.py
@@ -14,12 +14,14 @@
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.decision import Decision
 from cicadatray.internal.wire.messages.graph_messages import (
     CancelGraph,
     GraphState,
     QueueState,
     QueueTarget,
     ReadGraph,
+    ReadQueues,
     SetQueues,
     SubmitGraph,
 )
@@ -108,6 +110,25 @@
     assert isinstance(reply, Failure) and reply.code == code
 
 
+@pytest.mark.parametrize(
+    ("call", "version"),
+    [
+        (configuration(version=1), 1),
+        (configuration(version=2), 1),
+        (ReadQueues(), 1),
+        (submit(), 1),
+        (submit(digest=STRANGER), 1),
+        (ReadGraph(target=target(f"/q/{GRAPH}")), 1),
+        (ReadGraph(target=target("/q/")), 1),
+        (CancelGraph(target=target("/none/")), 1),
+    ],
+)
+def test_replies_name_the_configuration_that_decided(call: MessageStruct, version: int) -> None:
+    """Guards against answers of which nobody can tell whether an old configuration decided them."""
+    (reply,) = ask(call)
+    assert reply.decision == Decision(version=version, term=1, member="c1")
+
+
 def test_nothing_is_accepted_before_a_configuration() -> None:
     """A missing configuration has its own code, different from that of an unknown queue."""
     (reply,) = ask(submit(), configured=False)
@@ -272,6 +293,7 @@
             require_leader_session=require_leader_session,
             require_graph_session=require_graph_session,
             metrics=leader.metrics,
+            settings=SimpleNamespace(name="c1"),
         )
         assert isinstance(await call_handlers[type(call)](daemon, call), GraphState)
 
--- a/tests/cover/taskgraphs/test_graph_refusals.py
+++ b/tests/cover/taskgraphs/test_graph_refusals.py
@@ -12,6 +12,7 @@
 from cicadatray.internal.control.graphs.known_capacity import SETTLING_S
 from cicadatray.internal.observability.graph_metrics import graphs_accepted, graphs_refused
 from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.decision import Decision
 from cicadatray.internal.wire.messages.graph_messages import (
     GraphState,
     QueueState,
@@ -37,6 +38,8 @@
 FIRST = "a1"
 GANG_OF_TWO = (Step(2, WHOLE, 1.0, is_gang=True),)
 BUSY_S = 2.5
+# The configuration of the only leader decides each call.
+DECISION = Decision(version=1, term=1, member="c1")
 
 
 class Scene:
@@ -124,7 +127,7 @@
     assert isinstance(refused, Failure) and refused.code == graph_codes.NOT_FEASIBLE
     assert refused.retry_after_s == 0.0
     assert isinstance(read, Failure) and read.code == graph_codes.GRAPH_UNKNOWN
-    assert queue == QueueState(waiting=0)
+    assert queue == QueueState(waiting=0, decision=DECISION)
     assert isinstance(accepted, GraphState) and repeated == accepted
     (line,) = [entry for entry in captured if entry["event"] == "graph refused"]
     expected = {"graph": GRAPH, "queue": "q", "account": "owner", "known_workers": 1, "tasks": [2]}
@@ -181,7 +184,10 @@
     busy_rule.append(Refusal("full", retry_after_s))
     reply = play("busy", lambda scene: scene.submit())
     assert reply == Failure(
-        code=graph_codes.NOT_NOW, detail="not accepted: full", retry_after_s=told_s
+        code=graph_codes.NOT_NOW,
+        detail="not accepted: full",
+        retry_after_s=told_s,
+        decision=DECISION,
     )
 
 
