--- a/build.sh
+++ b/build.sh
@@ -50,6 +50,7 @@
   experiment) setup; run -m cicadatray.internal.bench.experiment "$@" ;;
   capacity) setup; run -m cicadatray.internal.bench.capacity "$@" ;;
   faults) setup; run -m cicadatray.internal.bench.faults "$@" ;;
+  soak) setup; PYTHONPATH=src:tests run -m nocover.configuration_soak.main "$@" ;;
   reference) setup; run -m cicadatray.internal.settings.reference > docs/settings.md ;;
-  *) echo "usage: ./build.sh setup|format|lint|cover|nocover|test|model|deploy|quickstart|measure|experiment|capacity|faults|reference" ;;
+  *) echo "usage: ./build.sh setup|format|lint|cover|nocover|test|model|deploy|quickstart|measure|experiment|capacity|faults|soak|reference" ;;
 esac
--- /dev/null
+++ b/tests/nocover/configuration_soak/site.py
@@ -0,0 +1,147 @@
+"""All machines of a soak, and what operators and callers know of them."""
+
+import asyncio
+import itertools
+import random
+import time
+from pathlib import Path
+
+from nocover.configuration_soak.findings import Findings
+from nocover.configuration_soak.machine import Machine
+from nocover.configuration_soak.sent_versions import SentVersions
+from nocover.configuration_soak.site_shape import SiteShape
+
+RESTART_DELAY_S = 0.3
+SUPERVISION_INTERVAL_S = 0.05
+# A program that ends within this time of a disturbance on its machine may have ended by it.
+OWN_END_SLACK_S = 1.0
+SEED_COUNT = 3
+
+
+class Site:
+    """A deployment as real processes.
+
+    `listed` are the machines that the operators' list names, which lags behind the true ones.
+    `confirmed` is set, and replaced, with each confirmation of a change; `confirming_host` is the
+    machine that sent it.
+    """
+
+    __slots__ = (
+        "checkout",
+        "confirmed",
+        "confirming_host",
+        "findings",
+        "folder",
+        "listed",
+        "machines",
+        "network",
+        "numbers",
+        "random",
+        "shape",
+        "stopping",
+        "versions",
+    )
+
+    def __init__(
+        self, shape: SiteShape, folder: Path, checkout: Path, seed: int, network: int
+    ) -> None:
+        """Creates the machines; `network` is the second part of their loopback addresses."""
+        self.shape = shape
+        self.folder = folder
+        self.checkout = checkout
+        self.network = network
+        self.random = random.Random(seed)
+        self.findings = Findings()
+        self.versions = SentVersions()
+        self.numbers = itertools.count(1)
+        self.confirmed = asyncio.Event()
+        self.confirming_host = ""
+        self.stopping = False
+        self.machines: list[Machine] = []
+        for zone, (disks, diskless) in enumerate(zip(shape.disks, shape.diskless, strict=True)):
+            for position in range(disks + diskless):
+                runs_control = position < shape.controls_per_zone
+                self.machines.append(self.add(zone, position < disks, runs_control))
+        self.listed = self.controls()
+        seeds = self.draw_seeds(lambda machine: machine.has_disk)
+        for machine in self.machines:
+            machine.seeds = seeds
+            machine.configure(is_first_start=True)
+
+    def add(self, zone: int, has_disk: bool, runs_control: bool) -> Machine:
+        """Returns a new machine at an address that was never used."""
+        return Machine(
+            host=f"127.{self.network}.{zone + 1}.{next(self.numbers)}",
+            zone=f"zone-{zone}",
+            has_disk=has_disk,
+            roles=("control", "entry") if runs_control else ("entry",),
+            folder=self.folder,
+            checkout=self.checkout,
+            shape=self.shape,
+        )
+
+    def draw_seeds(self, is_eligible=lambda machine: True) -> tuple[str, ...]:
+        """Returns the addresses of three control instances, of different zones where possible."""
+        controls = [machine for machine in self.controls() if is_eligible(machine)]
+        self.random.shuffle(controls)
+        first_of_zone = {machine.zone: machine for machine in controls}
+        chosen = list(first_of_zone.values())
+        chosen += [machine for machine in controls if machine not in chosen]
+        return tuple(machine.host for machine in chosen[:SEED_COUNT])
+
+    def controls(self) -> list[Machine]:
+        """Returns the machines that run control."""
+        return [machine for machine in self.machines if machine.runs_control]
+
+    def core(self) -> list[Machine]:
+        """Returns the machines with a disk that run control."""
+        return [machine for machine in self.machines if machine.has_disk]
+
+    def mark_disturbed(self, machines: list[Machine], for_s: float = 0.0) -> None:
+        """Records a disturbance that lasts for some time from now."""
+        until_s = time.monotonic() + for_s + OWN_END_SLACK_S
+        for machine in machines:
+            machine.disturbed_until_s = max(machine.disturbed_until_s, until_s)
+
+    async def start(self) -> None:
+        """Starts all machines within 0.3 s."""
+        for machine in self.random.sample(self.machines, len(self.machines)):
+            machine.start()
+            await asyncio.sleep(0.2 / len(self.machines))
+
+    async def supervise(self) -> None:
+        """Starts programs again that have ended, until cancelled."""
+        while True:
+            await asyncio.sleep(SUPERVISION_INTERVAL_S)
+            for machine in list(self.machines):
+                for role in machine.ended_roles():
+                    await self._restart(machine, role)
+
+    async def _restart(self, machine: Machine, role: str) -> None:
+        process = machine.processes[role]
+        code = process.returncode
+        if time.monotonic() > machine.disturbed_until_s:
+            self.findings.report("process ended", f"{role} on {machine.host} with code {code}")
+        await asyncio.sleep(RESTART_DELAY_S)
+        # The machine may have been turned off and on again meanwhile.
+        if machine.is_on and machine.processes[role] is process:
+            machine.start_role(role)
+
+    def publish_list(self) -> None:
+        """Makes the operators' list name the present machines after its lag."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.shape.seed_lag_s, self._update_list)
+
+    def _update_list(self) -> None:
+        self.listed = self.controls()
+
+    def note_confirmation(self, host: str) -> None:
+        """Wakes the disturbances that wait for a confirmation."""
+        self.confirming_host = host
+        self.confirmed.set()
+        self.confirmed = asyncio.Event()
+
+    def stop(self) -> None:
+        """Kills everything."""
+        for machine in self.machines:
+            machine.kill()
--- /dev/null
+++ b/tests/nocover/configuration_soak/site_shape.py
@@ -0,0 +1,47 @@
+"""The shapes of the deployments that a soak plays, with the bounds of their pages."""
+
+import msgspec
+
+
+class SiteShape(msgspec.Struct, frozen=True):
+    """Machines by zone, and bounds in seconds.
+
+    `disks` and `diskless` give the numbers of machines with and without a disk in each zone. Each
+    of the first `controls_per_zone` machines of a zone runs control besides an entry.
+    `lost_disks` is how many disks may be lost at once.
+    """
+
+    name: str
+    disks: tuple[int, ...]
+    diskless: tuple[int, ...]
+    lost_disks: int = 1
+    controls_per_zone: int = 2
+    seed_lag_s: float = 3.0
+    contact_s: float = 3.0
+    confirm_s: float = 4.0
+    catch_up_s: float = 4.0
+    grace_s: int = 6
+    apply_s: float = 2.0
+    recovery_s: float = 12.0
+
+
+SHAPES = {
+    shape.name: shape
+    for shape in (
+        SiteShape("affiche-sched", disks=(1, 1, 1), diskless=(1, 1, 1)),
+        SiteShape("amc-conexiones", disks=(1, 1, 1), diskless=(2, 1, 1)),
+        SiteShape(
+            "five-voters",
+            disks=(2, 2, 2),
+            diskless=(1, 1, 1),
+            lost_disks=2,
+            contact_s=4.0,
+            confirm_s=5.0,
+            catch_up_s=6.0,
+            apply_s=2.5,
+            recovery_s=15.0,
+        ),
+        # The smallest deployment with a disk to lose and a daemon without a disk.
+        SiteShape("small", disks=(1, 1, 1), diskless=(1, 0, 0)),
+    )
+}
