Refuse configurations that cannot be read in full

Documents without Routes, Services, Limits or Tenants, with null in their place, or with Limits, Kind, MaxConns, Tls and other fields of a wrong type were confirmed; calls to their former routes were then answered 404, and jobs in these queues could not be found.

Cause: the decoder read the fields that the product uses, with defaults for what is missing, and ignored all others. Class of fault: a missing part of a document from outside is taken for an empty one.

Change: the documented fields stand with their types in configuration_schema.py and a document is decoded as a whole. Sections must be there; Tenants only where the contracts of the settings have accounts. Unknown fields, empty lists and lists of keys that are missing or null stay valid.

--- a/src/cicadatray/platform/configuration_document.py
+++ b/src/cicadatray/platform/configuration_document.py
@@ -1,7 +1,8 @@
 """Decoding and validation of the configurations that operators send."""
 
 import hashlib
-from typing import Any
+
+import msgspec
 
 from cicadatray.internal.wire.messages.queue_configuration import (
     Pool,
@@ -9,39 +10,40 @@
     QueueAccount,
     QueueConfiguration,
 )
-from cicadatray.platform.errors import DocumentError
-from cicadatray.platform.fields import (
-    MS_PER_S,
-    parse_json,
-    read_boolean,
-    read_integer,
-    read_list,
-    read_number,
-    read_object,
-    read_string,
+from cicadatray.platform.configuration_schema import (
+    MAX_VERSION,
+    ConfigurationDocument,
+    RouteDocument,
+    ServiceDocument,
+    TenantDocument,
 )
+from cicadatray.platform.errors import DocumentError
+from cicadatray.platform.fields import MS_PER_S
 from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
 
 
-def decode_configuration(body: bytes) -> QueueConfiguration:
+def decode_configuration(body: bytes, requires_accounts: bool = True) -> QueueConfiguration:
     """Returns the configuration in a request body.
 
+    `requires_accounts` tells whether a complete document lists the accounts.
+
     Raises:
         DocumentError: the body is not a complete document or is invalid.
     """
-    document = parse_json(body)
-    version = read_integer(document, "Version")
-    if version < 1:
-        raise DocumentError("field Version must be at least 1")
+    try:
+        document = msgspec.json.decode(body, type=ConfigurationDocument)
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        raise DocumentError(f"invalid configuration: {error}") from error
+    if requires_accounts and document.tenants is None:
+        raise DocumentError("field Tenants must be a list")
+    version = _decode_version(document.version)
     # The platform names a pool of workers "service", a queue "route" and an account "tenant".
-    pools = tuple(_decode_pool(item) for item in read_list(document, "Services", dict))
+    pools = tuple(_decode_pool(service) for service in document.services)
     pool_names = {pool.name for pool in pools}
-    queues = tuple(
-        _decode_queue(route, pool_names) for route in read_list(document, "Routes", dict)
-    )
+    queues = tuple(_decode_queue(route, pool_names) for route in document.routes)
     if len({(queue.host, queue.path_prefix) for queue in queues}) < len(queues):
         raise DocumentError("two routes have the same Host and PathPrefix")
-    accounts = tuple(_decode_account(item) for item in read_list(document, "Tenants", dict))
+    accounts = tuple(_decode_account(tenant) for tenant in document.tenants or ())
     digests = [digest for account in accounts for digest in set(account.credential_digests)]
     if len(set(digests)) < len(digests):
         raise DocumentError("two tenants share an API key")
@@ -53,43 +55,43 @@
     return hashlib.sha256(credential.encode()).digest()
 
 
-def _decode_pool(service: dict[str, Any]) -> Pool:
+def _decode_version(version: int | float) -> int:
+    if version != int(version) or not 1 <= version <= MAX_VERSION:
+        raise DocumentError(f"field Version must be an integer from 1 to {MAX_VERSION}")
+    return int(version)
+
+
+def _decode_pool(service: ServiceDocument) -> Pool:
     return Pool(
-        read_string(service, "Name"),
-        has_admission_check=read_boolean(service, "AdmissionCheck"),
-        is_standby=read_boolean(service, "Standby"),
-        health_path=read_string(service, "HealthPath", ""),
+        service.name,
+        has_admission_check=service.admission_check,
+        is_standby=service.standby,
+        health_path=service.health_path,
     )
 
 
-def _decode_queue(route: dict[str, Any], pool_names: set[str]) -> Queue:
-    name = read_string(route, "Name")
-    pool = read_string(route, "Service")
-    if pool not in pool_names:
-        raise DocumentError(f"route {name}: unknown Service {pool}")
-    if read_number(route, "TimeoutMs") == 0:
-        raise DocumentError(f"route {name}: TimeoutMs must not be 0")
+def _decode_queue(route: RouteDocument, pool_names: set[str]) -> Queue:
+    if route.service not in pool_names:
+        raise DocumentError(f"route {route.name}: unknown Service {route.service}")
     policy = QueuePolicy(
-        queue=name,
-        pool=pool,
-        priority=read_integer(route, "Priority", 0),
-        max_attempts=max(1, read_integer(route, "MaxAttempts", 1)),
-        stretch=read_number(route, "Stretch", 1.0),
-        target_latency_s=read_number(route, "TargetLatencyMs", 0) / MS_PER_S,
+        queue=route.name,
+        pool=route.service,
+        priority=int(route.priority),
+        max_attempts=max(1, int(route.max_attempts)),
+        stretch=route.stretch,
+        target_latency_s=route.target_latency_ms / MS_PER_S,
     )
     return Queue(
-        host=read_string(route, "Host").lower(),
-        path_prefix=read_string(route, "PathPrefix"),
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
         policy=policy,
-        is_public=read_boolean(route, "Public"),
+        is_public=route.public,
     )
 
 
-def _decode_account(tenant: dict[str, Any]) -> QueueAccount:
-    keys = read_list(tenant, "ApiKeys", str)
-    guaranteed = read_object(tenant, "Guaranteed")
+def _decode_account(tenant: TenantDocument) -> QueueAccount:
     return QueueAccount(
-        read_string(tenant, "Name"),
-        tuple(digest_credential(key) for key in keys),
-        read_integer(guaranteed, "Gpus", 0),
+        tenant.name,
+        tuple(digest_credential(key) for key in tenant.api_keys or ()),
+        int(tenant.guaranteed.gpus) if tenant.guaranteed is not None else 0,
     )
--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -74,7 +74,9 @@
         self.announcer = SeedAnnouncer(
             self.client, own.name, seeds, self._stored_members, self._stored_rendezvous
         )
-        self.operator_api = OperatorApi(self.client, settings.data_centres, self.metrics)
+        self.operator_api = OperatorApi(
+            self.client, settings.data_centres, self.metrics, settings.has_accounts
+        )
         self.server = HttpServer(self.operator_api.application(), address.host, address.port)
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -96,8 +98,9 @@
             await self.client.close()
 
     def reload(self, settings: PlatformSettings) -> None:
-        """Applies changed seeds and data centres."""
+        """Applies changed seeds, data centres and contracts."""
         self.operator_api.data_centres = settings.data_centres
+        self.operator_api.requires_accounts = settings.has_accounts
         seeds = seed_members(settings)
         self.announcer.seeds = seeds
         if self.daemon is None:
--- a/src/cicadatray/platform/operator_api.py
+++ b/src/cicadatray/platform/operator_api.py
@@ -34,18 +34,21 @@
     """The routes of operators; any control instance serves them by calling the leader.
 
     `data_centres` names the data centres that may be evacuated; if it is empty, all may.
+    `requires_accounts` tells whether a configuration must list client accounts.
     """
 
-    __slots__ = ("answers", "control", "data_centres", "decisions")
+    __slots__ = ("answers", "control", "data_centres", "decisions", "requires_accounts")
 
     def __init__(
         self,
         control: ControlClient,
         data_centres: frozenset[str] = frozenset(),
         metrics: MetricsRegistry | None = None,
+        requires_accounts: bool = False,
     ) -> None:
         self.control = control
         self.data_centres = data_centres
+        self.requires_accounts = requires_accounts
         registry = metrics or MetricsRegistry()
         self.answers = configuration_answers(registry)
         self.decisions = DecisionWatch(registry)
@@ -65,7 +68,7 @@
         """Replaces the configuration; responds 200 once it, or a newer one, is in effect."""
         body = await request.body()
         try:
-            configuration = decode_configuration(body)
+            configuration = decode_configuration(body, self.requires_accounts)
         except DocumentError as error:
             self.answers.increment(answer="refused")
             log.info(
--- a/src/cicadatray/platform/settings.py
+++ b/src/cicadatray/platform/settings.py
@@ -21,6 +21,8 @@
 # The fields with the numbers of instances, data centres and regions that may be lost at once. Only
 # the largest number counts, because voters are placed in different data centres.
 LOSS_FIELD_NAMES = ("Machines", "Zones", "Regions")
+# The part of the platform's rules by which each configuration lists client accounts.
+ACCOUNTS_CONTRACT = "tenants"
 
 
 class HostPort(msgspec.Struct, frozen=True):
@@ -61,6 +63,7 @@
     body_limit_bytes: int = 262144
     evacuation_start_limit_s: float = 0.0
     data_centres: frozenset[str] = frozenset()
+    has_accounts: bool = False
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -106,6 +109,7 @@
         evacuation_start_limit_s=read_number(bounds, "EvacuateMs", 0) / MS_PER_S,
         # A table of the region of each data centre.
         data_centres=frozenset(read_object(document, "Zones")),
+        has_accounts=ACCOUNTS_CONTRACT in read_list(document, "Contracts", str),
     )
 
 
--- a/tests/cover/platform/documents.py
+++ b/tests/cover/platform/documents.py
@@ -28,11 +28,65 @@
         },
     ],
     "Services": [{"Name": "pool", "AdmissionCheck": False}],
+    "Limits": {"MaxBodyBytes": 262144},
     "Tenants": [
         {"Name": "one", "ApiKeys": ["k1", "k2"], "Guaranteed": {"Gpus": 16}},
         {"Name": "two", "ApiKeys": ["k3"]},
     ],
 }
+# Every field that the platform documents.
+FULL_CONFIGURATION: dict[str, Any] = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "fast",
+            "Host": "jobs.example",
+            "PathPrefix": "/fast/",
+            "Kind": "unsafe",
+            "TimeoutMs": 3000,
+            "TargetLatencyMs": 3000,
+            "Priority": 2,
+            "Service": "pool",
+            "MaxAttempts": 3,
+            "Stretch": 3.0,
+            "Public": False,
+        },
+        {
+            "Name": "slow",
+            "Host": "more.example",
+            "PathPrefix": "/slow/",
+            "Kind": "unsafe",
+            "TimeoutMs": 3000,
+            "TargetLatencyMs": 250,
+            "Priority": 0,
+            "Service": "pool",
+            "MaxAttempts": 2,
+            "Stretch": 1.5,
+            "Public": True,
+        },
+    ],
+    "Services": [
+        {
+            "Name": "pool",
+            "HealthPath": "/health",
+            "MaxConns": 64,
+            "Protocol": "h1",
+            "Tls": False,
+            "AdmissionCheck": False,
+            "Standby": False,
+        }
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 262144,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
+    },
+    "Tenants": [
+        {"Name": "one", "ApiKeys": ["k1", "k2"], "Priority": 1, "Guaranteed": {"Gpus": 16}},
+        {"Name": "two", "ApiKeys": ["k3"], "Priority": 1, "Guaranteed": {}},
+    ],
+}
 JOB: dict[str, Any] = {
     "Spec": "text",
     "Steps": [
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -15,7 +15,13 @@
 from cicadatray.platform.worker_document import decode_announcement, decode_task, decode_view
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
-from cover.platform.documents import ANNOUNCEMENT, CONFIGURATION, JOB, changed
+from cover.platform.documents import (
+    ANNOUNCEMENT,
+    CONFIGURATION,
+    FULL_CONFIGURATION,
+    JOB,
+    changed,
+)
 
 DECODERS: dict[str, tuple[dict[str, Any], Callable[[bytes], object]]] = {
     "configuration": (CONFIGURATION, decode_configuration),
@@ -50,6 +56,8 @@
     [
         changed(CONFIGURATION, "Version", value=None),
         changed(CONFIGURATION, "Version", value=0),
+        changed(CONFIGURATION, "Version", value=2**63),
+        changed(CONFIGURATION, "Version", value=7.5),
         changed(CONFIGURATION, "Routes", 0, "Service", value="unknown"),
         changed(CONFIGURATION, "Routes", 1, "PathPrefix", value="/fast/"),
         changed(CONFIGURATION, "Routes", 0, "TimeoutMs", value=0),
@@ -60,6 +68,8 @@
     ids=[
         "no version",
         "version 0",
+        "version too large",
+        "version not an integer",
         "unknown service",
         "same host and path",
         "timeout of 0",
@@ -74,6 +84,107 @@
         decode_configuration(encode(document))
 
 
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("Routes",), None),
+        (("Services",), None),
+        (("Limits",), None),
+        (("Tenants",), None),
+        (("Routes",), {}),
+        (("Services",), "pool"),
+        (("Limits",), []),
+        (("Limits",), 7),
+        (("Limits", "MaxBodyBytes"), "much"),
+        (("Limits", "MaxHeaderBytes"), -1),
+        (("Limits", "IdleTimeoutMs"), True),
+        (("Limits", "HeaderTimeoutMs"), [3000]),
+        (("Tenants",), {"one": []}),
+        (("Tenants", 0, "Priority"), "high"),
+        (("Tenants", 0, "RatePerS"), "many"),
+        (("Tenants", 0, "ApiKeys"), "k1"),
+        (("Tenants", 0, "Guaranteed"), 16),
+        (("Tenants", 0, "Guaranteed"), []),
+        (("Routes", 0, "Kind"), 7),
+        (("Routes", 0, "Host"), None),
+        (("Routes", 0, "PathPrefix"), 5),
+        (("Routes", 0, "Name"), None),
+        (("Routes", 0, "Service"), None),
+        (("Routes", 0, "TimeoutMs"), None),
+        (("Routes", 0, "AllowedRegions"), "region"),
+        (("Routes", 0, "Advice"), 100),
+        (("Routes", 0, "Advice"), {"DecideMs": "soon"}),
+        (("Services", 0, "Name"), None),
+        (("Services", 0, "MaxConns"), "many"),
+        (("Services", 0, "Protocol"), 1),
+        (("Services", 0, "Tls"), "no"),
+        (("Services", 0, "ColdStartS"), "long"),
+        (("Services", 0, "HealthPath"), False),
+    ],
+    ids=str,
+)
+def test_configuration_that_cannot_be_read_in_full(path: tuple[Any, ...], value: Any) -> None:
+    """Guards against confirming a document without a section, or with a field of another type.
+
+    A None stands for a field that is missing.
+    """
+    document = changed(FULL_CONFIGURATION, *path, value=value)
+    with pytest.raises(DocumentError):
+        decode_configuration(encode(document))
+
+
+@pytest.mark.parametrize("section", ["Routes", "Services", "Limits", "Tenants"])
+def test_null_is_no_section(section: str) -> None:
+    """Guards against confirming a document whose sections were lost on the way as null."""
+    with pytest.raises(DocumentError):
+        decode_configuration(encode({**FULL_CONFIGURATION, section: None}))
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("Routes",), []),
+        (("Tenants",), []),
+        (("Limits",), {}),
+        (("Limits", "MaxBodyBytes"), None),
+        (("New",), {"any": [1]}),
+        (("Routes", 0, "New"), "x"),
+        (("Routes", 0, "Kind"), "safe"),
+        (("Routes", 0, "Kind"), None),
+        (("Routes", 0, "TimeoutMs"), 1500.5),
+        (("Routes", 0, "Advice"), {"DecideMs": 40, "PeriodMs": 2, "ValidMs": 3000}),
+        (("Routes", 0, "AllowedRegions"), ["region"]),
+        (("Routes", 0, "Stretch"), None),
+        (("Routes", 0, "Public"), None),
+        (("Routes", 1, "Name"), "fast"),
+        (("Services", 0, "MaxConns"), None),
+        (("Services", 0, "Protocol"), "h2"),
+        (("Services", 0, "Tls"), True),
+        (("Services", 0, "ColdStartS"), 1.5),
+        (("Tenants", 0, "ApiKeys"), []),
+        (("Tenants", 0, "ApiKeys"), None),
+        (("Tenants", 0, "Guaranteed"), None),
+        (("Routes", 0, "MaxAttempts"), 3.0),
+        (("Tenants", 0, "RatePerS"), 12.5),
+        (("Version",), 2**63 - 1),
+        (("Version",), 8.0),
+    ],
+    ids=str,
+)
+def test_valid_variations_of_a_configuration(path: tuple[Any, ...], value: Any) -> None:
+    """Guards against refusing a valid document, which leaves the operator's change undone.
+
+    A None stands for a field that is missing.
+    """
+    decode_configuration(encode(changed(FULL_CONFIGURATION, *path, value=value)))
+
+
+def test_accounts_are_not_required_where_no_contract_has_them() -> None:
+    """Guards against refusing every configuration of an installation without client accounts."""
+    document = changed(FULL_CONFIGURATION, "Tenants", value=None)
+    assert decode_configuration(encode(document), requires_accounts=False).accounts == ()
+
+
 def test_truncated_configuration() -> None:
     """Guards against accepting a body truncated in transit as a smaller configuration."""
     body = encode(CONFIGURATION)
