Answer a call whose reply does not fit into a frame

What callers saw: nothing; a call whose reply is larger than a frame was never answered, and its caller repeated it until its deadline. Cause: the error was raised in the task that sends the reply and ended it.

Change: such a reply is logged as an error and replaced by a failure. test_large_replies.py failed before (no reply within 30 s).

--- a/src/cicadatray/internal/wire/rpc_server.py
+++ b/src/cicadatray/internal/wire/rpc_server.py
@@ -108,7 +108,14 @@
         self, writer: asyncio.StreamWriter, call_id: int, reply: MessageStruct
     ) -> None:
         try:
-            writer.write(pack_frame(self.codec.encode(call_id, reply)))
+            frame = pack_frame(self.codec.encode(call_id, reply))
+        except FrameError as error:
+            # Without a reply the caller would wait, and repeat the call, for good.
+            log.error("reply too large", message_type=type(reply).__name__, reason=str(error))
+            failure = Failure(code=INTERNAL_ERROR_CODE, detail=str(error))
+            frame = pack_frame(self.codec.encode(call_id, failure))
+        try:
+            writer.write(frame)
             await writer.drain()
         except OSError:
             pass  # the connection is lost; the caller retries on another one
