Confirm configurations of up to 1 MiB, and refuse larger ones for good

What callers saw: an operator who sends a valid document of 0.99 MB gets 503 from every instance for good.

Cause: an entry of the log holds the document beside its decoded form. Together they exceeded the limit of a command (900 KiB) or of a frame (1 MiB), which was reported like an outage.

The body is read no further than the limit, and one that is cut off gets no traceback in the log.

--- a/src/cicadatray/internal/observability/dump_limits.py
+++ b/src/cicadatray/internal/observability/dump_limits.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-DUMP_LIMIT_BYTES = 512 * 1024  # half of `FRAME_LIMIT_BYTES`, as frames carry dumps too
+DUMP_LIMIT_BYTES = 512 * 1024  # below `FRAME_LIMIT_BYTES`, as frames carry dumps too
 DUMP_LIMIT_ITEMS = 1000
 DUMP_LIMIT_CHARS = 2000
 OMITTED_KEY = "omitted"
--- a/src/cicadatray/internal/wire/frame.py
+++ b/src/cicadatray/internal/wire/frame.py
@@ -5,7 +5,8 @@
 from cicadatray.internal.wire.errors import FrameError
 from cicadatray.internal.wire.traffic import TRAFFIC
 
-FRAME_LIMIT_BYTES = 1024 * 1024
+# Fits a document of an operator, of 1 MiB at most, beside its decoded form.
+FRAME_LIMIT_BYTES = 4 * 1024 * 1024
 LENGTH_BYTES = 4
 
 
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -32,6 +32,7 @@
 from cicadatray.platform.errors import DocumentError
 from cicadatray.platform.fields import MS_PER_S
 from cicadatray.platform.job_document import decode_job
+from cicadatray.platform.request_body import read_body
 
 JSON_TYPE = "application/json"
 CREDENTIAL_SCHEME = "Token "
@@ -157,18 +158,9 @@
             return CancelGraph(target=target)
         if request.method != "POST":
             return None
-        body = await self._read_body(request)
-        job = decode_job(body)
+        job = decode_job(await read_body(request, self.body_limit_bytes))
         return SubmitGraph(target=target, spec=job.spec, steps=job.steps, repetition=job.repetition)
 
-    async def _read_body(self, request: Request) -> bytes:
-        body = bytearray()
-        async for chunk in request.stream():
-            body += chunk
-            if len(body) > self.body_limit_bytes:
-                raise DocumentError(f"the request body exceeds {self.body_limit_bytes} bytes")
-        return bytes(body)
-
     def _unavailable(self, request: Request, error: ControlUnavailableError) -> Response:
         """Returns 503 if the call had no effect and 504 if its effect is unknown."""
         is_in_doubt = request.method != "GET" and error.may_have_effect
--- a/src/cicadatray/platform/operator_api.py
+++ b/src/cicadatray/platform/operator_api.py
@@ -3,7 +3,7 @@
 import msgspec
 import structlog
 from starlette.applications import Starlette
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 from starlette.routing import Route
 
@@ -20,11 +20,14 @@
 from cicadatray.internal.wire.messages.graph_messages import QueuesReply, ReadQueues, SetQueues
 from cicadatray.platform.configuration_document import decode_configuration
 from cicadatray.platform.decision_header import add_decision
-from cicadatray.platform.errors import DocumentError
+from cicadatray.platform.errors import BodyTooLargeError, DocumentError
+from cicadatray.platform.request_body import read_body
+from cicadatray.replication.limits import COMMAND_LIMIT_BYTES
 
 JSON_TYPE = "application/json"
 # Operators try another instance after one second, so a longer timeout would not help them.
 CALL_TIMEOUT_S = 2.0
+DOCUMENT_LIMIT_BYTES = 1024 * 1024
 RETRY_AFTER_S = "1"
 
 log = structlog.get_logger(__name__)
@@ -65,49 +68,62 @@
         )
 
     async def set_configuration(self, request: Request) -> Response:
-        """Replaces the configuration; responds 200 once it, or a newer one, is in effect."""
-        body = await request.body()
+        """Replaces the configuration; responds 200 once it, or a newer one, is in effect.
+
+        A document that is not valid gets 400 and one that is too large 413, which are final.
+        """
+        try:
+            body = await read_body(request, DOCUMENT_LIMIT_BYTES)
+        except ClientDisconnect:
+            log.info("configuration refused", reason="the connection was lost")
+            return _error(400, "the body is incomplete")
+        except BodyTooLargeError as error:
+            return self._refuse(b"", 413, str(error))
         try:
             configuration = decode_configuration(body, self.requires_accounts)
         except DocumentError as error:
-            self.answers.increment(answer="refused")
-            log.info(
-                "configuration refused",
-                reason=str(error),
-                bytes=len(body),
-                digest=digest_document(body),
-            )
-            return _error(400, str(error))
-        reason = ""
+            return self._refuse(body, 400, str(error))
+        call = SetQueues(configuration=configuration, source=body)
+        # An entry of the log holds the document beside its decoded form, and short keys take more
+        # space when decoded.
+        if len(self.control.codec.encode(0, call)) > COMMAND_LIMIT_BYTES:
+            return self._refuse(body, 413, f"more than {COMMAND_LIMIT_BYTES} bytes when decoded")
+        return await self._confirm(call)
+
+    async def _confirm(self, call: SetQueues) -> Response:
+        """Has the leader store a configuration, and returns the response to the operator."""
+        version, digest = call.configuration.version, digest_document(call.source)
+        reply: MessageStruct | None = None
         try:
-            reply: MessageStruct = await self.control.call(
-                SetQueues(configuration=configuration, source=body), CALL_TIMEOUT_S
-            )
-            if not isinstance(reply, QueuesReply):
-                reason = str(reply)
+            reply = await self.control.call(call, CALL_TIMEOUT_S)
+            reason = str(reply)
         except ControlUnavailableError as error:
             reason = str(error)
-        if reason:
+        if not isinstance(reply, QueuesReply):
             self.answers.increment(answer="in_doubt")
-            log.warning(
-                "configuration in doubt",
-                version=configuration.version,
-                digest=digest_document(body),
-                reason=reason,
-            )
+            log.warning("configuration in doubt", version=version, digest=digest, reason=reason)
             return _error(503, "no leader confirmed the configuration in time")
-        assert isinstance(reply, QueuesReply)
-        is_overtaken = reply.version > configuration.version
-        self.answers.increment(answer="overtaken" if is_overtaken else "confirmed")
+        self.answers.increment(answer="overtaken" if reply.version > version else "confirmed")
         log.info(
             "configuration confirmed",
-            version=configuration.version,
+            version=version,
             in_force=reply.version,
-            digest=digest_document(body),
+            digest=digest,
             **decision_fields(reply),
         )
         return add_decision(Response(b"{}", 200, media_type=JSON_TYPE), reply)
 
+    def _refuse(self, body: bytes, status: int, reason: str) -> Response:
+        self.answers.increment(answer="refused")
+        log.info(
+            "configuration refused",
+            status=status,
+            reason=reason,
+            bytes=len(body),
+            digest=digest_document(body),
+        )
+        return _error(status, reason)
+
     async def read_configuration(self, request: Request) -> Response:
         """Returns the newest configuration, or 503 if it cannot be determined."""
         known = self.decisions.latest
--- a/src/cicadatray/replication/applier.py
+++ b/src/cicadatray/replication/applier.py
@@ -84,7 +84,9 @@
         index = self.applied_index
         term = self.storage.log.term_at(index)
         membership = self.history.at(index)
-        retained_entries = self.settings.retained_entries
+        retained_entries = self.storage.log.count_retainable(
+            index, self.settings.retained_entries, self.settings.retained_bytes
+        )
         self.storage.compact(index, term, membership, data, retained_entries)
         self.history.compact(self.storage.log.base_index)
         self.bytes_since_snapshot = 0
--- a/src/cicadatray/replication/entry_log.py
+++ b/src/cicadatray/replication/entry_log.py
@@ -84,6 +84,15 @@
         self.bytes_in_memory -= sum(len(entry.data) for entry in self.entries[position:])
         del self.entries[position:]
 
+    def count_retainable(self, index: int, entry_limit: int, byte_limit: int) -> int:
+        """Returns how many entries up to `index` are within both limits, counted backwards."""
+        size = 0
+        for count in range(min(entry_limit, index - self.base_index)):
+            size += len(self.entry(index - count).data)
+            if size > byte_limit:
+                return count
+        return entry_limit
+
     def compact(self, index: int) -> None:
         """Discards the entries up to `index`, which the snapshot covers."""
         if index <= self.base_index:
--- a/src/cicadatray/replication/replica_settings.py
+++ b/src/cicadatray/replication/replica_settings.py
@@ -20,6 +20,9 @@
 
     `data_centre` is where the member runs; the leader spreads voters over data centres.
 
+    After a snapshot the last `retained_entries` stay in the log, as far as their commands take at
+    most `retained_bytes`, so that a member that lags a little needs no snapshot.
+
     `group_size` is the number of voters that the leader maintains by admitting members that ask to
     join and by replacing unresponsive ones; with 0, only an operator changes the membership.
 
@@ -43,6 +46,7 @@
     snapshot_entries: int = 4096
     snapshot_bytes: int = 4096 * KIB
     retained_entries: int = 64
+    retained_bytes: int = 4096 * KIB
     segment_bytes: int = 1024 * KIB
     append_batch_bytes: int = 256 * KIB
     snapshot_chunk_bytes: int = 256 * KIB
--- a/tests/cover/platform/test_client_api.py
+++ b/tests/cover/platform/test_client_api.py
@@ -18,6 +18,7 @@
     ReadGraph,
     SubmitGraph,
 )
+from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.internal.wire.rpc_server import INTERNAL_ERROR_CODE
 from cicadatray.platform.client_api import ClientApi
 from cicadatray.platform.configuration_document import digest_credential
@@ -32,6 +33,7 @@
     """Returns or raises the given outcomes in order, the last one repeatedly; records calls."""
 
     def __init__(self, *outcomes: MessageStruct | Exception) -> None:
+        self.codec = message_codec()
         self.outcomes = list(outcomes)
         self.calls: list[tuple[Any, float]] = []
 
--- a/tests/nocover/configuration_soak/site.py
+++ b/tests/nocover/configuration_soak/site.py
@@ -119,7 +119,9 @@
 
     async def _restart(self, machine: Machine, role: str) -> None:
         process = machine.processes[role]
-        code = process.returncode
+        code = process.poll()
+        if code is None:
+            return
         if time.monotonic() > machine.disturbed_until_s:
             self.findings.report("process ended", f"{role} on {machine.host} with code {code}")
         await asyncio.sleep(RESTART_DELAY_S)
