--- a/tests/nocover/configuration_soak/machine.py
+++ b/tests/nocover/configuration_soak/machine.py
@@ -82,11 +82,13 @@
         self.faults.store(self.folder / "faults.json")
 
     def start(self) -> None:
-        """Starts every program."""
+        """Starts every program that does not run."""
         self.is_on = True
         self.apply_faults()
         for role in self.roles:
-            self.start_role(role)
+            # Two disturbances may have turned the machine off.
+            if role not in self.processes or self.processes[role].poll() is not None:
+                self.start_role(role)
 
     def start_role(self, role: str) -> None:
         """Starts one program."""
