Drop a request to take over leadership when its term has ended

Cause: the request of a leader that stops was kept without its term. A member that was frozen can handle it together with the first message of the next leader, and then campaigned against that one. Votes for a transfer ignore leases, which only the leader that asked has given up, so the next leader went on answering reads under its lease while the new one committed.

Change: the request is kept with its term, and is void once the member is in another term.

--- a/src/cicadatray/replication/elections.py
+++ b/src/cicadatray/replication/elections.py
@@ -18,22 +18,35 @@
 class Elections:
     """Runs the task that campaigns after the election timeout or on a leadership transfer.
 
-    `transfer_requested` is set when the leader asks this member to take over.
+    `transfer_requested` is set when the leader asks this member to take over, in `transfer_term`.
     """
 
-    __slots__ = ("core", "last_logged_replies", "transfer_requested")
+    __slots__ = ("core", "last_logged_replies", "transfer_requested", "transfer_term")
 
     def __init__(self, core: ReplicaCore) -> None:
         self.core = core
         self.last_logged_replies: dict[str, str] = {}
         self.transfer_requested = asyncio.Event()
+        self.transfer_term = 0
+
+    def request_transfer(self, term: int) -> None:
+        """Makes this member campaign at once, unless another term begins before."""
+        self.transfer_term = term
+        self.transfer_requested.set()
 
     async def run(self) -> None:
         """Campaigns whenever the election timeout expires or the leader requests a transfer."""
         while True:
             await self._wait_until_campaign_due()
-            is_leadership_transfer = self.transfer_requested.is_set()
+            # The vote for a transfer ignores leases, which only the leader that has asked for it
+            # has given up.
+            is_leadership_transfer = (
+                self.transfer_requested.is_set() and self.transfer_term == self.core.term
+            )
+            is_due = self.core.now_s() >= self.core.election_deadline_s
             self.transfer_requested.clear()
+            if not is_leadership_transfer and not is_due:
+                continue
             self.core.reset_election_deadline()
             if self.core.role is Role.FOLLOWER:
                 await self._campaign(is_leadership_transfer)
--- a/src/cicadatray/replication/message_handler.py
+++ b/src/cicadatray/replication/message_handler.py
@@ -161,7 +161,7 @@
         core = self.core
         is_accepted = core.role is Role.FOLLOWER and request.term == core.term
         if is_accepted:
-            self.elections.transfer_requested.set()
+            self.elections.request_transfer(request.term)
         return CampaignReply(identity=core.identity, term=core.term, is_accepted=is_accepted)
 
     def _append_new_entries(self, entries: list[LogEntry]) -> None:
--- a/tests/nocover/configuration_soak/site.py
+++ b/tests/nocover/configuration_soak/site.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 import time
+import tomllib
 from pathlib import Path
 
 from nocover.configuration_soak.findings import Findings
@@ -18,6 +19,12 @@
 SEED_COUNT = 3
 
 
+def read_control_count(checkout: Path) -> int:
+    """Returns how many machines of each zone run control."""
+    text = (checkout / "deploy" / "system.toml").read_text(encoding="utf-8")
+    return int(tomllib.loads(text)["roles"]["control"]["count"])
+
+
 class Site:
     """A deployment as real processes.
 
@@ -58,9 +65,11 @@
         self.confirming_host = ""
         self.stopping = False
         self.machines: list[Machine] = []
+        # Control runs on the first machines of each zone, besides an entry.
+        controls_per_zone = read_control_count(checkout)
         for zone, (disks, diskless) in enumerate(zip(shape.disks, shape.diskless, strict=True)):
             for position in range(disks + diskless):
-                runs_control = position < shape.controls_per_zone
+                runs_control = position < controls_per_zone
                 self.machines.append(self.add(zone, position < disks, runs_control))
         self.listed = self.controls()
         seeds = self.draw_seeds(lambda machine: machine.has_disk)
--- a/tests/nocover/configuration_soak/site_shape.py
+++ b/tests/nocover/configuration_soak/site_shape.py
@@ -6,8 +6,7 @@
 class SiteShape(msgspec.Struct, frozen=True):
     """Machines by zone, and bounds in seconds.
 
-    `disks` and `diskless` give the numbers of machines with and without a disk in each zone. Each
-    of the first `controls_per_zone` machines of a zone runs control besides an entry.
+    `disks` and `diskless` give the numbers of machines with and without a disk in each zone.
     `lost_disks` is how many disks may be lost at once.
     """
 
@@ -15,7 +14,6 @@
     disks: tuple[int, ...]
     diskless: tuple[int, ...]
     lost_disks: int = 1
-    controls_per_zone: int = 2
     seed_lag_s: float = 3.0
     contact_s: float = 3.0
     confirm_s: float = 4.0
