Do not repeat an evacuation order after the operator has moved on

What callers saw: possibly a data centre that is evacuated again after it was taken back (found by reading: the same class as an older configuration that comes back).

Cause: orders to evacuate have no number. An instance that reaches no leader repeated one for 2 s, while the operator turns to another instance after 1 s; its last repetition could follow the opposite order, which was confirmed in between.

Change: an instance repeats such an order for 0.9 s.

Evidence: test_order_is_not_repeated_after_the_operator_has_moved_on; before the change the orders take effect as evacuate, return, evacuate.

--- a/src/cicadatray/platform/operator_api.py
+++ b/src/cicadatray/platform/operator_api.py
@@ -27,6 +27,9 @@
 JSON_TYPE = "application/json"
 # Operators try another instance after one second, so a longer timeout would not help them.
 CALL_TIMEOUT_S = 2.0
+# Orders to evacuate carry no number. One that is still being repeated when the operator has moved on
+# to another instance could take effect after the opposite order that followed.
+ORDER_TIMEOUT_S = 0.9
 DOCUMENT_LIMIT_BYTES = 1024 * 1024
 RETRY_AFTER_S = "1"
 
@@ -160,7 +163,7 @@
             return _error(404, f"the settings list no data centre {data_centre!r}")
         call = OrderEvacuation(data_centre=data_centre, is_evacuated=is_evacuated)
         try:
-            reply = await self.control.call(call, CALL_TIMEOUT_S)
+            reply = await self.control.call(call, ORDER_TIMEOUT_S)
             reason = "" if isinstance(reply, EvacuationsReply) else str(reply)
         except ControlUnavailableError as error:
             reason = str(error)
--- a/tests/cover/platform/test_operator_api.py
+++ b/tests/cover/platform/test_operator_api.py
@@ -1,5 +1,6 @@
 """Answers to operators that evacuate data centres, and the settings behind them."""
 
+import asyncio
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +27,8 @@
 DONE = EvacuationsReply(evacuations=(EvacuationProgress(Evacuation("north", 1.0)),))
 REPEATED = EvacuationsReply(is_repeated=True)
 UNANNOUNCED = EvacuationsReply(is_announced=False)
+# An operator turns to another instance after this time without an answer.
+OPERATOR_WAIT_S = 1.0
 UNMET = EvacuationsReply(unmet_accounts=("one",))
 
 
@@ -78,6 +81,46 @@
     assert [call for call, _ in control.calls] == ([] if status == 404 else [order])
 
 
+class LateLeader:
+    """Finds a leader only after some time, and applies each order then."""
+
+    def __init__(self, found_s: float) -> None:
+        self.found_s = found_s
+        self.orders: list[bool] = []
+
+    async def call(self, message: OrderEvacuation, timeout_s: float) -> MessageStruct:
+        remaining_s = self.found_s - asyncio.get_running_loop().time()
+        if remaining_s > timeout_s:
+            await asyncio.sleep(timeout_s)
+            raise ControlUnavailableError("no leader", False)
+        await asyncio.sleep(max(0.0, remaining_s))
+        self.orders.append(message.is_evacuated)
+        return DONE
+
+
+def test_order_is_not_repeated_after_the_operator_has_moved_on() -> None:
+    """Guards against a data centre that is evacuated again after it was taken back.
+
+    The first instance does not reach a leader. The operator turns to another one after a second,
+    and takes the data centre back as soon as the evacuation is confirmed.
+    """
+
+    async def main() -> list[bool]:
+        control: Any = LateLeader(asyncio.get_running_loop().time() + 1.2)
+        first, second = (OperatorApi(control, LISTED).application() for _ in range(2))
+        path = "/cicadatray/evacuate/north"
+        unanswered = asyncio.create_task(request(first, "POST", path))
+        await asyncio.sleep(OPERATOR_WAIT_S)
+        control.found_s = 0.0
+        assert (await request(second, "POST", path)).status == 200
+        assert (await request(second, "DELETE", path)).status == 200
+        await unanswered
+        orders: list[bool] = control.orders
+        return orders
+
+    assert run_virtual(main()) == [True, False]
+
+
 @pytest.mark.parametrize(
     ("method", "path", "status"),
     [
