Refuse the beginning of a settings file

What operators saw: possibly a process without seeds, or with a group of three voters instead of five, until its next start (found by reading: the same class as a configuration without a section).

Cause: a settings file that is read while it is being replaced may end after any line, and the beginning of a TOML document is often one itself. Missing sections were taken for empty ones.

Change: a file without Seeds, Listen, FaultTolerance or Bounds is refused; it is read again when it changes. A file that ends inside Bounds is still taken, with the defaults of the bounds that are missing.

--- a/src/cicadatray/platform/settings.py
+++ b/src/cicadatray/platform/settings.py
@@ -21,6 +21,9 @@
 # The fields with the numbers of instances, data centres and regions that may be lost at once. Only
 # the largest number counts, because voters are placed in different data centres.
 LOSS_FIELD_NAMES = ("Machines", "Zones", "Regions")
+# The platform writes these fields into every settings file. A file that is read while it is being
+# replaced may end after any line, and the beginning of a TOML document is often one itself.
+REQUIRED_FIELDS = ("Seeds", "Listen", "FaultTolerance", "Bounds")
 # The part of the platform's rules by which each configuration lists client accounts.
 ACCOUNTS_CONTRACT = "tenants"
 
@@ -80,6 +83,9 @@
 
 
 def _decode(document: dict[str, Any]) -> PlatformSettings:
+    missing = [name for name in REQUIRED_FIELDS if name not in document]
+    if missing:
+        raise DocumentError(f"fields missing: {', '.join(missing)}")
     listen = read_object(document, "Listen")
     bounds = read_object(document, "Bounds")
     tolerance = read_object(document, "FaultTolerance")
--- a/tests/cover/platform/test_settings_watch.py
+++ b/tests/cover/platform/test_settings_watch.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.platform.errors import PlatformSettingsError
 from cicadatray.platform.settings import PlatformSettings, load_platform_settings
 from cicadatray.platform.settings_watch import POLL_INTERVAL_S, SettingsWatch
 
@@ -26,6 +27,15 @@
 TORN = TEXT[:40]
 
 
+@pytest.mark.parametrize("lines", range(TEXT.count("\n")))
+def test_beginning_of_a_settings_file_is_refused(lines: int, tmp_path: Path) -> None:
+    """Guards against defaults, for example no seeds, from a file that is still being written."""
+    path = tmp_path / "settings.toml"
+    path.write_text("\n".join(TEXT.split("\n")[:lines]), encoding="utf-8")
+    with pytest.raises(PlatformSettingsError):
+        load_platform_settings(path)
+
+
 # Each content stays in place for two polls; None removes the file.
 @pytest.mark.parametrize(
     ("contents", "applied"),
--- a/tests/nocover/test_platform_processes.py
+++ b/tests/nocover/test_platform_processes.py
@@ -39,6 +39,7 @@
 Front = "{HOST}:{CLIENTS}"
 Ready = "{HOST}:{READINESS}"
 Control = "{HOST}:{CONTROL if role == "control" else AGENT}"
+[FaultTolerance]
 [Bounds]
 MaxHoldMs = 6000
 GraceS = 6
