--- a/src/cicadatray/platform/operator_api.py
+++ b/src/cicadatray/platform/operator_api.py
@@ -27,8 +27,8 @@
 JSON_TYPE = "application/json"
 # Operators try another instance after one second, so a longer timeout would not help them.
 CALL_TIMEOUT_S = 2.0
-# Orders to evacuate carry no number. One that is still being repeated when the operator has moved on
-# to another instance could take effect after the opposite order that followed.
+# Orders to evacuate carry no number. One that is still being repeated when the operator has moved
+# on to another instance could take effect after the opposite order that followed.
 ORDER_TIMEOUT_S = 0.9
 DOCUMENT_LIMIT_BYTES = 1024 * 1024
 RETRY_AFTER_S = "1"
