Refuse heartbeats that another process has written in a worker's name

A complete heartbeat of another service with a high sequence number made the agent ignore the worker's own.

Change: Service, Address, State, Capacity, Labels and Seq must be there. An incarnation keeps its pool and address, and a worker that has told the start of its process tells it each time; other announcements get 400 and change nothing.

--- a/src/cicadatray/platform/worker_api.py
+++ b/src/cicadatray/platform/worker_api.py
@@ -25,18 +25,27 @@
 class WorkerApi:
     """The routes for the worker.
 
-    `latest_sequences` holds the highest sequence number of each incarnation, and
-    `latest_identities` the incarnation of each identifier that the agent accepted last.
+    `latest_sequences` holds the highest sequence number of each incarnation, `places` the pool,
+    host and port of its first announcement, and `latest_identities` the incarnation of each
+    identifier that the agent accepted last.
     `data_centre` is that of the agent, which is also that of its worker.
     """
 
-    __slots__ = ("agent", "data_centre", "late", "latest_identities", "latest_sequences")
+    __slots__ = (
+        "agent",
+        "data_centre",
+        "late",
+        "latest_identities",
+        "latest_sequences",
+        "places",
+    )
 
     def __init__(self, agent: TaskAgent, data_centre: str = "") -> None:
         self.agent = agent
         self.data_centre = data_centre
         self.latest_identities: dict[str, WorkerIdentity] = {}
         self.latest_sequences: dict[str, int] = {}
+        self.places: dict[str, tuple[str, str, int]] = {}
         self.late = RepeatedEvent("late announcement ignored")
 
     def application(self) -> Starlette:
@@ -54,6 +63,7 @@
         identifier = request.path_params["identifier"]
         try:
             announcement = decode_announcement(identifier, await request.body())
+            self._check_writer(announcement)
         except DocumentError as error:
             log.info("announcement refused", worker=identifier, reason=str(error))
             return Response(b"{}", 400, media_type=JSON_TYPE)
@@ -78,6 +88,24 @@
             self.latest_identities[identifier] = announcement.identity
         return Response(b"{}", 200 if is_accepted else 503, media_type=JSON_TYPE)
 
+    def _check_writer(self, announcement: WorkerAnnouncement) -> None:
+        """Compares an announcement with the earlier ones of the same worker.
+
+        An incarnation of a worker keeps its pool and address, and either tells the start of its
+        process each time or never.
+
+        Raises:
+            DocumentError: another process has written the announcement.
+        """
+        identity, offer = announcement.identity, announcement.offer
+        latest = self.latest_identities.get(identity.identifier, identity)
+        if latest.born_ms and not identity.born_ms:
+            raise DocumentError("the start of the process is missing")
+        place = (offer.pool, announcement.host, announcement.port)
+        known = self.places.setdefault(identity.incarnation, place)
+        if place != known:
+            raise DocumentError(f"announced from {place}, but the worker is {known}")
+
     async def handle_withdrawal(self, request: Request) -> Response:
         """Notifies the agent that a worker is shutting down.
 
--- a/src/cicadatray/platform/worker_document.py
+++ b/src/cicadatray/platform/worker_document.py
@@ -32,6 +32,8 @@
 # A worker returns at most this many ends in one answer, and the next ones once these are
 # acknowledged.
 MAX_ENDS_LISTED = 500
+# Without them an announcement comes from another writer, and none of it may be used.
+REQUIRED_FIELDS = ("Service", "Address", "State", "Capacity", "Labels", "Seq")
 READY = "ready"
 DRAINING = "draining"
 OUTCOMES_BY_NAME = {
@@ -69,6 +71,9 @@
             unknown.
     """
     document = parse_json(body)
+    missing = [name for name in REQUIRED_FIELDS if document.get(name) is None]
+    if missing:
+        raise DocumentError(f"fields missing: {', '.join(missing)}")
     state = read_string(document, "State")
     if state not in (READY, DRAINING):
         raise DocumentError(f"unknown state {state}")
