--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -11,11 +11,11 @@
 from cicadatray.internal.control.graphs.graph_store import GraphStore
 from cicadatray.internal.control.graphs.graph_view import view_graph
 from cicadatray.internal.control.graphs.pool_capacities import objective_of
+from cicadatray.internal.control.graphs.queue_calls import decide
 from cicadatray.internal.control.graphs.task_leases import SYNC_WAIT_S
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.handler_registry import register_handler
 from cicadatray.internal.control.leader_session import LeaderSession
-from cicadatray.internal.observability.document_digest import digest_document
 from cicadatray.internal.observability.graph_metrics import graphs_accepted
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.decision import Decision
@@ -24,12 +24,9 @@
     AcceptGraph,
     CancelGraph,
     EndGraph,
-    QueuesReply,
     QueueState,
     QueueTarget,
     ReadGraph,
-    ReadQueues,
-    SetQueues,
     SubmitGraph,
     SyncWorker,
 )
@@ -61,11 +58,6 @@
         self.graph_id = graph_id
 
 
-def _decide(daemon: "ControlDaemon", session: LeaderSession) -> Decision:
-    """Returns which configuration decides a call that is handled now."""
-    return Decision(session.state.graphs.queues.version, session.term, daemon.settings.name)
-
-
 def _resolve(session: LeaderSession, target: QueueTarget) -> "_ResolvedTarget | Failure":
     """Resolves a target with the configuration that this leader has applied."""
     queues = session.state.graphs.queues
@@ -123,7 +115,7 @@
     """Stores a graph and replies once it is durable; does not replace an existing graph."""
     session = await daemon.require_leader_session()
     # Taken before anything is awaited: a later configuration has not decided this call.
-    decision = _decide(daemon, session)
+    decision = decide(daemon, session)
     reply = await _submit_graph(daemon, session, call, decision)
     return msgspec.structs.replace(reply, decision=decision)
 
@@ -183,7 +175,7 @@
 async def cancel_graph(daemon: "ControlDaemon", call: CancelGraph) -> MessageStruct:
     """Cancels a graph and stops its runs."""
     session = await daemon.require_leader_session()
-    decision = _decide(daemon, session)
+    decision = decide(daemon, session)
     reply = await _cancel_graph(daemon, session, call)
     return msgspec.structs.replace(reply, decision=decision)
 
@@ -213,7 +205,7 @@
 async def read_graph(daemon: "ControlDaemon", call: ReadGraph) -> MessageStruct:
     """Returns the state of a graph, or of the queue when the path names no graph."""
     session = await daemon.require_leader_session()
-    decision = _decide(daemon, session)
+    decision = decide(daemon, session)
     reply = _read_graph(session, call)
     return msgspec.structs.replace(reply, decision=decision)
 
@@ -237,34 +229,6 @@
     return view_graph(requested)
 
 
-@register_handler(SetQueues)
-async def set_queues(daemon: "ControlDaemon", call: SetQueues) -> MessageStruct:
-    """Stores a queue configuration, unless the current one has the same or a higher version."""
-    session = await daemon.require_leader_session()
-    decision = _decide(daemon, session)
-    if call.configuration.version <= decision.version:
-        return QueuesReply(version=decision.version, decision=decision)
-    reply = await session.propose(call)
-    log.info(
-        "queues changed",
-        before=decision.version,
-        version=call.configuration.version,
-        term=decision.term,
-        digest=digest_document(call.source),
-    )
-    return msgspec.structs.replace(reply, decision=decision)
-
-
-@register_handler(ReadQueues)
-async def read_queues(daemon: "ControlDaemon", call: ReadQueues) -> MessageStruct:
-    """Returns the newest queue configuration."""
-    session = await daemon.require_leader_session()
-    store = session.state.graphs
-    return QueuesReply(
-        version=store.queues.version, source=store.source, decision=_decide(daemon, session)
-    )
-
-
 @register_handler(SyncWorker)
 async def sync_worker(daemon: "ControlDaemon", call: SyncWorker) -> MessageStruct:
     """Records an agent's report and returns the orders for its worker.
--- a/src/cicadatray/platform/configuration_schema.py
+++ b/src/cicadatray/platform/configuration_schema.py
@@ -20,11 +20,11 @@
 Whole = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER, multiple_of=1)]
 
 
-class Section(msgspec.Struct, frozen=True, rename="pascal", kw_only=True):
+class SectionStruct(msgspec.Struct, frozen=True, rename="pascal", kw_only=True):
     """A part of a configuration; the wire names are those of its fields in PascalCase."""
 
 
-class AdviceDocument(Section, frozen=True):
+class AdviceDocument(SectionStruct, frozen=True):
     """When to ask for advice about the workers of a queue; in milliseconds."""
 
     decide_ms: Number = 0
@@ -32,7 +32,7 @@
     valid_ms: Number = 0
 
 
-class RouteDocument(Section, frozen=True):
+class RouteDocument(SectionStruct, frozen=True):
     """A queue."""
 
     name: str
@@ -50,7 +50,7 @@
     advice: AdviceDocument | None = None
 
 
-class ServiceDocument(Section, frozen=True):
+class ServiceDocument(SectionStruct, frozen=True):
     """A pool of workers."""
 
     name: str
@@ -64,7 +64,7 @@
     cold_per_s: Number = 0
 
 
-class LimitsDocument(Section, frozen=True):
+class LimitsDocument(SectionStruct, frozen=True):
     """Limits of requests; in bytes and milliseconds."""
 
     max_header_bytes: Whole = 0
@@ -73,13 +73,13 @@
     idle_timeout_ms: Number = 0
 
 
-class GuaranteeDocument(Section, frozen=True):
+class GuaranteeDocument(SectionStruct, frozen=True):
     """What belongs to an account at all times."""
 
     gpus: Whole = 0
 
 
-class TenantDocument(Section, frozen=True):
+class TenantDocument(SectionStruct, frozen=True):
     """An account."""
 
     name: str
@@ -89,7 +89,7 @@
     guaranteed: GuaranteeDocument | None = None
 
 
-class ConfigurationDocument(Section, frozen=True):
+class ConfigurationDocument(SectionStruct, frozen=True):
     """A complete configuration; `tenants` is None where the document has none."""
 
     version: int | float
