--- a/src/cicadatray/internal/control/calls.py
+++ b/src/cicadatray/internal/control/calls.py
@@ -15,9 +15,9 @@
     directory_calls,
     evacuation_calls,
     graph_calls,
-    queue_calls,
     job_calls,
     key_calls,
     member_calls,
+    queue_calls,
     replica_calls,
 )
