--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -29,15 +29,11 @@
 from cicadatray.internal.control.group_admission import GroupAdmission
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.internal.control.replica_gauges import register_replica_gauges
 from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
-from cicadatray.internal.observability.graph_metrics import queues_version
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
-from cicadatray.internal.observability.standard_metrics import (
-    fragmentation_ratio,
-    lost_disks_borne,
-    replica_term,
-)
+from cicadatray.internal.observability.standard_metrics import fragmentation_ratio
 from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.control_settings import ControlSettings
 from cicadatray.internal.wire.control_client import ControlClient
@@ -52,7 +48,6 @@
 from cicadatray.internal.wire.rpc_server import RpcServer
 from cicadatray.replication.errors import NotLeaderError, ReplicationError
 from cicadatray.replication.member import Member
-from cicadatray.replication.redundancy_watch import current_redundancy
 from cicadatray.replication.replica import Replica
 from cicadatray.replication.replica_settings import ReplicaSettings
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
@@ -120,9 +115,7 @@
         register_queue_gauges(self.metrics, lambda: self.graph_session)
         register_coverage_gauge(self.metrics, lambda: self.graph_session)
         register_speed_gauge(self.metrics, lambda: self.graph_session)
-        lost_disks_borne(self.metrics).read_from(self._tolerated_disk_losses)
-        queues_version(self.metrics).read_from(lambda: self.state.graphs.queues.version)
-        replica_term(self.metrics).read_from(self._term)
+        register_replica_gauges(self.metrics, self.replica, self.state)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
         self.graph_session: GraphSession | None = None
@@ -203,16 +196,6 @@
     def _fragmentation(self) -> float:
         return current_fragmentation(self.session) if self.session is not None else math.nan
 
-    def _term(self) -> float:
-        core = self.replica.core_or_none
-        return core.term if core is not None else math.nan
-
-    def _tolerated_disk_losses(self) -> float:
-        core = self.replica.core_or_none
-        if core is None or core.leadership is None:
-            return math.nan
-        return current_redundancy(core.leadership).tolerated_disk_losses
-
     async def _wait_for_stop(self, stop: asyncio.Event) -> None:
         stopping = asyncio.create_task(stop.wait())
         failing = asyncio.create_task(self.replica.wait_stopped())
