--- a/tests/nocover/configuration_soak/site.py
+++ b/tests/nocover/configuration_soak/site.py
@@ -5,6 +5,7 @@
 import random
 import time
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 
 from nocover.configuration_soak.findings import Findings
@@ -45,7 +46,6 @@
         "numbers",
         "random",
         "shape",
-        "stopping",
         "versions",
     )
 
@@ -63,7 +63,6 @@
         self.numbers = itertools.count(1)
         self.confirmed = asyncio.Event()
         self.confirming_host = ""
-        self.stopping = False
         self.machines: list[Machine] = []
         # Control runs on the first machines of each zone, besides an entry.
         controls_per_zone = read_control_count(checkout)
@@ -89,7 +88,9 @@
             shape=self.shape,
         )
 
-    def draw_seeds(self, is_eligible=lambda machine: True) -> tuple[str, ...]:
+    def draw_seeds(
+        self, is_eligible: Callable[[Machine], bool] = lambda machine: True
+    ) -> tuple[str, ...]:
         """Returns the addresses of three control instances, of different zones where possible."""
         controls = [machine for machine in self.controls() if is_eligible(machine)]
         self.random.shuffle(controls)
