Report jobs that rest although their pool has room for them

What callers saw: an accepted job that could run and did not, with most of the workers' room free. The leader logs why the oldest work of each queue waits, but not whether there was room for it, and nothing about other jobs, so that the logs cannot tell a preference (rack, reservation, idle worker) from a lack of room.

A round now finds the work that fits twice over while its job has nothing running and at most 0.6 of its pool is in use, or that lasts, and counts for how long across rounds, independent of steps of the clock. `work held` and `work no longer held` name the task, the reason and the share of the pool in use; cicadatray_work_held_seconds_total adds the time up by queue and reason.

PlacementRound passes the search for a fit to FitSearch; its code is unchanged. Two tests patch fit_tasks where it is called now, and in addition in the new module. tests/cover/taskgraphs passes.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -189,7 +189,7 @@
             self.wait_log.record_round({})
             return
         plan = self._plan(waiting, now_s)
-        self.wait_log.record_round(plan.waits)
+        self.wait_log.record_round(plan.waits, plan.held)
         self.guarantee_log.record_round(waiting, plan)
         self._displace(plan)
         if plan.assignments:
--- a/src/cicadatray/internal/control/graphs/wait_log.py
+++ b/src/cicadatray/internal/control/graphs/wait_log.py
@@ -1,12 +1,14 @@
 """Logs why the oldest waiting work of each queue was not placed."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import structlog
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.hold_log import HoldLog
 from cicadatray.internal.observability.queue_metrics import queue_blocked_seconds
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
+from cicadatray.scheduling.taskgraphs.held_work import HeldWork
 from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
 from cicadatray.scheduling.taskgraphs.wait_outside_placement import explain_unready
 from cicadatray.scheduling.taskgraphs.wait_reason import WaitReason
@@ -34,17 +36,21 @@
 class WaitLog:
     """Logs the wait reason of each queue when it changes, and counts how long each reason lasts."""
 
-    __slots__ = ("last_round_s", "next_scan_s", "queues", "session", "unready")
+    __slots__ = ("hold_log", "last_round_s", "next_scan_s", "queues", "session", "unready")
 
     def __init__(self, session: GraphSession) -> None:
         self.session = session
+        self.hold_log = HoldLog(session)
         self.queues: dict[str, _QueueWait] = {}
         self.last_round_s = session.now_s()
         self.next_scan_s = 0.0
         self.unready: dict[str, tuple[GraphProgress, WaitReason]] = {}
 
-    def record_round(self, waits: Mapping[str, PlacementWait]) -> None:
-        """Records the work that a round did not place, by queue."""
+    def record_round(
+        self, waits: Mapping[str, PlacementWait], held: Sequence[HeldWork] = ()
+    ) -> None:
+        """Records the work that a round did not place, by queue, and the work that it held back."""
+        self.hold_log.record_round(held)
         now_s = self.session.now_s()
         self._count_blocked(now_s - self.last_round_s)
         self.last_round_s = now_s
--- a/src/cicadatray/internal/observability/queue_metrics.py
+++ b/src/cicadatray/internal/observability/queue_metrics.py
@@ -99,3 +99,15 @@
         "Runs that have not ended in evacuated data centres.",
         ("data_centre",),
     )
+
+
+def work_held_seconds(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of seconds for which work waited although its pool had room for it.
+
+    The labels are `queue` and `reason`, which is one of `WaitReason`.
+    """
+    return registry.counter(
+        "cicadatray_work_held_seconds_total",
+        "Time for which work of resting jobs was not started although there was room.",
+        ("queue", "reason"),
+    )
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/fit_search.py
@@ -0,0 +1,76 @@
+"""Where waiting work fits within one placement round."""
+
+from collections.abc import Mapping
+
+from cicadatray.scheduling.taskgraphs.earliest_fit import EarliestFit, find_earliest_fit
+from cicadatray.scheduling.taskgraphs.rules.candidate_rule import CandidateRule
+from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
+from cicadatray.scheduling.taskgraphs.runs_by_end import RunsByEnd
+from cicadatray.scheduling.taskgraphs.task_fit import AvailableResources, fit_tasks
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
+from cicadatray.scheduling.taskgraphs.worker_limits import remaining_limits
+
+
+class FitSearch:
+    """Fits work on groups of workers, now or once running work has ended.
+
+    `running_by_end` holds the running work in the order of its expected ends, None until it is
+    needed.
+    """
+
+    __slots__ = ("candidates", "running_by_end", "view")
+
+    def __init__(self, view: RoundView, candidates: CandidateRule) -> None:
+        self.view = view
+        self.candidates = candidates
+        self.running_by_end: RunsByEnd | None = None
+
+    def limits(self, work: WaitingWork, group: list[WorkerCapacity]) -> dict[str, int] | None:
+        """Returns how many more tasks of the step each worker may take, or None without a limit."""
+        return remaining_limits(work, group, self.view.plan.assignments)
+
+    def fit(
+        self,
+        work: WaitingWork,
+        group: list[WorkerCapacity],
+        available_of: AvailableResources,
+        limits: Mapping[str, int] | None,
+    ) -> list[WorkerCapacity] | None:
+        """Returns one worker for each task of the work, or None if not all tasks fit."""
+        fill_order = self.candidates.fill_order(work)
+        count = len(work.indexes)
+        return fit_tasks(group, work.step.demand, count, available_of, limits, fill_order)
+
+    def earliest_in_any(
+        self, work: WaitingWork, groups: list[list[WorkerCapacity]], must_be_idle: bool = False
+    ) -> EarliestFit | None:
+        """Returns the earliest fit in any of the groups, or None if the work never fits."""
+        earliest: EarliestFit | None = None
+        for group in groups:
+            unreserved = [worker for worker in group if not worker.is_reserved]
+            fit = self.earliest(work, unreserved, must_be_idle)
+            if fit is not None and (earliest is None or fit.remaining_s < earliest.remaining_s):
+                earliest = fit
+        return earliest
+
+    def earliest(
+        self, work: WaitingWork, group: list[WorkerCapacity], must_be_idle: bool = False
+    ) -> EarliestFit | None:
+        """Returns the earliest fit after running work has ended, or None if the work never fits."""
+        if self.running_by_end is None:
+            self.running_by_end = RunsByEnd(self.view.running)
+        limits = self.limits(work, group)
+        return find_earliest_fit(
+            group,
+            work.step.demand,
+            len(work.indexes),
+            self.running_by_end.on(group),
+            limits,
+            must_be_idle,
+            self.candidates.fill_order(work),
+        )
+
+    def record_displacement(self) -> None:
+        """Records that running work is about to be stopped."""
+        self.running_by_end = None
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/held_work.py
@@ -0,0 +1,22 @@
+"""Work that waits although there is room for it."""
+
+from cicadatray.scheduling.taskgraphs.wait_reason import WaitReason
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
+
+
+class HeldWork:
+    """Work whose job is at rest although its pool has room for it.
+
+    `held_s` is for how long, in seconds. `reason` is what held it back, and `used_share` the share
+    of the capacity of its pool in use.
+    """
+
+    __slots__ = ("held_s", "reason", "used_share", "work")
+
+    def __init__(
+        self, work: WaitingWork, reason: WaitReason, held_s: float, used_share: float
+    ) -> None:
+        self.work = work
+        self.reason = reason
+        self.held_s = held_s
+        self.used_share = used_share
--- /dev/null
+++ b/src/cicadatray/scheduling/taskgraphs/hold_memory.py
@@ -0,0 +1,40 @@
+"""How long work has been held back, across rounds."""
+
+# A longer pause between two rounds, or a step of the clock, counts as this long, in seconds.
+LONGEST_ROUND_S = 1.0
+
+HoldKey = tuple[str, int, int, int]
+
+
+class HoldMemory:
+    """The time for which each held work has been held, in seconds; kept in `RuleMemory`.
+
+    `held_s` has the work that the present round has found to be held, and `former_s` that of the
+    round before. Work that is not held in a round begins anew. `round_s` is the time of the present
+    round in seconds since 1970, a clock that may be set back or forward between two rounds.
+    """
+
+    __slots__ = ("elapsed_s", "former_s", "held_s", "round_s")
+
+    def __init__(self) -> None:
+        self.held_s: dict[HoldKey, float] = {}
+        self.former_s: dict[HoldKey, float] = {}
+        self.round_s = 0.0
+        self.elapsed_s = 0.0
+
+    def begin_round(self, now_s: float) -> None:
+        """Begins a round; `now_s` is in seconds since 1970."""
+        self.elapsed_s = min(max(0.0, now_s - self.round_s), LONGEST_ROUND_S)
+        self.round_s = now_s
+        self.former_s, self.held_s = self.held_s, {}
+
+    def extend(self, key: HoldKey) -> float:
+        """Records that work is held in this round, and returns for how long it has been."""
+        former_s = self.former_s.get(key)
+        held_s = 0.0 if former_s is None else former_s + self.elapsed_s
+        self.held_s[key] = held_s
+        return held_s
+
+    def clear(self) -> None:
+        """Forgets all work, because nothing waits."""
+        self.held_s = {}
--- a/src/cicadatray/scheduling/taskgraphs/placement_plan.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_plan.py
@@ -2,6 +2,7 @@
 
 from cicadatray.scheduling.taskgraphs.assignment import Assignment
 from cicadatray.scheduling.taskgraphs.displacement import Displacement
+from cicadatray.scheduling.taskgraphs.held_work import HeldWork
 from cicadatray.scheduling.taskgraphs.passed_over_job import PassedOverJob
 from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
@@ -12,14 +13,16 @@
 
     `displaced` maps each run to stop to the identifier of the graph that gets its capacity.
     `displacements` has their costs. `waits` maps each queue to its oldest work that was not placed.
-    `passed_over` names jobs that are passed over since this round.
+    `held` has the work that waits although its pool has room for it. `passed_over` names jobs that
+    are passed over since this round.
     """
 
-    __slots__ = ("assignments", "displaced", "displacements", "passed_over", "waits")
+    __slots__ = ("assignments", "displaced", "displacements", "held", "passed_over", "waits")
 
     def __init__(self) -> None:
         self.assignments: list[Assignment] = []
         self.displaced: dict[TaskRun, str] = {}
         self.displacements: list[Displacement] = []
+        self.held: list[HeldWork] = []
         self.passed_over: list[PassedOverJob] = []
         self.waits: dict[str, PlacementWait] = {}
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -1,10 +1,12 @@
 """One placement round: assigns waiting work to workers and chooses work to displace."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from cicadatray.scheduling.taskgraphs.assignment import Assignment
 from cicadatray.scheduling.taskgraphs.displacement import Displacement
-from cicadatray.scheduling.taskgraphs.earliest_fit import EarliestFit, find_earliest_fit
+from cicadatray.scheduling.taskgraphs.fit_search import FitSearch
+from cicadatray.scheduling.taskgraphs.held_work import HeldWork
+from cicadatray.scheduling.taskgraphs.hold_watch import HoldWatch
 from cicadatray.scheduling.taskgraphs.job_value import URGENT_PRIORITY
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
@@ -12,21 +14,14 @@
 from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
 from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
-from cicadatray.scheduling.taskgraphs.runs_by_end import RunsByEnd
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
-from cicadatray.scheduling.taskgraphs.task_fit import (
-    AvailableResources,
-    fit_tasks,
-    free_now,
-    free_once_stopped,
-)
+from cicadatray.scheduling.taskgraphs.task_fit import free_now, free_once_stopped
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.trial_share import may_begin_trials
 from cicadatray.scheduling.taskgraphs.wait_diagnosis import WaitDiagnosis
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.warm_candidates import warm_first
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
-from cicadatray.scheduling.taskgraphs.worker_limits import remaining_limits
 
 # Capacity is reserved for at most this many blocked gangs at a time; more reservations would leave
 # workers idle.
@@ -42,12 +37,11 @@
     `may_displace` no running work is stopped, because not all workers are known yet.
     `reserved_gangs` counts the blocked gangs for which the round has reserved capacity, and
     `reserved_trials` the pools in which it has reserved workers for a task that must start alone.
-    `running_by_end` holds the running work in the order of its expected ends, None until it is
-    needed.
     """
 
     __slots__ = (
         "candidates",
+        "holds",
         "may_displace",
         "now_s",
         "plan",
@@ -55,7 +49,7 @@
         "reserved_gangs",
         "reserved_trials",
         "running",
-        "running_by_end",
+        "search",
         "start_limits",
         "victims",
         "view",
@@ -77,7 +71,6 @@
         self.may_displace = may_displace
         self.workers = view.workers
         self.running = view.running
-        self.running_by_end: RunsByEnd | None = None
         self.now_s = now_s
         self.start_limits = start_limits
         self.reserved_gangs = 0
@@ -85,6 +78,8 @@
         self.plan: PlacementPlan = view.plan
         self.ranking = rules.find_ranking()(view)
         self.candidates = rules.find_candidates()(view)
+        self.search = FitSearch(view, self.candidates)
+        self.holds = HoldWatch(view, self.search.limits)
         self.victims = rules.find_victims()(view)
 
     def run(self, waiting: Sequence[WaitingWork]) -> PlacementPlan:
@@ -110,52 +105,67 @@
         """Places the work; returns False if it must wait."""
         usable = self._usable_workers(work)
         groups = warm_first(self.candidates, work, usable)
+        place = self._isolate if work.is_suspect else self._place
+        if place(work, groups):
+            return True
+        self._record_wait(work, usable, groups)
         if work.is_suspect:
-            return self._try_to_isolate(work, groups)
+            self._reserve_for_trial(work, groups)
+        else:
+            self._reserve_or_displace(work, groups)
+        return False
+
+    def _place(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> bool:
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
-            limits = self._limits(work, unreserved)
-            chosen = self._fit(work, unreserved, free_now, limits)
+            limits = self.search.limits(work, unreserved)
+            chosen = self.search.fit(work, unreserved, free_now, limits)
             if chosen is not None and self.candidates.may_use(work, chosen):
                 self._assign(work, chosen)
                 return True
-        self._record_wait(work, groups)
-        self._reserve_or_displace(work, groups)
         return False
 
-    def _try_to_isolate(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> bool:
-        """Places suspect work on idle workers, which accept nothing else until it is harmless.
-
-        It displaces nothing. If it must wait, the workers that become idle first are reserved for
-        the first such work of each pool.
-        """
+    def _isolate(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> bool:
+        """Places suspect work on idle workers, which accept nothing else until it is harmless."""
         for group in groups:
             idle = [w for w in group if not w.is_reserved and not w.run_count]
-            limits = self._limits(work, idle)
-            chosen = self._fit(work, idle, free_now, limits)
+            limits = self.search.limits(work, idle)
+            chosen = self.search.fit(work, idle, free_now, limits)
             if chosen is not None and may_begin_trials(self.workers, work, chosen):
                 self._assign(work, chosen)
-                for worker in chosen:
-                    worker.begin_trial()
                 return True
-        self._record_wait(work, groups)
-        pool = work.graph.graph.policy.pool
-        if pool not in self.reserved_trials:
-            earliest = self._earliest_fit_in_any(work, groups, must_be_idle=True)
-            if earliest is not None and may_begin_trials(self.workers, work, earliest.workers):
-                self.reserved_trials.add(pool)
-                self._reserve(work, earliest.workers)
         return False
 
-    def _record_wait(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
-        """Records the wait reason of the oldest work of each queue.
+    def _reserve_for_trial(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
+        """Reserves the workers that become idle first for the first suspect work of each pool.
+
+        Suspect work displaces nothing.
+        """
+        pool = work.graph.graph.policy.pool
+        if pool in self.reserved_trials:
+            return
+        earliest = self.search.earliest_in_any(work, groups, must_be_idle=True)
+        if earliest is not None and may_begin_trials(self.workers, work, earliest.workers):
+            self.reserved_trials.add(pool)
+            self._reserve(work, earliest.workers)
+
+    def _record_wait(
+        self, work: WaitingWork, usable: list[WorkerCapacity], groups: list[list[WorkerCapacity]]
+    ) -> None:
+        """Records the wait reason of the oldest work of each queue, and of all work that is held.
 
-        Only the oldest work is diagnosed, because each diagnosis calls `fit_tasks` several times.
+        No other work is diagnosed, because each diagnosis calls `fit_tasks` several times.
         """
-        queue = work.graph.graph.policy.queue
+        queue, pool = work.graph.graph.policy.queue, work.graph.graph.policy.pool
         oldest = self.plan.waits.get(queue)
-        if oldest is None or work.ready_s < oldest.work.ready_s:
-            reason = WaitDiagnosis(work, self.workers, groups, self._limits).explain()
+        is_oldest = oldest is None or work.ready_s < oldest.work.ready_s
+        held_s = self.holds.held_s(work, usable)
+        if held_s is None and not is_oldest:
+            return
+        reason = WaitDiagnosis(work, self.workers, groups, self.search.limits).explain()
+        if held_s is not None:
+            self.plan.held.append(HeldWork(work, reason, held_s, self.holds.used_share(pool)))
+        if is_oldest:
             self.plan.waits[queue] = PlacementWait(work, reason)
 
     def _usable_workers(self, work: WaitingWork) -> list[WorkerCapacity]:
@@ -166,33 +176,21 @@
         not_suspect = [worker for worker in usable if not worker.is_suspect]
         return not_suspect or usable
 
-    def _fit(
-        self,
-        work: WaitingWork,
-        group: list[WorkerCapacity],
-        available_of: AvailableResources,
-        limits: Mapping[str, int] | None,
-    ) -> list[WorkerCapacity] | None:
-        """Returns one worker for each task of the work, or None if not all tasks fit."""
-        fill_order = self.candidates.fill_order(work)
-        count = len(work.indexes)
-        return fit_tasks(group, work.step.demand, count, available_of, limits, fill_order)
-
-    def _limits(self, work: WaitingWork, group: list[WorkerCapacity]) -> dict[str, int] | None:
-        return remaining_limits(work, group, self.plan.assignments)
-
     def _assign(self, work: WaitingWork, chosen: list[WorkerCapacity]) -> None:
+        self.holds.record_start(work)
         for index, worker in zip(work.indexes, chosen, strict=True):
             worker.occupy(work.step.demand)
             run = TaskRun(work.task(index), work.run)
             self.plan.assignments.append(Assignment(run, worker.worker_id))
+            if work.is_suspect:
+                worker.begin_trial()
 
     def _reserve_or_displace(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
         """Reserves capacity that becomes free for the work, or displaces other work."""
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
-            limits = self._limits(work, unreserved)
-            chosen = self._fit(work, unreserved, free_once_stopped, limits)
+            limits = self.search.limits(work, unreserved)
+            chosen = self.search.fit(work, unreserved, free_once_stopped, limits)
             if chosen is not None and self.candidates.may_use(work, chosen):
                 self._reserve(work, chosen)
                 return
@@ -218,7 +216,7 @@
         longest_wait_s = latest_s - self.now_s
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
-            fit = self._earliest_fit(work, unreserved)
+            fit = self.search.earliest(work, unreserved)
             if fit is not None and fit.remaining_s < longest_wait_s:
                 self._reserve(work, fit.workers)
                 return True
@@ -229,6 +227,7 @@
         for worker in chosen:
             worker.free_after_stops = worker.free_after_stops.minus(work.step.demand)
             worker.is_reserved = True
+            worker.is_guaranteed = worker.is_guaranteed or work.is_guaranteed
 
     def _displace(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> bool:
         """Displaces the cheapest victims in any group and reserves their capacity.
@@ -240,7 +239,7 @@
         cheapest: Displacement | None = None
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
-            limits = self._limits(work, unreserved)
+            limits = self.search.limits(work, unreserved)
             displacement = self.victims.find(work, unreserved, candidates, limits, fill_order)
             if displacement is not None and (cheapest is None or displacement.cost < cheapest.cost):
                 cheapest = displacement
@@ -248,7 +247,7 @@
             return False
         for victim in cheapest.victims:
             self.running.remove(victim)
-            self.running_by_end = None
+            self.search.record_displacement()
             self.plan.displaced.update(dict.fromkeys(victim.runs, work.graph.graph.graph_id))
             self._count_as_free_after_stops(victim)
         self.plan.displacements.append(cheapest)
@@ -265,36 +264,7 @@
 
     def _reserve_for_gang(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
         """Reserves the workers that fit the gang first, so that small tasks do not refill them."""
-        earliest = self._earliest_fit_in_any(work, groups)
+        earliest = self.search.earliest_in_any(work, groups)
         if earliest is not None:
             self.reserved_gangs += 1
             self._reserve(work, earliest.workers)
-
-    def _earliest_fit_in_any(
-        self, work: WaitingWork, groups: list[list[WorkerCapacity]], must_be_idle: bool = False
-    ) -> EarliestFit | None:
-        """Returns the earliest fit in any of the groups, or None if the work never fits."""
-        earliest: EarliestFit | None = None
-        for group in groups:
-            unreserved = [worker for worker in group if not worker.is_reserved]
-            fit = self._earliest_fit(work, unreserved, must_be_idle)
-            if fit is not None and (earliest is None or fit.remaining_s < earliest.remaining_s):
-                earliest = fit
-        return earliest
-
-    def _earliest_fit(
-        self, work: WaitingWork, group: list[WorkerCapacity], must_be_idle: bool = False
-    ) -> EarliestFit | None:
-        """Returns the earliest fit after running work has ended, or None if the work never fits."""
-        if self.running_by_end is None:
-            self.running_by_end = RunsByEnd(self.running)
-        limits = self._limits(work, group)
-        return find_earliest_fit(
-            group,
-            work.step.demand,
-            len(work.indexes),
-            self.running_by_end.on(group),
-            limits,
-            must_be_idle,
-            self.candidates.fill_order(work),
-        )
--- a/src/cicadatray/scheduling/taskgraphs/running_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/running_work.py
@@ -113,10 +113,12 @@
 
     def cores(self) -> float:
         """Returns the cores that all its runs occupy, with accelerators converted to cores."""
-        return sum(
-            demand.cpu_millis / 1000 + ACCELERATOR_CORES * demand.accelerators
-            for _, demand in self.occupied
-        )
+        return sum(core_equivalents(demand) for _, demand in self.occupied)
+
+
+def core_equivalents(resources: Resources) -> float:
+    """Returns the cores of an amount of resources, with accelerators converted to cores."""
+    return resources.cpu_millis / 1000 + ACCELERATOR_CORES * resources.accelerators
 
 
 # The time to stop a run, record its end, wait for capacity elsewhere and start it again.
--- a/tests/cover/taskgraphs/test_placement_round.py
+++ b/tests/cover/taskgraphs/test_placement_round.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cicadatray.scheduling.taskgraphs import placement_round
+from cicadatray.scheduling.taskgraphs import fit_search, hold_watch
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.resources import Resources
@@ -327,7 +327,8 @@
         calls.append(arguments)
         return fit_tasks(*arguments)
 
-    monkeypatch.setattr(placement_round, "fit_tasks", counted)
+    monkeypatch.setattr(fit_search, "fit_tasks", counted)
+    monkeypatch.setattr(hold_watch, "fit_tasks", counted)
     workers = make_workers((3, 3, 3))
     running = [make_running(workers, [(w.worker_id, CAPACITY)], w.worker_id) for w in workers]
     waiting = make_waiting(Step(500, ONE, 8.0), 2)
--- a/tests/cover/taskgraphs/test_search_equivalence.py
+++ b/tests/cover/taskgraphs/test_search_equivalence.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cicadatray.scheduling.taskgraphs import displacement_search, placement_round
+from cicadatray.scheduling.taskgraphs import displacement_search, fit_search, hold_watch
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.resources import Resources
@@ -98,10 +98,11 @@
     """
     plan = make_plan(racks, loads, jobs)
     with (
-        patch.object(placement_round, "fit_tasks", reference_search.fit_tasks),
+        patch.object(fit_search, "fit_tasks", reference_search.fit_tasks),
+        patch.object(hold_watch, "fit_tasks", reference_search.fit_tasks),
         patch.object(packed, "fit_tasks", reference_search.fit_tasks),
         patch.object(displacement_search, "fit_tasks", reference_search.fit_tasks),
-        patch.object(placement_round, "find_earliest_fit", reference_search.find_earliest_fit),
+        patch.object(fit_search, "find_earliest_fit", reference_search.find_earliest_fit),
         patch.object(cheapest, "DisplacementSearch", reference_search.ReferenceDisplacementSearch),
     ):
         expected = make_plan(racks, loads, jobs)
