Start a resting job wherever it fits once a preference has held it for 1.5 s

Cause: preferences of the placement had no limit in time, or one that is far above 3 s. Work for the rack of its data and gangs of one rack waited for up to twice their estimate, single tasks for as long as two blocked gangs kept whole workers, and a task under which a worker had crashed for an idle worker. Each is worth it while capacity is scarce, and was kept in an almost empty pool too.

Change: work that fits twice over while its job has nothing running and at most 0.6 of its pool is in use, or that lasts, starts after 1.5 s wherever it fits, in unreserved room first. Suspect work may wait 8 s if a worker is expected to become idle, since it may cost others their work. Expected ends leave out tasks that last.

--- a/src/cicadatray/internal/control/graphs/hold_log.py
+++ b/src/cicadatray/internal/control/graphs/hold_log.py
@@ -36,6 +36,8 @@
             self.session.rule_memory.get(HoldMemory).clear()
         self._count(held)
         by_task = {_task_of(item): item for item in held if item.held_s >= REPORT_AFTER_S}
+        for task in [task for task in by_task if by_task[task].is_started]:
+            self.reported[task] = by_task.pop(task)
         for task in [task for task in self.reported if task not in by_task]:
             self._log_end(task, self.reported.pop(task))
         new = [(task, item) for task, item in by_task.items() if task not in self.reported]
@@ -70,13 +72,12 @@
         )
 
     def _log_end(self, task: str, item: HeldWork) -> None:
-        is_running = any(progress.worker_id for progress in item.work.graph.tasks.values())
         log.info(
             "work no longer held",
             task=task,
             reason=item.reason.value,
             held_s=round(item.held_s, 2),
-            is_running=is_running,
+            is_started=item.is_started,
         )
 
 
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -160,6 +160,7 @@
                     report.percent if report else -1,
                 )
                 work.client_account = graph.client_account
+                work.is_long_running = step.is_long_running
                 works[key] = work
                 waves = waves_of(pools, graph)
                 set_deadlines(session.graphs[task.graph_id], task, work, session.wall_s(), waves)
--- a/src/cicadatray/scheduling/taskgraphs/hold_memory.py
+++ b/src/cicadatray/scheduling/taskgraphs/hold_memory.py
@@ -1,5 +1,8 @@
 """How long work has been held back, across rounds."""
 
+from collections import Counter
+from collections.abc import Iterable
+
 # A longer pause between two rounds, or a step of the clock, counts as this long, in seconds.
 LONGEST_ROUND_S = 1.0
 
@@ -10,15 +13,17 @@
     """The time for which each held work has been held, in seconds; kept in `RuleMemory`.
 
     `held_s` has the work that the present round has found to be held, and `former_s` that of the
-    round before. Work that is not held in a round begins anew. `round_s` is the time of the present
-    round in seconds since 1970, a clock that may be set back or forward between two rounds.
+    round before. Work that is not held in a round begins anew. `bypasses` counts how often held
+    work has taken room that was reserved for other work, by that work. `round_s` is the time of the
+    present round in seconds since 1970, a clock that may be set back or forward between two rounds.
     """
 
-    __slots__ = ("elapsed_s", "former_s", "held_s", "round_s")
+    __slots__ = ("bypasses", "elapsed_s", "former_s", "held_s", "round_s")
 
     def __init__(self) -> None:
         self.held_s: dict[HoldKey, float] = {}
         self.former_s: dict[HoldKey, float] = {}
+        self.bypasses: Counter[HoldKey] = Counter()
         self.round_s = 0.0
         self.elapsed_s = 0.0
 
@@ -35,6 +40,12 @@
         self.held_s[key] = held_s
         return held_s
 
+    def keep_bypasses(self, waiting: Iterable[HoldKey]) -> None:
+        """Forgets the bypasses of work that does not wait any more."""
+        if self.bypasses:
+            kept = set(waiting)
+            self.bypasses = Counter({k: n for k, n in self.bypasses.items() if k in kept})
+
     def clear(self) -> None:
-        """Forgets all work, because nothing waits."""
+        """Forgets all held work, because none is held."""
         self.held_s = {}
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -19,6 +19,7 @@
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.trial_share import may_begin_trials
 from cicadatray.scheduling.taskgraphs.wait_diagnosis import WaitDiagnosis
+from cicadatray.scheduling.taskgraphs.wait_reason import WaitReason
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.warm_candidates import warm_first
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -79,13 +80,14 @@
         self.ranking = rules.find_ranking()(view)
         self.candidates = rules.find_candidates()(view)
         self.search = FitSearch(view, self.candidates)
-        self.holds = HoldWatch(view, self.search.limits)
+        self.holds = HoldWatch(view, self.search)
         self.victims = rules.find_victims()(view)
 
     def run(self, waiting: Sequence[WaitingWork]) -> PlacementPlan:
         """Tries to place all waiting work in the order of its ranking and returns the plan."""
         blocked: set[tuple[str, int, int]] = set()
         self.victims.observe(waiting)
+        self.holds.observe(waiting)
         for work in self.ranking.order(waiting):
             step = (work.graph.graph.graph_id, work.occurrence, work.step_number)
             # If one task of a step does not fit, the other tasks of that step do not fit either.
@@ -108,7 +110,10 @@
         place = self._isolate if work.is_suspect else self._place
         if place(work, groups):
             return True
-        self._record_wait(work, usable, groups)
+        held_s = self.holds.held_s(work, usable)
+        if held_s is not None and self._record_hold(work, usable, groups, held_s):
+            return True
+        self._record_wait(work, groups)
         if work.is_suspect:
             self._reserve_for_trial(work, groups)
         else:
@@ -149,24 +154,36 @@
             self.reserved_trials.add(pool)
             self._reserve(work, earliest.workers)
 
-    def _record_wait(
-        self, work: WaitingWork, usable: list[WorkerCapacity], groups: list[list[WorkerCapacity]]
-    ) -> None:
-        """Records the wait reason of the oldest work of each queue, and of all work that is held.
+    def _record_hold(
+        self,
+        work: WaitingWork,
+        usable: list[WorkerCapacity],
+        groups: list[list[WorkerCapacity]],
+        held_s: float,
+    ) -> bool:
+        """Records work that is held back; places it and returns True if it was held too long."""
+        used_share = self.holds.used_share(work.graph.graph.policy.pool)
+        held = HeldWork(work, self._diagnose(work, groups), held_s, used_share)
+        self.plan.held.append(held)
+        chosen = self.holds.release(work, usable, groups, held_s)
+        if chosen is None:
+            return False
+        held.is_started = True
+        self._assign(work, chosen)
+        return True
+
+    def _record_wait(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
+        """Records the wait reason of the oldest work of each queue.
 
-        No other work is diagnosed, because each diagnosis calls `fit_tasks` several times.
+        Only the oldest work is diagnosed, because each diagnosis calls `fit_tasks` several times.
         """
-        queue, pool = work.graph.graph.policy.queue, work.graph.graph.policy.pool
+        queue = work.graph.graph.policy.queue
         oldest = self.plan.waits.get(queue)
-        is_oldest = oldest is None or work.ready_s < oldest.work.ready_s
-        held_s = self.holds.held_s(work, usable)
-        if held_s is None and not is_oldest:
-            return
-        reason = WaitDiagnosis(work, self.workers, groups, self.search.limits).explain()
-        if held_s is not None:
-            self.plan.held.append(HeldWork(work, reason, held_s, self.holds.used_share(pool)))
-        if is_oldest:
-            self.plan.waits[queue] = PlacementWait(work, reason)
+        if oldest is None or work.ready_s < oldest.work.ready_s:
+            self.plan.waits[queue] = PlacementWait(work, self._diagnose(work, groups))
+
+    def _diagnose(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> WaitReason:
+        return WaitDiagnosis(work, self.workers, groups, self.search.limits).explain()
 
     def _usable_workers(self, work: WaitingWork) -> list[WorkerCapacity]:
         """Returns the workers of the pool with the required label, suspect ones only if all are."""
@@ -227,7 +244,7 @@
         for worker in chosen:
             worker.free_after_stops = worker.free_after_stops.minus(work.step.demand)
             worker.is_reserved = True
-            worker.is_guaranteed = worker.is_guaranteed or work.is_guaranteed
+            worker.reserved_for = work
 
     def _displace(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> bool:
         """Displaces the cheapest victims in any group and reserves their capacity.
--- a/src/cicadatray/scheduling/taskgraphs/running_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/running_work.py
@@ -12,10 +12,10 @@
     """A running gang or single task.
 
     `occupied` holds the worker of each run and what the run occupies there. `percent` is the
-    progress, or -1 while it is unknown. `is_guaranteed` has the same meaning as in `WaitingWork`.
-    `client_account` is the account of its graph.
-    `pace_remaining_s` is the remaining time at the pace of the last seconds, None unless paces are
-    measured.
+    progress, or -1 while it is unknown. `is_long_running`: it does not end by itself.
+    `is_guaranteed` has the same meaning as in `WaitingWork`. `client_account` is the account of its
+    graph. `pace_remaining_s` is the remaining time at the pace of the last seconds, None unless
+    paces are measured.
     """
 
     __slots__ = (
@@ -25,6 +25,7 @@
         "graph_id",
         "is_checkpointable",
         "is_guaranteed",
+        "is_long_running",
         "occupied",
         "on_time_by_s",
         "pace_remaining_s",
@@ -47,6 +48,7 @@
         self.client_account = ""
         self.priority = priority
         self.is_guaranteed = False
+        self.is_long_running = False
         self.on_time_by_s = 0.0
         self.worthless_after_s = 0.0
         self.is_checkpointable = is_checkpointable
--- a/src/cicadatray/scheduling/taskgraphs/task_fit.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_fit.py
@@ -63,3 +63,13 @@
 def least_available_first(worker: WorkerCapacity, available: Resources) -> tuple[float, ...]:
     """Returns the sort key that fills the workers with the least available resources first."""
     return (available.accelerators, available.memory_mb, available.cpu_millis)
+
+
+def by_run_count(worker: WorkerCapacity, available: Resources) -> tuple[float, ...]:
+    """Returns the sort key that fills the workers with the fewest runs first."""
+    return (worker.run_count, *least_available_first(worker, available))
+
+
+def unreserved_first(worker: WorkerCapacity, available: Resources) -> tuple[float, ...]:
+    """Returns the sort key that fills reserved workers last."""
+    return (worker.is_reserved, *least_available_first(worker, available))
--- a/src/cicadatray/scheduling/taskgraphs/worker_capacity.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_capacity.py
@@ -1,6 +1,7 @@
 """The state of a worker within one placement round."""
 
 from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 
 
 class WorkerCapacity:
@@ -8,12 +9,12 @@
 
     `free` shrinks as the round places tasks. `free_after_stops` also counts what runs that are
     being stopped still occupy. A reserved worker accepts no further work in this round, because its
-    capacity is reserved for a job that waits for it; it is guaranteed if that job is within a
-    guarantee. Tasks have failed repeatedly on a suspect worker. A worker on trial runs a task that
-    may crash it, and accepts no other work until that task is known to be harmless. A cold worker
-    has just started and is slow, so it takes urgent work only if nothing else fits. `run_count` is
-    the number of runs on the worker. `speed` is relative to the typical worker of the pool,
-    `speed_uncertainty` the standard deviation of its log.
+    capacity is reserved for work that waits for it, `reserved_for`. Tasks have failed repeatedly on
+    a suspect worker. A worker on trial runs a task that may crash it, and accepts no other work
+    until that task is known to be harmless. A cold worker has just started and is slow, so it takes
+    urgent work only if nothing else fits. `run_count` is the number of runs on the worker. `speed`
+    is relative to the typical worker of the pool, `speed_uncertainty` the standard deviation of its
+    log.
     """
 
     __slots__ = (
@@ -21,13 +22,13 @@
         "free",
         "free_after_stops",
         "is_cold",
-        "is_guaranteed",
         "is_on_trial",
         "is_reserved",
         "is_suspect",
         "labels",
         "pool",
         "rack",
+        "reserved_for",
         "run_count",
         "speed",
         "speed_uncertainty",
@@ -53,9 +54,9 @@
         self.is_cold = False
         self.speed = 1.0
         self.speed_uncertainty = 0.0
-        self.is_guaranteed = False
         self.is_on_trial = False
         self.is_reserved = False
+        self.reserved_for: WaitingWork | None = None
         self.is_suspect = False
 
     def occupy(self, demand: Resources, is_stopping: bool = False) -> None:
--- a/tests/cover/taskgraphs/placement_helpers.py
+++ b/tests/cover/taskgraphs/placement_helpers.py
@@ -54,10 +54,12 @@
     elapsed_s: float = 5.0,
     percent: int = 50,
     is_checkpointable: bool = False,
+    is_long_running: bool = False,
 ) -> RunningWork:
     """Returns a gang or single task that runs on the given workers and occupies their capacity."""
     work = RunningWork(graph_id, priority, is_checkpointable, 10.0, elapsed_s, percent)
     work.set_deadlines(100.0, 300.0)
+    work.is_long_running = is_long_running
     workers_by_id = {worker.worker_id: worker for worker in workers}
     for index, (worker_id, demand) in enumerate(places):
         workers_by_id[worker_id].occupy(demand)
--- a/tests/cover/taskgraphs/test_hold_watch.py
+++ b/tests/cover/taskgraphs/test_hold_watch.py
@@ -38,8 +38,11 @@
 
 
 def guarantee_all(workers: list[WorkerCapacity]) -> None:
+    guaranteed = make_waiting(SINGLE, 0, graph_id="guaranteed")
+    guaranteed[0].is_guaranteed = True
     for worker in workers:
-        worker.is_reserved = worker.is_guaranteed = True
+        worker.is_reserved = True
+        worker.reserved_for = guaranteed[0]
 
 
 @pytest.mark.parametrize(
