Order the starts that commit after the session of their leader has ended

Cause: a leader whose command does not commit within 3 s, or that cannot confirm its leadership for a second, begins a new session, and does so in the same term if no other instance is elected. The starts that the former session proposed are still in the log. The new session loads the runs that may exist, and the starts commit afterwards. From then on the replicated state says that the task may run on a worker, so it is not ready, but no session knows the run: no agent is told to start it, and the loss of its worker does not end it. Only a new term did.

A worker that is removed while such a start commits keeps it, so that it is ended as lost.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -231,7 +231,9 @@
             PlacedRun(a.run, a.worker_id, session.workers[a.worker_id].agent_id)
             for a in plan.assignments
         )
-        reply = await session.leader.propose(RecordRuns(now_s=now_s, starts=starts))
+        session.proposed_starts = RecordRuns(now_s=now_s, starts=starts)
+        reply = await session.leader.propose(session.proposed_starts)
+        session.proposed_starts = None
         if not isinstance(reply, RunsRecorded):
             raise LeadershipLostError(f"unexpected reply to the starts of runs: {reply}")
         self._send_orders(reply.started)
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -12,6 +12,7 @@
 from cicadatray.internal.control.graphs.former_workers import end_replaced_workers, last_ends
 from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
+from cicadatray.internal.control.graphs.recorded_starts import is_recorded, load_ordered_runs
 from cicadatray.internal.control.graphs.relay_directory import RelayDirectory
 from cicadatray.internal.control.graphs.speed_observer import SpeedObserver
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
@@ -19,6 +20,7 @@
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
+    RecordRuns,
     RunOrder,
     SyncWorker,
     WorkerOrders,
@@ -27,7 +29,7 @@
 from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
 from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
-from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
+from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 # After a change of leader the agents that can reach the new one have called it by then: the slowest
@@ -48,8 +50,9 @@
     that was done, since when. `replaced_workers` belonged to an earlier leader's term and have been
     replaced by another worker of the same agent. `rule_memory` is what the scheduling rules keep
     between rounds. `new_ends` are reported ends that are not proposed yet, and `unstored_ends` the
-    workers and runs of all reported ends that are not durable yet. `pending_evacuations` counts the
-    orders by data centre that may not be committed yet. `wake` starts the next round.
+    workers and runs of all reported ends that are not durable yet. `proposed_starts` is the command
+    with starts that this session waits for. `pending_evacuations` counts the orders by data centre
+    that may not be committed yet. `wake` starts the next round.
     """
 
     __slots__ = (
@@ -63,6 +66,7 @@
         "new_ends",
         "ordered_runs",
         "pending_evacuations",
+        "proposed_starts",
         "relays",
         "replaced_workers",
         "revoked_runs",
@@ -100,12 +104,13 @@
         self.unstored_ends: set[tuple[str, TaskRun]] = set()
         self.ends_arrived = asyncio.Event()
         self.ordered_runs: dict[str, dict[TaskRun, float]] = {}
+        self.proposed_starts: RecordRuns | None = None
         self.relays = RelayDirectory()
         self.replaced_workers: set[str] = set()
         self.revoked_runs: set[TaskRun] = set()
         self.displacing_graphs: dict[str, float] = {}
         self.wake = asyncio.Event()
-        self._load_ordered_runs()
+        load_ordered_runs(self)
         self.statistics = GraphStatistics(self)
 
     @property
@@ -245,10 +250,15 @@
         return lost
 
     def remove_worker(self, worker_id: str) -> None:
-        """Removes a worker after the ends of its runs are durable."""
+        """Removes a worker after the ends of its runs are durable or proposed.
+
+        A start that was committed in the meantime, too late to be among these ends, is kept.
+        """
         self.workers.pop(worker_id, None)
         self.replaced_workers.discard(worker_id)
-        self.ordered_runs.pop(worker_id, None)
+        for run, ordered_s in self.ordered_runs.pop(worker_id, {}).items():
+            if (worker_id, run) not in self.unstored_ends and is_recorded(self, run, worker_id):
+                self.ordered_runs.setdefault(worker_id, {})[run] = ordered_s
         if self.speed_observer is not None:
             self.speed_observer.remove_worker(worker_id)
 
@@ -288,10 +298,3 @@
         graph = self.graphs[run.task.graph_id]
         progress = graph.tasks[run.task.key]
         return RunOrder(run, graph.graph.spec, progress.checkpoint)
-
-    def _load_ordered_runs(self) -> None:
-        for graph in self.graphs.values():
-            for key, task in graph.tasks.items():
-                if task.worker_id:
-                    run = TaskRun(TaskId.from_key(graph.graph.graph_id, key), task.run)
-                    self.ordered_runs.setdefault(task.worker_id, {})[run] = self.leader.started_s
--- a/tests/cover/control/gangs/fake_replica.py
+++ b/tests/cover/control/gangs/fake_replica.py
@@ -52,7 +52,9 @@
         """
         term = self.term
         try:
-            return await self._call_group(lambda: self._commit(term, command), timeout_s)
+            return await self._call_group(
+                lambda reply: self._append(term, command, reply), timeout_s
+            )
         except TimeoutError:
             raise ProposalUnknownError("no reply from the group") from None
 
@@ -64,27 +66,28 @@
         """
         term = self.term
         try:
-            leads = await self._call_group(lambda: self._leads(term), timeout_s)
+            leads = await self._call_group(lambda reply: reply(self._leads(term)), timeout_s)
         except TimeoutError:
             leads = False
         if not leads:
             raise NotLeaderError(self.log.leader)
 
-    def _commit(self, term: int, command: bytes) -> bytes | None:
-        return self.log.commit(command) if self._leads(term) else None
+    def _append(self, term: int, command: bytes, reply: Callable[[bytes], None]) -> None:
+        if self._leads(term):
+            self.log.append(command, reply)
 
     def _leads(self, term: int) -> bool:
         return (self.log.leader, self.log.term) == (self.name, term)
 
-    async def _call_group(self, action: Callable[[], Result | None], timeout_s: float) -> Result:
+    async def _call_group(
+        self, action: Callable[[Callable[[Result], None]], None], timeout_s: float
+    ) -> Result:
+        """Calls the group, which carries out `action` and may reply later or never."""
         answer: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
 
         def arrive() -> None:
-            if self.name in self.log.cut_members:
-                return
-            result = action()
-            if result is not None:
-                self.log.after_round_trip(lambda: reply(result))
+            if self.name not in self.log.cut_members:
+                action(lambda result: self.log.after_round_trip(lambda: reply(result)))
 
         def reply(result: Result) -> None:
             if self.name not in self.log.cut_members and not answer.done():
--- a/tests/cover/control/gangs/shared_log.py
+++ b/tests/cover/control/gangs/shared_log.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from cicadatray.internal.control.control_state import ControlState
+from cicadatray.internal.wire.messages.graph_messages import RecordRuns
 from cicadatray.internal.wire.messages.job_messages import JobView, PlaceGang, StartGang
 from cicadatray.scheduling.placement import Placement
 from cover.replication.process_loop import Process
@@ -26,13 +27,16 @@
 class SharedLog:
     """Commits the proposals of the leader of the current term.
 
-    `state` applies each command when it is committed.
+    `state` applies each command when it is committed. While `holds_runs` is set, no record of runs
+    is committed and no command behind one; `held` are these commands with what follows the commit.
     """
 
     __slots__ = (
         "commands",
         "cut_members",
         "elections",
+        "held",
+        "holds_runs",
         "leader",
         "members",
         "on_change",
@@ -46,6 +50,8 @@
         self.commands: list[bytes] = []
         self.members: dict[str, LogMember] = {}
         self.cut_members: set[str] = set()
+        self.held: list[tuple[bytes, Callable[[bytes], None]]] = []
+        self.holds_runs = False
         self.leader = ""
         self.term = 0
         self.elections = 0
@@ -81,6 +87,21 @@
         self.on_change()
         return reply
 
+    def append(self, command: bytes, on_commit: Callable[[bytes], None]) -> None:
+        """Commits one command, at once or when `release` is called, and passes on its reply."""
+        is_record = isinstance(self.state.decode_reply(command), RecordRuns)
+        if self.held or (self.holds_runs and is_record):
+            self.held.append((command, on_commit))
+        else:
+            on_commit(self.commit(command))
+
+    def release(self) -> None:
+        """Commits the held commands in the order in which they were appended."""
+        self.holds_runs = False
+        held, self.held = self.held, []
+        for command, on_commit in held:
+            on_commit(self.commit(command))
+
     def after_round_trip(self, action: Callable[[], None]) -> None:
         """Schedules an action of the group, which runs even if the calling instance is frozen."""
         asyncio.get_event_loop().call_later(ROUND_TRIP_S, action, context=Context())
