Settle a run whose order ended with an unexpected error

What callers see: a task that is not started again, because its run is reported as starting until the agent or its worker ends.

Cause: the asyncio task that carries an order out was awaited by nobody. If it ended with an error that the code does not foresee, or was cancelled by something else than the agent, the run stayed in the phase STARTING or STOPPING. No list of the worker clears a run in the phase STARTING, and an order is not begun twice.

Change: the end of each order is examined. An unexpected one is logged as "order failed" with its traceback, and the run is stopped after the usual pause, so that the worker's answer and its list make its state certain.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -13,6 +13,7 @@
 from cicadatray.internal.agent.tasks.run_entry import RunEntry, RunPhase
 from cicadatray.internal.agent.tasks.run_table import RunTable
 from cicadatray.internal.agent.tasks.start_permission import StartPermission
+from cicadatray.internal.agent.tasks.unexpected_errors import UnexpectedErrors
 from cicadatray.internal.agent.tasks.worker_lease import WorkerLease
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerPort
 from cicadatray.internal.observability.counter import Counter
@@ -38,7 +39,9 @@
 
     __slots__ = (
         "answers",
+        "failures",
         "has_applied_orders",
+        "is_cancelled",
         "is_draining",
         "lease",
         "on_change",
@@ -72,6 +75,8 @@
         self.on_replaced = on_replaced
         self.on_unreachable = on_unreachable
         self.permission = StartPermission()
+        self.failures = UnexpectedErrors("order failed")
+        self.is_cancelled = False
         self.token = 0
         self.is_draining = False
         self.has_applied_orders = False
@@ -93,7 +98,7 @@
             if started is not None:
                 started.is_in_doubt = not self.has_applied_orders
                 started.may_have_begun = started.is_in_doubt
-                self._spawn(self._start(started, order))
+                self._spawn(started, self._start(started, order))
         self.has_applied_orders = True
         self.on_worker_activity()
 
@@ -101,17 +106,45 @@
         """Starts to stop a run, even if its start is in doubt."""
         entry.phase = RunPhase.STOPPING
         entry.answered_s = 0.0
-        self._spawn(self._stop(entry))
+        self._spawn(entry, self._stop(entry))
 
     def cancel(self) -> None:
         """Cancels all orders, because the worker has ended."""
+        self.is_cancelled = True
+        self.failures.record_end()
         for task in self.tasks:
             task.cancel()
 
-    def _spawn(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
+    def _spawn(self, entry: RunEntry, coroutine: "asyncio._CoroutineLike[None]") -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(lambda ended: self._end_order(entry, ended))
+
+    def _end_order(self, entry: RunEntry, task: asyncio.Task[None]) -> None:
+        """Has the run stopped if its order ended with an unexpected error.
+
+        Nothing else would settle whether the worker has carried out the order.
+        """
+        self.tasks.discard(task)
+        if self.is_cancelled:
+            return
+        error = asyncio.CancelledError() if task.cancelled() else task.exception()
+        if error is None:
+            self.failures.record_end()
+            return
+        self.failures.record(
+            error,
+            run=str(entry.run.task),
+            number=entry.run.run,
+            worker=self.port.worker_id,
+            phase=entry.phase.value,
+        )
+        asyncio.get_running_loop().call_later(ORDER_RETRY_S, self._settle, entry)
+
+    def _settle(self, entry: RunEntry) -> None:
+        is_current = self.table.runs.get(entry.run) is entry
+        if is_current and not self.is_cancelled and entry.phase is not RunPhase.RUNNING:
+            self.begin_stop(entry)
 
     async def _start(self, entry: RunEntry, order: RunOrder) -> None:
         """Repeats the start until the worker answers or control stops the run."""
