Go on observing the worker and calling control after an unexpected error

What callers see: runs of one worker that are taken for running until the agent is restarted, or an agent process that ends with one error.

Cause: an error that the code does not foresee ended the observer, and with it the process of the agent. A cancellation from elsewhere ended only the observer, because a task group does not count a cancelled task as failed: the agent went on reporting runs that it no longer observed. The error of a call to control was read by nobody, and the next call followed at once.

Change: both are guarded: the error is logged, the first of equal ones with its traceback, and the work goes on after the usual pause. A worker that cannot be observed for such an error counts as unanswered, so that it is given up when its lease has expired.

--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -11,6 +11,7 @@
 from cicadatray.internal.agent.tasks.leader_term import read_leader_term
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
 from cicadatray.internal.agent.tasks.run_table import RunTable
+from cicadatray.internal.agent.tasks.unexpected_errors import UnexpectedErrors
 from cicadatray.internal.agent.tasks.worker_lease import DEFAULT_WORKER_LEASE_S, WorkerLease
 from cicadatray.internal.agent.tasks.worker_observer import WorkerObserver
 from cicadatray.internal.agent.tasks.worker_port import WorkerPort, WorkerView
@@ -57,6 +58,7 @@
         "port",
         "refuted_clears",
         "sequence",
+        "sync_errors",
         "sync_tasks",
         "table",
         "term",
@@ -98,7 +100,8 @@
         self.is_worker_reachable = True
         self.changed = asyncio.Event()
         self.work_available = asyncio.Event()
-        self.sync_tasks: set[asyncio.Task[None]] = set()
+        self.sync_tasks: set[asyncio.Task[BaseException | None]] = set()
+        self.sync_errors = UnexpectedErrors("call to control failed")
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -116,6 +119,7 @@
                 self.unanswered,
                 self.unlisted_ends,
                 self.without_orders,
+                self.sync_errors.repeated,
             ):
                 repeated.record_end()
 
@@ -228,7 +232,8 @@
             if self.offer is None and self.ended_worker is None:
                 continue
             self.sequence += 1
-            sync = asyncio.create_task(self._sync(self.sequence, self.offer))
+            work = self._sync(self.sequence, self.offer)
+            sync = asyncio.create_task(self.sync_errors.guard(work, sync_timing.RETRY_S))
             self.sync_tasks.add(sync)
             sync.add_done_callback(self.sync_tasks.discard)
             change = asyncio.create_task(self.changed.wait())
--- a/src/cicadatray/internal/agent/tasks/worker_observer.py
+++ b/src/cicadatray/internal/agent/tasks/worker_observer.py
@@ -12,6 +12,7 @@
 )
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
 from cicadatray.internal.agent.tasks.run_entry import RunPhase
+from cicadatray.internal.agent.tasks.unexpected_errors import UnexpectedErrors
 from cicadatray.internal.agent.tasks.worker_port import WorkerView
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
@@ -29,10 +30,11 @@
 class WorkerObserver:
     """Reads the lists of the agent's worker and extends its lease while it has runs or ends."""
 
-    __slots__ = ("agent",)
+    __slots__ = ("agent", "failures")
 
     def __init__(self, agent: "TaskAgent") -> None:
         self.agent = agent
+        self.failures = UnexpectedErrors("observation failed")
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -43,7 +45,9 @@
                 agent.work_available.clear()
                 await agent.work_available.wait()
                 continue
-            await self._observe(executor)
+            failure = await self.failures.guard(self._observe(executor), OBSERVE_RETRY_S)
+            if failure is not None:
+                self._handle_unanswered(executor, WorkerUnansweredError(repr(failure)))
 
     async def _observe(self, executor: OrderExecutor) -> None:
         agent = self.agent
