Let calls to a mute worker share the question which incarnation answers

What callers see: work ordered on a worker that has become mute is not started elsewhere for minutes.

Cause: before a start, and before ends are acknowledged, the agent makes sure which incarnation of its worker answers. It did so behind a lock, one caller after the other, and a mute worker let each of them wait for 0.8 s. The observer, which gives up a worker whose lease has expired, waited in the same queue, while the agent went on calling control, so that control did not take the worker for lost either.

Evidence: test_worker_http_port.py.

Change: calls that need the confirmation at the same time share one attempt and its outcome. An answer counts from the time at which it was asked for, as before, so that a shared one is as good as one's own.

--- a/src/cicadatray/platform/worker_http_port.py
+++ b/src/cicadatray/platform/worker_http_port.py
@@ -45,8 +45,10 @@
     Each order times out after `order_timeout_s`. A call cannot name the incarnation that it is for,
     only the worker's identifier. Before a call that another incarnation must not carry out, the
     port therefore confirms which one answers, unless it did so within `CONFIRMED_FOR_S`.
-    `confirmed_s` is when the last call was sent that the incarnation has certainly answered, and
-    `acknowledged_number` the highest number of an end that was acknowledged to it.
+    Calls that need this at the same time share one attempt, `confirmation`, so that they do not
+    wait for each other while the worker is mute. `confirmed_s` is when the last call was sent that
+    the incarnation has certainly answered, and `acknowledged_number` the highest number of an end
+    that was acknowledged to it.
     """
 
     __slots__ = (
@@ -72,7 +74,7 @@
         self.client = _new_client(order_timeout_s)
         self.identity = identity
         self.worker_id = identity.incarnation
-        self.confirmation = asyncio.Lock()
+        self.confirmation: asyncio.Task[WorkerView] | None = None
         self.confirmed_s = -math.inf
         self.acknowledged_number = 0
         self.base_url = f"http://{host}:{port}/cicadatray"
@@ -132,9 +134,12 @@
             WorkerUnansweredError: no answer came, so nothing is known.
             WorkerReplacedError: another incarnation answered.
         """
-        async with self.confirmation:
-            if not self._is_confirmed():
-                await self._hold(token, 0, 0.0, 0.0)
+        if self._is_confirmed():
+            return
+        if self.confirmation is None or self.confirmation.done():
+            self.confirmation = asyncio.create_task(self._hold(token, 0, 0.0, 0.0))
+            self.confirmation.add_done_callback(_mark_retrieved)
+        await asyncio.shield(self.confirmation)
         if not self._is_confirmed():
             raise WorkerUnansweredError(f"{self.worker_id} was not confirmed in time")
 
@@ -215,6 +220,12 @@
     return build_keep_alive_client(timeouts, WORKER_CONNECTIONS)
 
 
+def _mark_retrieved(task: asyncio.Task[WorkerView]) -> None:
+    """Prevents a warning if every caller that waited for the task was cancelled."""
+    if not task.cancelled():
+        task.exception()
+
+
 def _reason(content: bytes) -> str:
     try:
         return read_string(parse_json(content), "Reason", "")
--- a/tests/cover/platform/test_worker_http_port.py
+++ b/tests/cover/platform/test_worker_http_port.py
@@ -16,10 +16,11 @@
     WorkerUnansweredError,
     WorkerUnreachableError,
 )
-from cicadatray.internal.agent.tasks.worker_port import StartAnswer
+from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.entry.http_server import HttpServer
 from cicadatray.internal.wire.messages.graph_messages import RunOrder
-from cicadatray.platform.worker_http_port import WorkerHttpPort
+from cicadatray.platform.worker_http_port import ORDER_TIMEOUT_S, WorkerHttpPort
 from cicadatray.platform.worker_identity import WorkerIdentity
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
@@ -143,3 +144,54 @@
         await worker.close()
 
     asyncio.run(main())
+
+
+class MutePort(WorkerHttpPort):
+    """A port to a worker that answers no call, which records the calls."""
+
+    def __init__(self) -> None:
+        super().__init__(WorkerIdentity("i-1", born_ms=1_780_000_000_000), "127.0.0.1", 1)
+        self.sent: list[str] = []
+
+    async def _send(self, call: str, body: dict[str, Any], timeout_s: float) -> tuple[int, bytes]:
+        self.sent.append(call)
+        await asyncio.sleep(timeout_s)
+        raise WorkerUnansweredError("no answer")
+
+
+@pytest.mark.parametrize("starts", [1, 40, 320])
+def test_calls_to_a_mute_worker_do_not_wait_for_each_other(starts: int) -> None:
+    """Guards against a worker that is not given up, as its observer waits behind many starts.
+
+    Each of them asked in turn which incarnation answers, and waited for the answer that long.
+    """
+
+    async def main() -> None:
+        port = MutePort()
+        started = [
+            asyncio.create_task(port.start(RunOrder(RUN, "spec"), 7, 9.5)) for _ in range(starts)
+        ]
+        observed: asyncio.Task[WorkerView] = asyncio.create_task(port.observe(7, 1, 9.5, 0.0))
+        outcomes = await asyncio.gather(observed, *started, return_exceptions=True)
+        assert all(isinstance(outcome, WorkerUnansweredError) for outcome in outcomes)
+        assert asyncio.get_running_loop().time() == pytest.approx(ORDER_TIMEOUT_S)
+        assert port.sent == ["hold"]
+
+    run_virtual(main())
+
+
+def test_cancelled_start_does_not_fail_the_calls_that_wait_with_it() -> None:
+    """Guards against orders that fail because another one was cancelled while both waited."""
+
+    async def main() -> None:
+        port = MutePort()
+        first, second = (
+            asyncio.create_task(port.start(RunOrder(RUN, "spec"), 7, 9.5)) for _ in range(2)
+        )
+        await asyncio.sleep(0.1)
+        first.cancel()
+        with pytest.raises(WorkerUnansweredError):
+            await second
+        assert first.cancelled()
+
+    run_virtual(main())
