Bound the starts in one reply to an agent by their size

Cause: a reply contained every start that the agent had not reported, each with its own copy of the text. One that no frame carries is answered by a failure, so that the agent gets no orders and no lease, while control counts the reply as sent and keeps the runs on that worker.

Change: a reply carries starts of up to an eighth of a frame, at least one. The agent reports them with its next call, which it sends at once, and gets the next ones in the reply.

--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -7,7 +7,6 @@
 import structlog
 
 from cicadatray.internal.control.graphs.agent_incarnations import AgentIncarnations
-from cicadatray.internal.control.graphs.evacuated_runs import revoke_unstarted
 from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
 from cicadatray.internal.control.graphs.former_workers import end_replaced_workers, last_ends
 from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
@@ -16,12 +15,12 @@
 from cicadatray.internal.control.graphs.relay_directory import RelayDirectory
 from cicadatray.internal.control.graphs.speed_observer import SpeedObserver
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
+from cicadatray.internal.control.graphs.worker_orders import build_orders
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
     RecordRuns,
-    RunOrder,
     SyncWorker,
     WorkerOrders,
 )
@@ -184,28 +183,7 @@
 
     def orders_for(self, worker: WorkerSession) -> WorkerOrders:
         """Returns the lease, acknowledgements, starts and stops for the agent of a worker."""
-        worker_id = worker.offer.worker_id
-        ordered = self.ordered_runs.get(worker_id, {})
-        is_evacuated = self.is_evacuated(worker)
-        if is_evacuated:
-            revoke_unstarted(self, worker)
-        starts: list[RunOrder] = []
-        stops = [run for run in worker.reports if run not in ordered]
-        for run in ordered:
-            if not self.is_wanted(run):
-                stops.append(run)
-            elif run not in worker.reports and not is_evacuated:
-                starts.append(self._make_order(run))
-        return WorkerOrders(
-            term=self.leader.term,
-            worker_id=worker_id,
-            lease_s=self.leases.lease_s,
-            committed_end_number=worker.committed_end_number,
-            starts=tuple(starts),
-            stops=tuple(stops),
-            committed_clears=tuple(worker.committed_clears),
-            start_permission_s=self.evacuation_limits.start_permission_s,
-        )
+        return build_orders(self, worker)
 
     def is_wanted(self, run: TaskRun) -> bool:
         """Returns whether a run that may exist should continue."""
@@ -293,8 +271,3 @@
         worker.end = cause
         log.info("worker ended", worker=worker_id, agent=agent_id, cause=cause.value)
         self.wake.set()
-
-    def _make_order(self, run: TaskRun) -> RunOrder:
-        graph = self.graphs[run.task.graph_id]
-        progress = graph.tasks[run.task.key]
-        return RunOrder(run, graph.graph.spec, progress.checkpoint)
