Share one connection attempt among the calls that wait for it, each within its timeout

Cause: `RpcClient` opened connections under a lock, and the wait for the lock was outside the timeout of a call. A caller that got the lock after a failed attempt could make one of its own, because the backoff was counted from the time before the attempt and had often passed when the attempt timed out. A machine without power does not refuse connections, so that calls in progress at the same time waited for the attempts of all calls before them. The entry, its probe and an agent's reports share these connections.

Change: one task makes the attempt. Each call waits for it until its own deadline and shares its outcome; the attempt goes on without callers, and ends when the client is aborted, released or closed. The backoff begins when the attempt has failed. An attempt that timed out says so; its message was empty before.

--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -18,13 +18,17 @@
 
     A lost connection fails its calls in progress. The next call opens a new connection, or fails
     immediately while the backoff after a failed attempt lasts.
+
+    All calls that find no connection wait for the same `attempt`, each for as long as its own
+    timeout allows, and share its outcome. The attempt goes on when none of them waits any more, so
+    that calls with short timeouts reach a peer on a slow link.
     """
 
     __slots__ = (
+        "attempt",
         "backoff",
         "calls_in_progress",
         "codec",
-        "connect_lock",
         "connect_timeout_s",
         "connection",
         "host",
@@ -49,7 +53,7 @@
         self.secret = secret
         self.backoff = backoff or Backoff()
         self.connect_timeout_s = connect_timeout_s
-        self.connect_lock = asyncio.Lock()
+        self.attempt: asyncio.Task[RpcConnection | Exception] | None = None
         self.connection: RpcConnection | None = None
         self.retry_at_s = 0.0
         self.calls_in_progress = 0
@@ -82,7 +86,7 @@
     async def _call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-        connection = await self._ensure_connected(min(timeout_s, self.connect_timeout_s))
+        connection = await self._ensure_connected(deadline_s)
         sent_s = loop.time()
         try:
             async with asyncio.timeout_at(deadline_s):
@@ -97,7 +101,13 @@
             raise PeerLostError(f"connection to {self.host}:{self.port} lost") from error
 
     def abort(self) -> None:
-        """Resets the connection; calls in progress fail with `PeerLostError`."""
+        """Resets the connection and ends an attempt to open one.
+
+        Calls in progress fail with `PeerLostError`, or with `PeerUnreachableError` if they wait for
+        a connection.
+        """
+        if self.attempt is not None:
+            self.attempt.cancel()
         if self.connection is not None:
             self.connection.abort()
 
@@ -110,7 +120,10 @@
         self._abort_if_released()
 
     async def close(self) -> None:
-        """Closes the connection; calls in progress fail with `PeerLostError`."""
+        """Closes the connection; calls in progress fail as they do in `abort`."""
+        if self.attempt is not None:
+            self.attempt.cancel()
+            await asyncio.wait((self.attempt,))
         if self.connection is not None:
             await self.connection.close()
 
@@ -118,25 +131,43 @@
         if self.is_released and not self.calls_in_progress:
             self.abort()
 
-    async def _ensure_connected(self, timeout_s: float) -> RpcConnection:
-        async with self.connect_lock:
-            if self.connection is not None and self.connection.is_open:
-                return self.connection
-            now_s = asyncio.get_running_loop().time()
-            if now_s < self.retry_at_s:
+    async def _ensure_connected(self, deadline_s: float) -> RpcConnection:
+        if self.connection is not None and self.connection.is_open:
+            return self.connection
+        loop = asyncio.get_running_loop()
+        if self.attempt is None or self.attempt.done():
+            if loop.time() < self.retry_at_s:
                 raise PeerUnreachableError(
                     f"{self.host}:{self.port} is in backoff after a failed connection"
                 )
-            try:
-                self.connection = await self._connect(timeout_s)
-            except (OSError, TimeoutError, HandshakeError) as error:
-                self.retry_at_s = now_s + self.backoff.next_delay_s()
-                raise PeerUnreachableError(f"{self.host}:{self.port}: {error}") from error
+            self.attempt = asyncio.create_task(self._attempt())
+        attempt = self.attempt
+        await asyncio.wait((attempt,), timeout=deadline_s - loop.time())
+        if not attempt.done():
+            raise PeerUnreachableError(f"{self.host}:{self.port}: no connection in time")
+        if attempt.cancelled():
+            raise PeerUnreachableError(f"{self.host}:{self.port}: the client was closed")
+        outcome = attempt.result()
+        if isinstance(outcome, Exception):
+            raise PeerUnreachableError(f"{self.host}:{self.port}: {outcome}") from outcome
+        return outcome
+
+    async def _attempt(self) -> RpcConnection | Exception:
+        """Opens a connection; returns the error if it fails, since no call may wait for it."""
+        try:
+            self.connection = await self._connect()
+        except TimeoutError:
+            error: Exception = TimeoutError(f"no connection within {self.connect_timeout_s} s")
+        except (OSError, HandshakeError) as failure:
+            error = failure
+        else:
             self.backoff.reset()
             return self.connection
+        self.retry_at_s = asyncio.get_running_loop().time() + self.backoff.next_delay_s()
+        return error
 
-    async def _connect(self, timeout_s: float) -> RpcConnection:
-        async with asyncio.timeout(timeout_s):
+    async def _connect(self) -> RpcConnection:
+        async with asyncio.timeout(self.connect_timeout_s):
             local_address = SOURCE_ADDRESS.local_address()
             reader, writer = await asyncio.open_connection(
                 self.host, self.port, local_addr=local_address
