Restart the loops of a process that end with an unexpected error, and count and log it

What callers could see: an entry whose leader probe has ended answers 503 to every call for good, and is ready or not by chance.

Cause: the probe, the seed announcer, the watch of the settings file, the loop that asks to join the group, the loop that leads, and the directory poll of `cicadatrayd` ran as tasks that nobody awaited before the process stopped. They catch the errors of a call, and any other error ended them without a log line. A cancellation from within (of a task that a loop awaits) ended them as well; the loop that leads did catch errors, but not this, and left a leader without a session, which refuses all calls and is not replaced.

Change: `Supervisor` runs these loops. It logs an error with its trace, counts it in `cicadatray_loop_failures_total`, waits 0.5 s and runs the loop again; equal errors that follow are only counted. Ending the process instead was weighed: it would clear state in memory that keeps an error alive, but it breaks the calls in progress and all connections, costs control an election and an agent its leases, for an error that may concern one message; these loops keep no state of their own. The tasks of the agent already end its process on an error, and the replica stops on one; both stay so.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -33,6 +33,7 @@
 from cicadatray.internal.control.replica_gauges import register_replica_gauges
 from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
+from cicadatray.internal.daemon.supervisor import Supervisor
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.observability.standard_metrics import fragmentation_ratio
 from cicadatray.internal.observability.state_dump import StateDump
@@ -135,14 +136,13 @@
         await self.replica.start()
         await self.server.start()
         log.info("control listening", port=self.server.port)
-        leadership_task = asyncio.create_task(self._run_leadership())
+        supervisor = Supervisor(self.metrics)
+        supervisor.start("leadership", self._run_leadership)
         admission = GroupAdmission(self.settings, self.replica, self.control_client)
-        admission_task = asyncio.create_task(admission.run())
+        supervisor.start("group admission", admission.run)
         await self._wait_for_stop(stop)
         await self.replica.stop()
-        leadership_task.cancel()
-        admission_task.cancel()
-        await asyncio.gather(leadership_task, admission_task, return_exceptions=True)
+        await supervisor.stop()
         await self.control_client.close()
         await self.links.close()
         await self.replica_link.close()
--- a/src/cicadatray/internal/entry/entry_daemon.py
+++ b/src/cicadatray/internal/entry/entry_daemon.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from cicadatray.internal.daemon.supervisor import Supervisor
 from cicadatray.internal.entry.directory_cache import DirectoryCache
 from cicadatray.internal.entry.entry_context import EntryContext
 from cicadatray.internal.entry.http_application import build_application
@@ -40,15 +41,15 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then completes the requests in progress."""
-        poll_task = asyncio.create_task(self.directory.run())
+        supervisor = Supervisor(self.context.metrics)
+        supervisor.start("directory", self.directory.run)
         await self.http.start()
         log.info("entry listening", port=self.settings.http.port)
         await stop.wait()
         self.context.draining = True
         await self.context.requests.drain()
         await self.http.stop()
-        poll_task.cancel()
-        await asyncio.gather(poll_task, return_exceptions=True)
+        await supervisor.stop()
         await self.control.close()
 
     def abandon(self) -> None:
--- a/src/cicadatray/internal/observability/graph_metrics.py
+++ b/src/cicadatray/internal/observability/graph_metrics.py
@@ -125,6 +125,15 @@
     )
 
 
+def loop_failures(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of loops that ended with an error and were restarted; label `loop`."""
+    return registry.counter(
+        "cicadatray_loop_failures_total",
+        "Loops that ended with an unexpected error and were restarted.",
+        ("loop",),
+    )
+
+
 def log_lines_dropped(registry: MetricsRegistry) -> Counter:
     """Returns the counter of log lines dropped at the rate limit or because of a slow reader."""
     return registry.counter("cicadatray_log_lines_dropped_total", "Log lines not written.")
--- a/src/cicadatray/platform/agent_role.py
+++ b/src/cicadatray/platform/agent_role.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cicadatray.internal.agent.tasks.task_agent import TaskAgent
+from cicadatray.internal.daemon.supervisor import Supervisor
 from cicadatray.internal.entry.http_server import HttpServer
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlClient
@@ -19,7 +20,7 @@
 class AgentRole:
     """An agent process, which controls the worker on its instance."""
 
-    __slots__ = ("agent", "control", "metrics", "probe", "server")
+    __slots__ = ("agent", "control", "metrics", "probe", "server", "supervisor")
 
     def __init__(self, settings: PlatformSettings) -> None:
         address = settings.control_address
@@ -30,6 +31,7 @@
         )
         self.probe = LeaderProbe(self.control)
         self.metrics = MetricsRegistry()
+        self.supervisor = Supervisor(self.metrics)
         self.agent = TaskAgent(settings.name, self.control, self.metrics, settings.longest_lease_s)
         application = WorkerApi(self.agent, settings.data_centre).application()
         self.server = HttpServer(application, address.host, address.port)
@@ -37,18 +39,18 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set; the worker's runs continue until their lease expires."""
         await self.server.start()
-        tasks = [asyncio.create_task(self.agent.run()), asyncio.create_task(self.probe.run())]
+        self.supervisor.start("leader probe", self.probe.run)
+        agent_task = asyncio.create_task(self.agent.run())
         stop_task = asyncio.create_task(stop.wait())
-        await asyncio.wait((stop_task, tasks[0]), return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait((stop_task, agent_task), return_when=asyncio.FIRST_COMPLETED)
         stop_task.cancel()
-        for task in tasks:
-            task.cancel()
-        results = await asyncio.gather(*tasks, return_exceptions=True)
+        agent_task.cancel()
+        (result,) = await asyncio.gather(agent_task, return_exceptions=True)
+        await self.supervisor.stop()
         await self.server.stop()
         await self.control.close()
-        failures = [result for result in results if isinstance(result, Exception)]
-        if failures:
-            raise failures[0]
+        if isinstance(result, Exception):
+            raise result
 
     def reload(self, settings: PlatformSettings) -> None:
         """Applies changed seeds."""
--- a/src/cicadatray/platform/control_role.py
+++ b/src/cicadatray/platform/control_role.py
@@ -5,6 +5,7 @@
 import structlog
 
 from cicadatray.internal.control.control_daemon import ControlDaemon
+from cicadatray.internal.daemon.supervisor import Supervisor
 from cicadatray.internal.entry.http_server import HttpServer
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.settings.common import Address, ControlMember
@@ -46,6 +47,7 @@
         "probe",
         "rendezvous",
         "server",
+        "supervisor",
     )
 
     def __init__(self, settings: PlatformSettings) -> None:
@@ -71,6 +73,7 @@
             self.rendezvous = RendezvousServer(
                 own.host, own.port, self.client, self.probe, codec, CLUSTER_SECRET
             )
+        self.supervisor = Supervisor(self.metrics)
         self.announcer = SeedAnnouncer(
             self.client, own.name, seeds, self._stored_members, self._stored_rendezvous
         )
@@ -82,18 +85,15 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then transfers leadership and stops."""
         await self.server.start()
-        tasks = [
-            asyncio.create_task(self.probe.run()),
-            asyncio.create_task(self.announcer.run()),
-        ]
+        self.supervisor.start("leader probe", self.probe.run)
+        self.supervisor.start("seed announcer", self.announcer.run)
         try:
             if self.daemon is not None:
                 await self.daemon.run(stop)
             else:
                 await self._forward(stop)
         finally:
-            for task in tasks:
-                task.cancel()
+            await self.supervisor.stop()
             await self.server.stop()
             await self.client.close()
 
--- a/src/cicadatray/platform/entry_role.py
+++ b/src/cicadatray/platform/entry_role.py
@@ -6,6 +6,7 @@
 from starlette.responses import Response
 from starlette.types import Receive, Scope, Send
 
+from cicadatray.internal.daemon.supervisor import Supervisor
 from cicadatray.internal.entry.http_server import HttpServer
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import ControlClient
@@ -42,6 +43,7 @@
         "readiness_server",
         "relay",
         "shutdown_grace_s",
+        "supervisor",
         "was_ready",
     )
 
@@ -66,6 +68,7 @@
             own_relay.host, own_relay.port, self.control, codec, CLUSTER_SECRET
         )
         self.metrics = MetricsRegistry()
+        self.supervisor = Supervisor(self.metrics)
         api = ClientApi(self.control, self.probe, settings.body_limit_bytes, self.metrics)
         self.client_server = HttpServer(api, client_address.host, client_address.port)
         self.readiness_server = HttpServer(
@@ -74,10 +77,8 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then waits for removal from rotation and drains."""
-        tasks = [
-            asyncio.create_task(self.probe.run()),
-            asyncio.create_task(self.announcer.run()),
-        ]
+        self.supervisor.start("leader probe", self.probe.run)
+        self.supervisor.start("seed announcer", self.announcer.run)
         await self.relay.server.start()
         await self.client_server.start()
         await self.readiness_server.start()
@@ -91,8 +92,7 @@
                 await self.client_server.stop()
         except TimeoutError:
             self.client_server.abort()
-        for task in tasks:
-            task.cancel()
+        await self.supervisor.stop()
         await self.readiness_server.stop()
         await self.relay.server.stop()
         await self.control.close()
--- a/src/cicadatray/platform/main.py
+++ b/src/cicadatray/platform/main.py
@@ -11,6 +11,7 @@
 import structlog
 
 from cicadatray.internal.boot_time_loop import BootTimeLoop
+from cicadatray.internal.daemon.supervisor import Supervisor
 from cicadatray.internal.entry.http_server import HttpServer
 from cicadatray.internal.observability.bounded_log_stream import BoundedLogStream
 from cicadatray.internal.observability.graph_metrics import log_lines_dropped
@@ -67,9 +68,10 @@
         seeds=[seed.host for seed in settings.seeds],
     )
     await metrics.start()
-    watch_task = asyncio.create_task(watch.run())
+    supervisor = Supervisor(program.metrics)
+    supervisor.start("settings watch", watch.run)
     await program.run(stop)
-    watch_task.cancel()
+    await supervisor.stop()
     await metrics.stop()
     log.info("stopped")
 
--- a/tests/cover/guides/test_pages.py
+++ b/tests/cover/guides/test_pages.py
@@ -26,6 +26,7 @@
     graph_metrics.worker_starts_total,
     graph_metrics.cleared_runs_ended,
     graph_metrics.partial_worker_views,
+    graph_metrics.loop_failures,
     graph_metrics.log_lines_dropped,
     queue_metrics.graphs_ended,
     queue_metrics.graph_start_seconds,
