Tell in the entry's log lines and metrics what a call without an answer waited for

What operators saw: `control unavailable` with the last error only.

Change: each attempt of a call is recorded in a `CallTrace`: how many there were, which instance or relay was asked last, how long failed attempts waited for a connection and how long the rest took. The probe tells which leader replies, since when, and the age of its last reply. `control unavailable`, `request refused` with a status of 500 and above and the new `call answered late` have all of these fields. New metrics: attempts, waits by phase, late answers, and the silence of the leader.

The fields did not exist before.

--- a/src/cicadatray/internal/observability/graph_metrics.py
+++ b/src/cicadatray/internal/observability/graph_metrics.py
@@ -15,6 +15,39 @@
     )
 
 
+def client_call_attempts(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of attempts to get control's reply to a client's call."""
+    return registry.counter(
+        "cicadatray_client_call_attempts_total", "Attempts to reach control for clients' calls."
+    )
+
+
+def client_call_wait_seconds(registry: MetricsRegistry) -> LatencyHistogram:
+    """Returns the histogram of how long a client's call waited for control; label `phase`.
+
+    It is `connection` (of failed attempts) or `reply`.
+    """
+    return registry.histogram(
+        "cicadatray_client_call_wait_seconds",
+        "Time that a client's call waited for a connection to control or for its reply.",
+        ("phase",),
+    )
+
+
+def client_calls_late(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of calls answered after their client's deadline; label `status`."""
+    return registry.counter(
+        "cicadatray_client_calls_late_total", "Calls answered after the deadline.", ("status",)
+    )
+
+
+def leader_silence_seconds(registry: MetricsRegistry) -> Gauge:
+    """Returns the gauge of the age of the leader's last reply; NaN if there was none."""
+    return registry.gauge(
+        "cicadatray_leader_silence_seconds", "Age of the last reply of the control leader."
+    )
+
+
 def queues_version(registry: MetricsRegistry) -> Gauge:
     """Returns the gauge of the version of the queue configuration that this replica has applied."""
     return registry.gauge(
--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -6,6 +6,7 @@
 
 from cicadatray.internal.settings.common import ControlMember
 from cicadatray.internal.wire.backoff import Backoff
+from cicadatray.internal.wire.call_trace import CallTrace
 from cicadatray.internal.wire.codec import Codec
 from cicadatray.internal.wire.errors import PeerUnreachableError, WireError
 from cicadatray.internal.wire.message import IN_DOUBT_CODE, Failure, MessageStruct
@@ -89,15 +90,17 @@
         message: MessageStruct,
         timeout_s: float,
         attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
+        trace: CallTrace | None = None,
     ) -> MessageStruct:
         """Returns the leader's reply, which may be a `Failure`.
 
-        A call whose reply the leader may delay on purpose needs a longer `attempt_timeout_s`.
+        A call whose reply the leader may delay on purpose needs a longer `attempt_timeout_s`. The
+        attempts are recorded in `trace`, if it is given.
 
         Raises:
             ControlUnavailableError: no reply in time.
         """
-        retried_call = RetriedCall(message, timeout_s, attempt_timeout_s)
+        retried_call = RetriedCall(message, timeout_s, attempt_timeout_s, trace)
         while retried_call.remaining_s() > 0:
             relay = self.relays.active
             if relay is not None:
@@ -133,6 +136,8 @@
         try:
             reply = await self._client(name).call(retried_call.message, time_s)
         except WireError as error:
+            duration_s = asyncio.get_running_loop().time() - started_s
+            retried_call.trace.record_attempt(name, duration_s, error)
             self.direct_failures += 1
             retried_call.record_failure(str(error), not isinstance(error, PeerUnreachableError))
             self._try_next(name)
@@ -141,6 +146,8 @@
                 max(0.0, started_s + RETRY_PAUSE_S - asyncio.get_running_loop().time())
             )
             return None
+        duration_s = asyncio.get_running_loop().time() - started_s
+        retried_call.trace.record_attempt(name, duration_s, None)
         if isinstance(reply, GroupAddresses):
             # Neither counts as a reply nor ends a series of failures: an instance without a replica
             # may itself be cut off from the group, and may run on the same machine as the caller.
--- a/src/cicadatray/internal/wire/errors.py
+++ b/src/cicadatray/internal/wire/errors.py
@@ -18,4 +18,11 @@
 
 
 class PeerLostError(WireError):
-    """The connection or the timeout ended the call after the peer may have received the request."""
+    """The connection or the timeout ended the call after the peer may have received the request.
+
+    `connection_wait_s` is how long the call had waited for a connection, in seconds.
+    """
+
+    def __init__(self, reason: str, connection_wait_s: float = 0.0) -> None:
+        super().__init__(reason)
+        self.connection_wait_s = connection_wait_s
--- a/src/cicadatray/internal/wire/leader_probe.py
+++ b/src/cicadatray/internal/wire/leader_probe.py
@@ -8,6 +8,7 @@
 from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.errors import WireError
+from cicadatray.internal.wire.leader_contact import LeaderContact
 from cicadatray.internal.wire.messages.graph_messages import (
     MemberAddress,
     MembersReply,
@@ -32,7 +33,15 @@
 class LeaderProbe:
     """Tracks the members of the control group and the time of the leader's last reply."""
 
-    __slots__ = ("control", "last_leader_reply_s", "own_relay", "own_rendezvous", "search")
+    __slots__ = (
+        "control",
+        "last_leader_reply_s",
+        "leader_found_s",
+        "leader_name",
+        "own_relay",
+        "own_rendezvous",
+        "search",
+    )
 
     def __init__(
         self,
@@ -46,6 +55,8 @@
         self.own_rendezvous = own_rendezvous
         self.search = RepeatedEvent("leader not found")
         self.last_leader_reply_s = -math.inf
+        self.leader_found_s = -math.inf
+        self.leader_name = ""  # empty if it replied through a relay
 
     def has_recent_leader_reply(self) -> bool:
         """Returns whether the leader has replied within `CONTACT_TIMEOUT_S`."""
@@ -59,6 +70,22 @@
         silence_s = asyncio.get_running_loop().time() - self.control.last_reply_s
         return self.last_leader_reply_s > -math.inf and silence_s < CONTACT_TIMEOUT_S
 
+    def contact(self) -> LeaderContact:
+        """Returns what is known of the leader now."""
+        now_s = asyncio.get_running_loop().time()
+        is_recent = self.has_recent_leader_reply()
+        relay = self.control.relays.active
+        return LeaderContact(
+            leader=self.leader_name if is_recent else "",
+            relay=relay.name if relay is not None else "",
+            known_for_s=round(now_s - self.leader_found_s, 2) if is_recent else None,
+            silence_s=(
+                round(now_s - self.last_leader_reply_s, 2)
+                if self.last_leader_reply_s > -math.inf
+                else None
+            ),
+        )
+
     async def run(self) -> None:
         """Probes the leader until cancelled."""
         while True:
@@ -89,14 +116,22 @@
             await self.control.ping_relays()
             return
         if not isinstance(reply, MembersReply):
+            self.search.record_failure(type(reply).__name__, reason=str(reply))
             return
         self.search.record_end()
-        if not self.has_recent_leader_reply():
-            log.info("leader found", leader=self.control.leader_name)
-        self.last_leader_reply_s = asyncio.get_running_loop().time()
+        self._record_leader("" if self.control.is_relaying else self.control.leader_name)
         self.control.update_members(reply.members)
         self.control.update_relays(reply.relays)
 
+    def _record_leader(self, leader_name: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if not self.has_recent_leader_reply() or leader_name != self.leader_name:
+            relay = self.control.relays.active
+            log.info("leader found", leader=leader_name, relay=relay.name if relay else "")
+            self.leader_found_s = now_s
+            self.leader_name = leader_name
+        self.last_leader_reply_s = now_s
+
     async def _try_direct(self, call: ReadMembers) -> None:
         """Returns to direct calls as soon as control is reachable again."""
         try:
--- a/src/cicadatray/internal/wire/relay_caller.py
+++ b/src/cicadatray/internal/wire/relay_caller.py
@@ -40,12 +40,16 @@
 
     async def call(self, relay: MemberAddress, retried_call: RetriedCall) -> MessageStruct | None:
         """Sends a call through a relay; returns None without a final reply of control."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         try:
             reply = await self._forward(relay, retried_call.message, retried_call.next_timeout_s())
+            retried_call.trace.record_attempt(relay.name, loop.time() - started_s, None)
             if isinstance(reply, RelayedReply):
                 return self.codec.decode(reply.payload)[1]
         except WireError as error:
             # The reply may be lost, or be one that this process cannot decode.
+            retried_call.trace.record_attempt(relay.name, loop.time() - started_s, error)
             retried_call.record_failure(str(error), not isinstance(error, PeerUnreachableError))
         else:
             is_in_doubt = not isinstance(reply, RelayUnavailable) or reply.may_have_effect
--- a/src/cicadatray/internal/wire/retried_call.py
+++ b/src/cicadatray/internal/wire/retried_call.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from cicadatray.internal.wire.call_trace import CallTrace
 from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.message import MessageStruct
 
@@ -21,16 +22,31 @@
     """Tracks the deadline and the failed attempts of one call.
 
     `deadline_s` is on the event loop's clock; each attempt may take up to `attempt_timeout_s`.
+    `trace` sums up the attempts, of former calls for the same purpose as well.
     """
 
-    __slots__ = ("attempt_timeout_s", "deadline_s", "last_error", "may_have_effect", "message")
+    __slots__ = (
+        "attempt_timeout_s",
+        "deadline_s",
+        "last_error",
+        "may_have_effect",
+        "message",
+        "trace",
+    )
 
-    def __init__(self, message: MessageStruct, timeout_s: float, attempt_timeout_s: float) -> None:
+    def __init__(
+        self,
+        message: MessageStruct,
+        timeout_s: float,
+        attempt_timeout_s: float,
+        trace: CallTrace | None = None,
+    ) -> None:
         self.message = message
         self.deadline_s = asyncio.get_running_loop().time() + timeout_s
         self.attempt_timeout_s = attempt_timeout_s
         self.last_error = "no leader is known"
         self.may_have_effect = False
+        self.trace = trace or CallTrace()
 
     def remaining_s(self) -> float:
         """Returns the time left for all further attempts."""
--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -85,9 +85,11 @@
 
     async def _call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
         loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + timeout_s
+        started_s = loop.time()
+        deadline_s = started_s + timeout_s
         connection = await self._ensure_connected(deadline_s)
         sent_s = loop.time()
+        connection_wait_s = sent_s - started_s
         try:
             async with asyncio.timeout_at(deadline_s):
                 return await connection.call(message)
@@ -96,9 +98,13 @@
                 # Nothing was received during the call. A dead connection may never be reset, and
                 # every later call on it would time out too.
                 connection.abort()
-            raise PeerLostError(f"no reply from {self.host}:{self.port} in time") from error
+            raise PeerLostError(
+                f"no reply from {self.host}:{self.port} in time", connection_wait_s
+            ) from error
         except (OSError, PeerLostError) as error:
-            raise PeerLostError(f"connection to {self.host}:{self.port} lost") from error
+            raise PeerLostError(
+                f"connection to {self.host}:{self.port} lost", connection_wait_s
+            ) from error
 
     def abort(self) -> None:
         """Resets the connection and ends an attempt to open one.
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -11,8 +11,15 @@
 from starlette.types import Receive, Scope, Send
 
 from cicadatray.internal.control.graphs import graph_codes
-from cicadatray.internal.observability.graph_metrics import client_call_seconds
+from cicadatray.internal.observability.graph_metrics import (
+    client_call_attempts,
+    client_call_seconds,
+    client_call_wait_seconds,
+    client_calls_late,
+    leader_silence_seconds,
+)
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.wire.call_trace import CallTrace
 from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
 from cicadatray.internal.wire.decision_watch import DecisionWatch, decision_fields
 from cicadatray.internal.wire.errors import WireError
@@ -46,6 +53,7 @@
 # In seconds. An election takes up to 2 s, so a client that resends after this time often finds a
 # leader.
 RETRY_AFTER_S = "1"
+NO_LEADER_REASON = "there is currently no control leader"
 STATUS_BY_CODE = {
     graph_codes.QUEUES_UNSET: 503,
     graph_codes.QUEUE_UNKNOWN: 404,
@@ -64,7 +72,16 @@
 class ClientApi:
     """An ASGI application for all paths; control resolves host and path to a queue."""
 
-    __slots__ = ("body_limit_bytes", "call_seconds", "control", "decisions", "probe")
+    __slots__ = (
+        "attempts",
+        "body_limit_bytes",
+        "call_seconds",
+        "control",
+        "decisions",
+        "late_calls",
+        "probe",
+        "wait_seconds",
+    )
 
     def __init__(
         self,
@@ -73,7 +90,11 @@
         body_limit_bytes: int,
         metrics: MetricsRegistry,
     ) -> None:
+        self.attempts = client_call_attempts(metrics)
         self.call_seconds = client_call_seconds(metrics)
+        self.wait_seconds = client_call_wait_seconds(metrics)
+        self.late_calls = client_calls_late(metrics)
+        leader_silence_seconds(metrics).read_from(self._leader_silence_s)
         self.decisions = DecisionWatch(metrics)
         self.control = control
         self.probe = probe
@@ -82,17 +103,57 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         request = Request(scope, receive)
         started_s = asyncio.get_running_loop().time()
+        trace = CallTrace()
         try:
-            response = await self._respond(request)
+            response = await self._respond(request, trace)
         except ClientDisconnect:
             return
         duration_s = asyncio.get_running_loop().time() - started_s
-        self.call_seconds.observe(
-            duration_s, method=request.method, status=str(response.status_code)
-        )
+        self._record(request, response.status_code, duration_s, trace)
         await response(scope, receive, send)
 
-    async def _respond(self, request: Request) -> Response:
+    def _record(
+        self, request: Request, status_code: int, duration_s: float, trace: CallTrace
+    ) -> None:
+        """Observes the metrics of a call, and logs it if its answer comes too late."""
+        status = str(status_code)
+        self.call_seconds.observe(duration_s, method=request.method, status=status)
+        if trace.attempts:
+            self.attempts.increment(trace.attempts)
+            self.wait_seconds.observe(trace.connection_wait_s, phase="connection")
+            self.wait_seconds.observe(trace.reply_wait_s, phase="reply")
+        deadline_s = _deadline_s(request.headers)
+        if duration_s > deadline_s:
+            self.late_calls.increment(status=status)
+            log.warning(
+                "call answered late",
+                method=request.method,
+                path=request.url.path,
+                status=status_code,
+                duration_s=round(duration_s, 3),
+                deadline_s=deadline_s,
+                **self._describe(trace),
+            )
+
+    def _leader_silence_s(self) -> float:
+        silence_s = self.probe.contact().silence_s
+        return math.nan if silence_s is None else silence_s
+
+    def _describe(self, trace: CallTrace) -> dict[str, object]:
+        """Returns the fields of a log line that tell why control did not reply."""
+        contact = self.probe.contact()
+        return {
+            "leader": contact.leader,
+            "leader_known_s": contact.known_for_s,
+            "leader_silence_s": contact.silence_s,
+            "relay": contact.relay,
+            "asked": trace.asked,
+            "attempts": trace.attempts,
+            "connection_wait_s": round(trace.connection_wait_s, 3),
+            "reply_wait_s": round(trace.reply_wait_s, 3),
+        }
+
+    async def _respond(self, request: Request, trace: CallTrace) -> Response:
         try:
             call = await self._decode(request)
         except DocumentError as error:
@@ -101,23 +162,26 @@
         if call is None:
             return _error(405, "method not allowed; use POST, GET or DELETE")
         if not self.probe.has_recent_leader_reply():
-            log.warning("control unavailable", method=request.method, path=request.url.path)
-            return _error(503, "there is currently no control leader")
+            no_leader = ControlUnavailableError(NO_LEADER_REASON, may_have_effect=False)
+            return self._unavailable(request, no_leader, trace, NO_LEADER_REASON)
         known = self.decisions.latest
         try:
-            reply = await self._call(call, _call_timeout_s(request.headers))
+            reply = await self._call(call, _call_timeout_s(request.headers), trace)
         except ControlUnavailableError as error:
-            return self._unavailable(request, error)
+            return self._unavailable(request, error, trace)
         except WireError as error:
-            return self._unavailable(request, ControlUnavailableError(str(error)))
+            return self._unavailable(request, ControlUnavailableError(str(error)), trace)
         if isinstance(reply, Failure) and reply.code == INTERNAL_ERROR_CODE:
             # The handler may have failed after its command was committed.
-            return self._unavailable(request, ControlUnavailableError(f"control: {reply.detail}"))
+            return self._unavailable(
+                request, ControlUnavailableError(f"control: {reply.detail}"), trace
+            )
         response = _render(reply)
         if self.decisions.is_older(reply, known) and 400 <= response.status_code < 500:
             # A refusal by an older configuration is not final.
             response = _error(503, "the newest configuration could not be determined")
         if response.status_code >= 400:
+            contact = self._describe(trace) if response.status_code >= 500 else {}
             log.info(
                 "request refused",
                 method=request.method,
@@ -126,23 +190,24 @@
                 status=response.status_code,
                 reason=reply.detail if isinstance(reply, Failure) else str(reply),
                 **decision_fields(reply),
+                **contact,
             )
         return add_decision(response, reply)
 
-    async def _call(self, call: MessageStruct, timeout_s: float) -> MessageStruct:
+    async def _call(self, call: MessageStruct, timeout_s: float, trace: CallTrace) -> MessageStruct:
         """Calls control, and gives up early if no leader received the call.
 
         The client can then resend, which may reach a leader.
         """
         unsent_timeout_s = UNSENT_TIMEOUT_SHARE * timeout_s
         try:
-            return await self.control.call(call, unsent_timeout_s)
+            return await self.control.call(call, unsent_timeout_s, trace=trace)
         except ControlUnavailableError as error:
             if not error.may_have_effect:
                 raise
         # The job may have been accepted, which only a leader can tell, so the full timeout is used.
         try:
-            return await self.control.call(call, timeout_s - unsent_timeout_s)
+            return await self.control.call(call, timeout_s - unsent_timeout_s, trace=trace)
         except ControlUnavailableError as error:
             raise ControlUnavailableError(str(error)) from error
 
@@ -161,7 +226,13 @@
         job = decode_job(await read_body(request, self.body_limit_bytes))
         return SubmitGraph(target=target, spec=job.spec, steps=job.steps, repetition=job.repetition)
 
-    def _unavailable(self, request: Request, error: ControlUnavailableError) -> Response:
+    def _unavailable(
+        self,
+        request: Request,
+        error: ControlUnavailableError,
+        trace: CallTrace,
+        detail: str = "control did not reply in time",
+    ) -> Response:
         """Returns 503 if the call had no effect and 504 if its effect is unknown."""
         is_in_doubt = request.method != "GET" and error.may_have_effect
         status = 504 if is_in_doubt else 503
@@ -171,8 +242,9 @@
             path=request.url.path,
             status=status,
             reason=str(error),
+            **self._describe(trace),
         )
-        return _error(status, "control did not reply in time")
+        return _error(status, detail)
 
 
 def _credential_digest(headers: Mapping[str, str]) -> bytes:
@@ -182,12 +254,16 @@
     return digest_credential(value[len(CREDENTIAL_SCHEME) :].strip())
 
 
-def _call_timeout_s(headers: Mapping[str, str]) -> float:
+def _deadline_s(headers: Mapping[str, str]) -> float:
+    """Returns how long the client waits for an answer."""
     try:
-        deadline_s = float(headers.get("deadline-ms", "")) / MS_PER_S
+        return float(headers.get("deadline-ms", "")) / MS_PER_S
     except ValueError:
-        deadline_s = DEFAULT_DEADLINE_S
-    return min(max(deadline_s, 0.0) * CALL_TIMEOUT_SHARE, MAX_CALL_TIMEOUT_S)
+        return DEFAULT_DEADLINE_S
+
+
+def _call_timeout_s(headers: Mapping[str, str]) -> float:
+    return min(max(_deadline_s(headers), 0.0) * CALL_TIMEOUT_SHARE, MAX_CALL_TIMEOUT_S)
 
 
 def _render(reply: MessageStruct) -> Response:
--- a/tests/cover/platform/test_client_api.py
+++ b/tests/cover/platform/test_client_api.py
@@ -8,8 +8,10 @@
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control.graphs import graph_codes
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
+from cicadatray.internal.wire.call_trace import CallTrace
 from cicadatray.internal.wire.control_client import ControlUnavailableError
 from cicadatray.internal.wire.errors import FrameError
+from cicadatray.internal.wire.leader_contact import LeaderContact
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
     CancelGraph,
@@ -37,7 +39,9 @@
         self.outcomes = list(outcomes)
         self.calls: list[tuple[Any, float]] = []
 
-    async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
+    async def call(
+        self, message: MessageStruct, timeout_s: float, trace: CallTrace | None = None
+    ) -> MessageStruct:
         self.calls.append((message, timeout_s))
         outcome = self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
         if isinstance(outcome, Exception):
@@ -52,6 +56,9 @@
     def has_recent_leader_reply(self) -> bool:
         return self.recent
 
+    def contact(self) -> LeaderContact:
+        return LeaderContact(leader="", relay="", known_for_s=None, silence_s=None)
+
 
 def ask(control: FakeControl, method: str, body: bytes = b"", recent: bool = True) -> Answer:
     api = ClientApi(control, FakeProbe(recent), 4000, MetricsRegistry())  # type: ignore[arg-type]
