End the retries of a call within its deadline

What callers saw: a call that control does not answer could end after the client's deadline, so that the client got no answer instead of 503 or 504.

Cause: the pauses of 0.1 s between two attempts did not end at the deadline, a relay was searched after it, and the second part of a call (after an attempt without a reply) got its full share of the time although the first part had overrun its own.

Evidence: 72 of 192 rows of test_call_that_control_does_not_answer_ends_before_its_deadline fail on (virtual time). With deadlines of 100, 250, 500 and 1000 ms calls ended after up to 234, 385, 570 and 1040 ms; with longer ones up to 0.2 s after the share of the deadline that is meant for them.

Change: a pause ends at the call's deadline, no relay is searched after it, and the second part of a call gets what is left. All rows pass.

--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -109,8 +109,10 @@
                 reply = await self._call_leader(retried_call)
             if reply is not None:
                 return reply
-            if self.relays.active is None and self.direct_failures >= DIRECT_FAILURE_LIMIT:
-                await self.relay_caller.find_relay(retried_call.remaining_s())
+            remaining_s = retried_call.remaining_s()
+            is_cut_off = self.direct_failures >= DIRECT_FAILURE_LIMIT
+            if is_cut_off and self.relays.active is None and remaining_s > 0:
+                await self.relay_caller.find_relay(remaining_s)
         raise retried_call.build_error()
 
     async def call_directly(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
@@ -142,9 +144,7 @@
             retried_call.record_failure(str(error), not isinstance(error, PeerUnreachableError))
             self._try_next(name)
             # Avoids a busy loop on a peer that resets every connection immediately.
-            await asyncio.sleep(
-                max(0.0, started_s + RETRY_PAUSE_S - asyncio.get_running_loop().time())
-            )
+            await retried_call.pause(RETRY_PAUSE_S - duration_s)
             return None
         duration_s = asyncio.get_running_loop().time() - started_s
         retried_call.trace.record_attempt(name, duration_s, None)
@@ -153,18 +153,18 @@
             # may itself be cut off from the group, and may run on the same machine as the caller.
             retried_call.record_failure("no member of the group was reached", False)
             self.learn_members(reply.members)
-            await self._follow_redirect(name, reply.leader_name)
+            await self._follow_redirect(name, reply.leader_name, retried_call)
             return None
         self._record_reply()
         self.direct_failures = 0
         if isinstance(reply, NotLeader):
             retried_call.record_failure("no leader is known", False)
             self._store_leader_address(reply)
-            await self._follow_redirect(name, reply.leader_name)
+            await self._follow_redirect(name, reply.leader_name, retried_call)
             return None
         if isinstance(reply, Failure) and reply.code == IN_DOUBT_CODE:
             retried_call.record_failure(reply.detail, True)
-            await asyncio.sleep(RETRY_PAUSE_S)
+            await retried_call.pause(RETRY_PAUSE_S)
             return None
         return reply
 
@@ -253,12 +253,14 @@
         if reply.leader_name and reply.leader_host:
             self.set_member_address(reply.leader_name, reply.leader_host, reply.leader_port)
 
-    async def _follow_redirect(self, name: str, leader_name: str) -> None:
+    async def _follow_redirect(
+        self, name: str, leader_name: str, retried_call: RetriedCall
+    ) -> None:
         if leader_name in self.clients and leader_name != name:
             self.leader_name = leader_name
             return
         self._try_next(name)
-        await asyncio.sleep(RETRY_PAUSE_S)
+        await retried_call.pause(RETRY_PAUSE_S)
 
     def _try_next(self, name: str) -> None:
         if self.leader_name != name or not self.member_names:
--- a/src/cicadatray/internal/wire/relay_caller.py
+++ b/src/cicadatray/internal/wire/relay_caller.py
@@ -55,7 +55,7 @@
             is_in_doubt = not isinstance(reply, RelayUnavailable) or reply.may_have_effect
             retried_call.record_failure(f"{relay.name} replied {reply}", is_in_doubt)
         self.routes.deactivate(relay)
-        await asyncio.sleep(RETRY_PAUSE_S)
+        await retried_call.pause(RETRY_PAUSE_S)
         return None
 
     async def find_relay(self, limit_s: float) -> None:
--- a/src/cicadatray/internal/wire/retried_call.py
+++ b/src/cicadatray/internal/wire/retried_call.py
@@ -56,6 +56,10 @@
         """Returns the timeout of the next attempt."""
         return min(self.remaining_s(), self.attempt_timeout_s)
 
+    async def pause(self, duration_s: float) -> None:
+        """Waits before the next attempt, but not beyond the deadline."""
+        await asyncio.sleep(max(0.0, min(duration_s, self.remaining_s())))
+
     def record_failure(self, reason: str, may_have_effect: bool) -> None:
         """Records an attempt that got no final reply, and whether control may have acted on it."""
         self.last_error = reason
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -199,15 +199,16 @@
 
         The client can then resend, which may reach a leader.
         """
-        unsent_timeout_s = UNSENT_TIMEOUT_SHARE * timeout_s
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
         try:
-            return await self.control.call(call, unsent_timeout_s, trace=trace)
+            return await self.control.call(call, UNSENT_TIMEOUT_SHARE * timeout_s, trace=trace)
         except ControlUnavailableError as error:
             if not error.may_have_effect:
                 raise
         # The job may have been accepted, which only a leader can tell, so the full timeout is used.
         try:
-            return await self.control.call(call, timeout_s - unsent_timeout_s, trace=trace)
+            return await self.control.call(call, deadline_s - loop.time(), trace=trace)
         except ControlUnavailableError as error:
             raise ControlUnavailableError(str(error)) from error
 
--- a/tests/cover/platform/test_unanswered_calls.py
+++ b/tests/cover/platform/test_unanswered_calls.py
@@ -9,14 +9,16 @@
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.control_client import CONNECT_TIMEOUT_S, ControlClient
-from cicadatray.internal.wire.errors import PeerLostError
+from cicadatray.internal.wire.errors import PeerLostError, PeerUnreachableError
 from cicadatray.internal.wire.leader_probe import PROBE_INTERVAL_S, LeaderProbe
 from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.directory_messages import NotLeader
 from cicadatray.internal.wire.messages.graph_messages import GraphState, MembersReply, ReadMembers
 from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.internal.wire.messages.relay_messages import RelayedReply
 from cicadatray.internal.wire.relay_routes import RelayRoutes
-from cicadatray.platform.client_api import ClientApi
+from cicadatray.platform.client_api import CALL_TIMEOUT_SHARE, ClientApi
+from cicadatray.platform.fields import MS_PER_S
 from cover.platform.asgi import request
 from cover.test_relay_search import FrozenPeer, SilentPeer
 from cover.test_relays import MEMBERS, RELAY
@@ -24,6 +26,8 @@
 LEADER = MEMBERS[0].name
 FOUND_S = 5.0
 DEADLINE_S = 2.0
+# The rounding of sums of virtual time.
+TOLERANCE_S = 1e-6
 PATH = "/fast/00000000000000aa"
 BUSY = Failure(code="too_many_calls", detail="too many calls on one connection")
 
@@ -47,6 +51,10 @@
         return self.reply
 
 
+def repr_type(peer: Any) -> str:
+    return type(peer).__name__
+
+
 class LateConnection(FrozenPeer):
     """A peer whose connection opens late, and that does not answer."""
 
@@ -106,6 +114,51 @@
     run_virtual(main())
 
 
+class RefusingPeer:
+    """A machine that refuses connections at once."""
+
+    host = "127.0.0.1"
+    port = 1
+
+    async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
+        raise PeerUnreachableError("connection refused")
+
+
+class Follower:
+    """An instance that does not know the leader."""
+
+    host = "127.0.0.1"
+    port = 1
+
+    async def call(self, message: MessageStruct, timeout_s: float) -> MessageStruct:
+        return NotLeader()
+
+
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+@pytest.mark.parametrize("deadline_ms", [100, 250, 500, 1000, 3000, 10000])
+@pytest.mark.parametrize("relay", [None, FrozenPeer(), SilentPeer(), RefusingPeer()], ids=repr_type)
+@pytest.mark.parametrize(
+    "peer", [SilentPeer(), FrozenPeer(), RefusingPeer(), Follower()], ids=repr_type
+)
+def test_call_that_control_does_not_answer_ends_before_its_deadline(
+    peer: Any, relay: Any, deadline_ms: int, method: str
+) -> None:
+    """Guards against a client that gets no answer, because retries end after its deadline."""
+
+    async def main() -> None:
+        api, probe = make_entry(peer, MetricsRegistry())
+        probe.last_leader_reply_s = asyncio.get_running_loop().time()
+        if relay is not None:
+            probe.control.relays.clients[RELAY] = relay
+            probe.control.relays.active = RELAY
+        answer = await request(api, method, PATH, headers={"Deadline-Ms": str(deadline_ms)})
+        assert answer.status in (503, 504)
+        duration_s = asyncio.get_running_loop().time()
+        assert duration_s <= deadline_ms / MS_PER_S * CALL_TIMEOUT_SHARE + TOLERANCE_S
+
+    run_virtual(main())
+
+
 def test_call_without_a_leader_is_logged_with_its_silence() -> None:
     """Guards against a 503 whose log line does not tell since when there is no leader."""
 
