Reset a connection after a silence that says something, not after a call with little time

What callers could see: calls in progress failed with "connection lost" because another call on the same connection, with a few milliseconds left, got no reply in that time. After a fault each entry has such calls: the attempt at an instance without power takes most of a call's time, and the last attempt, at the new leader, gets the rest.

Cause: a call that timed out reset the connection, which all calls share, if nothing had arrived since it was sent, however short that was.

Evidence: test_short_call_leaves_the_calls_beside_it_alone failed on the code before with "connection to 127.0.0.1:34305 lost".

Change: the connection is reset when nothing has arrived for 0.15 s since the first call was sent that has timed out since the last message. Short calls on a dead connection add up to that (second test). A connection that has never answered counts from the beginning of the attempt to open it.

--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -11,6 +11,9 @@
 from cicadatray.internal.wire.source_address import SOURCE_ADDRESS
 
 CONNECT_TIMEOUT_S = 1.0
+# Replies take milliseconds. A call that has less time than this says nothing about the connection,
+# which other calls are using.
+RESET_AFTER_S = 0.15
 
 
 class RpcClient:
@@ -94,9 +97,9 @@
             async with asyncio.timeout_at(deadline_s):
                 return await connection.call(message)
         except TimeoutError as error:
-            if connection.last_received_s <= sent_s:
-                # Nothing was received during the call. A dead connection may never be reset, and
-                # every later call on it would time out too.
+            if connection.silence_after(sent_s) >= RESET_AFTER_S:
+                # A dead connection may never be reset, and every later call on it would time out
+                # too.
                 connection.abort()
             raise PeerLostError(
                 f"no reply from {self.host}:{self.port} in time", connection_wait_s
@@ -173,6 +176,7 @@
         return error
 
     async def _connect(self) -> RpcConnection:
+        attempt_s = asyncio.get_running_loop().time()
         async with asyncio.timeout(self.connect_timeout_s):
             local_address = SOURCE_ADDRESS.local_address()
             reader, writer = await asyncio.open_connection(
@@ -183,4 +187,4 @@
             except BaseException:
                 writer.close()
                 raise
-        return RpcConnection(reader, writer, self.codec)
+        return RpcConnection(reader, writer, self.codec, attempt_s)
--- a/src/cicadatray/internal/wire/rpc_connection.py
+++ b/src/cicadatray/internal/wire/rpc_connection.py
@@ -1,6 +1,7 @@
 """An open connection to another process and its calls in progress."""
 
 import asyncio
+import math
 
 from cicadatray.internal.wire.codec import Codec
 from cicadatray.internal.wire.errors import FrameError, PeerLostError
@@ -11,7 +12,9 @@
 class RpcConnection:
     """Matches replies to calls.
 
-    `last_received_s` is when the last message arrived, on the event loop's clock.
+    `last_received_s` is when the last message arrived, on the event loop's clock. `unanswered_s` is
+    when the first call was sent that has timed out since then; before the first message, it is when
+    the attempt to connect began.
     """
 
     __slots__ = (
@@ -21,16 +24,23 @@
         "pending_replies",
         "reader",
         "reader_task",
+        "unanswered_s",
         "writer",
     )
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, codec: Codec
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        codec: Codec,
+        attempt_s: float = math.inf,
     ) -> None:
+        """Starts to read from an authenticated connection that was begun at `attempt_s`."""
         self.reader = reader
         self.writer = writer
         self.codec = codec
         self.last_received_s = asyncio.get_running_loop().time()
+        self.unanswered_s = attempt_s
         self.next_call_id = 1
         self.pending_replies: dict[int, asyncio.Future[MessageStruct]] = {}
         self.reader_task = asyncio.create_task(self._read_replies())
@@ -62,6 +72,16 @@
                 # Marks an error as retrieved that was set while the request was being written.
                 reply.exception()
 
+    def silence_after(self, sent_s: float) -> float:
+        """Returns how long nothing has arrived, in seconds, since calls were sent that timed out.
+
+        `sent_s` is when the latest of them was sent. It is 0 if something arrived after that.
+        """
+        if self.last_received_s > sent_s:
+            return 0.0
+        self.unanswered_s = min(self.unanswered_s, sent_s)
+        return asyncio.get_running_loop().time() - self.unanswered_s
+
     def abort(self) -> None:
         """Resets the connection; calls in progress fail with `PeerLostError`."""
         self.writer.transport.abort()
@@ -81,6 +101,7 @@
             while True:
                 call_id, message = self.codec.decode(await read_frame(self.reader))
                 self.last_received_s = asyncio.get_running_loop().time()
+                self.unanswered_s = math.inf
                 reply = self.pending_replies.get(call_id)
                 if reply is not None and not reply.done():
                     reply.set_result(message)
--- a/tests/cover/wire/test_rpc_client.py
+++ b/tests/cover/wire/test_rpc_client.py
@@ -1,18 +1,21 @@
 """Tests of calls to another process after a connection failure."""
 
 import asyncio
+import contextlib
 import random
 
 import pytest
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.wire.backoff import BACKOFF_FIRST_S, Backoff
-from cicadatray.internal.wire.errors import PeerLostError, PeerUnreachableError
+from cicadatray.internal.wire.errors import PeerLostError, PeerUnreachableError, WireError
 from cicadatray.internal.wire.frame import pack_frame, read_frame
 from cicadatray.internal.wire.handshake import authenticate
+from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.directory_messages import Acknowledged
 from cicadatray.internal.wire.messages.registry import message_codec
-from cicadatray.internal.wire.rpc_client import CONNECT_TIMEOUT_S, RpcClient
+from cicadatray.internal.wire.rpc_client import CONNECT_TIMEOUT_S, RESET_AFTER_S, RpcClient
+from cicadatray.internal.wire.rpc_server import RpcServer
 
 SECRET = b"secret"
 # The rounding of sums of virtual time.
@@ -183,3 +186,51 @@
             await call
 
     run_virtual(main())
+
+
+def test_short_call_leaves_the_calls_beside_it_alone() -> None:
+    """Guards against a call with little time left that resets the connection of all others.
+
+    After an election every entry has calls whose last attempt reaches the new leader with a few
+    milliseconds left.
+    """
+
+    async def main() -> None:
+        may_reply = asyncio.Event()
+
+        async def answer(call: MessageStruct) -> MessageStruct:
+            await may_reply.wait()
+            return call
+
+        server = RpcServer("127.0.0.1", 0, message_codec(), answer, SECRET)
+        await server.start()
+        client = RpcClient("127.0.0.1", server.port, message_codec(), SECRET)
+        call = asyncio.create_task(client.call(Acknowledged(), 30.0))
+        while not client.is_connected:
+            await asyncio.sleep(0.01)
+        with pytest.raises(PeerLostError):
+            await client.call(Acknowledged(), 0.01)
+        may_reply.set()
+        assert isinstance(await call, Acknowledged)
+        await client.close()
+        await server.stop()
+
+    asyncio.run(main())
+
+
+def test_short_calls_on_a_dead_connection_open_a_new_one() -> None:
+    """Guards against a dead connection that is kept because each call has little time left."""
+
+    async def main() -> None:
+        silent_server = SilentOnceServer()
+        server = await asyncio.start_server(silent_server.serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = RpcClient("127.0.0.1", port, message_codec(), SECRET)
+        while silent_server.connections < 2:
+            with contextlib.suppress(WireError):
+                await client.call(Acknowledged(), RESET_AFTER_S / 5)
+        assert isinstance(await client.call(Acknowledged(), 30.0), Acknowledged)
+        await client.close()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(main(), 30.0))
