Let reads wait for a leader during an election

Cause: an entry that had heard no leader for 2.5 s refused each call at once, and so did all other entries. A client whose attempts go from entry to entry used all of them within milliseconds and had its answer, none, long before its deadline, although a leader was there 0.4 s later.

An entry that is cut off still refuses at once, since another one may reach the leader, and so is a submission refused, whose client is to come back later.

test_immediate_503_without_a_leader holds as it is for its case, in which no instance replies.

--- a/src/cicadatray/internal/wire/leader_probe.py
+++ b/src/cicadatray/internal/wire/leader_probe.py
@@ -36,6 +36,7 @@
     __slots__ = (
         "control",
         "last_leader_reply_s",
+        "leader_found",
         "leader_found_s",
         "leader_name",
         "own_relay",
@@ -55,6 +56,7 @@
         self.own_rendezvous = own_rendezvous
         self.search = RepeatedEvent("leader not found")
         self.last_leader_reply_s = -math.inf
+        self.leader_found = asyncio.Event()  # set for a moment by each reply
         self.leader_found_s = -math.inf
         self.leader_name = ""  # empty if it replied through a relay
 
@@ -62,13 +64,23 @@
         """Returns whether the leader has replied within `CONTACT_TIMEOUT_S`."""
         return asyncio.get_running_loop().time() - self.last_leader_reply_s < CONTACT_TIMEOUT_S
 
-    def is_connected(self) -> bool:
-        """Returns whether any control instance or relay has replied within `CONTACT_TIMEOUT_S`.
+    def is_connected(self, limit_s: float = CONTACT_TIMEOUT_S) -> bool:
+        """Returns whether any control instance or relay has replied within `limit_s`.
 
         It is False until a leader has replied for the first time.
         """
         silence_s = asyncio.get_running_loop().time() - self.control.last_reply_s
-        return self.last_leader_reply_s > -math.inf and silence_s < CONTACT_TIMEOUT_S
+        return self.last_leader_reply_s > -math.inf and silence_s < limit_s
+
+    async def wait_for_leader(self, limit_s: float) -> bool:
+        """Returns True as soon as the leader replies, and False if it does not within `limit_s`."""
+        if not self.has_recent_leader_reply():
+            try:
+                async with asyncio.timeout(limit_s):
+                    await self.leader_found.wait()
+            except TimeoutError:
+                return False
+        return True
 
     def contact(self) -> LeaderContact:
         """Returns what is known of the leader now."""
@@ -131,6 +143,8 @@
             self.leader_found_s = now_s
             self.leader_name = leader_name
         self.last_leader_reply_s = now_s
+        self.leader_found.set()
+        self.leader_found.clear()
 
     async def _try_direct(self, call: ReadMembers) -> None:
         """Returns to direct calls as soon as control is reachable again."""
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -50,6 +50,9 @@
 MAX_CALL_TIMEOUT_S = 10.0
 # The share of the call timeout after which a call that no leader has received is given up.
 UNSENT_TIMEOUT_SHARE = 0.4
+# Without a leader an instance of control or a relay answers the probe at least this often, unless
+# this process is cut off.
+ELECTION_CONTACT_S = 1.0
 # In seconds. An election takes up to 2 s, so a client that resends after this time often finds a
 # leader.
 RETRY_AFTER_S = "1"
@@ -161,12 +164,15 @@
             return _error(400, str(error))
         if call is None:
             return _error(405, "method not allowed; use POST, GET or DELETE")
-        if not self.probe.has_recent_leader_reply():
+        timeout_s = _call_timeout_s(request.headers)
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        if not await self._has_leader(call, timeout_s):
             no_leader = ControlUnavailableError(NO_LEADER_REASON, may_have_effect=False)
             return self._unavailable(request, no_leader, trace, NO_LEADER_REASON)
         known = self.decisions.latest
         try:
-            reply = await self._call(call, _call_timeout_s(request.headers), trace)
+            remaining_s = deadline_s - asyncio.get_running_loop().time()
+            reply = await self._call(call, remaining_s, trace)
         except ControlUnavailableError as error:
             return self._unavailable(request, error, trace)
         except WireError as error:
@@ -194,6 +200,20 @@
             )
         return add_decision(response, reply)
 
+    async def _has_leader(self, call: MessageStruct, timeout_s: float) -> bool:
+        """Returns whether the leader has replied recently; a read waits a while for one.
+
+        While an election lasts, every entry would refuse within milliseconds, so that a client
+        would use up its attempts before there is a leader. A process that is cut off refuses at
+        once, because another entry may reach the leader. So are other calls refused: a submission
+        that waits for a leader is rather late than one that is sent again.
+        """
+        if self.probe.has_recent_leader_reply():
+            return True
+        if not isinstance(call, ReadGraph) or not self.probe.is_connected(ELECTION_CONTACT_S):
+            return False
+        return await self.probe.wait_for_leader(UNSENT_TIMEOUT_SHARE * timeout_s)
+
     async def _call(self, call: MessageStruct, timeout_s: float, trace: CallTrace) -> MessageStruct:
         """Calls control, and gives up early if no leader received the call.
 
--- a/tests/cover/platform/test_client_api.py
+++ b/tests/cover/platform/test_client_api.py
@@ -56,6 +56,9 @@
     def has_recent_leader_reply(self) -> bool:
         return self.recent
 
+    def is_connected(self, limit_s: float) -> bool:
+        return self.recent
+
     def contact(self) -> LeaderContact:
         return LeaderContact(leader="", relay="", known_for_s=None, silence_s=None)
 
@@ -135,7 +138,10 @@
 
 @pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
 def test_immediate_503_without_a_leader(method: str) -> None:
-    """Guards against waiting until the client's deadline for a request that cannot be served."""
+    """Guards against waiting until the client's deadline for a request that cannot be served.
+
+    No instance replies here; test_reads_without_leader.py has reads during an election.
+    """
     control = FakeControl(GraphState(graph_id="a", state="queued"))
     answer = ask(control, method, msgspec.json.encode(JOB), recent=False)
     assert (answer.status, control.calls) == (503, [])
