Tell members that have lost their disk where their group is

Cause: members announce their group to the seeds that are no members. A seed that is a member and has lost its disk was left out. It refuses the messages of its group, knows nobody but its own seeds, and answers other processes that it knows no leader. If the other seeds are gone for good, each process that is restarted with these seeds finds no leader, for good: entries answer 503 to every read, agents do not adopt their workers, and the group, which leads, waits for workers. Class of fault: discovery that relies on a contact point knowing the group.

Change: a process with a disk announces the group to its other members as well, and an instance without a group answers calls with the members that it was told, as instances without a replica do.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -46,6 +46,7 @@
     ChangeConfiguration,
 )
 from cicadatray.internal.wire.messages.directory_messages import NotLeader
+from cicadatray.internal.wire.messages.graph_messages import GroupAddresses
 from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.internal.wire.rpc_server import RpcServer
 from cicadatray.replication.errors import NotLeaderError, ReplicationError
@@ -256,7 +257,15 @@
         except* LeadershipLostError as errors:
             raise leadership_lost(errors) from None
 
-    def _not_leader(self, leader_name: str | None) -> NotLeader:
+    def _not_leader(self, leader_name: str | None) -> MessageStruct:
+        """Returns the address of the leader, or those of the group for a replica without one.
+
+        Such an instance has lost its disk or was never a member, and may be the only seed that a
+        restarted process knows.
+        """
+        group = self.control_client.group
+        if leader_name is None and group and not self.replica.members():
+            return GroupAddresses(members=group, leader_name="")
         member = self.replica.find_member(leader_name) if leader_name else None
         if member is None:
             return NotLeader(leader_name=leader_name or "")
--- a/src/cicadatray/internal/control/graphs/member_calls.py
+++ b/src/cicadatray/internal/control/graphs/member_calls.py
@@ -43,8 +43,12 @@
 
 @register_handler(AnnounceMembers)
 async def learn_members(daemon: "ControlDaemon", call: AnnounceMembers) -> MessageStruct:
-    """Stores where the group can be reached, for an instance that has lost its disk."""
+    """Stores where the group can be reached, for an instance that has lost its disk.
+
+    The instance also passes the latest announcement on to processes that ask it for the leader.
+    """
     daemon.control_client.learn_members(call.members)
+    daemon.control_client.group = call.members
     return Acknowledged()
 
 
--- a/src/cicadatray/internal/wire/seed_announcer.py
+++ b/src/cicadatray/internal/wire/seed_announcer.py
@@ -23,11 +23,13 @@
 
 
 class SeedAnnouncer:
-    """Tells the members of the group to each seed that is not one of them.
+    """Tells the members of the group to each seed that is not one of them, and to the members.
 
     Seeds may be control instances without a replica. These learn of the group from nobody else once
-    all processes that knew it have been restarted. `stored_members` returns the members that this
-    process has on its disk, which it knows before it has found a leader. `stored_seeds` returns the
+    all processes that knew it have been restarted. Neither does a member that has lost its disk: it
+    refuses the messages of the group, and its seeds may be gone. `stored_members` returns the
+    members that this process has on its disk, which it knows before it has found a leader; only a
+    process with a disk tells other members. `stored_seeds` returns the
     instances without a replica that it has recorded: the seeds of other processes may differ from
     its own. `taken` holds, for each seed, the members that it has taken last and the time of that.
 
@@ -73,19 +75,21 @@
             self._release_clients(set())
 
     async def announce(self) -> None:
-        """Calls each seed that is not a member, unless it was told the same a short time ago."""
-        members = self.control.group or self.stored_members()
+        """Calls each of those that may not know the group, unless it was told a short time ago."""
+        stored = self.stored_members()
+        members = self.control.group or stored
         if not members:
             return
         names = {self.own_name, *(member.name for member in members)}
-        outsiders = [seed for seed in self._known_seeds() if seed.name not in names]
-        self._release_clients(set(outsiders))
-        due = [seed for seed in outsiders if not self._has_taken(seed, members)]
+        targets = [seed for seed in self._known_seeds() if seed.name not in names]
+        if stored:
+            targets += [_seed_of(member) for member in members if member.name != self.own_name]
+        self._release_clients(set(targets))
+        due = [target for target in targets if not self._has_taken(target, members)]
         await asyncio.gather(*(self._announce_to(seed, members) for seed in due))
 
     def _known_seeds(self) -> list[ControlMember]:
-        stored = (ControlMember(seed.name, seed.host, seed.port) for seed in self.stored_seeds())
-        return list(dict.fromkeys((*self.seeds, *stored)))
+        return list(dict.fromkeys((*self.seeds, *map(_seed_of, self.stored_seeds()))))
 
     def _release_clients(self, kept: set[ControlMember]) -> None:
         for seed in [seed for seed in self.clients if seed not in kept]:
@@ -118,3 +122,7 @@
             return
         failure.record_end()
         self.taken[seed.name] = (members, asyncio.get_running_loop().time())
+
+
+def _seed_of(address: MemberAddress) -> ControlMember:
+    return ControlMember(address.name, address.host, address.port)
