Fail no job for the crashes of one worker that goes down and up

Control counted too short a time for which a run had been on a worker that crashed: from the receipt of the first list with it to the request of the last. A list that waits for an end is made up to 0.5 s after it was requested, and the last lists before a crash were dropped with the worker, so that 0.5, 1.4 and 1.4 s counted as 0.0 s. And three crashes soon after a start gave a task up wherever they came, while a task on trial starts on an idle worker, which may be the same one each time.

Change: the time on a worker counts by that worker's own clock, from its answer to the start, or the first list, to the last list; it is still a lower bound. The report of a worker's end carries what was seen last of its runs, of which control takes those that it knew. Early crashes in a row give a task up only if they came on the workers of two agents or more; five crashes in all still do, so that a deadly task costs no more workers than the limit that was there.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -193,13 +193,12 @@
             except WorkerReplacedError:
                 self.on_replaced(self.port)
                 return
-            entry.answered_s = asyncio.get_running_loop().time()
             self.answers.increment(answer=answer.value)
             if answer is StartAnswer.ACCEPTED:
-                if entry.phase is RunPhase.STARTING:
-                    entry.phase = RunPhase.RUNNING
+                entry.record_accepted(self.port.clock_s())
                 self.on_worker_activity()
                 return
+            entry.answered_s = asyncio.get_running_loop().time()
             if answer is not StartAnswer.LEASE_OVER:
                 self._abandon_start(entry, answer.value)
                 return
--- a/src/cicadatray/internal/agent/tasks/run_entry.py
+++ b/src/cicadatray/internal/agent/tasks/run_entry.py
@@ -1,5 +1,6 @@
 """A run that an agent is responsible for."""
 
+import asyncio
 from enum import Enum
 
 from cicadatray.internal.wire.messages.graph_messages import RunOrder, RunReport
@@ -27,12 +28,14 @@
     or may have been sent by an earlier process of this agent: the worker may carry it out at any
     time until it has answered a stop. `times_missing` counts the complete views in a row without
     the run. `may_have_begun` is set while an order to start it may have been carried out. The
-    worker's first list with the run was received at `first_listed_s`, and the last one requested
-    `observed_s` later.
+    worker's first list with the run was received at `first_listed_s`. `begun_by_s` is a time on the
+    worker's clock by which the run had begun, or None if the worker has told none. The run was on
+    the worker for `observed_s` or longer, as its later lists show.
     """
 
     __slots__ = (
         "answered_s",
+        "begun_by_s",
         "checkpoint",
         "first_listed_s",
         "is_in_doubt",
@@ -55,11 +58,26 @@
         self.is_in_doubt = False
         self.may_have_begun = order is None
         self.first_listed_s: float | None = None
+        self.begun_by_s: float | None = None
         self.observed_s = 0.0
         self.times_missing = 0
 
-    def record_listed(self, report: RunReport, asked_s: float, received_s: float) -> None:
-        """Records that the list which was requested at `asked_s` contains the run."""
+    def record_accepted(self, clock_s: float) -> None:
+        """Records that the worker has accepted the start, at `clock_s` on its clock or earlier."""
+        self.answered_s = asyncio.get_running_loop().time()
+        if self.begun_by_s is None and clock_s:
+            self.begun_by_s = clock_s
+        if self.phase is RunPhase.STARTING:
+            self.phase = RunPhase.RUNNING
+
+    def record_listed(
+        self, report: RunReport, asked_s: float, received_s: float, clock_s: float = 0.0
+    ) -> None:
+        """Records that the list which was requested at `asked_s` contains the run.
+
+        An answer may wait for the end of a run and arrive late, so that only the time at which it
+        was requested, and `clock_s` of the worker in it, show for how long the run was there.
+        """
         self.percent = report.percent
         self.checkpoint = report.checkpoint
         self.times_missing = 0
@@ -67,6 +85,9 @@
         if self.first_listed_s is None:
             self.first_listed_s = received_s
         self.observed_s = max(self.observed_s, asked_s - self.first_listed_s)
+        if clock_s:
+            self.begun_by_s = min(clock_s, self.begun_by_s or clock_s)
+            self.observed_s = max(self.observed_s, clock_s - self.begun_by_s)
         if self.phase is RunPhase.STARTING:
             self.phase = RunPhase.RUNNING
 
--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -7,7 +7,7 @@
 from cicadatray.internal.observability.counter import Counter
 from cicadatray.internal.observability.graph_metrics import cleared_runs_ended
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
-from cicadatray.internal.wire.messages.graph_messages import RunEnd, RunOrder
+from cicadatray.internal.wire.messages.graph_messages import RunEnd, RunOrder, RunReport
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 
@@ -89,7 +89,7 @@
                 entry = RunEntry(report.run, None, RunPhase.RUNNING)
                 self.runs[report.run] = entry
             if entry is not None:
-                entry.record_listed(report, asked_s, received_s)
+                entry.record_listed(report, asked_s, received_s, view.clock_s)
         absent = [self.runs[run] for run in view.find_absent(self.runs)]
         missing = [entry for entry in absent if self._is_missing(entry, asked_s, view)]
         return has_ended or bool(missing), missing
@@ -116,6 +116,10 @@
         self.finished[entry.run] = RunOutcome.CLEARED
         self.cleared[entry.run] = RunEnd(entry.run, RunOutcome.CLEARED)
 
+    def reported_runs(self) -> tuple[RunReport, ...]:
+        """Returns the reports of all runs to control."""
+        return tuple(entry.report() for entry in self.runs.values())
+
     def reported_ends(self) -> tuple[RunEnd, ...]:
         """Returns the run ends to report to control."""
         return (*(self.ends[number] for number in sorted(self.ends)), *self.cleared.values())
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -207,8 +207,8 @@
     def drop_worker(self, cause: WorkerEnd) -> None:
         """Stops driving the current worker, which has ended, and reports its end to control."""
         if self.offer is not None:
-            ends = self.table.reported_ends()
-            self.ended_worker = EndedWorker(self.offer.worker_id, cause, ends)
+            ends, runs = self.table.reported_ends(), self.table.reported_runs()
+            self.ended_worker = EndedWorker(self.offer.worker_id, cause, ends, runs)
         executor, self.executor = self.executor, None
         self.offer, self.port = None, None
         self.table = RunTable(self.refuted_clears)
@@ -250,8 +250,9 @@
             ended_worker_id=ended.worker_id if ended else "",
             ended_worker_cause=ended.cause if ended else WorkerEnd.CRASHED,
             ended_worker_ends=ended.ends if ended else (),
+            ended_worker_runs=ended.runs if ended else (),
             is_worker_reachable=self.is_worker_reachable,
-            runs=tuple(entry.report() for entry in self.table.runs.values()),
+            runs=self.table.reported_runs(),
             ends=self.table.reported_ends(),
             wait_s=sync_timing.WAIT_S if self.is_control_answering else 0.0,
         )
--- a/src/cicadatray/internal/agent/tasks/worker_port.py
+++ b/src/cicadatray/internal/agent/tasks/worker_port.py
@@ -28,12 +28,13 @@
 
     A worker may limit how many ends it lists in one answer. It then lists the ones with the lowest
     numbers, and others once control has committed these. `is_complete` is False if a run or an end
-    may have been left out.
+    may have been left out. `clock_s` is the time of the worker's clock in the answer, 0 if unknown.
     """
 
     running: tuple[RunReport, ...]
     ended: tuple[RunEnd, ...]
     is_complete: bool
+    clock_s: float = 0.0
 
     def find_absent(self, runs: Iterable[TaskRun]) -> list[TaskRun]:
         """Returns which of these runs certainly are neither on the worker nor among its ends.
--- a/src/cicadatray/internal/control/graphs/former_workers.py
+++ b/src/cicadatray/internal/control/graphs/former_workers.py
@@ -15,13 +15,16 @@
 def last_ends(session: "GraphSession", call: SyncWorker) -> list[PlacedEnd]:
     """Returns the new ends that a former worker of an agent had listed before it ended.
 
-    They must be proposed before the ends that the leader records for all other runs of the worker.
+    Also records what the agent saw last of the worker's other runs. The ends must be proposed
+    before the ends that the leader records for all other runs of the worker.
     """
     worker_id = call.ended_worker_id
     worker = session.workers.get(worker_id)
     if worker is not None:
-        is_ended = worker.agent_id != call.agent_id or worker.is_lost
-        return [] if is_ended else worker.receive_ends(call.ended_worker_ends, session.now_s())
+        if worker.agent_id != call.agent_id or worker.is_lost:
+            return []
+        worker.update_reports(call.ended_worker_runs)
+        return worker.receive_ends(call.ended_worker_ends, session.now_s())
     if session.leader.state.graphs.agents.get(worker_id) != call.agent_id:
         return []
     # The worker belonged to an earlier leader's term; the agent may repeat the call.
--- a/src/cicadatray/internal/control/graphs/graph_state.py
+++ b/src/cicadatray/internal/control/graphs/graph_state.py
@@ -68,7 +68,13 @@
             continue
         end = placed.end
         progress.record_end(
-            task, end.run.run, placed.worker_id, end.outcome, end.checkpoint, end.observed_s
+            task,
+            end.run.run,
+            placed.worker_id,
+            end.outcome,
+            end.checkpoint,
+            end.observed_s,
+            state.graphs.agents.get(placed.worker_id, ""),
         )
         if progress.failure and not progress.ended_s:
             progress.ended_s = command.now_s
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -103,6 +103,10 @@
         }
         return self.receive_ends(call.ends, now_s)
 
+    def update_reports(self, runs: tuple[RunReport, ...]) -> None:
+        """Replaces the reports of known runs by newer ones."""
+        self.reports |= {report.run: report for report in runs if report.run in self.reports}
+
     def receive_ends(self, reported: tuple[RunEnd, ...], now_s: float) -> list[PlacedEnd]:
         """Records all ends that the agent reports; returns those that were not received before."""
         ends: list[PlacedEnd] = []
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -133,8 +133,8 @@
     `sequence` rises with its calls, so that a call that was overtaken is recognised.
     `ended_worker_id` names a worker of this agent that has certainly ended with all its runs, for
     the cause `ended_worker_cause`; `ended_worker_ends` are the ends that it had listed and that the
-    agent does not know to be committed. `is_worker_reachable` is False while the offered worker
-    refuses connections.
+    agent does not know to be committed, and `ended_worker_runs` its other runs as they were last
+    seen. `is_worker_reachable` is False while the offered worker refuses connections.
     """
 
     agent_id: str
@@ -148,6 +148,7 @@
     ended_worker_cause: WorkerEnd = WorkerEnd.CRASHED
     is_worker_reachable: bool = True
     ended_worker_ends: tuple[RunEnd, ...] = ()
+    ended_worker_runs: tuple[RunReport, ...] = ()
 
 
 class RunOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/src/cicadatray/platform/worker_document.py
+++ b/src/cicadatray/platform/worker_document.py
@@ -110,12 +110,14 @@
     document = parse_json(body)
     running = [_decode_running(row) for row in read_list(document, "Running", object)]
     ended = [_decode_end(row) for row in read_list(document, "Ended", object)]
+    clock_s = _decode_clock_s(document)
     view = WorkerView(
         tuple(report for report in running if report is not None),
         tuple(end for end in ended if end is not None),
         is_complete=len(ended) < MAX_ENDS_LISTED,
+        clock_s=clock_s,
     )
-    return view, _decode_clock_s(document), _read_born_ms(document)
+    return view, clock_s, _read_born_ms(document)
 
 
 def _read_born_ms(document: dict[str, Any]) -> int:
--- a/src/cicadatray/scheduling/taskgraphs/graph_progress.py
+++ b/src/cicadatray/scheduling/taskgraphs/graph_progress.py
@@ -93,10 +93,12 @@
         outcome: RunOutcome,
         checkpoint: str,
         observed_s: float = 0.0,
+        agent_id: str = "",
     ) -> bool:
         """Records the end of a run; returns False if it is not the current run of the task.
 
-        `observed_s` is for how long a worker that crashed had listed the run, in seconds.
+        `observed_s` is for how long a worker that crashed certainly had the run, in seconds, and
+        `agent_id` names the agent of that worker.
         """
         progress = self.tasks.get(task.key)
         if progress is None or progress.run != run or progress.worker_id != worker_id:
@@ -109,7 +111,7 @@
         elif outcome is RunOutcome.FAILED:
             self._record_failure(task, progress, run)
         elif outcome is RunOutcome.CRASHED:
-            self._record_crash(task, progress, observed_s)
+            self._record_crash(task, progress, observed_s, agent_id)
         return True
 
     def record_checkpoint(self, task: TaskId, run: int, checkpoint: str) -> None:
@@ -170,11 +172,13 @@
         if attempts >= self.graph.policy.max_attempts and not self.failure:
             self.failure = f"task {task.key} failed {attempts} times"
 
-    def _record_crash(self, task: TaskId, progress: TaskProgress, observed_s: float) -> None:
+    def _record_crash(
+        self, task: TaskId, progress: TaskProgress, observed_s: float, agent_id: str
+    ) -> None:
         if progress.is_done:
             return
         crashes = progress.crashes
-        crashes.add(observed_s)
+        crashes.add(observed_s, agent_id)
         is_long_running = self.graph.steps[task.step].is_long_running
         if crashes.is_exhausted(is_long_running) and not self.failure:
             self.failure = f"{crashes.total} workers crashed under task {task.key}"
--- a/tests/cover/taskgraphs/simulated_task_worker.py
+++ b/tests/cover/taskgraphs/simulated_task_worker.py
@@ -231,7 +231,8 @@
         running = tuple(RunReport(run, 50) for run in self.running)
         unseen = [end for end in self.ended if end.number > committed_end_number]
         listed = tuple(unseen[: self.ends_per_answer])
-        return WorkerView(running, listed, is_complete=len(listed) < self.ends_per_answer)
+        is_complete = len(listed) < self.ends_per_answer
+        return WorkerView(running, listed, is_complete, clock_s=self.clock_s())
 
     def lose(self, run: TaskRun) -> None:
         """Loses a run without an end of it in any list."""
--- a/tests/cover/taskgraphs/test_crash_evidence.py
+++ b/tests/cover/taskgraphs/test_crash_evidence.py
@@ -14,6 +14,7 @@
 from cicadatray.internal.control.graphs.placement_input import build_workers
 from cicadatray.internal.wire.messages.graph_messages import RunReport
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.task_id import TaskId
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 from cover.taskgraphs.test_graph_session import LEASES, RUN, call, make_session
 from cover.taskgraphs.test_task_agent import ORDER, FakePort, make_executor, orders
@@ -73,6 +74,58 @@
     assert table.runs[RUN].report().observed_s == pytest.approx(1.6)
 
 
+@pytest.mark.parametrize(
+    ("accepted_at_s", "clocks_s", "observed_s"),
+    [
+        (100.0, (100.6, 101.4), 1.4),
+        (0.0, (100.6, 101.4), 0.8),
+        (100.0, (0.0, 0.0), 0.0),
+        (101.0, (100.6, 100.9), 0.3),
+    ],
+    ids=["accepted", "adopted", "clock unknown", "lists overtaken by the answer"],
+)
+def test_time_on_the_worker_counts_by_its_own_clock(
+    accepted_at_s: float, clocks_s: tuple[float, ...], observed_s: float
+) -> None:
+    """Guards against taking a run that was at work for one that crashed its worker at its start.
+
+    A list that waits for the end of a run is made up to 0.5 s after it was requested.
+    """
+
+    async def main() -> None:
+        table = RunTable()
+        entry = table.add_start(ORDER)
+        assert entry is not None
+        if accepted_at_s:
+            entry.record_accepted(accepted_at_s)
+        for clock_s in clocks_s:
+            table.apply_view(msgspec.structs.replace(LISTED, clock_s=clock_s), 1.0, 1.5)
+        assert table.runs[RUN].report().observed_s == pytest.approx(observed_s)
+
+    run_virtual(main())
+
+
+def test_leader_learns_what_the_agent_saw_last_of_a_worker_that_crashed() -> None:
+    """Guards against evidence of the last 0.5 s that is dropped with the worker.
+
+    A run that the leader does not know to be there is not added: it may not have begun.
+    """
+
+    async def main() -> None:
+        session, _ = make_session()
+        session.handle_sync(call(runs=(RunReport(RUN, 40, observed_s=0.2),)))
+        other = msgspec.structs.replace(RUN, task=TaskId("g", 0, 0, 1))
+        last = tuple(RunReport(run, 60, "saved", observed_s=1.3) for run in (RUN, other))
+        session.handle_sync(
+            call(sequence=2, offer=None, ended_worker_id="w-1", ended_worker_runs=last)
+        )
+        ends = {placed.end.run: placed.end for placed in lost_run_ends(session, "w-1")}
+        assert ends[RUN].observed_s == 1.3 and ends[RUN].checkpoint == "saved"
+        assert ends[other].outcome is RunOutcome.LOST
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize(
     ("fields", "outcome"),
     [
--- a/tests/cover/taskgraphs/test_crash_record.py
+++ b/tests/cover/taskgraphs/test_crash_record.py
@@ -49,3 +49,33 @@
     for _ in range(MAX_CRASHES + 1):
         record.add(observed_s)
     assert record.is_exhausted(is_long_running=True) is is_exhausted
+
+
+@pytest.mark.parametrize(
+    ("agents", "is_exhausted"),
+    [
+        (["a", "a", "a"], False),
+        (["a", "b", "a"], True),
+        (["a", "a", "a", "b"], True),
+        (["", "", ""], True),
+        (["a"] * MAX_CRASHES, True),
+    ],
+    ids=["one agent", "two agents", "another one at last", "not known", "too many"],
+)
+def test_early_crashes_of_the_workers_of_one_agent_do_not_give_up_a_task(
+    agents: list[str], is_exhausted: bool
+) -> None:
+    """Guards against failing a job for a worker that crashes again and again by itself."""
+    record = CrashRecord()
+    for agent_id in agents:
+        record.add(EARLY, agent_id)
+    assert record.is_suspect
+    assert record.is_exhausted(is_long_running=False) is is_exhausted
+
+
+def test_crash_after_a_harmless_run_ends_the_series_on_one_agent() -> None:
+    """Guards against a record in which agents of earlier crashes in a row are counted."""
+    record = CrashRecord()
+    for observed_s, agent_id in ((EARLY, "b"), (LATE, "a"), *[(EARLY, "a")] * 2):
+        record.add(observed_s, agent_id)
+    assert (record.early, record.agents) == (2, ("a",))
--- a/tests/cover/taskgraphs/test_deadly_tasks.py
+++ b/tests/cover/taskgraphs/test_deadly_tasks.py
@@ -19,6 +19,8 @@
 MOST_CRASHES = 5
 # A crashed worker is back within 3.2 s and announces itself within 1 s.
 GIVEN_UP_WITHIN_S = 30.0
+# Rounds of 0.05 s.
+ROUNDS_UNTIL_RESTART = 200
 
 Fault = Callable[[GraphSimulation], None]
 
@@ -131,6 +133,30 @@
     assert {state_of(simulation, graph_id) for graph_id in innocent} == {"done"}
 
 
+@pytest.mark.parametrize("up_s", [0.1, 0.4, 0.9, 1.4])
+@pytest.mark.parametrize("crashes", [3, 4])
+def test_worker_that_crashes_by_itself_gives_up_no_job(
+    simulation: GraphSimulation, up_s: float, crashes: int
+) -> None:
+    """Guards against a job that fails because the one worker with room goes down and up.
+
+    A task that was on a worker when it crashed starts only on an idle one, which is the same.
+    """
+    simulation.task_duration_s = 60.0
+    submit_innocent(simulation, WORKERS - 1, WHOLE)
+    simulation.advance(0.5)
+    flapping = next(worker for worker in simulation.workers if not worker.running)
+    simulation.submit(DEADLY, (WHOLE,))
+    for _ in range(crashes):
+        for _ in range(ROUNDS_UNTIL_RESTART):
+            if not flapping.running:
+                simulation.advance(0.05)
+        simulation.advance(up_s)
+        flapping.crash()
+    simulation.advance(90.0)
+    assert state_of(simulation, DEADLY) == "done"
+
+
 def test_work_does_not_wait_for_a_worker_that_is_down(simulation: GraphSimulation) -> None:
     """Guards against urgent work that starts late because its worker has just crashed."""
     for worker in simulation.workers[:2]:
