Do not take the answer to a start for the answer to the stop after it

Cause: a start that got no answer is repeated. If control stopped the run while the repetition was under way, its answer was recorded as the last one of the worker about this run, and the next list without the run cleared it, before the stop was answered. The first order may be carried out after that, while the task starts elsewhere.

Evidence: test_task_agent.py, 2 of 2 rows failed before, 2 of 2 pass.

Change: an answer to a start counts only while the run is not being stopped.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -198,7 +198,7 @@
                 entry.record_accepted(self.port.clock_s())
                 self.on_worker_activity()
                 return
-            entry.answered_s = asyncio.get_running_loop().time()
+            entry.record_start_answered()
             if answer is not StartAnswer.LEASE_OVER:
                 self._abandon_start(entry, answer.value)
                 return
--- a/src/cicadatray/internal/agent/tasks/run_entry.py
+++ b/src/cicadatray/internal/agent/tasks/run_entry.py
@@ -62,9 +62,14 @@
         self.observed_s = 0.0
         self.times_missing = 0
 
+    def record_start_answered(self) -> None:
+        """Records an answer to the start, which settles nothing once the run is being stopped."""
+        if self.phase is not RunPhase.STOPPING:
+            self.answered_s = asyncio.get_running_loop().time()
+
     def record_accepted(self, clock_s: float) -> None:
         """Records that the worker has accepted the start, at `clock_s` on its clock or earlier."""
-        self.answered_s = asyncio.get_running_loop().time()
+        self.record_start_answered()
         if self.begun_by_s is None and clock_s:
             self.begun_by_s = clock_s
         if self.phase is RunPhase.STARTING:
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -204,6 +204,36 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("answer", [StartAnswer.LEASE_OVER, StartAnswer.ACCEPTED])
+def test_answer_to_a_start_does_not_count_as_one_to_the_stop_after_it(
+    answer: StartAnswer,
+) -> None:
+    """Guards against a run that is reported as cleared before its worker has answered the stop.
+
+    The worker may still carry out an earlier order that it did not answer.
+    """
+
+    class LatePort(FakePort):
+        async def start(self, order: RunOrder, token: int, lease_until_s: float) -> StartAnswer:
+            await asyncio.sleep(0.5)
+            return await super().start(order, token, lease_until_s)
+
+    async def main() -> None:
+        port = LatePort(WorkerUnansweredError("lost"), answer)
+        driver = make_executor(port)
+        driver.apply(orders())
+        await asyncio.sleep(0.9)
+        driver.begin_stop(driver.table.runs[RUN])
+        await asyncio.sleep(1.0)
+        assert port.calls == ["start", "stop", "start"]
+        now_s = asyncio.get_running_loop().time()
+        driver.table.apply_view(WorkerView((), (), is_complete=True), now_s, now_s)
+        assert RUN not in driver.table.cleared
+        driver.cancel()
+
+    run_virtual(main())
+
+
 def test_draining_worker_starts_nothing() -> None:
     """A task that starts on a draining worker would be lost with it."""
 
