Log which workers take no work, and which runs hold their tasks back

`queue waits` names neither the run nor its worker, and nothing told why a worker was left out.

Change: once a second the leader looks at its beliefs, in a task of its own, also while no round of placement ends. It logs when a worker ceases and begins to take work, with the reason (ended, silent, draining, refuses connections, evacuated, a run of an unknown graph with its name, on trial, suspect), and each run that should have ended 2 s ago, that has no known worker, or that is recorded as started without an order, with its worker, agent, the age of the agent's last reply and what is known of its end. cicadatray_workers_unavailable counts the workers by reason.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -16,6 +16,7 @@
     leadership_lost,
 )
 from cicadatray.internal.control.fragmentation import current_fragmentation
+from cicadatray.internal.control.graphs.belief_log import BeliefLog
 from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.control.graphs.graph_session import GraphSession
@@ -27,6 +28,7 @@
     register_speed_gauge,
 )
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
+from cicadatray.internal.control.graphs.worker_availability import register_availability_gauge
 from cicadatray.internal.control.group_admission import GroupAdmission
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
@@ -118,6 +120,7 @@
         register_queue_gauges(self.metrics, lambda: self.graph_session)
         register_coverage_gauge(self.metrics, lambda: self.graph_session)
         register_speed_gauge(self.metrics, lambda: self.graph_session)
+        register_availability_gauge(self.metrics, lambda: self.graph_session)
         register_replica_gauges(self.metrics, self.replica, self.state)
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
@@ -250,6 +253,7 @@
                 loops = [
                     tasks.create_task(self.scheduling_loop.run()),
                     tasks.create_task(GraphLoop(self.graph_session).run()),
+                    tasks.create_task(BeliefLog(self.graph_session).run()),
                 ]
                 await self._watch_leadership()
                 for loop in loops:
--- a/src/cicadatray/internal/observability/queue_metrics.py
+++ b/src/cicadatray/internal/observability/queue_metrics.py
@@ -82,6 +82,13 @@
     return registry.gauge("cicadatray_tasks_running", "Tasks that may run.", ("queue",))
 
 
+def unavailable_workers(registry: MetricsRegistry) -> Gauge:
+    """Returns the gauge of workers that take no new work; label `reason`."""
+    return registry.gauge(
+        "cicadatray_workers_unavailable", "Workers that take no new work.", ("reason",)
+    )
+
+
 def evacuated_data_centres(registry: MetricsRegistry) -> Gauge:
     """Returns the gauge of data centres in which nothing may be started."""
     return registry.gauge(
