Repeat a stop that was answered and had no effect

What callers could see: a job whose task waits for a former run for good, if a worker answers the stop of that run and goes on listing it.

Cause: a stop was sent until it was answered, and then only the list of the worker could end the belief that the run is being stopped.

Evidence: test_failed_orders.py, 2 of 3 rows failed before, 3 of 3 pass.

Change: the stop is sent again, with a line "stop repeated", if a list that was requested more than 2 s after the answer still contains the run.

--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -16,6 +16,8 @@
 # A run that is absent from this many views of the worker in a row is stopped, so that its state
 # becomes certain.
 MAX_TIMES_MISSING = 2
+# A stop takes 0.2 to 0.4 s. One that was answered and had no effect is repeated after this time.
+STOP_REPEAT_S = 2.0
 
 
 class RunTable:
@@ -94,6 +96,17 @@
         missing = [entry for entry in absent if self._is_missing(entry, asked_s, view)]
         return has_ended or bool(missing), missing
 
+    def find_unstopped(self, view: WorkerView, asked_s: float) -> list[RunEntry]:
+        """Returns the runs in a view, requested at `asked_s`, whose stop was answered long ago."""
+        listed = [self.runs[report.run] for report in view.running if report.run in self.runs]
+        return [
+            entry
+            for entry in listed
+            if entry.phase is RunPhase.STOPPING
+            and entry.answered_s
+            and asked_s - entry.answered_s > STOP_REPEAT_S
+        ]
+
     def record_acknowledged(self, number: int, view: WorkerView) -> None:
         """Records the answer to a call that acknowledged the ends up to a number."""
         if all(end.number > number for end in view.ended):
--- a/src/cicadatray/internal/agent/tasks/worker_observer.py
+++ b/src/cicadatray/internal/agent/tasks/worker_observer.py
@@ -78,6 +78,9 @@
         for entry in missing:
             if entry.phase is RunPhase.RUNNING:
                 executor.begin_stop(entry)
+        for entry in table.find_unstopped(view, asked_s):
+            log.warning("stop repeated", run=str(entry.run.task), number=entry.run.run)
+            executor.begin_stop(entry)
         if has_ended:
             agent.changed.set()
         if has_ended or is_settling:
--- a/tests/cover/taskgraphs/test_failed_orders.py
+++ b/tests/cover/taskgraphs/test_failed_orders.py
@@ -91,6 +91,40 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize(
+    ("ignored", "stops"), [(0, 1), (1, 2), (3, 4)], ids=["carried out", "ignored", "often ignored"]
+)
+def test_stop_is_repeated_while_the_worker_lists_the_run(ignored: int, stops: int) -> None:
+    """Guards against a run that works on for good after a stop that was answered without effect."""
+
+    class IgnoringPort(FakePort):
+        async def stop(self, run: TaskRun, token: int) -> None:
+            self.calls.append("stop")
+
+        async def observe(
+            self, token: int, committed_end_number: int, lease_until_s: float, wait_s: float
+        ) -> WorkerView:
+            await asyncio.sleep(wait_s)
+            return LISTED if len(self.calls) <= ignored else EMPTY
+
+    async def main() -> None:
+        port = IgnoringPort()
+        control: Any = ScriptedControl(0.0)
+        agent = TaskAgent("a", control)
+        assert await agent.receive_offer(OFFER, port)
+        running = asyncio.create_task(agent.run())
+        agent.table.apply_view(LISTED, 0.0, 0.0)
+        assert agent.executor is not None
+        agent.executor.begin_stop(agent.table.runs[RUN])
+        await asyncio.sleep(12.0)
+        assert port.calls == ["stop"] * stops
+        assert RUN in agent.table.cleared
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    run_virtual(main())
+
+
 class FailingView(FakePort):
     """Lists `RUN` when the worker is adopted, then fails to observe it until `FAILING_S`."""
 
