Keep a leader's session when its beliefs cannot be logged

The log of beliefs runs beside the loops of a leader; an unexpected error of it would have ended the session every second. Found while reading; the row of test_belief_log.py fails without the change (the task had ended).

--- a/src/cicadatray/internal/control/graphs/belief_log.py
+++ b/src/cicadatray/internal/control/graphs/belief_log.py
@@ -42,7 +42,11 @@
         """Scans until cancelled, also while no round of placement ends."""
         while True:
             await asyncio.sleep(SCAN_INTERVAL_S)
-            self.scan()
+            try:
+                self.scan()
+            except Exception:
+                # The leader must not end its session because it cannot tell what it believes.
+                log.exception("beliefs not logged")
 
     def scan(self) -> None:
         """Logs what has changed since the last scan."""
--- a/tests/cover/taskgraphs/test_belief_log.py
+++ b/tests/cover/taskgraphs/test_belief_log.py
@@ -133,3 +133,19 @@
     assert first["is_ordered"] is (belief is not not_ordered)
     assert first["is_revoked"] is (belief is revoked)
     assert first["is_worker_known"] is (belief is not without_worker)
+
+
+def test_leader_goes_on_when_its_beliefs_cannot_be_logged() -> None:
+    """Guards against a session that ends because of its log lines."""
+
+    async def main() -> None:
+        session, _ = make_session()
+        session.workers["w-9"] = None  # type: ignore[assignment]
+        task = asyncio.create_task(BeliefLog(session).run())
+        await asyncio.sleep(3 * LATE_END_S)
+        assert not task.done()
+        task.cancel()
+
+    with capture_logs() as captured:
+        run_virtual(main())
+    assert {line["event"] for line in captured} == {"beliefs not logged"}
