Let a leader notice that a loop or a commit of it was cancelled

Cause: a task group takes a child that was cancelled for one that has ended as it should. If what a round, or the commit of ends, awaits is cancelled by something else, the loop stops, or the ends count as proposed for good.

Change: such a cancellation, and the end of a loop that must not end, is an error. The daemon logs it and begins a new session from the replicated state, as after any other unexpected error.

--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from cicadatray.internal.control.endless_work import fail_if_cancelled
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.reported_checkpoints import new_checkpoints
 from cicadatray.internal.control.graphs.task_lookup import find_task_progress
@@ -35,6 +36,7 @@
 
         Raises:
             LeadershipLostError: a command could not be committed.
+            ControlError: the commit of a command was cancelled from elsewhere.
         """
         session = self.session
         async with asyncio.TaskGroup() as commits:
@@ -42,7 +44,7 @@
                 await session.ends_arrived.wait()
                 await asyncio.sleep(BATCHING_DELAY_S)
                 session.ends_arrived.clear()
-                commits.create_task(self._commit())
+                commits.create_task(fail_if_cancelled(self._commit()))
 
     def drain_new_ends(self) -> list[PlacedEnd]:
         """Returns and clears the ends that are not proposed yet.
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from cicadatray.internal.control.endless_work import run_endlessly
 from cicadatray.internal.control.errors import LeadershipLostError, leadership_lost
 from cicadatray.internal.control.graphs.end_recorder import BATCHING_DELAY_S, EndRecorder
 from cicadatray.internal.control.graphs.evacuated_runs import revoke_evacuated, revoke_unstarted
@@ -74,11 +75,12 @@
 
         Raises:
             LeadershipLostError: as soon as a command could not be committed.
+            ControlError: the rounds or the recorder of ends have stopped.
         """
         try:
             async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(self.recorder.run())
-                tasks.create_task(self._run_rounds())
+                tasks.create_task(run_endlessly(self.recorder.run()))
+                tasks.create_task(run_endlessly(self._run_rounds()))
         except* LeadershipLostError as errors:
             raise leadership_lost(errors) from None
 
