Do not order a run whose end commits after the session that proposed it

The end of a run that another session of the same leader proposed commits after this session has loaded the runs that may exist. The task is ready again, while the session still counts the run as ordered and sends its start to an agent that has never heard of it.

Change: the listener of the replicated state also removes the runs that a command has ended, whoever proposed it. It is named after both now.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -22,7 +22,7 @@
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.guarantee_log import register_coverage_gauge
 from cicadatray.internal.control.graphs.queue_gauges import register_queue_gauges
-from cicadatray.internal.control.graphs.recorded_starts import LateStarts
+from cicadatray.internal.control.graphs.recorded_runs import LateCommits
 from cicadatray.internal.control.graphs.speed_description import (
     describe_speeds,
     register_speed_gauge,
@@ -247,7 +247,7 @@
             settings.scheduling_rules,
             EvacuationLimits(settings.evacuation_start_limit_s, settings.evacuation_drain_s),
         )
-        self.state.listeners.append(LateStarts(self.graph_session).on_command_applied)
+        self.state.listeners.append(LateCommits(self.graph_session).on_command_applied)
         try:
             async with asyncio.TaskGroup() as tasks:
                 loops = [
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -11,7 +11,7 @@
 from cicadatray.internal.control.graphs.former_workers import end_replaced_workers, last_ends
 from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
-from cicadatray.internal.control.graphs.recorded_starts import is_recorded, load_ordered_runs
+from cicadatray.internal.control.graphs.recorded_runs import is_recorded, load_ordered_runs
 from cicadatray.internal.control.graphs.relay_directory import RelayDirectory
 from cicadatray.internal.control.graphs.speed_observer import SpeedObserver
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
--- a/src/cicadatray/internal/control/graphs/recorded_starts.py
+++ b/src/cicadatray/internal/control/graphs/recorded_runs.py
@@ -1,4 +1,4 @@
-"""The starts of runs in the replicated state, which the leader has to order."""
+"""The runs in the replicated state, which the leader has to order."""
 
 from typing import TYPE_CHECKING
 
@@ -31,8 +31,8 @@
     return progress is not None and (progress.run, progress.worker_id) == (run.run, worker_id)
 
 
-class LateStarts:
-    """Orders the starts that commit after the session that proposed them has ended.
+class LateCommits:
+    """Follows the starts and ends that commit after the session that proposed them has ended.
 
     A leader whose command does not commit in time begins a new session, in the same term if no
     other instance was elected. The command is still in its log and may commit at any later time.
@@ -44,8 +44,14 @@
         self.session = session
 
     def on_command_applied(self, command: MessageStruct) -> None:
-        """Adds the starts in a command that an earlier session has proposed."""
-        if isinstance(command, RecordRuns) and command != self.session.proposed_starts:
+        """Removes the runs that have ended, and adds the starts of an earlier session."""
+        session = self.session
+        if not isinstance(command, RecordRuns):
+            return
+        for placed in command.ends:
+            if not is_recorded(session, placed.end.run, placed.worker_id):
+                session.ordered_runs.get(placed.worker_id, {}).pop(placed.end.run, None)
+        if command != session.proposed_starts:
             for start in command.starts:
                 self._order(start)
 
--- a/tests/cover/taskgraphs/test_late_commits.py
+++ b/tests/cover/taskgraphs/test_late_commits.py
@@ -1,14 +1,32 @@
-"""Starts whose commit takes longer than the session of the leader that proposed them."""
+"""Starts and ends whose commit takes longer than the session of the leader that proposed them."""
 
+import asyncio
 from collections.abc import Callable, Iterator
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
+from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.control.control_state import ControlState
+from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.recorded_runs import LateCommits
 from cicadatray.internal.control.leader_session import PROPOSE_TIMEOUT_S
-from cicadatray.internal.wire.messages.graph_messages import GraphState
+from cicadatray.internal.wire.messages.graph_messages import (
+    GraphState,
+    PlacedEnd,
+    RecordRuns,
+    RunEnd,
+)
+from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
 from cicadatray.scheduling.taskgraphs.resources import Resources
+from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.step import Step
+from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 from cover.taskgraphs.graph_simulation import GraphSimulation
+from cover.taskgraphs.placement_helpers import ONE, make_graph
+from cover.taskgraphs.test_graph_session import LEASES, call
 
 GRAPH = "00000000000000aa"
 TASKS = 4
@@ -71,3 +89,34 @@
     assert simulation.log.term == first_term
     state = simulation.state_of(GRAPH)
     assert isinstance(state, GraphState) and state.state == "done"
+
+
+@pytest.mark.parametrize("outcome", [RunOutcome.LOST, RunOutcome.STOPPED, RunOutcome.CLEARED])
+def test_run_whose_end_commits_after_its_session_has_ended_is_not_ordered(
+    outcome: RunOutcome,
+) -> None:
+    """Guards against the start of a run that has ended, beside the next run of its task.
+
+    The next session knew the run as one that may exist, and the agent had never heard of it.
+    """
+
+    async def main() -> None:
+        graph = make_graph("g", Step(1, ONE, 5.0), 1)
+        run = TaskRun(TaskId("g", 0, 0, 0), 1)
+        graph.record_start(run.task, run.run, "w-1")
+        state = ControlState()
+        state.graphs.graphs["g"] = graph
+        leader: Any = SimpleNamespace(
+            state=state, started_s=0.0, term=4, now_s=lambda: asyncio.get_running_loop().time()
+        )
+        session = GraphSession(leader, LEASES, StartLimits())
+        state.listeners.append(LateCommits(session).on_command_applied)
+        worker = session.handle_sync(call())
+        assert worker is not None
+        assert [order.run for order in session.orders_for(worker).starts] == [run]
+        command = RecordRuns(now_s=1.0, ends=(PlacedEnd(RunEnd(run, outcome), "w-1"),))
+        state.apply(1, state.encode_command(command))
+        assert [work.run for work in find_ready_work(graph, 2.0)] == [2]
+        assert session.orders_for(worker).starts == ()
+
+    run_virtual(main())
