Do not follow the same redirect again before another instance was asked

What callers could see: an entry or agent that finds no leader although one leads. An instance that does not lead names the leader that it heard last. A learner never campaigns, so that it names one for good once it hears of no other; if that instance is gone, each search went from it to the gone one, back to the instance after that in the list, and in some orders of the list never to the leader. Two instances that name each other kept a search busy between them, without a pause, until the deadline of each call.

Change: a redirect that has been followed since the last reply of a leader is not followed again until the next instance of the list has been asked. A leader that has lost one connection is still found at once, since its redirect is new then.

--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -43,13 +43,16 @@
 
     `group` holds the members of the control group as far as they are known. `seeds` names the
     instances that the settings list; they need not be among the members, because a seed may be a
-    control instance without a replica.
+    control instance without a replica. `followed` holds the redirects, each as the name of an
+    instance and that of the leader that it named, which have been followed since the last reply of
+    a leader.
     """
 
     __slots__ = (
         "clients",
         "codec",
         "direct_failures",
+        "followed",
         "group",
         "last_reply_s",
         "leader_name",
@@ -78,6 +81,7 @@
         self.relays = relays or RelayRoutes("")
         self.relay_caller = RelayCaller(self.relays, codec, self._record_reply)
         self.direct_failures = 0
+        self.followed: set[tuple[str, str]] = set()
         self.last_reply_s = -math.inf
 
     @property
@@ -166,6 +170,7 @@
             retried_call.record_failure(reply.detail, True)
             await retried_call.pause(RETRY_PAUSE_S)
             return None
+        self.followed.clear()
         return reply
 
     async def ping_relays(self) -> None:
@@ -256,9 +261,14 @@
     async def _follow_redirect(
         self, name: str, leader_name: str, retried_call: RetriedCall
     ) -> None:
-        if leader_name in self.clients and leader_name != name:
+        redirect = (name, leader_name)
+        if leader_name in self.clients and leader_name != name and redirect not in self.followed:
+            self.followed.add(redirect)
             self.leader_name = leader_name
             return
+        # A redirect that has led nowhere is followed again only after another instance was tried. A
+        # former member names its last leader for good, and that one may be gone.
+        self.followed.discard(redirect)
         self._try_next(name)
         await retried_call.pause(RETRY_PAUSE_S)
 
