Let a new connection take the place of the one that has been idle longest

What callers could see: a control instance, relay or agent that closes every new connection at once, and tells nothing of it. A machine that loses power does not close its connections, and a server that waits for calls sends nothing on them, so that they are never reset. Each loss of power left them behind, and at 1024 the server refused everybody for good.

Change: at the limit, the connection that has been idle longest, for at least 10 s and without a call in progress, gives way. If there is none, the refusal is logged. A process whose connection was closed opens a new one with its next call.

--- a/src/cicadatray/internal/wire/rpc_server.py
+++ b/src/cicadatray/internal/wire/rpc_server.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.observability.trace import traced
 from cicadatray.internal.wire.codec import Codec
 from cicadatray.internal.wire.errors import FrameError, HandshakeError
@@ -15,6 +16,9 @@
 
 Handler = Callable[[MessageStruct], Awaitable[MessageStruct]]
 CONNECTION_LIMIT = 1024
+# Processes call the leader more often than this. A connection that has been idle for longer may be
+# that of a machine which lost power: it is never reset, since the server sends nothing on it.
+IDLE_LIMIT_S = 10.0
 CALLS_PER_CONNECTION_LIMIT = 256
 INTERNAL_ERROR_CODE = "internal_error"
 BUSY_CODE = "too_many_calls"
@@ -23,10 +27,32 @@
 log = structlog.get_logger(__name__)
 
 
+class _Connection:
+    """An accepted connection; `last_received_s` is on the event loop's clock."""
+
+    __slots__ = ("calls", "last_received_s")
+
+    def __init__(self) -> None:
+        self.calls: set[asyncio.Task[None]] = set()
+        self.last_received_s = asyncio.get_running_loop().time()
+
+
 class RpcServer:
-    """Runs one task for each connection, and one for each call in progress on it."""
+    """Runs one task for each connection, and one for each call in progress on it.
 
-    __slots__ = ("codec", "connections", "handler", "host", "port", "secret", "server")
+    At the limit of connections, a new one takes the place of the one that has been idle longest.
+    """
+
+    __slots__ = (
+        "codec",
+        "connections",
+        "handler",
+        "host",
+        "port",
+        "refusals",
+        "secret",
+        "server",
+    )
 
     def __init__(self, host: str, port: int, codec: Codec, handler: Handler, secret: bytes) -> None:
         """Creates a server; if `port` is 0, the system assigns one, and `start` stores it."""
@@ -36,7 +62,8 @@
         self.handler = handler
         self.secret = secret
         self.server: asyncio.Server | None = None
-        self.connections: set[asyncio.Task[None]] = set()
+        self.connections: dict[asyncio.Task[None], _Connection] = {}
+        self.refusals = RepeatedEvent("connection refused")
 
     async def start(self) -> None:
         """Starts to listen."""
@@ -55,24 +82,47 @@
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
-        if len(self.connections) >= CONNECTION_LIMIT:
+        if len(self.connections) >= CONNECTION_LIMIT and not self._close_idlest():
+            self.refusals.record_failure("limit", connections=len(self.connections))
             writer.close()
             return
-        self.connections.add(task)
+        self.refusals.record_end()
+        connection = self.connections[task] = _Connection()
         try:
-            await self._serve(reader, writer)
+            await self._serve(reader, writer, connection)
         except asyncio.CancelledError:
             pass  # asyncio logs a cancelled connection callback as an error
         finally:
-            self.connections.discard(task)
+            self.connections.pop(task, None)
             writer.close()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        calls: set[asyncio.Task[None]] = set()
+    def _close_idlest(self) -> bool:
+        """Closes the connection that has been idle longest; returns False if none is idle."""
+        idle_s = asyncio.get_running_loop().time() - IDLE_LIMIT_S
+        idle = {
+            task: connection.last_received_s
+            for task, connection in self.connections.items()
+            if not connection.calls and connection.last_received_s <= idle_s
+        }
+        if not idle:
+            return False
+        task = min(idle, key=lambda candidate: idle[candidate])
+        self.connections.pop(task)
+        task.cancel()
+        return True
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        connection: _Connection,
+    ) -> None:
+        calls = connection.calls
         try:
             await authenticate(reader, writer, self.secret, dialer=False)
             while True:
                 call_id, message = self.codec.decode(await read_frame(reader))
+                connection.last_received_s = asyncio.get_running_loop().time()
                 if len(calls) >= CALLS_PER_CONNECTION_LIMIT:
                     busy = Failure(
                         code=BUSY_CODE,
