Answer a call whose reply cannot be encoded

The server replaced a reply that is too large by a failure, but any other error of the encoder, such as for a number above 64 bits or text that is not valid Unicode, ended the call's task without a reply. Seen by reading; no value that a client can set was found to reach a reply in this way.

Evidence: two rows of test_large_replies.py, which has the test of large replies as its first row, fail on the code before: "no reply from 127.0.0.1:39027 in time" after 30 s.

Change: every error of the encoder is logged with its trace and answered with `internal_error`.

--- a/src/cicadatray/internal/wire/rpc_server.py
+++ b/src/cicadatray/internal/wire/rpc_server.py
@@ -159,9 +159,10 @@
     ) -> None:
         try:
             frame = pack_frame(self.codec.encode(call_id, reply))
-        except FrameError as error:
-            # Without a reply the caller would wait, and repeat the call, for good.
-            log.error("reply too large", message_type=type(reply).__name__, reason=str(error))
+        except Exception as error:
+            # Without a reply the caller would wait, and repeat the call, for good. The encoder
+            # raises errors of several types for values that it cannot represent.
+            log.exception("reply not encoded", message_type=type(reply).__name__)
             failure = Failure(code=INTERNAL_ERROR_CODE, detail=str(error))
             frame = pack_frame(self.codec.encode(call_id, failure))
         try:
--- a/tests/cover/wire/test_large_replies.py
+++ b/tests/cover/wire/test_large_replies.py
@@ -1,7 +1,9 @@
-"""Replies that do not fit into a frame."""
+"""Replies that cannot be sent."""
 
 import asyncio
 
+import pytest
+
 from cicadatray.internal.wire.frame import FRAME_LIMIT_BYTES
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import QueuesReply, ReadQueues
@@ -13,12 +15,21 @@
 LIMIT_S = 30.0
 
 
-def test_reply_that_is_too_large_is_replaced_by_a_failure() -> None:
+@pytest.mark.parametrize(
+    "unsendable",
+    [
+        QueuesReply(version=1, source=bytes(FRAME_LIMIT_BYTES)),
+        QueuesReply(version=1 << 64, source=b""),
+        QueuesReply(version=1, source="text\ud800"),  # type: ignore[arg-type]
+    ],
+    ids=["too large", "number too large", "not valid text"],
+)
+def test_reply_that_cannot_be_sent_is_replaced_by_a_failure(unsendable: MessageStruct) -> None:
     """Guards against a caller that waits for, and asks for, a reply that can never be sent."""
 
     async def main() -> None:
         async def answer(call: MessageStruct) -> MessageStruct:
-            return QueuesReply(version=1, source=bytes(FRAME_LIMIT_BYTES))
+            return unsendable
 
         server = RpcServer("127.0.0.1", 0, message_codec(), answer, SECRET)
         await server.start()
