Bound an attempt to connect by the timeout of the call that began it

What would have been seen: heartbeats to a member whose network has come back could wait for an attempt that began before, whose first packet was lost, and which the system repeats only after 1 s.

Change: an attempt ends with the timeout of the call that began it, as it did before, but has at least 0.15 s: a call with 10 ms left is no reason to give it up and to keep all other calls in backoff.

--- a/src/cicadatray/internal/wire/rpc_client.py
+++ b/src/cicadatray/internal/wire/rpc_client.py
@@ -14,6 +14,8 @@
 # Replies take milliseconds. A call that has less time than this says nothing about the connection,
 # which other calls are using.
 RESET_AFTER_S = 0.15
+# The handshake takes two round trips, and waits for both processes on busy machines.
+SHORTEST_ATTEMPT_S = 0.15
 
 
 class RpcClient:
@@ -23,8 +25,10 @@
     immediately while the backoff after a failed attempt lasts.
 
     All calls that find no connection wait for the same `attempt`, each for as long as its own
-    timeout allows, and share its outcome. The attempt goes on when none of them waits any more, so
-    that calls with short timeouts reach a peer on a slow link.
+    timeout allows, and share its outcome. The attempt ends with the timeout of the call that began
+    it: the system sends the first packet of a connection again only after 1 s, so that an attempt
+    which began while the peer was cut off has to be given up for a new one. A call with little time
+    is no reason to give up, though; each attempt has `SHORTEST_ATTEMPT_S`.
     """
 
     __slots__ = (
@@ -149,7 +153,10 @@
                 raise PeerUnreachableError(
                     f"{self.host}:{self.port} is in backoff after a failed connection"
                 )
-            self.attempt = asyncio.create_task(self._attempt())
+            timeout_s = max(deadline_s - loop.time(), SHORTEST_ATTEMPT_S)
+            self.attempt = asyncio.create_task(
+                self._attempt(min(timeout_s, self.connect_timeout_s))
+            )
         attempt = self.attempt
         await asyncio.wait((attempt,), timeout=deadline_s - loop.time())
         if not attempt.done():
@@ -161,12 +168,12 @@
             raise PeerUnreachableError(f"{self.host}:{self.port}: {outcome}") from outcome
         return outcome
 
-    async def _attempt(self) -> RpcConnection | Exception:
+    async def _attempt(self, timeout_s: float) -> RpcConnection | Exception:
         """Opens a connection; returns the error if it fails, since no call may wait for it."""
         try:
-            self.connection = await self._connect()
+            self.connection = await self._connect(timeout_s)
         except TimeoutError:
-            error: Exception = TimeoutError(f"no connection within {self.connect_timeout_s} s")
+            error: Exception = TimeoutError(f"no connection within {timeout_s:.2f} s")
         except (OSError, HandshakeError) as failure:
             error = failure
         else:
@@ -175,9 +182,9 @@
         self.retry_at_s = asyncio.get_running_loop().time() + self.backoff.next_delay_s()
         return error
 
-    async def _connect(self) -> RpcConnection:
+    async def _connect(self, timeout_s: float) -> RpcConnection:
         attempt_s = asyncio.get_running_loop().time()
-        async with asyncio.timeout(self.connect_timeout_s):
+        async with asyncio.timeout(timeout_s):
             local_address = SOURCE_ADDRESS.local_address()
             reader, writer = await asyncio.open_connection(
                 self.host, self.port, local_addr=local_address
