Plan only when no start of an earlier session can commit any more

What callers would see: two runs on one worker that together exceed its capacity (rule LIMIT).

Cause: a session that follows another one of the same leader plans while the starts of that one may still be in the log. Its own command lies behind them and was planned without them. The state accepts both, because it checks the task and not the room of the worker, and since the late starts are ordered as well, neither the leader nor the agent notices that the room was given away twice. It takes a plan that differs from the former one, for example because a timed job became due while the commit was slow.

Change: before its first plan, a session commits a command without content. The log keeps the order, so once that is applied, all starts of earlier sessions are applied too, or never will be. Leases are renewed and ends are recorded meanwhile, as before.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -53,6 +53,7 @@
     __slots__ = (
         "displaced_runs",
         "guarantee_log",
+        "has_applied_earlier_starts",
         "next_checkpoints_s",
         "recorder",
         "session",
@@ -65,6 +66,7 @@
         self.wait_log = WaitLog(session)
         self.guarantee_log = GuaranteeLog(session)
         self.next_checkpoints_s = 0.0
+        self.has_applied_earlier_starts = False
         metrics = session.leader.metrics
         self.recorder = EndRecorder(session)
         self.displaced_runs = runs_displaced(metrics)
@@ -184,9 +186,11 @@
         if session.speed_observer is not None:
             session.speed_observer.update(session.now_s())
         now_s = session.wall_s()
-        waiting = [
-            work for graph in session.graphs.values() for work in find_ready_work(graph, now_s)
-        ]
+        waiting = self._find_waiting(now_s)
+        if waiting and not self.has_applied_earlier_starts:
+            await self._apply_earlier_starts()
+            now_s = session.wall_s()
+            waiting = self._find_waiting(now_s)
         if not waiting:
             self.wait_log.record_round({})
             return
@@ -198,6 +202,20 @@
             self._observe_waits(waiting, plan, now_s)
             await self._start(plan, now_s)
 
+    def _find_waiting(self, now_s: float) -> list[WaitingWork]:
+        """Returns the work that is ready; `now_s` is in seconds since 1970."""
+        graphs = self.session.graphs.values()
+        return [work for graph in graphs for work in find_ready_work(graph, now_s)]
+
+    async def _apply_earlier_starts(self) -> None:
+        """Waits until no start that an earlier session has proposed can commit any more.
+
+        The log applies commands in their order. A plan that does not know such a start could give
+        its room away.
+        """
+        await self.session.leader.propose(RecordRuns(now_s=self.session.wall_s()))
+        self.has_applied_earlier_starts = True
+
     def _plan(self, waiting: list[WaitingWork], now_s: float) -> PlacementPlan:
         """Plans a round over the waiting work; `now_s` is in seconds since 1970."""
         session = self.session
--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -39,6 +39,7 @@
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.step import Step
+from cicadatray.scheduling.taskgraphs.task_graph import Repetition
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 from cover.control.gangs.link_client import LinkClient
 from cover.control.gangs.link_layer import LinkLayer
@@ -172,10 +173,16 @@
             self._check_cancelled()
         assert not self.violations, self.violations
 
-    def submit(self, graph_id: str, steps: tuple[Step, ...], urgent: bool = False) -> None:
+    def submit(
+        self,
+        graph_id: str,
+        steps: tuple[Step, ...],
+        urgent: bool = False,
+        repetition: Repetition | None = None,
+    ) -> None:
         """Submits a graph as a client; a call that is lost is not repeated."""
-        prefix = "/urgent/" if urgent else "/batch/"
-        call = SubmitGraph(target=_target(prefix + graph_id), spec=graph_id, steps=steps)
+        target = _target(("/urgent/" if urgent else "/batch/") + graph_id)
+        call = SubmitGraph(target=target, spec=graph_id, steps=steps, repetition=repetition)
         self.graphs[graph_id] = call
         self._call(call)
 
