Avoid a worker that has refused a start for 2 s

Cause: a start that a worker refuses (429 or 503 of an unhealthy one, or 409) ends as cleared, which counted for nothing. The next round had the same input but for the number of the run, and chose the same worker again, for as long as it refused. All work that this worker came first for waited with it.

Evidence: test_unhealthy_worker.py with two idle workers, one of which refuses. Before, 2 of 4 rows failed: 55 starts of one task on that worker in 5.5 s, and none on the other one. Now 4 of 4 pass.

Change: a run that is cleared while it is still wanted makes its worker avoided for 2 s while another one of its pool with the required label is not.

--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -21,12 +21,14 @@
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
     RecordRuns,
+    RunEnd,
     SyncWorker,
     WorkerOrders,
 )
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
 from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
+from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
@@ -175,6 +177,8 @@
         if worker.is_lost:
             return None
         ends = worker.update(call, now_s)
+        if any(self._is_refusal(placed.end) for placed in ends):
+            worker.record_refusal(now_s)
         if self.speed_observer is not None:
             self.speed_observer.observe(worker, ends, now_s)
         self._add_ends(ends)
@@ -251,6 +255,10 @@
             self.unstored_ends.update((placed.worker_id, placed.end.run) for placed in ends)
             self.ends_arrived.set()
 
+    def _is_refusal(self, end: RunEnd) -> bool:
+        """Returns whether a start was not carried out although the run is still wanted."""
+        return end.outcome is RunOutcome.CLEARED and self.is_wanted(end.run)
+
     def _has_successor(self, worker_id: str) -> bool:
         """Returns whether this is a former worker, in a delayed call of a killed agent process."""
         if worker_id in self.workers:
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -18,6 +18,9 @@
 # A worker that fails this many runs in a row is avoided for `SUSPECT_DURATION_S`.
 SUSPECT_FAILURES = 2
 SUSPECT_DURATION_S = 8.0
+# A worker that has refused a start is avoided for this long. Otherwise the next round chooses it
+# again, for as long as it refuses. A job may rest for 3 s while it could run elsewhere.
+REFUSAL_DURATION_S = 2.0
 
 
 class WorkerSession:
@@ -132,6 +135,10 @@
             if self.consecutive_failures >= SUSPECT_FAILURES:
                 self.suspect_until_s = now_s + SUSPECT_DURATION_S
 
+    def record_refusal(self, now_s: float) -> None:
+        """Records that the worker has not carried out a start."""
+        self.suspect_until_s = max(self.suspect_until_s, now_s + REFUSAL_DURATION_S)
+
     def may_still_start(self, run: TaskRun) -> bool:
         """Returns whether a run that was ordered here is neither listed nor known to have ended."""
         report = self.reports.get(run)
