Stop a run whose start gets no answer while the worker lists its runs without it

Found by review.

Cause: an agent repeated a start without an answer (an error status, a reset connection, a time-out) without a limit in time. While the worker answered observations, its lease went on, so that neither the agent nor control gave it up, and the run was reported as starting.

Change: once a start has had no answer for 0.8 s, views requested later count for it as they do for a run that has started: after two without the run it is stopped.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -187,12 +187,15 @@
                 continue
             except WorkerUnansweredError as error:
                 entry.is_in_doubt = True
+                if entry.unanswered_s is None:
+                    entry.unanswered_s = asyncio.get_running_loop().time()
                 unanswered.record_failure(task, run=task, reason=str(error))
                 await asyncio.sleep(ORDER_RETRY_S)
                 continue
             except WorkerReplacedError:
                 self.on_replaced(self.port)
                 return
+            entry.unanswered_s = None
             self.answers.increment(answer=answer.value)
             if answer is StartAnswer.ACCEPTED:
                 entry.record_accepted(self.port.clock_s())
--- a/src/cicadatray/internal/agent/tasks/run_entry.py
+++ b/src/cicadatray/internal/agent/tasks/run_entry.py
@@ -27,10 +27,12 @@
     requested later shows whether the run exists. `is_in_doubt` is set when an order got no answer
     or may have been sent by an earlier process of this agent: the worker may carry it out at any
     time until it has answered a stop. `times_missing` counts the complete views in a row without
-    the run. `may_have_begun` is set while an order to start it may have been carried out. The
-    worker's first list with the run was received at `first_listed_s`. `begun_by_s` is a time on the
-    worker's clock by which the run had begun, or None if the worker has told none. The run was on
-    the worker for `observed_s` or longer, as its later lists show.
+    the run. `unanswered_s` is the event loop time at which an order to start it first got no
+    answer, None if the last one was answered. `may_have_begun` is set while an order to start it
+    may have been carried out. The worker's first list with the run was received at
+    `first_listed_s`. `begun_by_s` is a time on the worker's clock by which the run had begun, or
+    None if the worker has told none. The run was on the worker for `observed_s` or longer, as its
+    later lists show.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "phase",
         "run",
         "times_missing",
+        "unanswered_s",
     )
 
     def __init__(self, run: TaskRun, order: RunOrder | None, phase: RunPhase) -> None:
@@ -61,6 +64,7 @@
         self.begun_by_s: float | None = None
         self.observed_s = 0.0
         self.times_missing = 0
+        self.unanswered_s: float | None = None
 
     def record_start_answered(self) -> None:
         """Records an answer to the start, which settles nothing once the run is being stopped."""
--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -18,6 +18,9 @@
 MAX_TIMES_MISSING = 2
 # A stop takes 0.2 to 0.4 s. One that was answered and had no effect is repeated after this time.
 STOP_REPEAT_S = 2.0
+# Views count for a run whose start gets no answer once that has lasted for this long, in seconds. A
+# job may rest for 3 s while it could run elsewhere, and a call without an answer takes 0.8 s.
+START_DOUBT_LIMIT_S = 0.8
 
 
 class RunTable:
@@ -170,7 +173,9 @@
 
     def _is_missing(self, entry: RunEntry, asked_s: float, view: WorkerView) -> bool:
         """Returns whether a run that is absent from a view is cleared now or needs a stop."""
-        if entry.phase is RunPhase.STARTING or asked_s <= entry.answered_s:
+        if asked_s <= entry.answered_s:
+            return False
+        if entry.phase is RunPhase.STARTING and not _is_start_overdue(entry, asked_s):
             return False
         if entry.phase is RunPhase.STOPPING:
             if entry.answered_s:
@@ -186,3 +191,8 @@
             return False
         entry.times_missing += 1
         return entry.times_missing >= MAX_TIMES_MISSING
+
+
+def _is_start_overdue(entry: RunEntry, asked_s: float) -> bool:
+    """Returns whether a start had no answer for long when a view was requested at `asked_s`."""
+    return entry.unanswered_s is not None and asked_s - entry.unanswered_s >= START_DOUBT_LIMIT_S
--- a/src/cicadatray/internal/agent/tasks/worker_observer.py
+++ b/src/cicadatray/internal/agent/tasks/worker_observer.py
@@ -76,7 +76,7 @@
         has_ended, missing = table.apply_view(view, asked_s, received_s)
         table.record_acknowledged(acknowledged, view)
         for entry in missing:
-            if entry.phase is RunPhase.RUNNING:
+            if entry.phase is not RunPhase.STOPPING:
                 executor.begin_stop(entry)
         for entry in table.find_unstopped(view, asked_s):
             log.warning("stop repeated", run=str(entry.run.task), number=entry.run.run)
