Start gangs whose placement commits after the session that proposed it

What callers could see: a shape job that is "starting" until another instance leads. Found by review, as the same class as the late starts of tasks.

Cause: a placement that does not commit within 3 s is still in the log when the same leader begins its next session. That one creates a driver for each gang in the state, and its scheduler takes the job for waiting. When the placement commits afterwards, no driver starts the gang, and the placement that the new scheduler proposes is refused.

Change: a session that finds waiting jobs first commits a command without content and builds its scheduler and drivers from the state after that. The loop of the task graphs uses the same method.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -188,7 +188,9 @@
         now_s = session.wall_s()
         waiting = self._find_waiting(now_s)
         if waiting and not self.has_applied_earlier_starts:
-            await self._apply_earlier_starts()
+            # A plan that does not know a start of an earlier session could give its room away.
+            await session.leader.apply_earlier_commands()
+            self.has_applied_earlier_starts = True
             now_s = session.wall_s()
             waiting = self._find_waiting(now_s)
         if not waiting:
@@ -207,15 +209,6 @@
         graphs = self.session.graphs.values()
         return [work for graph in graphs for work in find_ready_work(graph, now_s)]
 
-    async def _apply_earlier_starts(self) -> None:
-        """Waits until no start that an earlier session has proposed can commit any more.
-
-        The log applies commands in their order. A plan that does not know such a start could give
-        its room away.
-        """
-        await self.session.leader.propose(RecordRuns(now_s=self.session.wall_s()))
-        self.has_applied_earlier_starts = True
-
     def _plan(self, waiting: list[WaitingWork], now_s: float) -> PlacementPlan:
         """Plans a round over the waiting work; `now_s` is in seconds since 1970."""
         session = self.session
--- a/src/cicadatray/internal/control/leader_session.py
+++ b/src/cicadatray/internal/control/leader_session.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.evacuation_messages import RecordEvacuation
+from cicadatray.internal.wire.messages.graph_messages import RecordRuns
 from cicadatray.internal.wire.messages.job_messages import (
     FINAL_JOB_STATES,
     CancelJob,
@@ -84,6 +85,20 @@
         except ReplicationError as error:
             raise LeadershipLostError(str(error)) from error
 
+    async def apply_earlier_commands(self) -> None:
+        """Waits until no command that an earlier session has proposed can commit any more.
+
+        The log applies commands in their order, so a command without content follows all of them.
+
+        Raises:
+            LeadershipLostError: it did not commit in time.
+        """
+        await self.propose(RecordRuns(now_s=time.time()))
+
+    def rebuild_scheduler(self) -> None:
+        """Replaces the scheduler by one that is built from the replicated state."""
+        self.scheduler = self._build_scheduler()
+
     def on_command_applied(self, command: MessageStruct) -> None:
         """Informs the scheduler of submitted and cancelled jobs, and of evacuations.
 
--- a/src/cicadatray/internal/control/scheduling_loop.py
+++ b/src/cicadatray/internal/control/scheduling_loop.py
@@ -10,7 +10,12 @@
 from cicadatray.internal.control.key_expiry import KeyExpiry
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.leases import LEASE_EXPIRY_S
-from cicadatray.internal.wire.messages.job_messages import FailWaitingJob, JobView, PlaceGang
+from cicadatray.internal.wire.messages.job_messages import (
+    FailWaitingJob,
+    JobState,
+    JobView,
+    PlaceGang,
+)
 from cicadatray.scheduling.decision import Decision, FailJob, MoveJob, PlaceJob, ReclaimJob
 from cicadatray.scheduling.gang_outcome import GangOutcome
 
@@ -53,6 +58,7 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 self.tasks = tasks
+                await self._apply_earlier_placements()
                 self._reset_worker_availability()
                 self._resume_gangs()
                 while True:
@@ -75,6 +81,16 @@
             return
         self.session.wake.clear()
 
+    async def _apply_earlier_placements(self) -> None:
+        """Waits until no placement by an earlier session of this leader can commit any more.
+
+        Nothing would start a gang that is placed after the drivers were created.
+        """
+        jobs = self.session.state.jobs.values()
+        if any(entry.state is JobState.WAITING for entry in jobs):
+            await self.session.apply_earlier_commands()
+            self.session.rebuild_scheduler()
+
     async def _run_round(self) -> None:
         self._apply_configuration()
         self._sync_workers()
--- a/tests/cover/control/gangs/shared_log.py
+++ b/tests/cover/control/gangs/shared_log.py
@@ -28,7 +28,8 @@
     """Commits the proposals of the leader of the current term.
 
     `state` applies each command when it is committed. While `holds_runs` is set, no record of runs
-    is committed and no command behind one; `held` are these commands with what follows the commit.
+    or placement of a gang is committed and no command behind one; `held` are these commands with
+    what follows the commit.
     """
 
     __slots__ = (
@@ -89,7 +90,7 @@
 
     def append(self, command: bytes, on_commit: Callable[[bytes], None]) -> None:
         """Commits one command, at once or when `release` is called, and passes on its reply."""
-        is_record = isinstance(self.state.decode_reply(command), RecordRuns)
+        is_record = isinstance(self.state.decode_reply(command), RecordRuns | PlaceGang)
         if self.held or (self.holds_runs and is_record):
             self.held.append((command, on_commit))
         else:
