Bound the time that a placement round takes for held work

What callers could see: a leader that does not answer for seconds, and an election, when many jobs are held in a large pool. Found by review.

Cause: the reason of each held work was diagnosed anew in each round, and the check for room chose and sorted workers that it did not use.

The check for room stops as soon as there is enough.

--- a/src/cicadatray/scheduling/taskgraphs/hold_watch.py
+++ b/src/cicadatray/scheduling/taskgraphs/hold_watch.py
@@ -1,6 +1,6 @@
 """Detects work that waits although there is room for it."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from cicadatray.scheduling.taskgraphs.fit_search import FitSearch
 from cicadatray.scheduling.taskgraphs.hold_memory import HoldKey, HoldMemory
@@ -10,9 +10,11 @@
     by_run_count,
     fit_tasks,
     free_now,
+    has_room,
     unreserved_first,
 )
 from cicadatray.scheduling.taskgraphs.trial_share import may_begin_trials
+from cicadatray.scheduling.taskgraphs.wait_reason import WaitReason
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 
@@ -92,6 +94,10 @@
         self.memory.bypasses.update(owners)
         return chosen
 
+    def reason_of(self, work: WaitingWork, diagnose: Callable[[], WaitReason]) -> WaitReason | None:
+        """Returns what holds the work, None if that is not known yet."""
+        return self.memory.reason_of(_key_of(work), diagnose)
+
     def record_start(self, work: WaitingWork) -> None:
         """Records that the job of the work does not rest any more."""
         self.resting[work.graph.graph.graph_id] = False
@@ -133,10 +139,10 @@
 
     def _has_room(self, work: WaitingWork, workers: list[WorkerCapacity]) -> bool:
         demand, count = work.step.demand, len(work.indexes)
-        if fit_tasks(workers, demand, count * ROOM_FACTOR, free_now) is None:
+        if not has_room(workers, demand, count * ROOM_FACTOR):
             return False
         limits = self.search.limits(work, workers)
-        return fit_tasks(workers, demand, count, free_now, limits) is not None
+        return has_room(workers, demand, count, limits)
 
 
 def _key_of(work: WaitingWork) -> HoldKey:
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -162,13 +162,14 @@
         held_s: float,
     ) -> bool:
         """Records work that is held back; places it and returns True if it was held too long."""
-        used_share = self.holds.used_share(work.graph.graph.policy.pool)
-        held = HeldWork(work, self._diagnose(work, groups), held_s, used_share)
-        self.plan.held.append(held)
         chosen = self.holds.release(work, usable, groups, held_s)
+        reason = self.holds.reason_of(work, lambda: self._diagnose(work, groups))
+        if reason is not None:
+            used_share = self.holds.used_share(work.graph.graph.policy.pool)
+            is_started = chosen is not None
+            self.plan.held.append(HeldWork(work, reason, held_s, used_share, is_started))
         if chosen is None:
             return False
-        held.is_started = True
         self._assign(work, chosen)
         return True
 
--- a/src/cicadatray/scheduling/taskgraphs/task_fit.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_fit.py
@@ -1,6 +1,6 @@
 """Best-fit placement of equal tasks on workers."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -60,6 +60,24 @@
     return chosen
 
 
+def has_room(
+    workers: Iterable[WorkerCapacity],
+    demand: Resources,
+    count: int,
+    limits: Mapping[str, int] | None = None,
+) -> bool:
+    """Returns whether `fit_tasks` finds a worker for each task now, without choosing them."""
+    total = 0
+    for worker in workers:
+        fitting = demand.fit_count(worker.free)
+        if limits is not None:
+            fitting = min(fitting, limits.get(worker.worker_id, 0))
+        total += max(0, fitting)
+        if total >= count:
+            return True
+    return False
+
+
 def least_available_first(worker: WorkerCapacity, available: Resources) -> tuple[float, ...]:
     """Returns the sort key that fills the workers with the least available resources first."""
     return (available.accelerators, available.memory_mb, available.cpu_millis)
--- a/tests/cover/taskgraphs/test_hold_watch.py
+++ b/tests/cover/taskgraphs/test_hold_watch.py
@@ -1,14 +1,20 @@
 """Detection of work that waits although its pool has room for it."""
 
 from collections.abc import Callable
+from unittest.mock import patch
 
 import pytest
 
-from cicadatray.scheduling.taskgraphs.hold_memory import LONGEST_ROUND_S, HoldMemory
+from cicadatray.scheduling.taskgraphs.hold_memory import (
+    LONGEST_ROUND_S,
+    MAX_DIAGNOSES,
+    HoldMemory,
+)
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
 from cicadatray.scheduling.taskgraphs.step import Step
 from cicadatray.scheduling.taskgraphs.task_id import TaskId
+from cicadatray.scheduling.taskgraphs.wait_diagnosis import WaitDiagnosis
 from cicadatray.scheduling.taskgraphs.wait_reason import WaitReason
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 from cover.taskgraphs.placement_helpers import CAPACITY, ONE, WHOLE, make_waiting, make_workers
@@ -115,3 +121,27 @@
     assert plan.held[0].held_s == 0.0
     memory.get(HoldMemory).clear()
     assert not memory.get(HoldMemory).held_s
+
+
+def test_few_reasons_are_diagnosed_in_one_round() -> None:
+    """Guards against a leader that stands still while it finds out why many jobs are held."""
+    memory = RuleMemory()
+    jobs = [work for n in range(40) for work in make_waiting(NEAR_DATA, 2, graph_id=f"job {n}")]
+    explain = WaitDiagnosis.explain
+    diagnosed: list[WaitDiagnosis] = []
+
+    def count(diagnosis: WaitDiagnosis) -> WaitReason:
+        diagnosed.append(diagnosis)
+        return explain(diagnosis)
+
+    reported = []
+    with patch.object(WaitDiagnosis, "explain", count):
+        for number in range(3):
+            diagnosed.clear()
+            workers = make_workers((2, 2, 2))
+            fill("w0", "w1")(workers)
+            plan = PlacementRound(workers, [], number * 0.25, memory=memory).run(jobs)
+            # One more is found for the oldest work of the only queue.
+            assert len(diagnosed) <= MAX_DIAGNOSES + 1
+            reported.append(len(plan.held))
+    assert reported == [MAX_DIAGNOSES, 2 * MAX_DIAGNOSES, 3 * MAX_DIAGNOSES]
