--- a/tests/cover/control/gangs/simulated_control.py
+++ b/tests/cover/control/gangs/simulated_control.py
@@ -54,6 +54,8 @@
         self.replica: Any = FakeReplica(log, name, self.state)
         self.metrics = MetricsRegistry()
         self.links = _Links(layer, name)
+        # No instance is without a replica here, so no addresses are passed on.
+        self.control_client: Any = SimpleNamespace(group=())
         self.session = None
         self.graph_session = None
         self.scheduling_loop = None
