Let a lost worker's lease expire across changes of leader

Cause: runs on a worker that the present leader has never heard count as existing until a whole lease (12.8 s) after the beginning of its session, so each change of leader began the wait anew.

Change: once a second a leader commits for how long each worker on which runs may exist has been without a renewal of its lease, if it was not answered for 2.5 s or has not called for 1 s. The next leader counts on from there. Nothing is committed while there is no such worker. `worker lost` now gives the silence for workers that never called this leader too (null before), with `has_called`; two new log lines tell when a silence is recorded first and when it is cleared.

Why it is safe: a silence is a lower bound when it is proposed, and stays one as long as no lease is granted. While one is in the replicated state, or was proposed and may still commit, a lease is granted only after a command that clears it has committed. A silence of an earlier session of the same term may commit late, but only this process can have proposed it, so the set of proposals outlives the sessions; the log keeps their order, so a clear that commits decides every silence before it. Silences of earlier terms are committed or discarded before a leader is confirmed. Clearing late, or dropping an entry, only lengthens the wait. This takes the place of a barrier command at the start of each session. Orders are built again after a clear, as runs may have ended meanwhile.

The tests hold back the record, or the clear, while the leader stays, changes, or begins a new session. The graph machine changes leaders beside a silent worker.

--- a/src/cicadatray/internal/control/commands.py
+++ b/src/cicadatray/internal/control/commands.py
@@ -7,7 +7,7 @@
     key_state,
     rendezvous_state,
 )
-from cicadatray.internal.control.graphs import graph_state
+from cicadatray.internal.control.graphs import graph_state, silence_state
 
 COMMAND_MODULES = (
     configuration_state,
@@ -16,4 +16,5 @@
     job_state,
     key_state,
     rendezvous_state,
+    silence_state,
 )
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -21,6 +21,7 @@
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.guarantee_log import register_coverage_gauge
+from cicadatray.internal.control.graphs.proposed_silences import ProposedSilences
 from cicadatray.internal.control.graphs.queue_gauges import register_queue_gauges
 from cicadatray.internal.control.graphs.recorded_runs import LateCommits
 from cicadatray.internal.control.graphs.speed_description import (
@@ -97,6 +98,7 @@
         "graph_session",
         "links",
         "metrics",
+        "proposed_silences",
         "replica",
         "replica_link",
         "scheduling_loop",
@@ -125,6 +127,7 @@
         self.links = AgentLinks(self.codec, secret)
         self.session: LeaderSession | None = None
         self.graph_session: GraphSession | None = None
+        self.proposed_silences = ProposedSilences()
         others = tuple(m for m in settings.control if m.name != settings.name)
         self.control_client = ControlClient(others or settings.control, self.codec, secret)
         self.scheduling_loop: SchedulingLoop | None = None
@@ -246,6 +249,7 @@
             StartLimits(settings.urgent_start_s, settings.longest_task_stop_s),
             settings.scheduling_rules,
             EvacuationLimits(settings.evacuation_start_limit_s, settings.evacuation_drain_s),
+            self.proposed_silences,
         )
         self.state.listeners.append(LateCommits(self.graph_session).on_command_applied)
         try:
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -10,6 +10,7 @@
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.graph_store import GraphStore
 from cicadatray.internal.control.graphs.graph_view import view_graph
+from cicadatray.internal.control.graphs.lease_renewal import confirm_renewal
 from cicadatray.internal.control.graphs.pool_capacities import objective_of
 from cicadatray.internal.control.graphs.queue_calls import decide
 from cicadatray.internal.control.graphs.task_leases import SYNC_WAIT_S
@@ -252,12 +253,14 @@
         if must_answer or worker.has_new_orders(orders):
             break
         await _wait(worker, deadline_s)
-    if (await daemon.require_leader_session()) is not leader:
+    had_silence = graph_session.has_silence(worker.offer.worker_id)
+    if not await confirm_renewal(daemon, leader, graph_session, worker):
         return NotLeader()
     if worker.is_lost:
         return Failure(code=graph_codes.WORKER_UNKNOWN, detail="the worker was declared lost")
-    if orders.starts and graph_session.is_evacuated(worker):
-        # The evacuation was committed while leadership was confirmed.
+    if had_silence or (orders.starts and graph_session.is_evacuated(worker)):
+        # Clearing a silence takes a commit, during which runs may have ended. In the other case an
+        # evacuation was committed while leadership was confirmed.
         orders = graph_session.orders_for(worker)
     worker.last_orders = orders
     worker.last_reply_s = graph_session.now_s()
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -22,6 +22,7 @@
 )
 from cicadatray.internal.control.graphs.pool_capacities import mark_waves
 from cicadatray.internal.control.graphs.reported_checkpoints import new_checkpoints
+from cicadatray.internal.control.graphs.silence_recorder import SilenceRecorder
 from cicadatray.internal.control.graphs.wait_log import WaitLog
 from cicadatray.internal.observability.graph_metrics import runs_displaced, task_wait_seconds
 from cicadatray.internal.wire.messages.graph_messages import (
@@ -57,6 +58,7 @@
         "next_checkpoints_s",
         "recorder",
         "session",
+        "silences",
         "start_wait",
         "wait_log",
     )
@@ -69,6 +71,7 @@
         self.has_applied_earlier_starts = False
         metrics = session.leader.metrics
         self.recorder = EndRecorder(session)
+        self.silences = SilenceRecorder(session)
         self.displaced_runs = runs_displaced(metrics)
         self.start_wait = task_wait_seconds(metrics)
 
@@ -82,6 +85,7 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(run_endlessly(self.recorder.run()))
+                tasks.create_task(run_endlessly(self.silences.run()))
                 tasks.create_task(run_endlessly(self._run_rounds()))
         except* LeadershipLostError as errors:
             raise leadership_lost(errors) from None
@@ -151,7 +155,8 @@
             log.info(
                 "worker lost",
                 worker=worker_id,
-                silence_s=round(session.now_s() - worker.last_reply_s, 1) if worker else None,
+                silence_s=round(session.silence_s(worker_id), 1),
+                has_called=worker is not None,
                 runs=len(session.ordered_runs.get(worker_id, {})),
             )
         replaced = [
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -11,6 +11,7 @@
 from cicadatray.internal.control.graphs.former_workers import end_replaced_workers, last_ends
 from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
+from cicadatray.internal.control.graphs.proposed_silences import ProposedSilences
 from cicadatray.internal.control.graphs.recorded_runs import is_recorded, load_ordered_runs
 from cicadatray.internal.control.graphs.relay_directory import RelayDirectory
 from cicadatray.internal.control.graphs.speed_observer import SpeedObserver
@@ -53,7 +54,9 @@
     between rounds. `new_ends` are reported ends that are not proposed yet, and `unstored_ends` the
     workers and runs of all reported ends that are not durable yet. `proposed_starts` is the command
     with starts that this session waits for. `pending_evacuations` counts the orders by data centre
-    that may not be committed yet. `wake` starts the next round.
+    that may not be committed yet. `silence_credits_s` are the silences of workers that earlier
+    leaders had recorded when this session began, and `proposed_silences` are those that this
+    process has proposed, in any session. `wake` starts the next round.
     """
 
     __slots__ = (
@@ -67,12 +70,14 @@
         "new_ends",
         "ordered_runs",
         "pending_evacuations",
+        "proposed_silences",
         "proposed_starts",
         "relays",
         "replaced_workers",
         "revoked_runs",
         "rule_memory",
         "rules",
+        "silence_credits_s",
         "speed_observer",
         "start_limits",
         "statistics",
@@ -88,6 +93,7 @@
         start_limits: StartLimits,
         rules: SchedulingRules = DEFAULT_RULES,
         evacuation_limits: EvacuationLimits = NO_LIMITS,
+        proposed_silences: ProposedSilences | None = None,
     ) -> None:
         self.leader = leader
         self.leases = leases
@@ -105,6 +111,8 @@
         self.unstored_ends: set[tuple[str, TaskRun]] = set()
         self.ends_arrived = asyncio.Event()
         self.ordered_runs: dict[str, dict[TaskRun, float]] = {}
+        self.proposed_silences = proposed_silences or ProposedSilences()
+        self.silence_credits_s = dict(leader.state.graphs.silences)
         self.proposed_starts: RecordRuns | None = None
         self.relays = RelayDirectory()
         self.replaced_workers: set[str] = set()
@@ -219,18 +227,28 @@
 
     def find_lost_workers(self) -> list[str]:
         """Returns the workers whose leases have certainly expired or that were replaced."""
-        now_s = self.now_s()
         lost = []
         for worker_id in {*self.ordered_runs, *self.workers}:
             if worker_id in self.replaced_workers:
                 lost.append(worker_id)
                 continue
-            worker = self.workers.get(worker_id)
-            lease_from_s = worker.last_reply_s if worker else self.leader.started_s
-            if now_s >= lease_from_s + self.leases.expiry_s:
+            if self.silence_s(worker_id) >= self.leases.expiry_s:
                 lost.append(worker_id)
         return lost
 
+    def silence_s(self, worker_id: str) -> float:
+        """Returns for how long, in seconds, a worker's lease has certainly not been renewed."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            return self.now_s() - worker.last_reply_s
+        led_s = self.now_s() - self.leader.started_s
+        return led_s + self.silence_credits_s.get(worker_id, 0.0)
+
+    def has_silence(self, worker_id: str) -> bool:
+        """Returns whether a silence of a worker is recorded or may still be committed."""
+        is_recorded = worker_id in self.leader.state.graphs.silences
+        return is_recorded or self.proposed_silences.find(worker_id) > 0
+
     def remove_worker(self, worker_id: str) -> None:
         """Removes a worker after the ends of its runs are durable or proposed.
 
--- a/src/cicadatray/internal/control/graphs/graph_store.py
+++ b/src/cicadatray/internal/control/graphs/graph_store.py
@@ -14,13 +14,16 @@
 
     `source` is the document from which `queues` was read. `agents` maps each worker on which runs
     were ordered to its agent, in the order of the first run on each, so that a new leader can tell
-    which worker has ended when an agent offers another one.
+    which worker has ended when an agent offers another one. `silences` holds, for silent workers on
+    which runs may exist, for how long in seconds each has at least been without a renewal of its
+    lease, so that a new leader does not wait for a whole lease once more.
     """
 
     queues: QueueConfiguration = QueueConfiguration()
     source: bytes = b""
     graphs: dict[str, GraphProgress] = {}
     agents: dict[str, str] = {}
+    silences: dict[str, float] = {}
 
     def record_agent(self, worker_id: str, agent_id: str) -> None:
         """Records the agent of a worker, and evicts workers without runs above `AGENT_LIMIT`."""
--- a/src/cicadatray/internal/control/graphs/worker_session.py
+++ b/src/cicadatray/internal/control/graphs/worker_session.py
@@ -33,9 +33,10 @@
     progress of the run then. `last_call` is the incarnation of the agent and the sequence number of
     its last call. `last_orders` is the last reply, so that its orders are not sent again at once,
     or None if it was probably lost. `last_reply_s` is the time of the last reply, which grants a
-    lease. `is_reachable` is False while the worker refuses connections. `end` is how the worker has
-    ended, or None. `ended_runs` are the runs whose ends the last call reported and that may not be
-    durable; a run may have ended without being among them. Times are the event loop's.
+    lease, and `pending_renewals` counts the calls about to be answered with one. `is_reachable` is
+    False while the worker refuses connections. `end` is how the worker has ended, or None.
+    `ended_runs` are the runs whose ends the last call reported and that may not be durable; a run
+    may have ended without being among them. Times are the event loop's.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "last_orders",
         "last_reply_s",
         "offer",
+        "pending_renewals",
         "received_clears",
         "received_end_number",
         "reports",
@@ -64,6 +66,7 @@
         self.agent_id = agent_id
         self.offer = offer
         self.last_reply_s = now_s
+        self.pending_renewals = 0
         self.first_seen_s: dict[TaskRun, float] = {}
         self.first_percent: dict[TaskRun, int] = {}
         self.reports: dict[TaskRun, RunReport] = {}
--- a/src/cicadatray/internal/wire/messages/registry.py
+++ b/src/cicadatray/internal/wire/messages/registry.py
@@ -14,6 +14,7 @@
     job_messages,
     key_messages,
     relay_messages,
+    silence_messages,
     task_messages,
 )
 
@@ -27,6 +28,7 @@
     job_messages,
     key_messages,
     relay_messages,
+    silence_messages,
     task_messages,
 )
 
--- a/tests/cover/control/gangs/shared_log.py
+++ b/tests/cover/control/gangs/shared_log.py
@@ -28,8 +28,8 @@
     """Commits the proposals of the leader of the current term.
 
     `state` applies each command when it is committed. While `holds_runs` is set, no record of runs
-    or placement of a gang is committed and no command behind one; `held` are these commands with
-    what follows the commit.
+    or placement of a gang is committed and no command behind one; `held_types` are further commands
+    that are held like it. `held` are the held commands with what follows the commit.
     """
 
     __slots__ = (
@@ -37,6 +37,7 @@
         "cut_members",
         "elections",
         "held",
+        "held_types",
         "holds_runs",
         "leader",
         "members",
@@ -52,6 +53,7 @@
         self.members: dict[str, LogMember] = {}
         self.cut_members: set[str] = set()
         self.held: list[tuple[bytes, Callable[[bytes], None]]] = []
+        self.held_types: tuple[type, ...] = ()
         self.holds_runs = False
         self.leader = ""
         self.term = 0
@@ -90,8 +92,10 @@
 
     def append(self, command: bytes, on_commit: Callable[[bytes], None]) -> None:
         """Commits one command, at once or when `release` is called, and passes on its reply."""
-        is_record = isinstance(self.state.decode_reply(command), RecordRuns | PlaceGang)
-        if self.held or (self.holds_runs and is_record):
+        held_types = self.held_types
+        if self.holds_runs:
+            held_types = (*held_types, RecordRuns, PlaceGang)
+        if self.held or isinstance(self.state.decode_reply(command), held_types):
             self.held.append((command, on_commit))
         else:
             on_commit(self.commit(command))
@@ -99,6 +103,7 @@
     def release(self) -> None:
         """Commits the held commands in the order in which they were appended."""
         self.holds_runs = False
+        self.held_types = ()
         held, self.held = self.held, []
         for command, on_commit in held:
             on_commit(self.commit(command))
--- a/tests/cover/control/gangs/simulated_control.py
+++ b/tests/cover/control/gangs/simulated_control.py
@@ -7,6 +7,7 @@
 from cicadatray.internal.control.agent_links import AgentLinks
 from cicadatray.internal.control.control_daemon import ControlDaemon
 from cicadatray.internal.control.control_state import ControlState
+from cicadatray.internal.control.graphs.proposed_silences import ProposedSilences
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.messages.directory_messages import AgentRecord
 from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES
@@ -58,6 +59,7 @@
         self.control_client: Any = SimpleNamespace(group=())
         self.session = None
         self.graph_session = None
+        self.proposed_silences = ProposedSilences()
         self.scheduling_loop = None
         log.members[name] = self
         layer.peers[name] = self
--- a/tests/cover/taskgraphs/graph_machine.py
+++ b/tests/cover/taskgraphs/graph_machine.py
@@ -145,6 +145,24 @@
     def change_leader(self) -> None:
         self.simulation.change_leader()
 
+    @rule(
+        number=NUMBERS,
+        terms_s=st.lists(st.sampled_from((0.5, 1.5, 2.5, 4.0)), min_size=2, max_size=4),
+        is_cut_twice=st.booleans(),
+    )
+    def change_leaders_beside_a_silent_worker(
+        self, number: int, terms_s: list[float], is_cut_twice: bool
+    ) -> None:
+        self.simulation.cut_agent(number)
+        for term_s in terms_s:
+            self.simulation.advance(term_s)
+            self.simulation.change_leader()
+        if is_cut_twice:
+            self.simulation.layer.cuts.clear()
+            self.simulation.advance(1.0)
+            self.simulation.cut_agent(number)
+            self.simulation.change_leader()
+
     @rule()
     def heal(self) -> None:
         self.simulation.heal()
--- a/tests/cover/taskgraphs/test_end_recorder.py
+++ b/tests/cover/taskgraphs/test_end_recorder.py
@@ -11,11 +11,13 @@
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.messages.directory_messages import Acknowledged
 from cicadatray.internal.wire.messages.graph_messages import (
     RecordRuns,
     RunEnd,
     RunsRecorded,
 )
+from cicadatray.internal.wire.messages.silence_messages import RecordSilences
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 from cover.taskgraphs.test_graph_session import call, make_session
@@ -39,6 +41,8 @@
         return asyncio.get_running_loop().time()
 
     async def propose(self, command: MessageStruct) -> MessageStruct:
+        if isinstance(command, RecordSilences):
+            return Acknowledged()
         assert isinstance(command, RecordRuns)
         self.commands.append(command)
         await asyncio.sleep(max(0.0, CUT_S - self.now_s()))
