Soak: plays with agents, workers and jobs

Shapes that begin with `jobs` start an agent and a stand-in for a worker on further machines, submit jobs through all entries and judge them after the final fault. Disturbances of workers and agents are drawn only there; plays of the other shapes draw and judge as before. In these plays a machine without power answers nothing, not even with a refusal.

--- a/tests/nocover/configuration_soak/content.py
+++ b/tests/nocover/configuration_soak/content.py
@@ -12,6 +12,8 @@
 # A call of a route that stays is served or refused by every version alike.
 LASTING_ROUTE = ("jobs.example", "/lasting/")
 LASTING_KEY = "lasting"
+# Their priorities are 0, 1 and 2; the last two are there only in plays with jobs.
+LASTING_ROUTES = (LASTING_ROUTE, (HOSTS[0], "/lasting-1/"), (HOSTS[1], "/lasting-2/"))
 
 
 class Content(msgspec.Struct, frozen=True):
@@ -80,7 +82,7 @@
         """Returns a later version, above `lowest`, with a route or a key more or less."""
         routes, keys = dict(self.routes), dict(self.keys)
         for _ in range(source.randint(1, 3)):
-            removable = [route for route in routes if route != LASTING_ROUTE]
+            removable = [route for route in routes if route not in LASTING_ROUTES]
             if removable and source.random() < 0.45:
                 del routes[source.choice(removable)]
             else:
@@ -99,10 +101,10 @@
         )
 
 
-def first_content() -> Content:
+def first_content(routes: tuple[tuple[str, str], ...] = (LASTING_ROUTE,)) -> Content:
     """Returns the configuration with which a deployment starts."""
     keys = {name: () for name in ACCOUNTS} | {ACCOUNTS[0]: (LASTING_KEY,)}
-    return Content(version=1, routes={LASTING_ROUTE: False}, keys=keys)
+    return Content(version=1, routes=dict.fromkeys(routes, False), keys=keys)
 
 
 def with_many_routes(content: Content, count: int) -> Content:
--- a/tests/nocover/configuration_soak/faulty_links.py
+++ b/tests/nocover/configuration_soak/faulty_links.py
@@ -136,7 +136,7 @@
     async def open_faulty(host: str, port: int, **options: Any) -> Any:
         if host == own_host:
             return await open_connection(host, port, **options)
-        while faults.current.cuts.get(host):
+        while faults.current.cuts.get(host) or host in faults.current.off:
             await asyncio.sleep(POLL_S)
         reader, writer = await open_connection(host, port, **options)
         link = FaultyLink(host, reader, writer, faults)
--- a/tests/nocover/configuration_soak/machine_disturbances.py
+++ b/tests/nocover/configuration_soak/machine_disturbances.py
@@ -7,17 +7,22 @@
 from nocover.configuration_soak.machine_faults import DISK_FULL, DISK_STALLED
 from nocover.configuration_soak.process_disturbances import START_S, draw, wait_for_confirmation
 from nocover.configuration_soak.site import Site
+from nocover.job_soak.worker_machine import WorkerMachine
 
 
 async def lose_power(site: Site, machines: list[Machine], for_s: float) -> None:
     """Turns machines off at the same moment, and on again later."""
     site.mark_disturbed(machines, for_s + START_S)
+    site.set_power(machines, is_on=False)
     for machine in machines:
         machine.lose_power(site.random)
     await asyncio.sleep(for_s)
+    site.set_power(machines, is_on=True)
     for machine in machines:
         machine.configure(is_first_start=False)
         machine.start()
+        if isinstance(machine, WorkerMachine):
+            await machine.start_worker()
 
 
 @disturbance("power of some")
@@ -109,6 +114,7 @@
     site.mark_disturbed([old, new], site.shape.catch_up_s)
     if not is_planned:
         old.kill()
+        site.set_power([old], is_on=False)
         await asyncio.sleep(site.random.uniform(0.2, 1.0))
     site.machines.append(new)
     new.seeds = site.draw_seeds(lambda machine: machine is not new)
@@ -118,5 +124,6 @@
         await asyncio.sleep(site.shape.catch_up_s)
         site.mark_disturbed([old], 1.0)
         old.kill()
+        site.set_power([old], is_on=False)
     site.machines.remove(old)
     site.publish_list()
--- a/tests/nocover/configuration_soak/machine_faults.py
+++ b/tests/nocover/configuration_soak/machine_faults.py
@@ -20,10 +20,12 @@
 
     `cuts` maps the address of a peer to the direction that carries nothing. Connections that were
     opened before `silent_before_s` carry nothing any more, those before `reset_before_s` are reset.
+    Nothing answers at the addresses `off`, not even with a refusal.
     `clock_step_s` is added to the time of day, `sync_s` to each sync of the disk.
     """
 
     cuts: dict[str, str] = {}
+    off: list[str] = []
     silent_before_s: float = 0.0
     reset_before_s: float = 0.0
     disk: str = ""
@@ -52,7 +54,8 @@
     def is_held(self, peer: str, direction: str, opened_s: float) -> bool:
         """Returns whether bytes of a connection in one direction are held up."""
         cut = self.current.cuts.get(peer, "")
-        return cut in (BOTH_WAYS, direction) or opened_s < self.current.silent_before_s
+        is_cut = cut in (BOTH_WAYS, direction) or peer in self.current.off
+        return is_cut or opened_s < self.current.silent_before_s
 
     def _run(self) -> None:
         while True:
--- a/tests/nocover/configuration_soak/main.py
+++ b/tests/nocover/configuration_soak/main.py
@@ -7,9 +7,11 @@
 
 import msgspec
 
+from nocover.configuration_soak.disturbance_registry import DISTURBANCES
 from nocover.configuration_soak.invalid_documents import INVALID_DOCUMENTS
 from nocover.configuration_soak.play import Play, PlayReport
 from nocover.configuration_soak.site_shape import SHAPES
+from nocover.job_soak.job_play import JobPlay
 
 ROOT = Path(__file__).resolve().parents[3]
 # The second part of the loopback addresses of the first play; one for each play at a time.
@@ -26,8 +28,9 @@
         network = await networks.get()
         folder = arguments.folder / f"{arguments.shape}-{seed}"
         folder.mkdir(parents=True)
-        play = Play(
-            SHAPES[arguments.shape],
+        shape = SHAPES[arguments.shape]
+        play = (JobPlay if shape.workers else Play)(
+            shape,
             folder,
             arguments.checkout,
             seed,
@@ -48,7 +51,12 @@
 def main() -> None:
     """Entry point of `./build.sh soak`."""
     parser = argparse.ArgumentParser(prog="soak")
-    parser.add_argument("--shape", choices=list(SHAPES), default="affiche-sched")
+    parser.add_argument(
+        "--shape",
+        choices=list(SHAPES),
+        default="affiche-sched",
+        help="those with agents, workers and jobs begin with `jobs`",
+    )
     parser.add_argument("--seeds", nargs=2, type=int, default=(1, 1), metavar=("FIRST", "LAST"))
     parser.add_argument("--seconds", type=float, default=60.0, help="the disturbed part of a play")
     parser.add_argument("--parallel", type=int, default=1, help="plays at the same time")
@@ -58,7 +66,13 @@
     parser.add_argument(
         "--only-valid", action="store_true", help="send invalid documents only at the end"
     )
-    reports = asyncio.run(run_plays(parser.parse_args()))
+    parser.add_argument(
+        "--without", action="append", default=[], help="a disturbance that is not played"
+    )
+    arguments = parser.parse_args()
+    for name in arguments.without:
+        del DISTURBANCES[name]
+    reports = asyncio.run(run_plays(arguments))
     sys.exit(1 if any(report.findings for report in reports) else 0)
 
 
--- a/tests/nocover/configuration_soak/play.py
+++ b/tests/nocover/configuration_soak/play.py
@@ -29,7 +29,6 @@
 DISTURBANCE_MODULES = (link_disturbances, machine_disturbances, process_disturbances)
 OPERATORS = 2
 CALLERS_PER_ENTRY = 2
-LANES = 2
 START_LIMIT_S = 120.0
 S_FOR_EACH_ROUTE = 0.003
 # A document of almost a mebibyte.
@@ -49,9 +48,15 @@
 
 
 class Play:
-    """Runs one play in a folder of its own."""
+    """Runs one play in a folder of its own.
 
-    __slots__ = ("accepted", "gate", "operators", "site", "tasks")
+    `lanes` is how many disturbances may overlap. `back_s` is when all machines had been started
+    again after the final fault.
+    """
+
+    __slots__ = ("accepted", "back_s", "followed", "gate", "operators", "site", "tasks")
+
+    lanes = 2
 
     def __init__(
         self,
@@ -66,6 +71,8 @@
         self.gate = DisturbanceGate()
         self.accepted: dict[str, float] = {}
         self.operators = [Operator(self.site, invalid) for _ in range(OPERATORS)]
+        self.back_s = 0.0
+        self.followed: list[Machine] = []
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
     async def run(self, seed: int, seconds: float) -> PlayReport:
@@ -74,10 +81,10 @@
         started_s = time.monotonic()
         try:
             await self._start()
-            lanes = [asyncio.create_task(self._disturb(seconds)) for _ in range(LANES)]
+            lanes = [asyncio.create_task(self._disturb(seconds)) for _ in range(self.lanes)]
             for lane in lanes:
                 await lane
-            if await self._final_fault():
+            if await self.final_fault():
                 await self._send_invalid()
         finally:
             for task in self.tasks.values():
@@ -101,65 +108,79 @@
     async def _start(self) -> None:
         site = self.site
         await site.start()
-        self._spawn("supervisor", site.supervise())
+        self.spawn("supervisor", site.supervise())
         async with asyncio.timeout(START_LIMIT_S):
-            first = first_content()
+            first = site.versions.newest = self.first_content()
             while not await self.operators[0].confirm(first):
                 pass
-        self._spawn("population", self._follow_machines())
+        self.spawn("population", self._follow_machines())
         for number, operator in enumerate(self.operators):
-            self._spawn(f"operator {number}", operator.run())
+            self.spawn(f"operator {number}", operator.run())
 
-    def _spawn(self, name: str, coroutine: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, name: str, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Starts a task that runs until it is taken out of `tasks` or the play ends."""
         self.tasks[name] = asyncio.create_task(coroutine, name=name)
 
     async def _follow_machines(self) -> None:
         """Starts the callers and readers of each machine, also of those that are added later."""
         while True:
             for machine in self.site.machines:
-                if f"{machine.host} caller 0" in self.tasks:
-                    continue
-                for number in range(CALLERS_PER_ENTRY):
-                    caller = Caller(self.site, machine, self.accepted)
-                    self._spawn(f"{machine.host} caller {number}", caller.run())
-                if machine.runs_control:
-                    self._spawn(f"{machine.host} reader", read_repeatedly(self.site, machine))
+                if machine not in self.followed:
+                    self.followed.append(machine)
+                    self.follow(machine)
+                    if machine.runs_control:
+                        self.spawn(f"{machine.host} reader", read_repeatedly(self.site, machine))
             for task in self.tasks.values():
                 if task.done():
                     task.result()
             await asyncio.sleep(0.2)
 
+    def first_content(self) -> Content:
+        """Returns the configuration with which the deployment starts."""
+        return first_content()
+
+    def follow(self, machine: Machine) -> None:
+        """Starts the callers of a machine."""
+        for number in range(CALLERS_PER_ENTRY):
+            caller = Caller(self.site, machine, self.accepted)
+            self.spawn(f"{machine.host} caller {number}", caller.run())
+
     async def _disturb(self, seconds: float) -> None:
         site = self.site
+        possible = [
+            disturbance
+            for disturbance in DISTURBANCES.values()
+            if site.shape.workers or not disturbance.needs_workers
+        ]
         end_s = time.monotonic() + seconds
         while time.monotonic() < end_s:
             await asyncio.sleep(site.random.uniform(0.2, 1.5))
-            chosen = site.random.choice(list(DISTURBANCES.values()))
+            chosen = site.random.choice(possible)
             site.findings.counts[f"started {chosen.name}"] += 1
             if chosen.loses_disk:
                 async with self.gate.alone():
-                    await self._wait_until_whole()
+                    await self.wait_until_whole()
                     site.findings.note(chosen.name)
                     await chosen.act(site)
-                    await self._wait_until_whole()
+                    await self.wait_until_whole()
             else:
                 async with self.gate.beside_others():
                     site.findings.note(chosen.name)
                     await chosen.act(site)
             site.findings.note(f"{chosen.name} is over")
 
-    async def _wait_until_whole(self) -> None:
+    async def wait_until_whole(self) -> None:
         """Waits until nothing counts as lost any more."""
         await asyncio.sleep(self.site.shape.contact_s + self.site.shape.catch_up_s)
 
-    async def _final_fault(self) -> bool:
+    async def final_fault(self) -> bool:
         """Takes all power and the disks that may be lost around a change, and checks what is left.
 
         The change may have been confirmed or not when the power goes. Returns whether changes are
         confirmed again.
         """
         site = self.site
-        await self._wait_until_whole()
+        await self.wait_until_whole()
         for name in [name for name in self.tasks if name.startswith("operator")]:
             self.tasks.pop(name).cancel()
         change = asyncio.create_task(self.operators[0].change())
@@ -169,17 +190,22 @@
             await asyncio.sleep(site.random.uniform(0.005, 0.4))
         lost = site.random.sample(site.core(), site.shape.lost_disks)
         site.mark_disturbed(site.machines, START_LIMIT_S)
-        for machine in site.machines:
-            machine.lose_power(site.random)
+        await self.take_down()
         site.findings.note(f"final fault, lost disks of {[machine.host for machine in lost]}")
         for machine in site.machines:
             machine.configure(is_first_start=False)
         for machine in lost:
             machine.wipe()
         await site.start()
+        self.back_s = time.monotonic()
         await self._read_back()
         await change
-        return await self._check_service()
+        return await self.check_service()
+
+    async def take_down(self) -> None:
+        """Takes all power."""
+        for machine in self.site.machines:
+            machine.lose_power(self.site.random)
 
     async def _read_back(self) -> None:
         """Reads at every daemon until each has answered, within the time to recover."""
@@ -201,7 +227,7 @@
         finally:
             caller.close()
 
-    async def _check_service(self) -> bool:
+    async def check_service(self) -> bool:
         """Checks in calm that changes are confirmed in time and that accepted jobs are known.
 
         Returns whether the first change was confirmed.
--- a/tests/nocover/configuration_soak/site.py
+++ b/tests/nocover/configuration_soak/site.py
@@ -12,6 +12,8 @@
 from nocover.configuration_soak.machine import Machine
 from nocover.configuration_soak.sent_versions import SentVersions
 from nocover.configuration_soak.site_shape import SiteShape
+from nocover.job_soak.job_ledger import JobLedger
+from nocover.job_soak.worker_machine import WorkerMachine
 
 RESTART_DELAY_S = 0.3
 SUPERVISION_INTERVAL_S = 0.05
@@ -29,9 +31,9 @@
 class Site:
     """A deployment as real processes.
 
-    `listed` are the machines that the operators' list names, which lags behind the true ones.
-    `confirmed` is set, and replaced, with each confirmation of a change; `confirming_host` is the
-    machine that sent it.
+    `listed` are the machines that the operators' list names, which lags behind the true ones. `off`
+    are the addresses that have no power. `confirmed` is set, and replaced, with each confirmation
+    of a change; `confirming_host` is the machine that sent it.
     """
 
     __slots__ = (
@@ -42,8 +44,10 @@
         "folder",
         "listed",
         "machines",
+        "ledger",
         "network",
         "numbers",
+        "off",
         "random",
         "shape",
         "versions",
@@ -61,6 +65,8 @@
         self.findings = Findings()
         self.versions = SentVersions()
         self.numbers = itertools.count(1)
+        self.ledger = JobLedger(self.findings)
+        self.off: set[str] = set()
         self.confirmed = asyncio.Event()
         self.confirming_host = ""
         self.machines: list[Machine] = []
@@ -70,6 +76,8 @@
             for position in range(disks + diskless):
                 runs_control = position < controls_per_zone
                 self.machines.append(self.add(zone, position < disks, runs_control))
+        for zone, count in enumerate(shape.workers):
+            self.machines += [self.add_worker_machine(zone) for _ in range(count)]
         self.listed = self.controls()
         seeds = self.draw_seeds(lambda machine: machine.has_disk)
         for machine in self.machines:
@@ -79,7 +87,7 @@
     def add(self, zone: int, has_disk: bool, runs_control: bool) -> Machine:
         """Returns a new machine at an address that was never used."""
         return Machine(
-            host=f"127.{self.network}.{zone + 1}.{next(self.numbers)}",
+            host=self._new_host(zone),
             zone=f"zone-{zone}",
             has_disk=has_disk,
             roles=("control", "entry") if runs_control else ("entry",),
@@ -88,6 +96,21 @@
             shape=self.shape,
         )
 
+    def add_worker_machine(self, zone: int) -> WorkerMachine:
+        """Returns a new machine with an agent and a worker."""
+        return WorkerMachine(
+            host=self._new_host(zone),
+            zone=zone,
+            folder=self.folder,
+            checkout=self.checkout,
+            shape=self.shape,
+            ledger=self.ledger,
+            seed=self.random.random(),
+        )
+
+    def _new_host(self, zone: int) -> str:
+        return f"127.{self.network}.{zone + 1}.{next(self.numbers)}"
+
     def draw_seeds(
         self, is_eligible: Callable[[Machine], bool] = lambda machine: True
     ) -> tuple[str, ...]:
@@ -103,6 +126,25 @@
         """Returns the machines that run control."""
         return [machine for machine in self.machines if machine.runs_control]
 
+    def worker_machines(self) -> list[WorkerMachine]:
+        """Returns the machines with an agent and a worker."""
+        return [machine for machine in self.machines if isinstance(machine, WorkerMachine)]
+
+    def set_power(self, machines: list[Machine], is_on: bool) -> None:
+        """Makes the addresses of machines answer nothing, or answer again.
+
+        Without workers the addresses refuse connections.
+        """
+        if not self.shape.workers:
+            return
+        hosts = {machine.host for machine in machines}
+        # Another disturbance may turn a machine on after it was taken away.
+        present = {machine.host for machine in self.machines}
+        self.off = self.off - (hosts & present) if is_on else self.off | hosts
+        for machine in self.machines:
+            machine.faults.off = sorted(self.off)
+            machine.apply_faults()
+
     def core(self) -> list[Machine]:
         """Returns the machines with a disk that run control."""
         return [machine for machine in self.machines if machine.has_disk]
@@ -118,6 +160,8 @@
         for machine in self.random.sample(self.machines, len(self.machines)):
             machine.start()
             await asyncio.sleep(0.2 / len(self.machines))
+        for worker_machine in self.worker_machines():
+            await worker_machine.start_worker()
 
     async def supervise(self) -> None:
         """Starts programs again that have ended, until cancelled."""
@@ -161,3 +205,5 @@
         """Kills everything."""
         for machine in self.machines:
             machine.kill()
+        for worker_machine in self.worker_machines():
+            worker_machine.crash_worker()
--- a/tests/nocover/configuration_soak/site_shape.py
+++ b/tests/nocover/configuration_soak/site_shape.py
@@ -6,13 +6,15 @@
 class SiteShape(msgspec.Struct, frozen=True):
     """Machines by zone, and bounds in seconds.
 
-    `disks` and `diskless` give the numbers of machines with and without a disk in each zone.
-    `lost_disks` is how many disks may be lost at once.
+    `disks` and `diskless` give the numbers of machines with and without a disk in each zone,
+    `workers` those of machines with an agent and a worker. Plays of a shape with workers judge
+    jobs. `lost_disks` is how many disks may be lost at once.
     """
 
     name: str
     disks: tuple[int, ...]
     diskless: tuple[int, ...]
+    workers: tuple[int, ...] = ()
     lost_disks: int = 1
     seed_lag_s: float = 3.0
     contact_s: float = 3.0
@@ -42,5 +44,19 @@
         # The smallest deployment with a disk to lose and a daemon without a disk. CI plays it
         # beside other tests, so its limits only end a play that does not recover.
         SiteShape("small", disks=(1, 1, 1), diskless=(1, 0, 0), confirm_s=60.0, recovery_s=90.0),
+        SiteShape("jobs", disks=(1, 1, 1), diskless=(1, 0, 0), workers=(2, 2, 2)),
+        SiteShape("jobs-affiche-sched", disks=(1, 1, 1), diskless=(1, 1, 1), workers=(3, 3, 2)),
+        SiteShape(
+            "jobs-five-voters",
+            disks=(2, 2, 2),
+            diskless=(1, 1, 1),
+            workers=(3, 3, 3),
+            lost_disks=2,
+            contact_s=4.0,
+            confirm_s=5.0,
+            catch_up_s=6.0,
+            apply_s=2.5,
+            recovery_s=15.0,
+        ),
     )
 }
--- /dev/null
+++ b/tests/nocover/job_soak/job_judge.py
@@ -0,0 +1,107 @@
+"""Judges, in calm, that jobs are known, answered and done."""
+
+import asyncio
+import time
+
+from nocover.configuration_soak.machine import Machine
+from nocover.configuration_soak.site import Site
+from nocover.job_soak.job import Job, JobStep
+from nocover.job_soak.job_client import JobClient, entries
+from nocover.job_soak.worker import CPU, GPUS, Worker
+
+# A job may have nothing running for this long while its turn has come and there is room.
+LONGEST_WAIT_S = 3.0
+WATCH_INTERVAL_S = 0.1
+# An entry that answers so few reads is not asked for the other jobs.
+MAX_UNANSWERED = 5
+
+
+class JobJudge:
+    """Watches jobs that wait; `waiting_since_s` holds when each began to."""
+
+    __slots__ = ("reported", "site", "unfinished", "waiting_since_s")
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.waiting_since_s: dict[str, float] = {}
+        self.reported: set[str] = set()
+        self.unfinished: set[str] = set()
+
+    async def watch(self) -> None:
+        """Reports each job that waits for too long, until cancelled."""
+        client = JobClient(self.site, entries(self.site)[0])
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            now_s = time.monotonic()
+            waiting = [job for job in self.site.ledger.accepted() if self._could_run(job)]
+            since_s = self.waiting_since_s
+            self.waiting_since_s = {
+                job.identifier: since_s.get(job.identifier, now_s) for job in waiting
+            }
+            for job in waiting:
+                waited_s = now_s - self.waiting_since_s[job.identifier]
+                if waited_s > LONGEST_WAIT_S and job.identifier not in self.reported:
+                    self.reported.add(job.identifier)
+                    # Control may know of ends that were lost with their worker.
+                    state = await client.read_as_client(job)
+                    if state not in ("done", "failed"):
+                        self._report(job, state)
+
+    def _report(self, job: Job, state: str) -> None:
+        steps = [step.document() for step in job.ready_steps()]
+        detail = f"{job.identifier} is {state!r}, ready {steps}, taken {self._taken_share():.2f}"
+        self.site.findings.report("job waits though it could run", detail)
+
+    def _could_run(self, job: Job) -> bool:
+        if job.is_shown_done or job.is_done() or job.running:
+            return False
+        if self._taken_share() >= 0.5:
+            return False
+        return any(self._fits_twice(step) for step in job.ready_steps())
+
+    def _workers(self) -> list[Worker]:
+        now_s = time.monotonic()
+        return [
+            worker
+            for worker in self.site.ledger.workers
+            if not worker.is_draining and worker.faults.end_s() < now_s
+        ]
+
+    def _taken_share(self) -> float:
+        free = [worker.free() for worker in self._workers()]
+        cpu, gpus = sum(cpu for cpu, _ in free), sum(gpus for _, gpus in free)
+        count = max(1, len(free))
+        return 1.0 - min(cpu / (count * CPU), gpus / (count * GPUS))
+
+    def _fits_twice(self, step: JobStep) -> bool:
+        room = 0
+        for worker in self._workers():
+            if not step.label or step.label in worker.labels:
+                cpu, gpus = worker.free()
+                room += min(cpu // step.cpu, gpus // step.gpus)
+        return room >= 2 * (step.count if step.is_gang else 1)
+
+    async def read_all(self) -> None:
+        """Reads each accepted job at every entry alone, and as clients do where one fails."""
+        async with asyncio.TaskGroup() as reads:
+            for machine in entries(self.site):
+                reads.create_task(self._read_at(machine))
+
+    async def _read_at(self, machine: Machine) -> None:
+        client = JobClient(self.site, machine)
+        findings, unanswered = self.site.findings, 0
+        for job in self.site.ledger.accepted():
+            if unanswered == MAX_UNANSWERED:
+                break
+            state = await client.read(job, machine)
+            if not state:
+                unanswered += 1
+                where = f"{job.identifier} at {machine.host}"
+                findings.report("no answer of one entry in calm", where)
+                state = await client.read_as_client(job)
+            if not state:
+                findings.report("job without an answer", job.identifier)
+            elif state not in ("done", "failed") and job.identifier not in self.unfinished:
+                self.unfinished.add(job.identifier)
+                findings.report("job not done in time", f"{job.identifier} is {state}")
+        client.close()
