Soak: tell an entry that is silent for a moment from one that is silent for good

A read of a job that gets no answer in calm is repeated at the same entry for the time to recover, and the finding says how long the silence lasted.

--- a/tests/nocover/job_soak/job_judge.py
+++ b/tests/nocover/job_soak/job_judge.py
@@ -6,13 +6,11 @@
 from nocover.configuration_soak.machine import Machine
 from nocover.configuration_soak.site import Site
 from nocover.job_soak.job import Job, JobStep
-from nocover.job_soak.job_client import JobClient, entries
+from nocover.job_soak.job_client import UNKNOWN, JobClient, entries
 from nocover.job_soak.worker import CPU, GPUS, Worker
 
 WATCH_INTERVAL_S = 0.1
 LATE_S = 0.3
-# An entry that answers so few reads is not asked for the other jobs.
-MAX_UNANSWERED = 5
 
 
 class JobJudge:
@@ -98,20 +96,31 @@
             for machine in entries(self.site):
                 reads.create_task(self._read_at(machine))
 
+    async def _read_again(self, client: JobClient, job: Job, machine: Machine) -> str:
+        """Reads a job at one entry until it answers, and reports how long that took."""
+        began_s = time.monotonic()
+        where = f"{job.identifier} at {machine.host}"
+        while (silent_s := time.monotonic() - began_s) < self.site.shape.recovery_s:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            if state := await client.read(job, machine):
+                detail = f"{where}, an answer {silent_s:.1f} s later"
+                self.site.findings.report("no answer of one entry in calm", detail)
+                return state
+        self.site.findings.report("no answer of one entry for good", where)
+        return UNKNOWN
+
     async def _read_at(self, machine: Machine) -> None:
         client = JobClient(self.site, machine)
-        findings, unanswered = self.site.findings, 0
+        findings = self.site.findings
         for job in self.site.ledger.accepted():
-            if unanswered == MAX_UNANSWERED:
-                break
             state = await client.read(job, machine)
             if not state:
-                unanswered += 1
-                where = f"{job.identifier} at {machine.host}"
-                findings.report("no answer of one entry in calm", where)
-                state = await client.read_as_client(job)
+                is_answered = bool(await client.read_as_client(job))
+                state = await self._read_again(client, job, machine)
+                if not is_answered:
+                    findings.report("job without an answer", job.identifier)
             if not state:
-                findings.report("job without an answer", job.identifier)
-            elif state not in ("done", "failed") and self._is_owed(job):
+                break
+            if state not in ("done", "failed") and self._is_owed(job):
                 findings.report("job not done in time", f"{job.identifier} is {state}")
         client.close()
--- a/tests/nocover/job_soak/worker.py
+++ b/tests/nocover/job_soak/worker.py
@@ -77,9 +77,13 @@
 
     async def start(self) -> None:
         """Accepts calls and announces itself."""
-        await self.listener.listen(self.host, PORT)
+        # Two disturbances may start or crash the worker at the same time.
         self.is_up = True
         self.ledger.begin_worker(self)
+        await self.listener.listen(self.host, PORT)
+        if not self.is_up:
+            self.listener.abort()
+            return
         self.tasks = [asyncio.create_task(self._announce()), asyncio.create_task(self._lapse())]
 
     def crash(self) -> None:
