--- a/tests/nocover/job_soak/job.py
+++ b/tests/nocover/job_soak/job.py
@@ -25,6 +25,10 @@
     data_rack: str = ""
     label: str = ""
 
+    def needed_at_once(self) -> int:
+        """Returns how many tasks must run for any of them to work."""
+        return self.count if self.is_gang else 1
+
     def document(self) -> dict[str, Any]:
         """Returns the step as it is sent; fields that are empty are omitted."""
         fields = {
