--- a/tests/nocover/test_final_fault.py
+++ b/tests/nocover/test_final_fault.py
@@ -13,13 +13,13 @@
 # Each program has an address of its own, since ports are the same on all instances. The rows of a
 # table may run at the same time in several processes of the test runner.
 TEST_PROCESS = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-MEMBERS = tuple(f"127.0.{TEST_PROCESS + 1}.{number}" for number in (11, 12, 13))
+MEMBERS = tuple(f"127.0.{TEST_PROCESS + 1}.{number}" for number in (31, 32, 33))
 STAYING, CHANGED, GONE = MEMBERS
 FORWARDER, FIRST_ENTRY, SECOND_ENTRY = (
-    f"127.0.{TEST_PROCESS + 1}.{number}" for number in (14, 15, 16)
+    f"127.0.{TEST_PROCESS + 1}.{number}" for number in (34, 35, 36)
 )
 ENTRIES = (FIRST_ENTRY, SECOND_ENTRY)
-FIRST_PORT = 23_620
+FIRST_PORT = 23_640
 INTERNAL_PORTS = (FIRST_PORT, FIRST_PORT + 7)
 CLIENTS, READINESS, CONTROL = range(FIRST_PORT + 8, FIRST_PORT + 11)
 JOB_PATHS = tuple(f"/fast/{number:016x}" for number in range(4))
