--- a/src/cicadatray/scheduling/taskgraphs/hold_watch.py
+++ b/src/cicadatray/scheduling/taskgraphs/hold_watch.py
@@ -38,9 +38,9 @@
     """Finds the waiting work of one round that only rules keep from starting.
 
     Racks, reservations and the demand for an idle worker are preferences: they are worth a wait
-    while capacity is scarce, and for `HOLD_LIMIT_S` otherwise. Workers on which work fails, which
-    run a task that may crash them, or which are kept for work within a guarantee or for work whose
-    room was taken often do not count as room.
+    while capacity is scarce, and for `HOLD_LIMIT_S` otherwise. Workers which run a task that may
+    crash them, or which are kept for work within a guarantee or for work whose room was taken often
+    do not count as room, and those on which work fails do so only for work that lasts.
     """
 
     __slots__ = ("memory", "resting", "search", "used_shares", "view")
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -110,8 +110,10 @@
         place = self._isolate if work.is_suspect else self._place
         if place(work, groups):
             return True
-        held_s = self.holds.held_s(work, usable)
-        if held_s is not None and self._record_hold(work, usable, groups, held_s):
+        # Work that lasts may fail any number of times, so that suspect workers are worth a try.
+        room = self._labelled_workers(work) if work.step.is_long_running else usable
+        held_s = self.holds.held_s(work, room)
+        if held_s is not None and self._record_hold(work, room, groups, held_s):
             return True
         self._record_wait(work, groups)
         if work.is_suspect:
@@ -188,11 +190,14 @@
 
     def _usable_workers(self, work: WaitingWork) -> list[WorkerCapacity]:
         """Returns the workers of the pool with the required label, suspect ones only if all are."""
+        labelled = self._labelled_workers(work)
+        not_suspect = [worker for worker in labelled if not worker.is_suspect]
+        return not_suspect or labelled
+
+    def _labelled_workers(self, work: WaitingWork) -> list[WorkerCapacity]:
         pool = work.graph.graph.policy.pool
         label = work.step.required_label
-        usable = [w for w in self.workers if w.pool == pool and (not label or label in w.labels)]
-        not_suspect = [worker for worker in usable if not worker.is_suspect]
-        return not_suspect or usable
+        return [w for w in self.workers if w.pool == pool and (not label or label in w.labels)]
 
     def _assign(self, work: WaitingWork, chosen: list[WorkerCapacity]) -> None:
         self.holds.record_start(work)
--- a/src/cicadatray/scheduling/taskgraphs/task_fit.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_fit.py
@@ -89,5 +89,5 @@
 
 
 def unreserved_first(worker: WorkerCapacity, available: Resources) -> tuple[float, ...]:
-    """Returns the sort key that fills reserved workers last."""
-    return (worker.is_reserved, *least_available_first(worker, available))
+    """Returns the sort key that fills suspect workers last, but reserved ones after them."""
+    return (worker.is_reserved, worker.is_suspect, *least_available_first(worker, available))
--- a/tests/cover/taskgraphs/test_hold_limit.py
+++ b/tests/cover/taskgraphs/test_hold_limit.py
@@ -172,3 +172,24 @@
         works = [*urgent, *single()]
         plan = PlacementRound(workers, [], now_s, memory=memory).run(works)
         assert not plan.assignments
+
+
+@pytest.mark.parametrize(("is_lasting", "is_placed"), [(True, True), (False, False)])
+def test_lasting_work_does_not_wait_until_workers_are_trusted_again(
+    is_lasting: bool, is_placed: bool
+) -> None:
+    """Guards against work that lasts and rests while only workers on which work failed have room.
+
+    Other work waits, because each failure uses up one of its attempts.
+    """
+    memory = RuleMemory()
+    placed: set[str] = set()
+    for number in range(int(ALLOWED_S / ROUND_S)):
+        workers = make_workers((1, 3))
+        workers[0].occupy(CAPACITY)
+        for worker in workers[1:]:
+            worker.is_suspect = True
+        works = make_waiting(Step(1, ONE, 20.0, is_long_running=is_lasting), 2)
+        plan = PlacementRound(workers, [], number * ROUND_S, memory=memory).run(works)
+        placed |= {assignment.worker_id for assignment in plan.assignments}
+    assert bool(placed) is is_placed
