Split the loop of graphs, the clients' interface and the control process into files of their size

The displacements of a plan, the answers to clients and the settings of the replica are modules of their own; their code is unchanged.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -33,6 +33,7 @@
 from cicadatray.internal.control.group_admission import GroupAdmission
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.internal.control.replica_configuration import replica_settings
 from cicadatray.internal.control.replica_gauges import register_replica_gauges
 from cicadatray.internal.control.replica_link import ReplicaLink
 from cicadatray.internal.control.scheduling_loop import SchedulingLoop
@@ -53,15 +54,11 @@
 from cicadatray.internal.wire.messages.registry import message_codec
 from cicadatray.internal.wire.rpc_server import RpcServer
 from cicadatray.replication.errors import NotLeaderError, ReplicationError
-from cicadatray.replication.member import Member
 from cicadatray.replication.replica import Replica
-from cicadatray.replication.replica_settings import ReplicaSettings
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 
 CONFIRM_TIMEOUT_S = 1.0
 LEADERSHIP_POLL_S = 0.1
-# Leaves time for one lost message before a member starts an election.
-CALL_TIMEOUT_SHARE = 0.4
 FIRST_OPERATOR = "operator"
 UNKNOWN_CALL_CODE = "unknown_call"
 IN_DOUBT_RETRY_AFTER_S = 1.0
@@ -71,23 +68,6 @@
 assert commands.COMMAND_MODULES and calls.CALL_MODULES
 
 
-def replica_settings(settings: ControlSettings) -> ReplicaSettings:
-    """Returns the settings of the replicated log for a control instance."""
-    members = tuple(Member(m.name, m.host, m.port) for m in settings.control)
-    return ReplicaSettings(
-        member_id=settings.name,
-        data_folder=settings.data_folder,
-        initial_members=members,
-        bootstrap=settings.bootstrap,
-        data_centre=settings.data_centre,
-        group_size=settings.group_size,
-        election_timeout_min_s=settings.election_timeout_s,
-        election_timeout_max_s=settings.election_timeout_s * 2,
-        heartbeat_s=settings.election_timeout_s / 4,
-        call_timeout_s=settings.election_timeout_s * CALL_TIMEOUT_SHARE,
-    )
-
-
 class ControlDaemon:
     """Answers calls, and runs the scheduling loops while this instance leads."""
 
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -10,7 +10,6 @@
 from cicadatray.internal.control.graphs.evacuated_runs import revoke_evacuated, revoke_unstarted
 from cicadatray.internal.control.graphs.expired_graphs import find_expired_graphs
 from cicadatray.internal.control.graphs.graph_session import GraphSession
-from cicadatray.internal.control.graphs.graph_statistics import DISPLACED
 from cicadatray.internal.control.graphs.guarantee_log import GuaranteeLog
 from cicadatray.internal.control.graphs.leaving_work import find_leaving, staying_times
 from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
@@ -20,11 +19,12 @@
     mark_displacing,
     mark_guaranteed,
 )
+from cicadatray.internal.control.graphs.planned_displacements import PlannedDisplacements
 from cicadatray.internal.control.graphs.pool_capacities import mark_waves
 from cicadatray.internal.control.graphs.reported_checkpoints import new_checkpoints
 from cicadatray.internal.control.graphs.silence_recorder import SilenceRecorder
 from cicadatray.internal.control.graphs.wait_log import WaitLog
-from cicadatray.internal.observability.graph_metrics import runs_displaced, task_wait_seconds
+from cicadatray.internal.observability.graph_metrics import task_wait_seconds
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
     PlacedRun,
@@ -32,11 +32,9 @@
     RunCheckpoint,
     RunsRecorded,
 )
-from cicadatray.scheduling.taskgraphs.displacement import Displacement
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
-from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
@@ -52,7 +50,7 @@
     """Records losses, displaces and places work in rounds while this instance leads."""
 
     __slots__ = (
-        "displaced_runs",
+        "displacements",
         "guarantee_log",
         "has_applied_earlier_starts",
         "next_checkpoints_s",
@@ -72,7 +70,7 @@
         metrics = session.leader.metrics
         self.recorder = EndRecorder(session)
         self.silences = SilenceRecorder(session)
-        self.displaced_runs = runs_displaced(metrics)
+        self.displacements = PlannedDisplacements(session)
         self.start_wait = task_wait_seconds(metrics)
 
     async def run(self) -> None:
@@ -204,7 +202,7 @@
         plan = self._plan(waiting, now_s)
         self.wait_log.record_round(plan.waits, plan.held)
         self.guarantee_log.record_round(waiting, plan)
-        self._displace(plan)
+        self.displacements.carry_out(plan)
         if plan.assignments:
             self._observe_waits(waiting, plan, now_s)
             await self._start(plan, now_s)
@@ -272,41 +270,3 @@
             worker = session.workers.get(start.worker_id)
             if worker is not None:
                 worker.wake.set()
-
-    def _displace(self, plan: PlacementPlan) -> None:
-        session = self.session
-        for displacement in plan.displacements:
-            for victim in displacement.victims:
-                self._displace_work(victim, plan, displacement)
-        for job in plan.passed_over:
-            log.info(
-                "job passed over",
-                graph=job.graph_id,
-                preferred=job.preferred,
-                density=round(job.density, 2),
-                preferred_density=round(job.preferred_density, 2),
-                lateness_s=round(job.lateness_s, 1),
-            )
-        if plan.displaced:
-            session.wake_all()
-
-    def _displace_work(
-        self, victim: RunningWork, plan: PlacementPlan, displacement: Displacement
-    ) -> None:
-        session = self.session
-        session.statistics.record_displaced_work(victim)
-        for run in victim.runs:
-            for_graph = plan.displaced[run]
-            session.revoked_runs.add(run)
-            session.displacing_graphs.setdefault(for_graph, session.now_s())
-            self.displaced_runs.increment(reason=DISPLACED)
-            session.statistics.record_displacement(run, DISPLACED)
-            log.info(
-                "run displaced",
-                graph=run.task.graph_id,
-                task=run.task.key,
-                run=run.run,
-                for_graph=for_graph,
-                cost=round(displacement.cost),
-                value=round(displacement.value),
-            )
--- /dev/null
+++ b/src/cicadatray/internal/control/graphs/planned_displacements.py
@@ -0,0 +1,60 @@
+"""Carries out the displacements of a placement plan."""
+
+import structlog
+
+from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.graph_statistics import DISPLACED
+from cicadatray.internal.observability.graph_metrics import runs_displaced
+from cicadatray.scheduling.taskgraphs.displacement import Displacement
+from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
+from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+
+log = structlog.get_logger(__name__)
+
+
+class PlannedDisplacements:
+    """Revokes the runs that a plan stops, counts them, and logs for which jobs they stop."""
+
+    __slots__ = ("displaced_runs", "session")
+
+    def __init__(self, session: GraphSession) -> None:
+        self.session = session
+        self.displaced_runs = runs_displaced(session.leader.metrics)
+
+    def carry_out(self, plan: PlacementPlan) -> None:
+        """Revokes the runs of a plan's victims, and logs the jobs that it passes over."""
+        for displacement in plan.displacements:
+            for victim in displacement.victims:
+                self._displace_work(victim, plan, displacement)
+        for job in plan.passed_over:
+            log.info(
+                "job passed over",
+                graph=job.graph_id,
+                preferred=job.preferred,
+                density=round(job.density, 2),
+                preferred_density=round(job.preferred_density, 2),
+                lateness_s=round(job.lateness_s, 1),
+            )
+        if plan.displaced:
+            self.session.wake_all()
+
+    def _displace_work(
+        self, victim: RunningWork, plan: PlacementPlan, displacement: Displacement
+    ) -> None:
+        session = self.session
+        session.statistics.record_displaced_work(victim)
+        for run in victim.runs:
+            for_graph = plan.displaced[run]
+            session.revoked_runs.add(run)
+            session.displacing_graphs.setdefault(for_graph, session.now_s())
+            self.displaced_runs.increment(reason=DISPLACED)
+            session.statistics.record_displacement(run, DISPLACED)
+            log.info(
+                "run displaced",
+                graph=run.task.graph_id,
+                task=run.task.key,
+                run=run.run,
+                for_graph=for_graph,
+                cost=round(displacement.cost),
+                value=round(displacement.value),
+            )
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -4,13 +4,11 @@
 import math
 from collections.abc import Mapping
 
-import msgspec
 import structlog
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 from starlette.types import Receive, Scope, Send
 
-from cicadatray.internal.control.graphs import graph_codes
 from cicadatray.internal.observability.graph_metrics import (
     client_call_attempts,
     client_call_seconds,
@@ -27,13 +25,12 @@
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
     CancelGraph,
-    GraphState,
-    QueueState,
     QueueTarget,
     ReadGraph,
     SubmitGraph,
 )
 from cicadatray.internal.wire.rpc_server import INTERNAL_ERROR_CODE
+from cicadatray.platform.client_answers import render_error, render_reply
 from cicadatray.platform.configuration_document import digest_credential
 from cicadatray.platform.decision_header import add_decision
 from cicadatray.platform.errors import DocumentError
@@ -41,7 +38,7 @@
 from cicadatray.platform.job_document import decode_job
 from cicadatray.platform.request_body import read_body
 
-JSON_TYPE = "application/json"
+NO_LEADER_REASON = "there is currently no control leader"
 CREDENTIAL_SCHEME = "Token "
 # The deadline of clients that send none; they wait at least this long.
 DEFAULT_DEADLINE_S = 3.0
@@ -53,22 +50,6 @@
 # Without a leader an instance of control or a relay answers the probe at least this often, unless
 # this process is cut off.
 ELECTION_CONTACT_S = 1.0
-# In seconds. An election takes up to 2 s, so a client that resends after this time often finds a
-# leader.
-RETRY_AFTER_S = "1"
-NO_LEADER_REASON = "there is currently no control leader"
-STATUS_BY_CODE = {
-    graph_codes.QUEUES_UNSET: 503,
-    graph_codes.QUEUE_UNKNOWN: 404,
-    graph_codes.CREDENTIAL_UNKNOWN: 401,
-    graph_codes.ACCOUNT_MISMATCH: 403,
-    graph_codes.GRAPH_ID_MALFORMED: 400,
-    graph_codes.GRAPH_ID_TAKEN: 409,
-    graph_codes.GRAPH_UNKNOWN: 410,
-    graph_codes.NOT_FEASIBLE: 422,
-    graph_codes.NOT_NOW: 429,
-}
-
 log = structlog.get_logger(__name__)
 
 
@@ -161,9 +142,9 @@
             call = await self._decode(request)
         except DocumentError as error:
             log.info("request refused", path=request.url.path, reason=str(error))
-            return _error(400, str(error))
+            return render_error(400, str(error))
         if call is None:
-            return _error(405, "method not allowed; use POST, GET or DELETE")
+            return render_error(405, "method not allowed; use POST, GET or DELETE")
         timeout_s = _call_timeout_s(request.headers)
         deadline_s = asyncio.get_running_loop().time() + timeout_s
         if not await self._has_leader(call, timeout_s):
@@ -182,10 +163,10 @@
             return self._unavailable(
                 request, ControlUnavailableError(f"control: {reply.detail}"), trace
             )
-        response = _render(reply)
+        response = render_reply(reply)
         if self.decisions.is_older(reply, known) and 400 <= response.status_code < 500:
             # A refusal by an older configuration is not final.
-            response = _error(503, "the newest configuration could not be determined")
+            response = render_error(503, "the newest configuration could not be determined")
         if response.status_code >= 400:
             contact = self._describe(trace) if response.status_code >= 500 else {}
             log.info(
@@ -265,7 +246,7 @@
             reason=str(error),
             **self._describe(trace),
         )
-        return _error(status, detail)
+        return render_error(status, detail)
 
 
 def _credential_digest(headers: Mapping[str, str]) -> bytes:
@@ -285,27 +266,3 @@
 
 def _call_timeout_s(headers: Mapping[str, str]) -> float:
     return min(max(_deadline_s(headers), 0.0) * CALL_TIMEOUT_SHARE, MAX_CALL_TIMEOUT_S)
-
-
-def _render(reply: MessageStruct) -> Response:
-    if isinstance(reply, GraphState):
-        return _json(200, {"State": reply.state})
-    if isinstance(reply, QueueState):
-        return _json(200, {"Pending": reply.waiting})
-    if isinstance(reply, Failure):
-        response = _error(STATUS_BY_CODE.get(reply.code, 503), reply.detail)
-        if reply.code == graph_codes.NOT_NOW:
-            response.headers["Retry-After"] = str(max(1, math.ceil(reply.retry_after_s)))
-        return response
-    return _error(503, "unexpected reply from control")
-
-
-def _json(status: int, body: object) -> Response:
-    return Response(msgspec.json.encode(body), status, media_type=JSON_TYPE)
-
-
-def _error(status: int, detail: str) -> Response:
-    response = _json(status, {"Error": detail})
-    if status >= 500:
-        response.headers["Retry-After"] = RETRY_AFTER_S
-    return response
--- a/tests/cover/control/test_replica_link.py
+++ b/tests/cover/control/test_replica_link.py
@@ -8,7 +8,8 @@
 import pytest
 
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
-from cicadatray.internal.control.control_daemon import ControlDaemon, replica_settings
+from cicadatray.internal.control.control_daemon import ControlDaemon
+from cicadatray.internal.control.replica_configuration import replica_settings
 from cicadatray.internal.control.replica_link import RECONNECT_LIMIT_S, ReplicaLink
 from cicadatray.internal.settings.common import Address
 from cicadatray.internal.settings.control_settings import ControlSettings
--- a/tests/cover/taskgraphs/test_displacement_log.py
+++ b/tests/cover/taskgraphs/test_displacement_log.py
@@ -27,7 +27,7 @@
         plan.displacements.append(displacement)
         plan.displaced[victim.runs[0]] = "urgent"
         plan.passed_over.append(PassedOverJob("large", "small", 0.5, 2.25, 3.0))
-        GraphLoop(session)._displace(plan)
+        GraphLoop(session).displacements.carry_out(plan)
         return session.leader.metrics.render_text()
 
     with capture_logs() as captured:
--- a/tests/cover/taskgraphs/test_end_recorder.py
+++ b/tests/cover/taskgraphs/test_end_recorder.py
@@ -40,6 +40,9 @@
     def now_s(self) -> float:
         return asyncio.get_running_loop().time()
 
+    async def apply_earlier_commands(self) -> None:
+        """Returns at once, because there was no earlier session."""
+
     async def propose(self, command: MessageStruct) -> MessageStruct:
         if isinstance(command, RecordSilences):
             return Acknowledged()
