--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -23,6 +23,7 @@
 from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.leader_probe import LeaderProbe
 from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.decision import Decision
 from cicadatray.internal.wire.messages.graph_messages import (
     CancelGraph,
     QueueTarget,
@@ -145,6 +146,10 @@
             return render_error(400, str(error))
         if call is None:
             return render_error(405, "method not allowed; use POST, GET or DELETE")
+        return await self._forward(request, call, trace)
+
+    async def _forward(self, request: Request, call: MessageStruct, trace: CallTrace) -> Response:
+        """Passes a call on to control and returns the answer to the client."""
         timeout_s = _call_timeout_s(request.headers)
         deadline_s = asyncio.get_running_loop().time() + timeout_s
         if not await self._has_leader(call, timeout_s):
@@ -163,6 +168,12 @@
             return self._unavailable(
                 request, ControlUnavailableError(f"control: {reply.detail}"), trace
             )
+        return self._answer(request, reply, known, trace)
+
+    def _answer(
+        self, request: Request, reply: MessageStruct, known: Decision, trace: CallTrace
+    ) -> Response:
+        """Returns the answer for a reply of control; `known` is the decision before the call."""
         response = render_reply(reply)
         if self.decisions.is_older(reply, known) and 400 <= response.status_code < 500:
             # A refusal by an older configuration is not final.
--- a/src/cicadatray/scheduling/taskgraphs/hold_watch.py
+++ b/src/cicadatray/scheduling/taskgraphs/hold_watch.py
@@ -23,9 +23,8 @@
 MAX_USED_SHARE = 0.6
 # There is room for work if it fits this many times.
 ROOM_FACTOR = 2
-
-# Then work is started wherever it fits, in seconds. The platform's operators allow 3 s, of which an
-# order to start takes a part.
+# After this time, in seconds, held work is started wherever it fits. The platform's operators allow
+# 3 s, of which an order to start takes a part.
 HOLD_LIMIT_S = 1.5
 # Suspect work waits longer for a worker that is expected to become idle: beside other runs it may
 # cost these their work.
@@ -38,9 +37,10 @@
     """Finds the waiting work of one round that only rules keep from starting.
 
     Racks, reservations and the demand for an idle worker are preferences: they are worth a wait
-    while capacity is scarce, and for `HOLD_LIMIT_S` otherwise. Workers which run a task that may
-    crash them, or which are kept for work within a guarantee or for work whose room was taken often
-    do not count as room, and those on which work fails do so only for work that lasts.
+    while capacity is scarce, and for `HOLD_LIMIT_S` otherwise. Three kinds of workers are no room:
+    those that run a task that may crash them, those kept for work within a guarantee, and those
+    kept for work whose room was taken often. Those on which work fails are room only for work that
+    lasts.
     """
 
     __slots__ = ("memory", "resting", "search", "used_shares", "view")
