Begin no attempt in the last moment before a call's deadline

What callers could see: a process that stands still, busy, in a call to control.

All rows with a rounding of 1 ns in test_retried_call.py failed before.

Change: less than 0.1 ms counts as no time left.

--- a/src/cicadatray/internal/wire/retried_call.py
+++ b/src/cicadatray/internal/wire/retried_call.py
@@ -6,6 +6,9 @@
 from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.message import MessageStruct
 
+# No instance answers faster.
+SHORTEST_ATTEMPT_S = 0.000_1
+
 
 class ControlUnavailableError(WireError):
     """No control instance replied to the call in time.
@@ -49,8 +52,12 @@
         self.trace = trace or CallTrace()
 
     def remaining_s(self) -> float:
-        """Returns the time left for all further attempts."""
-        return self.deadline_s - asyncio.get_running_loop().time()
+        """Returns the time left for all further attempts, and 0 if it is too short for one.
+
+        A wait may end just before the deadline by rounding, and so may each further one.
+        """
+        remaining_s = self.deadline_s - asyncio.get_running_loop().time()
+        return remaining_s if remaining_s >= SHORTEST_ATTEMPT_S else 0.0
 
     def next_timeout_s(self) -> float:
         """Returns the timeout of the next attempt."""
