--- a/review/common_2/case.py
+++ b/review/common_2/case.py
@@ -20,13 +20,14 @@
     play: Callable[[Deployment, bool], Awaitable[list[str]]],
     minions: int,
     work_s: float,
+    tells_born: bool = False,
 ) -> int:
     """Plays a case on a new deployment; `play` returns how the rule was broken, if it was."""
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {'yes' if has_trouble else 'no'}")
     try:
-        deployment = Deployment(record, minions, work_s)
+        deployment = Deployment(record, minions, work_s, tells_born)
     except (CannotRunError, OSError) as error:
         record.write(f"cannot run: {error}")
         return CANNOT_RUN
@@ -62,6 +63,7 @@
     play: Callable[[Deployment, bool], Awaitable[list[str]]],
     minions: int,
     work_s: float,
+    tells_born: bool = False,
 ) -> None:
     """Runs a case and exits with its status."""
-    sys.exit(run_case(Path(file).resolve().parent, play, minions, work_s))
+    sys.exit(run_case(Path(file).resolve().parent, play, minions, work_s, tells_born))
--- a/review/common_2/deployment.py
+++ b/review/common_2/deployment.py
@@ -26,8 +26,10 @@
 SERVICE = "dele69a"
 PREFIX = "/lohu930/"
 CPU, MEMORY_MB, GPUS = 32_000, 131_072, 8
-LONGEST_LEASE_MS, STOP_MS = 6000, 200
+LONGEST_LEASE_MS, STOP_MS = 6000, 400
 GRACE_S = 6
+# The kind of the last minion; the others have another one.
+RARE_KIND = "b"
 RESTART_DELAY_S = 0.3
 
 
@@ -77,6 +79,14 @@
             name = signal.Signals(number).name
             self.deployment.record.write(f"{self.role} on {self.machine} gets {name}")
 
+    async def wait(self, limit_s: float) -> None:
+        """Waits until the process has ended, and kills it after the limit."""
+        assert self.process is not None
+        deadline_s = self.deployment.record.now_s() + limit_s
+        while self.process.poll() is None and self.deployment.record.now_s() < deadline_s:
+            await asyncio.sleep(0.02)
+        self.end()
+
     def end(self) -> None:
         """Kills the process."""
         if self.process is not None:
@@ -84,6 +94,10 @@
                 self.process.kill()
             self.process.wait()
 
+    def read_log(self) -> str:
+        """Returns what the process has written so far."""
+        return (self.folder / "log.txt").read_text(encoding="utf-8", errors="replace")
+
     def _settings_text(self) -> str:
         seeds = ", ".join(f'"{host}:{CONTROL}"' for host in self.deployment.seeds)
         data = f'DataDir = "{self.folder}/data"\n' if self.has_disk else ""
@@ -163,7 +177,9 @@
 class Deployment:
     """Three machines with control and an entry, and some with an agent and a minion."""
 
-    def __init__(self, record: Record, minions: int, work_s: float) -> None:
+    def __init__(
+        self, record: Record, minions: int, work_s: float, tells_born: bool = False
+    ) -> None:
         text = (ROOT / "deploy" / "system.toml").read_text(encoding="utf-8")
         self.commands = {n: r["run"] for n, r in tomllib.loads(text)["roles"].items()}
         self.record = record
@@ -192,9 +208,10 @@
                 control=f"{host}:{CONTROL}",
                 work_s=work_s,
                 capacity={"Cpu": CPU, "MemMb": MEMORY_MB, "Gpus": GPUS},
-                labels=["a", f"r-{n % 3}"],
+                labels=[RARE_KIND if n == minions - 1 else "a", f"r-{n % 3}"],
                 longest_lease_s=LONGEST_LEASE_MS / 1000,
                 stop_s=STOP_MS / 1000,
+                tells_born=tells_born,
             )
             for n, host in enumerate(self.sides)
         ]
--- a/review/common_2/minion.py
+++ b/review/common_2/minion.py
@@ -51,7 +51,9 @@
         labels: list[str],
         longest_lease_s: float,
         stop_s: float,
+        tells_born: bool = False,
     ) -> None:
+        self.tells_born = tells_born
         self.record = record
         self.all_runs = runs
         self.machine = machine
@@ -67,12 +69,15 @@
         self.is_up = False
         self.is_suspended = False
         self.tasks: list[asyncio.Task[None]] = []
+        # How often each status answered a heartbeat.
+        self.answers: dict[int, int] = {}
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Begins a life."""
         self.identifier = f"i-{random.getrandbits(40):010x}"
+        self.born_ms = int(time.time() * 1000)
         self.is_up = True
         self.is_suspended = False
         # The steady clock advances with the ticks, and not while the machine is suspended.
@@ -157,23 +162,36 @@
             while self.clock_s < due_s or self.is_suspended:
                 await asyncio.sleep(TICK_S)
             self.sequence += 1
-            body = {
-                "Service": self.service,
-                "Address": f"{self.machine}:{PORT}",
-                "Zone": self.zone,
-                "Version": "v1",
-                "Slots": 8,
-                "State": "ready",
-                "ColdRemainingMs": 0,
-                "Capacity": self.capacity,
-                "Labels": self.labels,
-                "ClockMs": int(self.clock_s * 1000),
-                "Seq": self.sequence,
-            }
-            path = f"/cicadatray/instances/{self.identifier}"
-            status, _ = await call(self.control, "PUT", path, body, timeout_s=1.0)
+            status, _ = await call(
+                self.control, "PUT", self.path(), self.announcement(), timeout_s=1.0
+            )
+            self.answers[status] = self.answers.get(status, 0) + 1
             wait_s = HEARTBEAT_S if status == 200 else HEARTBEAT_RETRY_S
 
+    def path(self) -> str:
+        """Returns the path of the heartbeats."""
+        return f"/cicadatray/instances/{self.identifier}"
+
+    def announcement(self) -> dict[str, Any]:
+        """Returns the body of a heartbeat."""
+        return {
+            **self._born(),
+            "Service": self.service,
+            "Address": f"{self.machine}:{PORT}",
+            "Zone": self.zone,
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Capacity": self.capacity,
+            "Labels": self.labels,
+            "ClockMs": int(self.clock_s * 1000),
+            "Seq": self.sequence,
+        }
+
+    def _born(self) -> dict[str, Any]:
+        return {"born": self.born_ms} if self.tells_born else {}
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         try:
@@ -263,7 +281,7 @@
             for run in self.running.values()
         ]
         ended = [[number, run.task, run.number, run.how, ""] for number, run in self.ended]
-        return 200, {"Running": running, "Ended": ended[:MAX_ENDS_LISTED]}
+        return 200, {**self._born(), "Running": running, "Ended": ended[:MAX_ENDS_LISTED]}
 
 
 def find_overlaps(runs: list[Run], end_s: float) -> list[tuple[Run, Run, float]]:
