Review: tasks that ended done run again after a restart of their agent (case 6)

Cause: only the starts in the first reply to a restarted agent are held to be in doubt, but a reply holds 512 KiB of starts at most, so runs whose ends the minion has not listed yet come in the second. Ruled out: a lapse of the lease (none), a change of leader (none).

--- a/review/common_2/minion.py
+++ b/review/common_2/minion.py
@@ -31,8 +31,12 @@
         self.ended_s: float | None = None
         self.how = ""
         self.worked_s = 0.0
+        self.begun_clock_s = 0.0
         self.stops_at_s: float | None = None
         self.noted_s: float | None = None
+        # Whether the minion's lease lapsed between the end of the run and the note of it.
+        self.has_lapsed = False
+        self.lapses_at_end = 0
 
 
 class Minion:
@@ -85,6 +89,8 @@
         self.ticked_s = time.monotonic()
         self.fence = 0
         self.until_s = 0.0
+        self.lapses = 0
+        self.has_lease = False
         self.sequence = 0
         self.end_count = 0
         self.running: dict[str, Run] = {}
@@ -121,22 +127,22 @@
         self.is_suspended = False
         self.record.write(f"minion {self.identifier} goes on with {self.machine}")
 
-    def _advance(self) -> float:
-        """Advances the clock, unless the machine is suspended; returns by how much."""
+    def _advance(self) -> None:
+        """Advances the clock, unless the machine is suspended."""
         now_s = time.monotonic()
-        passed_s = 0.0 if self.is_suspended else now_s - self.ticked_s
+        if not self.is_suspended:
+            self.clock_s += now_s - self.ticked_s
         self.ticked_s = now_s
-        self.clock_s += passed_s
-        return passed_s
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
             if self.is_suspended:
                 continue
-            passed_s = self._advance()
+            self._advance()
+            self._note_lapse()
             for run in list(self.running.values()):
-                run.worked_s += passed_s
+                run.worked_s = self.clock_s - run.begun_clock_s
                 if run.stops_at_s is not None and self.clock_s >= run.stops_at_s:
                     self._end(run, "stopped")
                 elif self.clock_s >= self.until_s:
@@ -144,6 +150,12 @@
                 elif run.stops_at_s is None and run.worked_s >= self.work_s:
                     self._end(run, "done")
 
+    def _note_lapse(self) -> None:
+        had_lease, self.has_lease = self.has_lease, self.clock_s < self.until_s
+        if had_lease and not self.has_lease:
+            self.lapses += 1
+            self.record.write(f"the lease of {self.identifier} lapses")
+
     def _close(self, run: Run, how: str) -> None:
         run.how = how
         run.ended_s = self.record.now_s()
@@ -152,6 +164,7 @@
 
     def _end(self, run: Run, how: str) -> None:
         self._close(run, how)
+        run.lapses_at_end = self.lapses
         self.end_count += 1
         self.ended.append((self.end_count, run))
 
@@ -251,6 +264,7 @@
         self._extend(order)
         self.highest[task] = number
         run = Run(self, task, number, self.record.now_s())
+        run.begun_clock_s = self.clock_s
         self.running[task] = run
         self.all_runs.append(run)
         self.record.write(f"run {task} {number} starts on {self.identifier}")
@@ -266,11 +280,14 @@
         return 200, {}
 
     async def _hold(self, order: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        self._note_lapse()
         self._extend(order)
         seen = order.get("SeenUpto", 0)
         for number, run in self.ended:
             if number <= seen and run.noted_s is None:
+                self._note_lapse()
                 run.noted_s = self.record.now_s()
+                run.has_lapsed = run.lapses_at_end != self.lapses
         self.ended = [entry for entry in self.ended if entry[0] > seen]
         deadline_s = self.clock_s + min(order.get("WaitMs", 0), 2000) / 1000
         while not self.ended and self.clock_s < deadline_s:
@@ -298,3 +315,18 @@
                 if last_s > begin_s:
                     overlaps.append((first, second, last_s - begin_s))
     return overlaps
+
+
+def find_repeated(runs: list[Run]) -> list[tuple[Run, Run]]:
+    """Returns the runs that ended `done`, were taken note of and have a later start of their task.
+
+    Those are left out between whose end and its note the lease of the minion lapsed.
+    """
+    repeated = []
+    for first in runs:
+        if first.how != "done" or first.noted_s is None or first.has_lapsed:
+            continue
+        for second in runs:
+            if second.task == first.task and second.started_s > (first.ended_s or 0.0):
+                repeated.append((first, second))
+    return repeated
