--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,59 +1,51 @@
-"""A client hands in a job with many small tasks, for which there is room several times over."""
+"""A machine beside a minion is suspended for some seconds, with its minion."""
 
 import asyncio
+import signal
 
 from common_2.case import main
-from common_2.deployment import CPU, Deployment, new_job_id
+from common_2.deployment import Deployment, new_job_id
+from common_2.minion import find_overlaps
 
-MINIONS = 6
-WORK_S = 2.0
-MANY_TASKS, FEW_TASKS = 6000, 100
-TASK_CPU, TASK_MEMORY_MB = 10, 10
-# All tasks take less than a third of the processors.
-assert MANY_TASKS * TASK_CPU * 3 < MINIONS * CPU
-# The bounds of the site: when jobs are asked for, and for how long a job may rest.
-FINISH_S = 14.0
-REST_S = 3.0
-# Ten times as long as the rule allows.
-WATCHED_S = 30.0
+MINIONS = 3
+WORK_S = 30.0
+SUSPENDED_S = 7.0
+WATCHED_S = 12.0
+# Overlaps shorter than this are not counted: the times are those of the stand-ins.
+SLACK_S = 0.05
 
 
 async def play(deployment: Deployment, has_trouble: bool) -> list[str]:
-    """Returns the accepted jobs of which nothing runs."""
+    """Returns the tasks that ran twice at the same time."""
     record = deployment.record
     await deployment.set_up()
-    first = new_job_id()
-    await deployment.submit(first, [_step(1)])
-    while await deployment.state(first) != "done":
-        await asyncio.sleep(0.5)
-    # The last call that hands in work: the traffic ends here.
-    large = new_job_id()
-    await deployment.submit(large, [_step(MANY_TASKS if has_trouble else FEW_TASKS)])
-    await asyncio.sleep(FINISH_S)
-    watched_until_s = record.now_s() + WATCHED_S
-    rests_since_s = record.now_s()
-    breaks = []
-    state = ""
-    while record.now_s() < watched_until_s and state != "done":
-        runs = [run for run in deployment.runs if run.task.startswith(large)]
-        if any(run.ended_s is None or run.ended_s > rests_since_s for run in runs):
-            rests_since_s = record.now_s()
-        # Several small calls, as clients ask for a state; a call without an answer is repeated.
-        state = await deployment.state(large, limit_s=0.5)
-    rested_s = record.now_s() - rests_since_s
-    if state != "done" and rested_s > REST_S:
-        breaks.append(
-            f"LOST: job {large} was accepted and has had nothing running for {rested_s:.1f} s;"
-            f" {len(runs)} of {MANY_TASKS} tasks were ever started"
-        )
-    answers = [await deployment.client_call("GET", first, entry=n) for n in range(5)]
-    if all(status != 200 for status, _ in answers):
-        breaks.append(f"LOST: the state of job {first}, which is done, can't be read")
-    return breaks
-
-
-def _step(count: int) -> dict[str, object]:
-    return {"Count": count, "Cpu": TASK_CPU, "MemMb": TASK_MEMORY_MB, "EstimateMs": 2000}
+    job = new_job_id()
+    step = {"Count": 1, "Cpu": 8000, "MemMb": 4096, "Gpus": 1, "EstimateMs": 30000}
+    await deployment.submit(job, [step])
+    while not deployment.runs:
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(3.0)
+    first = deployment.runs[0]
+    number = deployment.minions.index(first.minion)
+    agent = deployment.agents[number]
+    if has_trouble:
+        # The machine stands still as a whole: its process of the system, its minion, and the
+        # minion's steady clock.
+        agent.signal(signal.SIGSTOP)
+        first.minion.suspend()
+        await asyncio.sleep(SUSPENDED_S)
+        first.minion.resume()
+        agent.signal(signal.SIGCONT)
+    else:
+        await asyncio.sleep(SUSPENDED_S)
+    await asyncio.sleep(WATCHED_S)
+    await deployment.state(job)
+    return [
+        f"TWICE: {one.task}: run {one.number} on {one.minion.identifier} and run {two.number} on"
+        f" {two.minion.identifier} at the same time for {shared_s:.2f} s"
+        for one, two, shared_s in find_overlaps(deployment.runs, record.now_s())
+        if shared_s > SLACK_S
+    ]
 
 
 main(__file__, play, MINIONS, WORK_S)
