--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,7 +9,7 @@
 
 MINIONS = 3
 WORK_S = 0.2
-ROUNDS = 8
+ROUNDS = 10
 CLIENTS = 30
 # The clients press for this long before each freeze.
 TRAFFIC_S = 1.0
@@ -62,8 +62,12 @@
     leader = await _find_leader(deployment)
     if has_trouble:
         leader.signal(signal.SIGSTOP)
-    # An operator takes the key away; the confirmation comes once there is a leader.
-    confirmation = asyncio.create_task(deployment.configure(deployment.configuration(), 20.0))
+    # An operator takes the key away; the confirmation comes once there is a leader. The instance that
+    # the operator picks first is not the frozen one.
+    first = (deployment.controls.index(leader) + 1) % len(deployment.controls)
+    confirmation = asyncio.create_task(
+        deployment.configure(deployment.configuration(), 20.0, first)
+    )
     if has_trouble:
         await asyncio.sleep(FROZEN_S)
         leader.signal(signal.SIGCONT)
--- a/review/common_2/deployment.py
+++ b/review/common_2/deployment.py
@@ -292,11 +292,14 @@
             ],
         }
 
-    async def configure(self, document: dict[str, object], limit_s: float) -> float:
-        """Sends a configuration as an operator does, until it is confirmed; returns when."""
+    async def configure(self, document: dict[str, object], limit_s: float, first: int = 0) -> float:
+        """Sends a configuration as an operator does, until it is confirmed; returns when.
+
+        The operator picks the control instance with the number `first` to begin with.
+        """
         deadline_s = self.record.now_s() + limit_s
         while self.record.now_s() < deadline_s:
-            for host in self.seeds:
+            for host in self.seeds[first:] + self.seeds[:first]:
                 status, _ = await call(
                     f"{host}:{CONTROL}", "PUT", "/cicadatray/config", document, timeout_s=1.0
                 )
@@ -366,7 +369,7 @@
 def _free_network() -> int:
     """Returns the second part of loopback addresses on which the ports are free."""
     for _ in range(50):
-        network = random.randrange(16, 250)
+        network = random.randrange(16, 200)
         if all(_is_free(f"127.{network}.1.{n}", p) for n in (1, 2, 3) for p in (FRONT, CONTROL)):
             return network
     raise CannotRunError("no free addresses")
