--- a/review/common_2/deployment.py
+++ b/review/common_2/deployment.py
@@ -19,6 +19,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 FRONT, READY, CONTROL = 8521, 8523, 8526
+RESERVED_PORT = 8530
 INTERNAL = (7000, 7015)
 ZONES = ("zone-a", "zone-b", "zone-c")
 HOST_NAME = "jobs.example"
@@ -184,7 +185,7 @@
         self.commands = {n: r["run"] for n, r in tomllib.loads(text)["roles"].items()}
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
-        network = _free_network()
+        network, self.reservation = _reserve_network()
         self.fronts = [f"127.{network}.1.{n}" for n in range(1, 4)]
         self.sides = [f"127.{network}.2.{n}" for n in range(1, minions + 1)]
         self.seeds = list(self.fronts)
@@ -366,12 +367,23 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def _free_network() -> int:
-    """Returns the second part of loopback addresses on which the ports are free."""
+def _reserve_network() -> tuple[int, socket.socket]:
+    """Returns the second part of unused loopback addresses, and the socket that reserves them.
+
+    The socket listens for as long as the case runs, so that another one does not pick the same.
+    """
     for _ in range(50):
         network = random.randrange(16, 200)
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{network}.0.1", RESERVED_PORT))
+            reservation.listen()
+        except OSError:
+            reservation.close()
+            continue
         if all(_is_free(f"127.{network}.1.{n}", p) for n in (1, 2, 3) for p in (FRONT, CONTROL)):
-            return network
+            return network, reservation
+        reservation.close()
     raise CannotRunError("no free addresses")
 
 
