Measure worker leases on both clocks; a suspension counts on one of them only

Cause: the agent carried a reading of its worker's clock forward with its own event loop, which counts a suspension. The lower bound was ahead of the clock by 7 s, so an unanswered call was taken for a worker whose lease had expired, and control restarted its runs at once. In the other direction, the leases that were sent ended later than control's by the length of the suspension.

test_evacuation.py assumed that calls of agents at the same moment arrive in one order, which decides where work is placed, and changed with any new timer. The tests now evacuate whichever data centre has the work and check the other one, with the same bounds.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -31,10 +31,10 @@
 
     `token` is the term of the leader whose orders are carried out. `has_applied_orders` is set by
     the first reply of control. An earlier process of this agent may have sent the starts in that
-    reply, and the worker may carry those out late. Starts are sent only while `permission` holds,
-    and are kept otherwise. Calls `on_change` when a change must be reported to control,
-    `on_worker_activity` when the worker must be observed, `on_unreachable` when it refused a
-    connection, and `on_replaced` when another incarnation of the worker answered.
+    reply, and the worker may carry those out late. Starts are sent only while `permission` holds
+    and the lease lasts, and are kept otherwise. Calls `on_change` when a change must be reported to
+    control, `on_worker_activity` when the worker must be observed, `on_unreachable` when it refused
+    a connection, and `on_replaced` when another incarnation of the worker answered.
     """
 
     __slots__ = (
@@ -168,8 +168,9 @@
             if self.is_draining:
                 self._abandon_start(entry, "worker drains")
                 return
-            if not self.permission.holds():
-                await self._withhold(task, withheld)
+            obstacle = self._find_obstacle()
+            if obstacle:
+                await self._withhold(task, obstacle, withheld)
                 continue
             withheld.record_end()
             had_begun, entry.may_have_begun = entry.may_have_begun, True
@@ -207,9 +208,15 @@
                 return
             await asyncio.sleep(ORDER_RETRY_S)
 
-    async def _withhold(self, task: str, withheld: RepeatedEvent) -> None:
+    def _find_obstacle(self) -> str:
+        """Returns why no start may be sent now, or an empty text."""
+        if not self.permission.holds():
+            return "control has not renewed the permission to start"
+        # The worker's own lease may last longer, if the machine was suspended with its clock.
+        return "control has not renewed the lease" if self.lease.is_over() else ""
+
+    async def _withhold(self, task: str, reason: str, withheld: RepeatedEvent) -> None:
         """Keeps a start that may not be sent now, until the next reply of control or a retry."""
-        reason = "control has not renewed the permission to start"
         withheld.record_failure(task, run=task, worker=self.port.worker_id, reason=reason)
         await self.permission.wait_for_renewal(ORDER_RETRY_S)
 
--- a/src/cicadatray/internal/agent/tasks/run_entry.py
+++ b/src/cicadatray/internal/agent/tasks/run_entry.py
@@ -84,8 +84,10 @@
     ) -> None:
         """Records that the list which was requested at `asked_s` contains the run.
 
-        An answer may wait for the end of a run and arrive late, so that only the time at which it
-        was requested, and `clock_s` of the worker in it, show for how long the run was there.
+        An answer may wait for the end of a run and arrive late, so that only `clock_s` of the
+        worker in it shows for how long the run was there, or the time at which it was requested if
+        the worker tells no clock. The latter also counts the time for which the machine, and the
+        run with it, was suspended.
         """
         self.percent = report.percent
         self.checkpoint = report.checkpoint
@@ -93,10 +95,11 @@
         self.may_have_begun = True
         if self.first_listed_s is None:
             self.first_listed_s = received_s
-        self.observed_s = max(self.observed_s, asked_s - self.first_listed_s)
         if clock_s:
             self.begun_by_s = min(clock_s, self.begun_by_s or clock_s)
             self.observed_s = max(self.observed_s, clock_s - self.begun_by_s)
+        else:
+            self.observed_s = max(self.observed_s, asked_s - self.first_listed_s)
         if self.phase is RunPhase.STARTING:
             self.phase = RunPhase.RUNNING
 
--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -9,6 +9,7 @@
 from cicadatray.internal.agent.tasks.ended_worker import EndedWorker
 from cicadatray.internal.agent.tasks.errors import WorkerReplacedError, WorkerUnansweredError
 from cicadatray.internal.agent.tasks.leader_term import read_leader_term
+from cicadatray.internal.agent.tasks.lease_watch import LeaseWatch
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
 from cicadatray.internal.agent.tasks.run_table import RunTable
 from cicadatray.internal.agent.tasks.unexpected_errors import UnexpectedErrors
@@ -16,6 +17,7 @@
 from cicadatray.internal.agent.tasks.worker_observer import WorkerObserver
 from cicadatray.internal.agent.tasks.worker_port import WorkerPort, WorkerView
 from cicadatray.internal.observability.graph_metrics import (
+    agent_pauses,
     cleared_runs_ended,
     partial_worker_views,
     worker_starts_total,
@@ -55,6 +57,7 @@
         "not_adopted",
         "offer",
         "partial_views",
+        "pauses",
         "port",
         "refuted_clears",
         "sequence",
@@ -79,6 +82,7 @@
         self.answers = worker_starts_total(metrics)
         self.refuted_clears = cleared_runs_ended(metrics)
         self.partial_views = partial_worker_views(metrics)
+        self.pauses = agent_pauses(metrics)
         self.agent_id = agent_id
         self.incarnation = uuid4().hex
         self.control = control
@@ -109,18 +113,14 @@
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._sync_loop())
                 tasks.create_task(WorkerObserver(self).run())
+                tasks.create_task(LeaseWatch(self).run())
         finally:
             for task in self.sync_tasks:
                 task.cancel()
             if self.executor is not None:
                 self.executor.cancel()
-            for repeated in (
-                self.not_adopted,
-                self.unanswered,
-                self.unlisted_ends,
-                self.without_orders,
-                self.sync_errors.repeated,
-            ):
+            events = (self.not_adopted, self.unanswered, self.unlisted_ends, self.without_orders)
+            for repeated in (*events, self.sync_errors.repeated):
                 repeated.record_end()
 
     async def receive_offer(self, offer: WorkerOffer, port: WorkerPort) -> bool:
@@ -265,7 +265,7 @@
         except WireError as error:
             if self.is_control_answering:
                 log.warning(
-                    "control lost", reason=str(error), lease_until_s=self.lease.granted_end_s
+                    "control lost", reason=str(error), lease_until_s=self.lease.granted_until_s
                 )
             self.is_control_answering = False
             await asyncio.sleep(sync_timing.RETRY_S)
@@ -294,6 +294,6 @@
         self.answered_sequence = sequence
         self.term = reply.term
         executor.token = reply.term
-        self.lease.grant(worker_asked_s, reply.lease_s)
+        self.lease.grant(asked_s, worker_asked_s, reply.lease_s)
         executor.permission.renew(asked_s, reply.start_permission_s)
         executor.apply(reply)
--- a/src/cicadatray/internal/daemon/main.py
+++ b/src/cicadatray/internal/daemon/main.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from cicadatray.internal.boot_time_loop import BootTimeLoop
 from cicadatray.internal.observability.logging import configure_logging
 from cicadatray.internal.observability.state_dump import StateDump
 from cicadatray.internal.settings.agent_settings import AgentSettings
@@ -84,7 +85,8 @@
         configure_logging(settings.logging, str(role), settings.name)
         logging.getLogger("transitions").setLevel(logging.WARNING)
         SOURCE_ADDRESS.bind(settings.listen.host)
-        asyncio.run(serve(settings))
+        with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
+            runner.run(serve(settings))
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(SETTINGS_EXIT_CODE)
--- a/src/cicadatray/internal/observability/graph_metrics.py
+++ b/src/cicadatray/internal/observability/graph_metrics.py
@@ -170,3 +170,10 @@
 def log_lines_dropped(registry: MetricsRegistry) -> Counter:
     """Returns the counter of log lines dropped at the rate limit or because of a slow reader."""
     return registry.counter("cicadatray_log_lines_dropped_total", "Log lines not written.")
+
+
+def agent_pauses(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of pauses in which an agent's process or its machine stood still."""
+    return registry.counter(
+        "cicadatray_agent_pauses_total", "Pauses in which this process or its machine stood still."
+    )
--- a/src/cicadatray/platform/worker_http_port.py
+++ b/src/cicadatray/platform/worker_http_port.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+import structlog
 from aiosonic import HTTPClient
 from aiosonic.timeout import Timeouts
 
@@ -38,6 +39,8 @@
 # The reason in a 409 response to an order whose lease has expired on the worker's clock.
 LATE_REASON = "late"
 
+log = structlog.get_logger(__name__)
+
 
 class WorkerHttpPort:
     """A `WorkerPort` for one incarnation of a worker.
@@ -176,6 +179,7 @@
             "Expect-Instance": self.identity.identifier,
         }
         client = self.client
+        bound_s = self.clock_s()
         try:
             async with asyncio.timeout(timeout_s):
                 response = await client.request(
@@ -194,7 +198,7 @@
             raise WorkerUnansweredError(f"{call}: {type(error).__name__} {error}") from error
         if response.status_code == WRONG_INCARNATION_STATUS:
             raise WorkerReplacedError(f"{call}: incarnation {self.worker_id} has been replaced")
-        self._record_clock(content)
+        self._record_clock(call, content, bound_s)
         return response.status_code, content
 
     def _replace_client(self, client: HTTPClient) -> None:
@@ -202,14 +206,24 @@
         if self.client is client:
             self.client = _new_client(self.order_timeout_s)
 
-    def _record_clock(self, content: bytes) -> None:
+    def _record_clock(self, call: str, content: bytes, bound_s: float) -> None:
+        """Records the clock in an answer; `bound_s` was its lower bound when the call was sent."""
         try:
             clock_s = read_number(parse_json(content), "ClockMs", 0) / MS_PER_S
         except DocumentError:
             # Some error responses have no body; other responses report the clock.
             return
-        if clock_s:
-            self.clock.observe(clock_s, _now_s())
+        if not clock_s:
+            return
+        ahead_s = self.clock.observe(clock_s, _now_s(), bound_s)
+        if ahead_s:
+            log.warning(
+                "worker clock behind estimate",
+                worker=self.worker_id,
+                call=call,
+                clock_s=clock_s,
+                ahead_s=round(ahead_s, 3),
+            )
 
 
 def _new_client(order_timeout_s: float) -> HTTPClient:
--- a/tests/cover/taskgraphs/test_evacuation.py
+++ b/tests/cover/taskgraphs/test_evacuation.py
@@ -44,6 +44,15 @@
     return sum(len(worker.running) for worker in workers_in(simulation, *data_centres))
 
 
+def find_busy(simulation: GraphSimulation) -> tuple[str, str]:
+    """Returns a data centre in which work runs, and the other one.
+
+    Agents that call at the same moment are known in any order, which decides where work is placed.
+    """
+    busy = next(name for name in ("d0", "d1") if count_running(simulation, name))
+    return busy, "d1" if busy == "d0" else "d0"
+
+
 def evacuate(simulation: GraphSimulation, *data_centres: str) -> None:
     for data_centre in data_centres:
         simulation.evacuate(data_centre)
@@ -89,12 +98,11 @@
     simulation.task_duration_s = duration_s
     simulation.submit(GRAPH, (Step(10, SMALL, duration_s),))
     simulation.advance(LISTED_WITHIN_S)
-    before = {run for worker in workers_in(simulation, "d0") for run in worker.running}
-    assert before
-    evacuate(simulation, "d0")
+    busy, other = find_busy(simulation)
+    evacuate(simulation, busy)
     simulation.advance(MOVED_WITHIN_S - CONFIRMED_WITHIN_S)
-    assert count_running(simulation, "d0") == 0
-    assert (count_running(simulation, "d1") == 10) is moves
+    assert count_running(simulation, busy) == 0
+    assert (count_running(simulation, other) == 10) is moves
     simulation.advance(duration_s + MOVED_WITHIN_S)
     assert state_of(simulation) == "done"
     assert max(run.run for run in simulation.starts) == (2 if moves else 1)
@@ -105,11 +113,11 @@
     simulation.task_duration_s = 30.0
     simulation.submit(GRAPH, (Step(10, SMALL, 1.0),))
     simulation.advance(LISTED_WITHIN_S)
-    assert count_running(simulation, "d0")
-    evacuate(simulation, "d0")
-    assert count_running(simulation, "d0")
+    busy, other = find_busy(simulation)
+    evacuate(simulation, busy)
+    assert count_running(simulation, busy)
     simulation.advance(EVACUATION_DRAIN_S + MOVED_WITHIN_S)
-    assert (count_running(simulation, "d0"), count_running(simulation, "d1")) == (0, 10)
+    assert (count_running(simulation, busy), count_running(simulation, other)) == (0, 10)
 
 
 @pytest.mark.parametrize("fault", ["", "frozen", "cut off", "frozen and cut off", "restarted"])
@@ -155,18 +163,18 @@
     simulation.task_duration_s = SHORT_S
     simulation.submit(GRAPH, (Step(10, SMALL, SHORT_S),))
     simulation.advance(2.0)
-    assert count_running(simulation, "d0")
+    busy, _ = find_busy(simulation)
     if order_first:
-        evacuate(simulation, "d0")
+        evacuate(simulation, busy)
     simulation.change_leader()
     simulation.advance(0.5)
     if not order_first:
-        evacuate(simulation, "d0")
+        evacuate(simulation, busy)
     simulation.submit("0000000000000002", (Step(22, SMALL, LONG_S),))
     simulation.advance(SHORT_S + MOVED_WITHIN_S)
     assert state_of(simulation) == "done"
     assert {run.run for run in simulation.starts if run.task.graph_id == GRAPH} == {1}
-    assert count_running(simulation, "d0") == 0
+    assert count_running(simulation, busy) == 0
 
 
 def test_isolated_leader(simulation: GraphSimulation) -> None:
--- a/tests/cover/taskgraphs/test_silent_workers.py
+++ b/tests/cover/taskgraphs/test_silent_workers.py
@@ -96,9 +96,9 @@
     count = 0
     for _ in range(int(duration_s / TICK_S)):
         # The agent extends the worker's lease under the last lease of control, so that is compared.
-        before_s = simulation.agents[number].agent.lease.granted_end_s
+        before_s = simulation.agents[number].agent.lease.granted_until_s
         simulation.advance(TICK_S)
-        count += simulation.agents[number].agent.lease.granted_end_s > before_s
+        count += simulation.agents[number].agent.lease.granted_until_s > before_s
     assert worker.running
     return count
 
@@ -110,11 +110,11 @@
     """
     simulation.cut_agent(number)
     worker = simulation.workers[number]
-    lease_end_s = simulation.agents[number].agent.lease.granted_end_s
+    lease_end_s = simulation.agents[number].agent.lease.granted_until_s
     simulation.change_leader()
     while worker.running:
         simulation.advance(TICK_S)
-    assert worker.clock_s() > lease_end_s - 1.0
+    assert simulation.loop.time() > lease_end_s - 1.0
     simulation.advance(EXPIRY_S)
     assert last_run(simulation) == 2
 
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -86,19 +86,36 @@
     )
 
 
-@given(rate=st.floats(0.98, 1.02), age_s=st.floats(0.0, 10.0), lease_s=st.floats(1.0, 10.0))
+@given(
+    rate=st.floats(0.98, 1.02),
+    age_s=st.floats(0.0, 10.0),
+    lease_s=st.floats(1.0, 10.0),
+    suspended_s=st.floats(0.0, 12.0),
+)
 def test_lease_expires_before_control_considers_it_expired(
-    rate: float, age_s: float, lease_s: float
+    rate: float, age_s: float, lease_s: float, suspended_s: float
 ) -> None:
-    """A lease that expires after control has stopped waiting lets a task run twice."""
+    """A lease that expires after control has stopped waiting lets a task run twice.
+
+    The worker's clock does not count the time for which its machine was suspended.
+    """
 
     async def main() -> None:
         clock = WorkerClock()
         clock.observe(500.0, 0.0)
-        lease = WorkerLease()
-        lease.grant(clock.lower_bound_s(age_s), lease_s)
-        ends_at_s = (lease.granted_end_s - 500.0) / rate
-        assert ends_at_s <= age_s + lease_s + 1e-6
+        await asyncio.sleep(age_s)
+        asked_s = asyncio.get_running_loop().time()
+        lease = WorkerLease(20.0)
+        lease.grant(asked_s, clock.lower_bound_s(asked_s), lease_s)
+        await asyncio.sleep(suspended_s)
+        lease.record_contact()
+        sent_at_s = asyncio.get_running_loop().time()
+        clock_s = clock.lower_bound_s(sent_at_s)
+        end_s = lease.end_to_send(clock_s)
+        if suspended_s >= lease_s:
+            assert lease.is_over() and end_s == 0.0
+        else:
+            assert sent_at_s + (end_s - clock_s) / rate <= asked_s + lease_s + 1e-6
 
     run_virtual(main())
 
@@ -108,10 +125,10 @@
 
     async def main() -> None:
         lease = WorkerLease()
-        lease.grant(100.0, 5.0)
+        lease.grant(0.0, 100.0, 5.0)
         first_s = lease.end_to_send(100.0)
         await asyncio.sleep(SILENT_WORKER_S)
-        lease.grant(110.0, 5.0)
+        lease.grant(3.0, 110.0, 5.0)
         assert lease.end_to_send(110.0) == first_s
         lease.record_contact()
         assert lease.end_to_send(110.0) > first_s
@@ -120,19 +137,21 @@
 
 
 @pytest.mark.parametrize(
-    ("clock_s", "expected_end_s"),
-    [(100.0, 106.0), (103.0, 109.0), (108.0, 111.76), (120.0, 111.76)],
+    ("elapsed_s", "expected_end_s"),
+    [(0.0, 106.0), (3.0, 109.0), (8.0, 111.92), (20.0, 0.0)],
     ids=["at the grant", "later", "near the end of the grant", "after the grant"],
 )
 def test_worker_is_not_sent_a_longer_lease_than_it_accepts(
-    clock_s: float, expected_end_s: float
+    elapsed_s: float, expected_end_s: float
 ) -> None:
     """A worker that is gone is given up after the latest end sent, which could be far ahead."""
 
     async def main() -> None:
         lease = WorkerLease(6.0)
-        lease.grant(100.0, 12.0)
-        assert lease.end_to_send(clock_s) == pytest.approx(expected_end_s)
+        lease.grant(0.0, 100.0, 12.0)
+        await asyncio.sleep(elapsed_s)
+        lease.record_contact()
+        assert lease.end_to_send(100.0 + elapsed_s) == pytest.approx(expected_end_s)
 
     run_virtual(main())
 
