Give workers their leases on the clock that counts suspensions

An agent sends its worker the end of a lease as a time on a clock that both share.

Change: the contract and the stand-in name CLOCK_BOOTTIME.

Result: test_daemon_clock.py fails for the worker before the change, and passes.

--- a/src/cicadatray/internal/agent/worker_client.py
+++ b/src/cicadatray/internal/agent/worker_client.py
@@ -16,8 +16,9 @@
 class ReserveOrder(msgspec.Struct, frozen=True):
     """An order to reserve accelerators for a task until its lease expires.
 
-    `lease_until_s` is a time on the monotonic clock that all processes of an instance share. A
-    duration would extend the lease when the order reaches the worker late.
+    `lease_until_s` is a time on `CLOCK_BOOTTIME`, which all processes of an instance share and that
+    counts the time in suspension. A duration would extend the lease when the order reaches the
+    worker late.
     """
 
     epoch: int
@@ -71,7 +72,7 @@
         await self._order(task_id, "start", TaskOrder(epoch))
 
     async def renew(self, task_id: str, epoch: int, lease_until_s: float) -> None:
-        """Extends the lease to a time on the instance's monotonic clock."""
+        """Extends the lease to a time on the instance's `CLOCK_BOOTTIME`."""
         await self._order(task_id, "renew", TaskOrder(epoch, lease_until_s))
 
     async def checkpoint(self, task_id: str, epoch: int) -> None:
--- a/src/cicadatray/internal/standins/worker.py
+++ b/src/cicadatray/internal/standins/worker.py
@@ -14,6 +14,7 @@
     WorkerTask,
     WorkerTasks,
 )
+from cicadatray.internal.boot_time_loop import BootTimeLoop
 from cicadatray.internal.standins.http_standin import serve_until_stopped, standin_parser
 from cicadatray.internal.standins.journal import Journal
 from cicadatray.internal.standins.worker_task import (
@@ -157,7 +158,8 @@
     arguments = parser.parse_args()
     journal = Journal(arguments.journal, arguments.name)
     standin = WorkerStandin(journal, arguments.accelerators, arguments.fail_all)
-    asyncio.run(serve(arguments.host, arguments.port, standin))
+    with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
+        runner.run(serve(arguments.host, arguments.port, standin))
 
 
 if __name__ == "__main__":
--- a/tests/cover/agent/test_daemon_clock.py
+++ b/tests/cover/agent/test_daemon_clock.py
@@ -1,12 +1,14 @@
 """The clock of the daemons."""
 
 import asyncio
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
 
 from cicadatray.internal.boot_time_loop import BootTimeLoop
 from cicadatray.internal.daemon import main as daemon_main
+from cicadatray.internal.standins import worker as worker_main
 
 
 class AgentSettings:
@@ -35,3 +37,18 @@
     monkeypatch.setattr(daemon_main, "serve", serve)
     daemon_main.main()
     assert isinstance(loops[0], BootTimeLoop)
+
+
+def test_worker_has_the_clock_of_its_agent(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    """Guards against a lease that its worker takes for longer than the agent that sent its end."""
+    loops: list[asyncio.AbstractEventLoop] = []
+
+    async def serve(*arguments: object) -> None:
+        loops.append(asyncio.get_running_loop())
+
+    journal = str(tmp_path / "journal")
+    arguments = ["worker", "--name", "w", "--journal", journal, "--port", "1"]
+    monkeypatch.setattr("sys.argv", arguments)
+    monkeypatch.setattr(worker_main, "serve", serve)
+    worker_main.main()
+    assert isinstance(loops[0], BootTimeLoop)
