Take a start for new only after a reply that left out no start

Cause: control limits the starts in one reply by their size. The agent took the first reply for all that an earlier process of it can have sent, so later parts counted as new, and a refusal by the worker cleared their runs. Control then started the tasks again.

Change: replies say whether they have all starts; `old` refusals never settle a run. A list of ends logs at most 50 lines of its own, since the 500 of this case hid all lines that told the cause.

--- a/src/cicadatray/internal/agent/tasks/order_executor.py
+++ b/src/cicadatray/internal/agent/tasks/order_executor.py
@@ -29,20 +29,21 @@
 class OrderExecutor:
     """Repeats each order in an asyncio task of its own until the worker has answered it.
 
-    `token` is the term of the leader whose orders are carried out. `has_applied_orders` is set by
-    the first reply of control. An earlier process of this agent may have sent the starts in that
-    reply, and the worker may carry those out late. Starts are sent only while `permission` holds
-    and the lease lasts, and are kept otherwise. Calls `on_change` when a change must be reported to
-    control, `on_worker_activity` when the worker must be observed, `on_unreachable` when it refused
-    a connection, and `on_replaced` when another incarnation of the worker answered.
+    `token` is the term of the leader whose orders are carried out. `knows_all_starts` is set by the
+    first reply of control that leaves out no start. An earlier process of this agent may have sent
+    the starts in the replies up to that one, and the worker may carry those out late. Starts are
+    sent only while `permission` holds and the lease lasts, and are kept otherwise. Calls
+    `on_change` when a change must be reported to control, `on_worker_activity` when the worker must
+    be observed, `on_unreachable` when it refused a connection, and `on_replaced` when another
+    incarnation of the worker answered.
     """
 
     __slots__ = (
         "answers",
         "failures",
-        "has_applied_orders",
         "is_cancelled",
         "is_draining",
+        "knows_all_starts",
         "lease",
         "on_change",
         "on_replaced",
@@ -79,7 +80,7 @@
         self.is_cancelled = False
         self.token = 0
         self.is_draining = False
-        self.has_applied_orders = False
+        self.knows_all_starts = False
         self.tasks: set[asyncio.Task[None]] = set()
 
     def apply(self, orders: WorkerOrders) -> None:
@@ -93,13 +94,20 @@
                 self.table.runs[run] = entry
             if entry is not None and entry.phase is not RunPhase.STOPPING:
                 self.begin_stop(entry)
-        for order in orders.starts:
-            started = self.table.add_start(order)
-            if started is not None:
-                started.is_in_doubt = not self.has_applied_orders
-                started.may_have_begun = started.is_in_doubt
-                self._spawn(started, self._start(started, order))
-        self.has_applied_orders = True
+        added = [(order, self.table.add_start(order)) for order in orders.starts]
+        started = [(order, entry) for order, entry in added if entry is not None]
+        if started and not self.knows_all_starts:
+            log.info(
+                "starts may be repetitions",
+                worker=self.port.worker_id,
+                starts=len(started),
+                has_all_starts=orders.has_all_starts,
+            )
+        for order, entry in started:
+            entry.is_in_doubt = not self.knows_all_starts
+            entry.may_have_begun = entry.is_in_doubt
+            self._spawn(entry, self._start(entry, order))
+        self.knows_all_starts = self.knows_all_starts or orders.has_all_starts
         self.on_worker_activity()
 
     def begin_stop(self, entry: RunEntry) -> None:
@@ -203,6 +211,9 @@
                 self.on_worker_activity()
                 return
             entry.record_start_answered()
+            if answer is StartAnswer.SUPERSEDED:
+                # Only the worker's lists tell how the run that was there has ended.
+                entry.is_in_doubt = True
             if answer is not StartAnswer.LEASE_OVER:
                 self._abandon_start(entry, answer.value)
                 return
@@ -221,7 +232,13 @@
         await self.permission.wait_for_renewal(ORDER_RETRY_S)
 
     def _abandon_start(self, entry: RunEntry, reason: str) -> None:
-        log.info("start refused", run=str(entry.run.task), number=entry.run.run, reason=reason)
+        log.info(
+            "start refused",
+            run=str(entry.run.task),
+            number=entry.run.run,
+            reason=reason,
+            is_in_doubt=entry.is_in_doubt,
+        )
         if entry.is_in_doubt:
             self.begin_stop(entry)
         elif entry.phase is RunPhase.STARTING:
--- a/src/cicadatray/internal/agent/tasks/run_table.py
+++ b/src/cicadatray/internal/agent/tasks/run_table.py
@@ -21,6 +21,9 @@
 # Views count for a run whose start gets no answer once that has lasted for this long, in seconds. A
 # job may rest for 3 s while it could run elsewhere, and a call without an answer takes 0.8 s.
 START_DOUBT_LIMIT_S = 0.8
+# The ends of one view that are logged one by one. A process logs 300 lines a second, and a worker
+# may list more ends at once.
+MAX_END_LINES = 50
 
 
 class RunTable:
@@ -141,11 +144,21 @@
         return (*(self.ends[number] for number in sorted(self.ends)), *self.cleared.values())
 
     def _add_ends(self, view: WorkerView) -> bool:
-        has_ended = False
-        for end in view.ended:
-            if end.number <= self.committed_end_number or end.number in self.ends:
-                continue
+        new = [
+            end
+            for end in view.ended
+            if end.number > self.committed_end_number and end.number not in self.ends
+        ]
+        self._log_ends(new)
+        for end in new:
             self.ends[end.number] = end
+            self.runs.pop(end.run, None)
+            self._check_clear(end)
+            self.finished[end.run] = end.outcome
+        return bool(new)
+
+    def _log_ends(self, ends: list[RunEnd]) -> None:
+        for end in ends[:MAX_END_LINES]:
             log.info(
                 "run end listed",
                 run=str(end.run.task),
@@ -153,11 +166,14 @@
                 outcome=end.outcome.value,
                 noted=self.committed_end_number,
             )
-            self.runs.pop(end.run, None)
-            self._check_clear(end)
-            self.finished[end.run] = end.outcome
-            has_ended = True
-        return has_ended
+        if len(ends) > MAX_END_LINES:
+            log.info(
+                "more run ends listed",
+                ends=len(ends) - MAX_END_LINES,
+                outcomes=sorted({end.outcome.value for end in ends[MAX_END_LINES:]}),
+                first_number=ends[MAX_END_LINES].number,
+                last_number=ends[-1].number,
+            )
 
     def _check_clear(self, end: RunEnd) -> None:
         """Records an end that refutes a clear: control may have started the task again."""
--- a/src/cicadatray/internal/agent/tasks/worker_port.py
+++ b/src/cicadatray/internal/agent/tasks/worker_port.py
@@ -13,12 +13,14 @@
 class StartAnswer(Enum):
     """The answer of a worker to an order to start a run.
 
-    `LEASE_OVER` means that the order's lease has ended on the worker's clock. After `UNHEALTHY` and
-    `REFUSED` the worker has not acted on this order.
+    `LEASE_OVER` means that the order's lease has ended on the worker's clock. `SUPERSEDED` means
+    that this or a later run of the task has been there: an earlier order for it was carried out, or
+    its stop. After `UNHEALTHY` and `REFUSED` the worker has not acted on this order.
     """
 
     ACCEPTED = "accepted"
     LEASE_OVER = "lease_over"
+    SUPERSEDED = "superseded"
     UNHEALTHY = "unhealthy"
     REFUSED = "refused"
 
--- a/src/cicadatray/internal/control/graphs/worker_orders.py
+++ b/src/cicadatray/internal/control/graphs/worker_orders.py
@@ -31,15 +31,17 @@
             stops.append(run)
         elif run not in worker.reports and not is_evacuated:
             starts.append(run)
+    first_starts = _first_starts(session, starts)
     return WorkerOrders(
         term=session.leader.term,
         worker_id=worker_id,
         lease_s=session.leases.lease_s,
         committed_end_number=worker.committed_end_number,
-        starts=_first_starts(session, starts),
+        starts=first_starts,
         stops=tuple(stops),
         committed_clears=tuple(worker.committed_clears),
         start_permission_s=session.evacuation_limits.start_permission_s,
+        has_all_starts=len(first_starts) == len(starts) and not is_evacuated,
     )
 
 
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -166,7 +166,8 @@
     of the worker's ends that is committed; all lower ones are committed too. `committed_clears` are
     the committed ends of runs that were confirmed never to have started, which have no number.
     `start_permission_s` is the time, from when the agent sent its call, for which it may send
-    starts to the worker; 0 means no limit.
+    starts to the worker; 0 means no limit. `has_all_starts` is False if `starts` may leave out runs
+    that were ordered and that the agent has not reported; these follow in later replies.
     """
 
     term: int
@@ -177,6 +178,7 @@
     stops: tuple[TaskRun, ...] = ()
     committed_clears: tuple[TaskRun, ...] = ()
     start_permission_s: float = 0.0
+    has_all_starts: bool = False
 
 
 class MemberAddress(msgspec.Struct, frozen=True, array_like=True):
--- a/src/cicadatray/platform/worker_http_port.py
+++ b/src/cicadatray/platform/worker_http_port.py
@@ -36,8 +36,9 @@
 # A worker takes longer than this to start again, so no other process can have taken the place of
 # one that has answered a call which was sent so short a time ago.
 CONFIRMED_FOR_S = 0.3
-# The reason in a 409 response to an order whose lease has expired on the worker's clock.
-LATE_REASON = "late"
+# The reasons in a 409 response to a start: its lease has expired on the worker's clock, or this run
+# of the task or a later one was there before.
+CONFLICT_ANSWERS = {"late": StartAnswer.LEASE_OVER, "old": StartAnswer.SUPERSEDED}
 
 log = structlog.get_logger(__name__)
 
@@ -104,8 +105,8 @@
             return StartAnswer.ACCEPTED
         if status in UNHEALTHY_STATUSES:
             return StartAnswer.UNHEALTHY
-        if status == CONFLICT_STATUS and _reason(content) == LATE_REASON:
-            return StartAnswer.LEASE_OVER
+        if status == CONFLICT_STATUS:
+            return CONFLICT_ANSWERS.get(_reason(content), StartAnswer.REFUSED)
         if 400 <= status < 500:
             return StartAnswer.REFUSED
         raise WorkerUnansweredError(f"run-start returned status {status}")
--- a/tests/cover/platform/test_worker_http_port.py
+++ b/tests/cover/platform/test_worker_http_port.py
@@ -66,6 +66,7 @@
     [
         (200, {}, StartAnswer.ACCEPTED),
         (409, {"Reason": "late"}, StartAnswer.LEASE_OVER),
+        (409, {"Reason": "old"}, StartAnswer.SUPERSEDED),
         (409, {"Reason": "room"}, StartAnswer.REFUSED),
         (409, {"Reason": "fence"}, StartAnswer.REFUSED),
         (400, {}, StartAnswer.REFUSED),
--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -10,6 +10,8 @@
 from unittest.mock import patch
 
 from cicadatray.internal.agent.tasks.task_agent import TaskAgent
+from cicadatray.internal.control.graphs import worker_orders
+from cicadatray.internal.control.graphs.graph_calls import GRAPH_ID_DIGITS
 from cicadatray.internal.control.graphs.queue_gauges import register_queue_gauges
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.settings.common import ControlMember
@@ -186,6 +188,12 @@
         self.graphs[graph_id] = call
         self._call(call)
 
+    def limit_starts(self, count: int) -> None:
+        """Limits how many starts fit in one reply to an agent; the others follow in later ones."""
+        # The text of each task is the identifier of its graph.
+        size = count * GRAPH_ID_DIGITS
+        self.patches.enter_context(patch.object(worker_orders, "MAX_STARTS_BYTES", size))
+
     def submit_deadly(self, graph_id: str, steps: tuple[Step, ...]) -> None:
         """Submits a graph whose tasks crash each worker that starts them."""
         for worker in self.workers:
--- a/tests/cover/taskgraphs/test_run_table.py
+++ b/tests/cover/taskgraphs/test_run_table.py
@@ -3,9 +3,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from cicadatray.internal.agent.tasks.run_entry import RunPhase
-from cicadatray.internal.agent.tasks.run_table import RunTable
+from cicadatray.internal.agent.tasks.run_table import MAX_END_LINES, RunTable
 from cicadatray.internal.agent.tasks.worker_clock import WorkerClock
 from cicadatray.internal.agent.tasks.worker_port import WorkerView
 from cicadatray.internal.wire.messages.graph_messages import RunEnd, RunOrder, RunReport
@@ -153,3 +154,15 @@
         assert clock.lower_bound_s(now_s) <= 500.0 + rate * now_s + 1e-6
     now_s += later_s
     assert clock.lower_bound_s(now_s) <= 500.0 + rate * now_s + 1e-6
+
+
+def test_ends_of_one_view_do_not_use_up_the_log() -> None:
+    """Guards against lines that are dropped because one list of ends had hundreds of them."""
+    ends = tuple(
+        RunEnd(TaskRun(TaskId("g", 0, 0, index), 1), RunOutcome.DONE, index + 1)
+        for index in range(500)
+    )
+    with capture_logs() as lines:
+        RunTable().apply_view(WorkerView((), ends, is_complete=False), 1.0, 1.0)
+    assert len(lines) == MAX_END_LINES + 1
+    assert (lines[-1]["ends"], lines[-1]["last_number"]) == (500 - MAX_END_LINES, 500)
--- a/tests/cover/taskgraphs/test_suspended_machine.py
+++ b/tests/cover/taskgraphs/test_suspended_machine.py
@@ -135,7 +135,13 @@
         if message.ended_worker_id:
             self.ended_at_s.setdefault(message.ended_worker_id, loop.time())
         self.last_reply_s = loop.time()
-        return WorkerOrders(term=1, worker_id="w-1", lease_s=LEASES.lease_s, committed_end_number=0)
+        return WorkerOrders(
+            term=1,
+            worker_id="w-1",
+            lease_s=LEASES.lease_s,
+            committed_end_number=0,
+            has_all_starts=True,
+        )
 
 
 class Machine:
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -80,9 +80,16 @@
     )
 
 
-def orders(term: int = 1, starts: tuple[RunOrder, ...] = (ORDER,)) -> WorkerOrders:
+def orders(
+    term: int = 1, starts: tuple[RunOrder, ...] = (ORDER,), has_all_starts: bool = True
+) -> WorkerOrders:
     return WorkerOrders(
-        term=term, worker_id="w-1", lease_s=5.0, committed_end_number=0, starts=starts
+        term=term,
+        worker_id="w-1",
+        lease_s=5.0,
+        committed_end_number=0,
+        starts=starts,
+        has_all_starts=has_all_starts,
     )
 
 
@@ -157,18 +164,22 @@
 
 
 @pytest.mark.parametrize("answer", [StartAnswer.UNHEALTHY, StartAnswer.REFUSED])
+@pytest.mark.parametrize("parts", [0, 1, 3])
 def test_start_that_an_earlier_process_may_have_sent_is_settled_by_a_stop(
-    answer: StartAnswer,
+    answer: StartAnswer, parts: int
 ) -> None:
     """Guards against reporting a run as cleared that the worker may still start.
 
     The process before a restart of the agent may have sent the start without an answer, and the
     worker may carry it out seconds later. Control would already have started the task elsewhere.
+    The order may come in any reply up to the first one that leaves out no start.
     """
 
     async def main() -> None:
         port = FakePort(answer)
         driver = make_executor(port)
+        for _ in range(parts):
+            driver.apply(orders(starts=(), has_all_starts=False))
         driver.apply(orders())
         await asyncio.sleep(5.0)
         assert port.calls == ["start", "stop"]
@@ -184,6 +195,7 @@
         ((StartAnswer.ACCEPTED,), ["start"], False),
         ((StartAnswer.REFUSED,), ["start"], True),
         ((StartAnswer.UNHEALTHY,), ["start"], True),
+        ((StartAnswer.SUPERSEDED,), ["start", "stop"], False),
         ((StartAnswer.LEASE_OVER, StartAnswer.ACCEPTED), ["start", "start"], False),
         (
             (WorkerUnansweredError("lost"), StartAnswer.ACCEPTED),
@@ -200,6 +212,7 @@
         "accepted",
         "refused",
         "unhealthy",
+        "was there before",
         "lease over",
         "unanswered",
         "unanswered, then unhealthy",
--- a/tests/cover/taskgraphs/test_unlisted_ends.py
+++ b/tests/cover/taskgraphs/test_unlisted_ends.py
@@ -1,4 +1,7 @@
-"""Runs that end on a worker which lists only some of its ends at once."""
+"""Runs that end on a worker which lists only some of its ends at once.
+
+Control may need several replies for the starts that an agent has not reported.
+"""
 
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -23,9 +26,10 @@
 REPAIR_S = 3.0
 
 
-@pytest.fixture
-def simulation() -> Iterator[GraphSimulation]:
+@pytest.fixture(params=[TASKS, 7], ids=["whole orders", "orders in parts"])
+def simulation(request: pytest.FixtureRequest) -> Iterator[GraphSimulation]:
     simulation = GraphSimulation(seed=1, size=1, ends_per_answer=ENDS_PER_ANSWER)
+    simulation.limit_starts(request.param)
     simulation.task_duration_s = TASK_S
     simulation.advance(JOIN_S)
     simulation.submit(GRAPH, STEPS)
--- a/tests/cover/taskgraphs/test_worker_orders.py
+++ b/tests/cover/taskgraphs/test_worker_orders.py
@@ -69,9 +69,28 @@
                 break
             assert worker.has_new_orders(orders)
             worker.last_orders = orders
+            is_last = len(started) + len(orders.starts) == tasks
+            assert orders.has_all_starts is is_last
             if len(spec) <= LONGEST_SPEC_BYTES:
                 assert len(codec.encode(1, orders)) < FRAME_LIMIT_BYTES / 2
             started += [order.run for order in orders.starts]
         assert len(started) == len(set(started)) == tasks
 
     run_virtual(main())
+
+
+def test_orders_of_an_evacuated_data_centre_may_leave_out_starts() -> None:
+    """Guards against an agent that takes a start for new because its first reply held it back."""
+
+    async def main() -> None:
+        session = make_busy_session(3, "short")
+        worker = session.handle_sync(call())
+        assert worker is not None
+        assert session.orders_for(worker).has_all_starts
+        evacuations: Any = session.leader.state.evacuations
+        evacuations.active[worker.offer.data_centre] = object()
+        session.revoked_runs.update(session.ordered_runs[worker.offer.worker_id])
+        orders = session.orders_for(worker)
+        assert len(orders.stops) == 3 and not orders.has_all_starts
+
+    run_virtual(main())
--- a/tests/cover/taskgraphs/unlisted_ends_machine.py
+++ b/tests/cover/taskgraphs/unlisted_ends_machine.py
@@ -30,6 +30,8 @@
 class UnlistedEndsMachine(RuleBasedStateMachine):
     """Restarts, cuts and freezes agents, leaders and workers while lists of ends are full.
 
+    Starts may need several replies as well.
+
     Guards against tasks that are started again although they are done, against runs that a worker
     has lost and that are never started again, and against ends that are never acknowledged.
     """
@@ -40,9 +42,13 @@
         seed=st.integers(0, 1000),
         task_duration_s=st.sampled_from((0.5, 2.0)),
         ends_per_answer=st.integers(1, 4),
+        starts_per_reply=st.sampled_from((1, 3, 100)),
     )
-    def start(self, seed: int, task_duration_s: float, ends_per_answer: int) -> None:
+    def start(
+        self, seed: int, task_duration_s: float, ends_per_answer: int, starts_per_reply: int
+    ) -> None:
         self.simulation = GraphSimulation(seed, WORKERS, ends_per_answer)
+        self.simulation.limit_starts(starts_per_reply)
         self.simulation.task_duration_s = task_duration_s
         self.submitted = 0
         self.worker_restarts = 0
