Pass on a refusal only if no earlier attempt of the call is in doubt

Cause: an entry repeats calls to control by itself. The refusal of a repeated attempt was passed on as the outcome of the call, although an earlier attempt had got no reply and was committed by the next leader.

Change: RetriedCall decides for all callers of ControlClient, relays tell of their own attempts, and the tool counts unknown outcomes between its sends. A refusal that no attempt precedes is answered at once as before.

Two expectations were wrong and are replaced: a failure that this version does not know, and a reply of another type, were 503, which says that the job never runs, although a handler may reply with them after a commit; they are 504. `job_impossible` after a lost answer was exit 3, although the earlier send may have been accepted by another inventory; it is exit 5.

--- a/src/cicadatray/internal/cli/entry_client.py
+++ b/src/cicadatray/internal/cli/entry_client.py
@@ -8,6 +8,7 @@
 
 from cicadatray.internal.cli.entry_request import EntryRequest
 from cicadatray.internal.cli.entry_response import EntryResponse
+from cicadatray.internal.cli.error_mapping import find_exit_code
 from cicadatray.internal.cli.errors import AnswerLostError, EntryUnreachableError, ToolError
 from cicadatray.internal.cli.exit_code import ExitCode
 from cicadatray.internal.wire.backoff import Backoff
@@ -82,6 +83,9 @@
                 return msgspec.structs.replace(response, earlier_answer_lost=answer_lost)
             if delay_s > MAX_RETRY_AFTER_S or loop.time() + delay_s > deadline_s:
                 return self._finish(request, response, detail, answer_lost)
+            if response is not None and request.is_change:
+                is_unknown = find_exit_code(response, True) is ExitCode.OUTCOME_UNKNOWN
+                answer_lost = answer_lost or is_unknown
             self._report_retry(address, response, detail, delay_s)
             await self.sleep(delay_s)
 
--- a/src/cicadatray/internal/cli/error_mapping.py
+++ b/src/cicadatray/internal/cli/error_mapping.py
@@ -17,23 +17,32 @@
     429: ExitCode.NOT_RUN,
 }
 CONFLICT_CODES = ("key_reused", "operation_id_reused", "version_conflict")
-# These apply to the last attempt only; an earlier attempt may have been carried out.
-INCONCLUSIVE_EXIT_CODES = (ExitCode.NOT_RUN, ExitCode.UNAUTHORIZED)
+# Every entry refuses the same content in the same way. All other refusals, except conflicts with
+# another change, apply to the last attempt only; an earlier attempt may have been carried out.
+CONTENT_CODES = (
+    "invalid_body",
+    "invalid_key",
+    "key_missing",
+    "invalid_deadline",
+    "invalid_wait",
+    "invalid_data_centre",
+    "body_too_large",
+)
 
 
 def find_exit_code(response: EntryResponse, is_change: bool) -> ExitCode:
     """Returns the exit code for an error response; `is_change` is that of the request."""
+    code = response.error_body().code
     if response.headers.get(OUTCOME_HEADER) == UNKNOWN_OUTCOME:
         return ExitCode.OUTCOME_UNKNOWN
-    if response.error_body().code in CONFLICT_CODES:
+    if code in CONFLICT_CODES:
         return ExitCode.CONFLICT
+    if response.earlier_answer_lost and is_change and code not in CONTENT_CODES:
+        return ExitCode.OUTCOME_UNKNOWN
     default = ExitCode.NOT_RUN if response.status_code >= 500 else ExitCode.REFUSED
     if response.status_code >= 500 and is_change and not _confirms_not_run(response):
         default = ExitCode.OUTCOME_UNKNOWN
-    exit_code = EXIT_CODES.get(response.status_code, default)
-    if response.earlier_answer_lost and is_change and exit_code in INCONCLUSIVE_EXIT_CODES:
-        return ExitCode.OUTCOME_UNKNOWN
-    return exit_code
+    return EXIT_CODES.get(response.status_code, default)
 
 
 def _confirms_not_run(response: EntryResponse) -> bool:
--- a/src/cicadatray/internal/observability/graph_metrics.py
+++ b/src/cicadatray/internal/observability/graph_metrics.py
@@ -41,6 +41,15 @@
     )
 
 
+def refusals_in_doubt(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of refusals after an attempt in doubt; label `code`."""
+    return registry.counter(
+        "cicadatray_refusals_in_doubt_total",
+        "Client calls that control refused after an earlier attempt without a reply.",
+        ("code",),
+    )
+
+
 def leader_silence_seconds(registry: MetricsRegistry) -> Gauge:
     """Returns the gauge of the age of the leader's last reply; NaN if there was none."""
     return registry.gauge(
--- a/src/cicadatray/internal/wire/control_client.py
+++ b/src/cicadatray/internal/wire/control_client.py
@@ -17,10 +17,14 @@
 )
 from cicadatray.internal.wire.relay_caller import RelayCaller
 from cicadatray.internal.wire.relay_routes import RelayRoutes
-from cicadatray.internal.wire.retried_call import ControlUnavailableError, RetriedCall
+from cicadatray.internal.wire.retried_call import (
+    ControlInDoubtError,
+    ControlUnavailableError,
+    RetriedCall,
+)
 from cicadatray.internal.wire.rpc_client import RpcClient
 
-__all__ = ["ControlClient", "ControlUnavailableError"]
+__all__ = ["ControlClient", "ControlInDoubtError", "ControlUnavailableError"]
 
 # A leader that has not replied by then is frozen or partitioned, and another one may lead.
 ATTEMPT_TIMEOUT_S = 1.0
@@ -95,16 +99,20 @@
         timeout_s: float,
         attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
         trace: CallTrace | None = None,
+        may_have_effect: bool = False,
     ) -> MessageStruct:
         """Returns the leader's reply, which may be a `Failure`.
 
         A call whose reply the leader may delay on purpose needs a longer `attempt_timeout_s`. The
-        attempts are recorded in `trace`, if it is given.
+        attempts are recorded in `trace`, if it is given. `may_have_effect` tells that the caller
+        has sent the same message before, and that control may have acted on it.
 
         Raises:
             ControlUnavailableError: no reply in time.
+            ControlInDoubtError: the leader refused the call, but may have acted on an earlier
+                attempt. Only calls that change state raise it.
         """
-        retried_call = RetriedCall(message, timeout_s, attempt_timeout_s, trace)
+        retried_call = RetriedCall(message, timeout_s, attempt_timeout_s, trace, may_have_effect)
         while retried_call.remaining_s() > 0:
             relay = self.relays.active
             if relay is not None:
@@ -112,7 +120,7 @@
             else:
                 reply = await self._call_leader(retried_call)
             if reply is not None:
-                return reply
+                return retried_call.accept_reply(reply)
             remaining_s = retried_call.remaining_s()
             is_cut_off = self.direct_failures >= DIRECT_FAILURE_LIMIT
             if is_cut_off and self.relays.active is None and remaining_s > 0:
@@ -124,12 +132,13 @@
 
         Raises:
             ControlUnavailableError: no reply in time.
+            ControlInDoubtError: as for `call`.
         """
         retried_call = RetriedCall(message, timeout_s, ATTEMPT_TIMEOUT_S)
         while retried_call.remaining_s() > 0:
             reply = await self._call_leader(retried_call)
             if reply is not None:
-                return reply
+                return retried_call.accept_reply(reply)
         raise retried_call.build_error()
 
     async def _call_leader(self, retried_call: RetriedCall) -> MessageStruct | None:
--- a/src/cicadatray/internal/wire/message.py
+++ b/src/cicadatray/internal/wire/message.py
@@ -1,5 +1,7 @@
 """The base class of all messages between processes."""
 
+from typing import ClassVar
+
 import msgspec
 
 from cicadatray.internal.wire.messages.decision import Decision
@@ -13,8 +15,13 @@
 
     Fields are encoded by position, because field names took most of the bytes of the small and
     frequent messages. New fields are added at the end, with a default.
+
+    `changes_state` is False for calls whose caller loses nothing if an attempt without a reply was
+    carried out: reads, and reports that are repeated in any case.
     """
 
+    changes_state: ClassVar[bool] = True
+
 
 class Failure(MessageStruct, frozen=True):
     """The peer refused a call.
--- a/src/cicadatray/internal/wire/messages/configuration_messages.py
+++ b/src/cicadatray/internal/wire/messages/configuration_messages.py
@@ -1,5 +1,7 @@
 """Messages that change or read the configuration."""
 
+from typing import ClassVar
+
 import msgspec
 
 from cicadatray.internal.wire.message import MessageStruct
@@ -51,6 +53,8 @@
 class ReadConfiguration(MessageStruct, frozen=True):
     """Asks for the configuration in effect."""
 
+    changes_state: ClassVar[bool] = False
+
 
 class ConfigurationReply(MessageStruct, frozen=True):
     """The whole configuration in effect."""
@@ -73,6 +77,8 @@
 class ReadHistory(MessageStruct, frozen=True):
     """Asks for the accepted changes that are still stored, oldest first."""
 
+    changes_state: ClassVar[bool] = False
+
 
 class HistoryReply(MessageStruct, frozen=True):
     """Reply to `ReadHistory`."""
--- a/src/cicadatray/internal/wire/messages/diagnostic_messages.py
+++ b/src/cicadatray/internal/wire/messages/diagnostic_messages.py
@@ -1,6 +1,7 @@
 """Diagnostic calls of operators, and changes of the control group."""
 
 from enum import Enum
+from typing import ClassVar
 
 from cicadatray.internal.wire.message import MessageStruct
 
@@ -8,10 +9,14 @@
 class ReadDump(MessageStruct, frozen=True):
     """Asks for the state dump of the process."""
 
+    changes_state: ClassVar[bool] = False
+
 
 class ReadMetrics(MessageStruct, frozen=True):
     """Asks for the metrics of the process in the text exposition format."""
 
+    changes_state: ClassVar[bool] = False
+
 
 class TextReply(MessageStruct, frozen=True):
     """A state dump in JSON or metrics in the text exposition format."""
--- a/src/cicadatray/internal/wire/messages/directory_messages.py
+++ b/src/cicadatray/internal/wire/messages/directory_messages.py
@@ -1,5 +1,7 @@
 """Calls to control about agents and their directory, and the transport of replica messages."""
 
+from typing import ClassVar
+
 import msgspec
 
 from cicadatray.internal.wire.message import MessageStruct
@@ -38,6 +40,8 @@
 class Announce(MessageStruct, frozen=True):
     """Announces a live agent; sent every second, and immediately when a task changes its state."""
 
+    changes_state: ClassVar[bool] = False
+
     agent: AgentRecord
     tasks: tuple[TaskReport, ...] = ()
 
@@ -64,6 +68,8 @@
     `tasks_digest` is computed by `task_digest`.
     """
 
+    changes_state: ClassVar[bool] = False
+
     term: int
     session: int
     tasks_digest: bytes
@@ -80,6 +86,8 @@
 class Withdraw(MessageStruct, frozen=True):
     """Removes an agent that has shut down from the directory."""
 
+    changes_state: ClassVar[bool] = False
+
     agent_id: str
     incarnation: str
 
@@ -87,6 +95,8 @@
 class ReadDirectory(MessageStruct, frozen=True):
     """Asks for all agents, unless the caller's copy of this term and version is current."""
 
+    changes_state: ClassVar[bool] = False
+
     cached_term: int
     cached_version: int
 
--- a/src/cicadatray/internal/wire/messages/evacuation_messages.py
+++ b/src/cicadatray/internal/wire/messages/evacuation_messages.py
@@ -1,5 +1,7 @@
 """Messages about the evacuation of data centres."""
 
+from typing import ClassVar
+
 import msgspec
 
 from cicadatray.internal.wire.message import MessageStruct
@@ -46,6 +48,8 @@
 class ReadEvacuations(MessageStruct, frozen=True):
     """Asks the leader for all evacuations."""
 
+    changes_state: ClassVar[bool] = False
+
 
 class EvacuationsReply(MessageStruct, frozen=True):
     """All evacuations, after an order or a read.
--- a/src/cicadatray/internal/wire/messages/graph_messages.py
+++ b/src/cicadatray/internal/wire/messages/graph_messages.py
@@ -1,5 +1,7 @@
 """Messages about task graphs: calls of entries and agents, orders, and commands of the log."""
 
+from typing import ClassVar
+
 import msgspec
 
 from cicadatray.internal.wire.message import MessageStruct
@@ -42,6 +44,8 @@
 class ReadGraph(MessageStruct, frozen=True):
     """Asks for the state of a graph, or of a queue when the path is only the queue's prefix."""
 
+    changes_state: ClassVar[bool] = False
+
     target: QueueTarget
 
 
@@ -70,6 +74,8 @@
 class ReadQueues(MessageStruct, frozen=True):
     """Asks for the newest configuration of the queues."""
 
+    changes_state: ClassVar[bool] = False
+
 
 class QueuesReply(MessageStruct, frozen=True):
     """The newest configuration of the queues."""
@@ -137,6 +143,8 @@
     seen. `is_worker_reachable` is False while the offered worker refuses connections.
     """
 
+    changes_state: ClassVar[bool] = False
+
     agent_id: str
     agent_incarnation: str
     sequence: int
@@ -196,6 +204,8 @@
     `rendezvous` is the address at which it tells them where the group is, if it does.
     """
 
+    changes_state: ClassVar[bool] = False
+
     relay: MemberAddress | None = None
     rendezvous: MemberAddress | None = None
 
@@ -233,6 +243,8 @@
 class JoinGroup(MessageStruct, frozen=True):
     """Asks to admit a control instance that has no contact with the group."""
 
+    changes_state: ClassVar[bool] = False
+
     member: MemberAddress
 
 
--- a/src/cicadatray/internal/wire/messages/job_messages.py
+++ b/src/cicadatray/internal/wire/messages/job_messages.py
@@ -1,6 +1,7 @@
 """Messages about jobs and the gangs that run them."""
 
 from enum import Enum
+from typing import ClassVar
 
 import msgspec
 
@@ -94,6 +95,8 @@
 class ReadJob(MessageStruct, frozen=True):
     """Asks for one job; the reply is delayed until it has ended, by at most `wait_s`."""
 
+    changes_state: ClassVar[bool] = False
+
     job_id: str
     client_account: str
     wait_s: float = 0.0
@@ -102,6 +105,8 @@
 class ReadJobs(MessageStruct, frozen=True):
     """Asks for all jobs of a client account."""
 
+    changes_state: ClassVar[bool] = False
+
     client_account: str
 
 
@@ -114,6 +119,8 @@
 class ExplainJob(MessageStruct, frozen=True):
     """Asks for the reason why a job waits or runs where it does."""
 
+    changes_state: ClassVar[bool] = False
+
     job_id: str
     client_account: str
 
--- a/src/cicadatray/internal/wire/messages/key_messages.py
+++ b/src/cicadatray/internal/wire/messages/key_messages.py
@@ -1,6 +1,7 @@
 """Messages about keys of non-idempotent requests."""
 
 from enum import Enum
+from typing import ClassVar
 
 import msgspec
 
@@ -55,6 +56,8 @@
 class ReadKey(MessageStruct, frozen=True):
     """Asks for the record of a key. The reply is a `KeyRecord` or `KeyAbsent`."""
 
+    changes_state: ClassVar[bool] = False
+
     client_account: str
     key: str
 
--- a/src/cicadatray/internal/wire/messages/relay_messages.py
+++ b/src/cicadatray/internal/wire/messages/relay_messages.py
@@ -11,9 +11,13 @@
 
 
 class RelayedReply(MessageStruct, frozen=True):
-    """The encoded reply of control."""
+    """The encoded reply of control to the last attempt of the relay.
+
+    `is_earlier_in_doubt` is set if control may have acted on an earlier attempt of the relay.
+    """
 
     payload: bytes
+    is_earlier_in_doubt: bool = False
 
 
 class RelayUnavailable(MessageStruct, frozen=True):
--- a/src/cicadatray/internal/wire/relay_caller.py
+++ b/src/cicadatray/internal/wire/relay_caller.py
@@ -46,6 +46,8 @@
             reply = await self._forward(relay, retried_call.message, retried_call.next_timeout_s())
             retried_call.trace.record_attempt(relay.name, loop.time() - started_s, None)
             if isinstance(reply, RelayedReply):
+                if reply.is_earlier_in_doubt:
+                    retried_call.record_failure(f"{relay.name} repeated the call", True)
                 return self.codec.decode(reply.payload)[1]
         except WireError as error:
             # The reply may be lost, or be one that this process cannot decode.
--- a/src/cicadatray/internal/wire/relay_server.py
+++ b/src/cicadatray/internal/wire/relay_server.py
@@ -3,7 +3,11 @@
 import structlog
 
 from cicadatray.internal.wire.codec import Codec
-from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.control_client import (
+    ControlClient,
+    ControlInDoubtError,
+    ControlUnavailableError,
+)
 from cicadatray.internal.wire.errors import FrameError
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.relay_messages import (
@@ -48,6 +52,9 @@
             )
         try:
             reply = await self.control.call_directly(message, call.timeout_s)
+        except ControlInDoubtError as error:
+            refusal = self.codec.encode(0, error.refusal)
+            return RelayedReply(payload=refusal, is_earlier_in_doubt=True)
         except ControlUnavailableError as error:
             return RelayUnavailable(reason=str(error), may_have_effect=error.may_have_effect)
         return RelayedReply(payload=self.codec.encode(0, reply))
--- a/src/cicadatray/platform/client_answers.py
+++ b/src/cicadatray/platform/client_answers.py
@@ -8,6 +8,8 @@
 from cicadatray.internal.control.graphs import graph_codes
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import GraphState, QueueState
+from cicadatray.internal.wire.relay_server import UNKNOWN_CALL_CODE
+from cicadatray.internal.wire.rpc_server import BUSY_CODE
 
 JSON_TYPE = "application/json"
 # In seconds. An election takes up to 2 s, so a client that resends after this time often finds a
@@ -23,9 +25,23 @@
     graph_codes.GRAPH_UNKNOWN: 410,
     graph_codes.NOT_FEASIBLE: 422,
     graph_codes.NOT_NOW: 429,
+    # The call has not reached a handler.
+    BUSY_CODE: 503,
+    UNKNOWN_CALL_CODE: 503,
 }
 
 
+def tells_outcome(reply: MessageStruct) -> bool:
+    """Returns whether a reply tells if control has acted on the call.
+
+    A handler may have failed after its command was committed, and a control process of another
+    version may reply with what this one does not know.
+    """
+    if isinstance(reply, Failure):
+        return reply.code in STATUS_BY_CODE
+    return isinstance(reply, GraphState | QueueState)
+
+
 def render_reply(reply: MessageStruct) -> Response:
     """Returns the answer to a client for a reply of control."""
     if isinstance(reply, GraphState):
--- a/src/cicadatray/platform/client_api.py
+++ b/src/cicadatray/platform/client_api.py
@@ -15,10 +15,15 @@
     client_call_wait_seconds,
     client_calls_late,
     leader_silence_seconds,
+    refusals_in_doubt,
 )
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.wire.call_trace import CallTrace
-from cicadatray.internal.wire.control_client import ControlClient, ControlUnavailableError
+from cicadatray.internal.wire.control_client import (
+    ControlClient,
+    ControlInDoubtError,
+    ControlUnavailableError,
+)
 from cicadatray.internal.wire.decision_watch import DecisionWatch, decision_fields
 from cicadatray.internal.wire.errors import WireError
 from cicadatray.internal.wire.leader_probe import LeaderProbe
@@ -30,8 +35,7 @@
     ReadGraph,
     SubmitGraph,
 )
-from cicadatray.internal.wire.rpc_server import INTERNAL_ERROR_CODE
-from cicadatray.platform.client_answers import render_error, render_reply
+from cicadatray.platform.client_answers import render_error, render_reply, tells_outcome
 from cicadatray.platform.configuration_document import digest_credential
 from cicadatray.platform.decision_header import add_decision
 from cicadatray.platform.errors import DocumentError
@@ -40,6 +44,7 @@
 from cicadatray.platform.request_body import read_body
 
 NO_LEADER_REASON = "there is currently no control leader"
+IN_DOUBT_REASON = "it is not known whether an attempt of this call had an effect; send it again"
 CREDENTIAL_SCHEME = "Token "
 # The deadline of clients that send none; they wait at least this long.
 DEFAULT_DEADLINE_S = 3.0
@@ -65,6 +70,7 @@
         "decisions",
         "late_calls",
         "probe",
+        "refusals_in_doubt",
         "wait_seconds",
     )
 
@@ -79,6 +85,7 @@
         self.call_seconds = client_call_seconds(metrics)
         self.wait_seconds = client_call_wait_seconds(metrics)
         self.late_calls = client_calls_late(metrics)
+        self.refusals_in_doubt = refusals_in_doubt(metrics)
         leader_silence_seconds(metrics).read_from(self._leader_silence_s)
         self.decisions = DecisionWatch(metrics)
         self.control = control
@@ -159,15 +166,15 @@
         try:
             remaining_s = deadline_s - asyncio.get_running_loop().time()
             reply = await self._call(call, remaining_s, trace)
+        except ControlInDoubtError as error:
+            self.refusals_in_doubt.increment(code=error.refusal.code)
+            return self._unavailable(request, error, trace, IN_DOUBT_REASON)
         except ControlUnavailableError as error:
             return self._unavailable(request, error, trace)
         except WireError as error:
             return self._unavailable(request, ControlUnavailableError(str(error)), trace)
-        if isinstance(reply, Failure) and reply.code == INTERNAL_ERROR_CODE:
-            # The handler may have failed after its command was committed.
-            return self._unavailable(
-                request, ControlUnavailableError(f"control: {reply.detail}"), trace
-            )
+        if not tells_outcome(reply):
+            return self._unavailable(request, ControlUnavailableError(f"control: {reply}"), trace)
         return self._answer(request, reply, known, trace)
 
     def _answer(
@@ -215,14 +222,14 @@
         deadline_s = loop.time() + timeout_s
         try:
             return await self.control.call(call, UNSENT_TIMEOUT_SHARE * timeout_s, trace=trace)
+        except ControlInDoubtError:
+            raise
         except ControlUnavailableError as error:
             if not error.may_have_effect:
                 raise
         # The job may have been accepted, which only a leader can tell, so the full timeout is used.
-        try:
-            return await self.control.call(call, deadline_s - loop.time(), trace=trace)
-        except ControlUnavailableError as error:
-            raise ControlUnavailableError(str(error)) from error
+        remaining_s = deadline_s - loop.time()
+        return await self.control.call(call, remaining_s, trace=trace, may_have_effect=True)
 
     async def _decode(self, request: Request) -> MessageStruct | None:
         target = QueueTarget(
