Report an ended worker until control has recorded it

An agent dropped its report of an ended worker, with the ends that the worker had listed, after any reply to the call, also after one that refused it (too many calls, an internal error). Control would have started those tasks again.

Cause: a refusal was taken for the outcome of the report.

Result: three rows of test_task_agent.py fail before the change (1 report in place of at least 3).

--- a/src/cicadatray/internal/agent/tasks/task_agent.py
+++ b/src/cicadatray/internal/agent/tasks/task_agent.py
@@ -12,10 +12,12 @@
 from cicadatray.internal.agent.tasks.lease_watch import LeaseWatch
 from cicadatray.internal.agent.tasks.order_executor import OrderExecutor
 from cicadatray.internal.agent.tasks.run_table import RunTable
+from cicadatray.internal.agent.tasks.sync_call import build_sync_call
 from cicadatray.internal.agent.tasks.unexpected_errors import UnexpectedErrors
 from cicadatray.internal.agent.tasks.worker_lease import DEFAULT_WORKER_LEASE_S, WorkerLease
 from cicadatray.internal.agent.tasks.worker_observer import WorkerObserver
 from cicadatray.internal.agent.tasks.worker_port import WorkerPort, WorkerView
+from cicadatray.internal.control.graphs.graph_codes import WORKER_UNKNOWN
 from cicadatray.internal.observability.graph_metrics import (
     agent_pauses,
     cleared_runs_ended,
@@ -26,8 +28,8 @@
 from cicadatray.internal.observability.repeated_event import RepeatedEvent
 from cicadatray.internal.wire.control_client import ControlClient
 from cicadatray.internal.wire.errors import WireError
-from cicadatray.internal.wire.message import MessageStruct
-from cicadatray.internal.wire.messages.graph_messages import SyncWorker, WorkerOffer, WorkerOrders
+from cicadatray.internal.wire.message import Failure, MessageStruct
+from cicadatray.internal.wire.messages.graph_messages import WorkerOffer, WorkerOrders
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 log = structlog.get_logger(__name__)
@@ -242,20 +244,7 @@
 
     async def _sync(self, sequence: int, offer: WorkerOffer | None) -> None:
         port, ended = self.port, self.ended_worker
-        call = SyncWorker(
-            agent_id=self.agent_id,
-            agent_incarnation=self.incarnation,
-            sequence=sequence,
-            offer=offer,
-            ended_worker_id=ended.worker_id if ended else "",
-            ended_worker_cause=ended.cause if ended else WorkerEnd.CRASHED,
-            ended_worker_ends=ended.ends if ended else (),
-            ended_worker_runs=ended.runs if ended else (),
-            is_worker_reachable=self.is_worker_reachable,
-            runs=self.table.reported_runs(),
-            ends=self.table.reported_ends(),
-            wait_s=sync_timing.WAIT_S if self.is_control_answering else 0.0,
-        )
+        call = build_sync_call(self, sequence, offer)
         asked_s = asyncio.get_running_loop().time()
         worker_asked_s = port.clock_s() if port else 0.0
         try:
@@ -270,20 +259,27 @@
             self.is_control_answering = False
             await asyncio.sleep(sync_timing.RETRY_S)
             return
+        if isinstance(reply, Failure) and reply.code != WORKER_UNKNOWN:
+            # Control has not recorded the report, which is repeated with the next call.
+            await self._wait_after_refusal(reply)
+            return
         if self.ended_worker is ended:
             self.ended_worker = None
         if port is not None and self.port is port and sequence > self.answered_sequence:
             await self._take_reply(sequence, reply, worker_asked_s, asked_s)
 
+    async def _wait_after_refusal(self, reply: MessageStruct) -> None:
+        self.is_control_answering = False
+        self.without_orders.record_failure(type(reply).__name__, reply=str(reply))
+        await asyncio.sleep(sync_timing.RETRY_S)
+
     async def _take_reply(
         self, sequence: int, reply: MessageStruct, worker_asked_s: float, asked_s: float
     ) -> None:
         """Carries out a reply to a call at `asked_s`, which is `worker_asked_s` for the worker."""
         executor = self.executor
         if executor is None or not isinstance(reply, WorkerOrders):
-            self.is_control_answering = False
-            self.without_orders.record_failure(type(reply).__name__, reply=str(reply))
-            await asyncio.sleep(sync_timing.RETRY_S)
+            await self._wait_after_refusal(reply)
             return
         self.without_orders.record_end()
         if reply.term < self.term or reply.worker_id != executor.port.worker_id:
--- a/tests/cover/taskgraphs/test_task_agent.py
+++ b/tests/cover/taskgraphs/test_task_agent.py
@@ -18,10 +18,11 @@
 from cicadatray.internal.agent.tasks.worker_lease import SILENT_WORKER_S, WorkerLease
 from cicadatray.internal.agent.tasks.worker_port import StartAnswer, WorkerView
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
+from cicadatray.internal.control.graphs.graph_codes import WORKER_UNKNOWN
 from cicadatray.internal.observability.counter import Counter
 from cicadatray.internal.wire.control_client import ControlUnavailableError
 from cicadatray.internal.wire.errors import FrameError, WireError
-from cicadatray.internal.wire.message import MessageStruct
+from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
     MembersReply,
     ReadMembers,
@@ -33,6 +34,7 @@
 )
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
+from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 RUN = TaskRun(TaskId("g", 0, 0, 0), 1)
 ORDER = RunOrder(RUN, "spec")
@@ -479,3 +481,39 @@
         assert len(calls) <= 1 + 3.0 / (0.1 + sync_timing.RETRY_S)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("code", ["too_many_calls", "internal_error", "unknown_call"])
+def test_end_of_a_worker_is_reported_until_control_has_recorded_it(code: str) -> None:
+    """Guards against tasks that run again because control refused the report of their ends.
+
+    A refusal to one call does not say that the report in it was recorded.
+    """
+
+    class RefusingControl(ScriptedControl):
+        async def call(self, message: MessageStruct, *timeouts_s: float) -> MessageStruct:
+            await asyncio.sleep(0.1)
+            if isinstance(message, ReadMembers):
+                return MembersReply(members=(), term=1)
+            assert isinstance(message, SyncWorker)
+            reports.append(message.ended_worker_id)
+            if asyncio.get_running_loop().time() < 2.0:
+                return Failure(code=code, detail="refused")
+            return Failure(code=WORKER_UNKNOWN, detail="the agent offers no worker")
+
+    reports: list[str] = []
+
+    async def main() -> None:
+        control: Any = RefusingControl(0.0)
+        agent = TaskAgent("a", control)
+        running = asyncio.create_task(agent.run())
+        assert await agent.receive_offer(OFFER, FakePort())
+        agent.drop_worker(WorkerEnd.CRASHED)
+        await asyncio.sleep(5.0)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        assert agent.ended_worker is None
+        assert set(reports) == {OFFER.worker_id}
+        assert 3 <= len(reports) <= 2.0 / sync_timing.RETRY_S
+
+    run_virtual(main())
