Cancel jobs that are being stored

A cancellation of a job whose submission was being committed (its caller had got no answer) was answered 410, no such job. The job was stored a moment later and ran.

Cause: 410 spoke for the leader's state at that moment, not for the submission in progress.

Change: the leader proposes the cancellation behind the acceptance. If the acceptance is never stored, the answer is 410 as before.

Result: a row of test_graph_refusals.py fails before the change.

--- a/src/cicadatray/internal/control/graphs/graph_admission.py
+++ b/src/cicadatray/internal/control/graphs/graph_admission.py
@@ -25,7 +25,7 @@
     """Applies the rule of admission while this instance leads.
 
     `capacity` holds the workers that this leader has heard of. `pending_graphs` have been accepted
-    and are not known to be durable yet.
+    and are not known to be durable yet, by identifier.
     """
 
     __slots__ = ("capacity", "pending_graphs", "session")
@@ -33,7 +33,7 @@
     def __init__(self, session: "GraphSession") -> None:
         self.session = session
         self.capacity = KnownCapacity()
-        self.pending_graphs: set[str] = set()
+        self.pending_graphs: dict[str, TaskGraph] = {}
 
     def refuse(self, graph: TaskGraph) -> Failure | None:
         """Returns the failure to reply with for a new graph that is refused, or None.
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -145,9 +145,9 @@
     refusal = admission.refuse(graph)
     if refusal is not None:
         return refusal
-    admission.pending_graphs.add(graph_id)
+    admission.pending_graphs[graph_id] = graph
     reply = await session.propose(AcceptGraph(graph=graph, now_s=graph_session.wall_s()))
-    admission.pending_graphs.discard(graph_id)
+    admission.pending_graphs.pop(graph_id, None)
     # The graph is durable now, so the call must be confirmed even if the session has ended.
     _log_accepted(graph_session, graph, decision)
     graphs_accepted(daemon.metrics).increment(queue=resolved.queue.policy.queue)
@@ -172,6 +172,15 @@
     )
 
 
+def _is_pending(resolved: _ResolvedTarget, session: GraphSession) -> bool:
+    """Returns whether a graph that the caller may cancel is about to be stored."""
+    pending = session.admission.pending_graphs.get(resolved.graph_id)
+    if pending is None or pending.policy.queue != resolved.queue.policy.queue:
+        return False
+    account = resolved.account.name if resolved.account is not None else ""
+    return resolved.account is None or pending.client_account in ("", account)
+
+
 @register_handler(CancelGraph)
 async def cancel_graph(daemon: "ControlDaemon", call: CancelGraph) -> MessageStruct:
     """Cancels a graph and stops its runs."""
@@ -188,14 +197,19 @@
     if isinstance(resolved, Failure):
         return resolved
     progress = _find_graph(resolved, session.state.graphs)
-    if progress is None or isinstance(progress, Failure):
-        return progress or Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
+    if isinstance(progress, Failure):
+        return progress
     graph_session = daemon.require_graph_session(session)
+    if progress is None and not _is_pending(resolved, graph_session):
+        return Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     # A graph whose acceptance was uncertain is not tracked yet.
     graph_session.statistics.track(resolved.graph_id)
+    # The log applies it after the acceptance of a pending graph.
     command = EndGraph(graph_id=resolved.graph_id, now_s=graph_session.wall_s())
     reply = await session.propose(command)
-    log.info("graph cancelled", graph=resolved.graph_id)
+    if isinstance(reply, Failure):
+        return reply
+    log.info("graph cancelled", graph=resolved.graph_id, was_pending=progress is None)
     graph_session.statistics.log_if_ended(resolved.graph_id)
     graph_session.wake_all()
     graph_session.wake.set()
--- a/tests/cover/taskgraphs/test_graph_refusals.py
+++ b/tests/cover/taskgraphs/test_graph_refusals.py
@@ -14,6 +14,8 @@
 from cicadatray.internal.wire.message import Failure, MessageStruct
 from cicadatray.internal.wire.messages.decision import Decision
 from cicadatray.internal.wire.messages.graph_messages import (
+    AcceptGraph,
+    CancelGraph,
     GraphState,
     QueueState,
     ReadGraph,
@@ -32,7 +34,7 @@
 from cover.control.gangs.simulated_control import SimulatedControl
 from cover.replication.process_loop import ProcessLoop, end_other_tasks
 from cover.taskgraphs.placement_helpers import CAPACITY, WHOLE
-from cover.taskgraphs.test_graph_calls import GRAPH, configuration, target
+from cover.taskgraphs.test_graph_calls import GRAPH, OTHER, OWNER, STRANGER, configuration, target
 
 PATH = f"/q/{GRAPH}"
 FIRST = "a1"
@@ -173,6 +175,42 @@
     assert isinstance(first, GraphState) and second == first
 
 
+@pytest.mark.parametrize(
+    ("path", "credential", "state"),
+    [
+        (PATH, OWNER, "cancelled"),
+        (PATH, OTHER, "queued"),
+        (f"/q/deep/{GRAPH}", OWNER, "queued"),
+        (PATH, STRANGER, "queued"),
+    ],
+    ids=["its account", "another account", "another queue", "unknown credential"],
+)
+def test_cancellation_reaches_a_job_that_is_being_stored(
+    busy_rule: list[Refusal | None], path: str, credential: bytes, state: str
+) -> None:
+    """Guards against "no such job" for a job that is stored a moment later, and runs.
+
+    Load: a submission whose caller gets no answer, and its cancellation.
+    """
+
+    async def scene_of(scene: Scene) -> tuple[MessageStruct, Any]:
+        busy_rule.append(None)
+        scene.log.held_types = (AcceptGraph,)
+        submission = asyncio.create_task(scene.submit())
+        while not scene.log.held:
+            await asyncio.sleep(0.001)
+        call = CancelGraph(target=target(path, credential))
+        cancellation = asyncio.create_task(scene.control.answer(call))
+        await asyncio.sleep(0.1)
+        scene.log.release()
+        await submission
+        return await cancellation, await scene.read()
+
+    cancellation, read = play("busy", scene_of)
+    assert read.state == state
+    assert isinstance(cancellation, Failure) is (state == "queued")
+
+
 @pytest.mark.parametrize(("retry_after_s", "told_s"), [(BUSY_S, BUSY_S), (0.0, 1.0)])
 def test_refusal_with_a_time(
     busy_rule: list[Refusal | None], retry_after_s: float, told_s: float
