Test suspensions of machines with the leader, agents and workers together

Guards against a task on two workers after a suspension, also when the agent reaches control no more afterwards.

--- a/tests/cover/taskgraphs/graph_simulation.py
+++ b/tests/cover/taskgraphs/graph_simulation.py
@@ -313,6 +313,15 @@
         """Kills the process of an agent and starts a new one."""
         self._in_loop(self.agents[number % len(self.agents)].start)
 
+    def suspend_machine(self, number: int, duration_s: float) -> None:
+        """Suspends an agent with its worker, and lets time pass until both go on."""
+        agent = self.agents[number % len(self.agents)]
+        agent.process.is_frozen = True
+        self._in_loop(agent.worker.suspend)
+        self.advance(duration_s)
+        self._in_loop(agent.worker.resume)
+        agent.process.thaw()
+
     def cut_agent(self, number: int) -> None:
         """Drops all messages between an agent and control."""
         name = self.agents[number % len(self.agents)].name
--- a/tests/cover/taskgraphs/simulated_task_worker.py
+++ b/tests/cover/taskgraphs/simulated_task_worker.py
@@ -49,7 +49,7 @@
     end that is durable only after the lease has expired does not count: control may have started
     the task again by then. `expired_number` is the last end before the latest expiry.
     `start_sent_s` is when the agent sent the start that was carried out last; an order in flight
-    may arrive late.
+    may arrive late. Its clock has not counted `suspended_s`, nor the time since `suspended_at_s`.
     """
 
     __slots__ = (
@@ -77,6 +77,8 @@
         "running",
         "start_sent_s",
         "stopping",
+        "suspended_at_s",
+        "suspended_s",
         "token",
     )
 
@@ -105,6 +107,8 @@
         self.deadly_graphs: set[str] = set()
         self.crash_delay_s = CRASH_DELAY_S
         self.crashes: list[set[TaskRun]] = []
+        self.suspended_s = 0.0
+        self.suspended_at_s: float | None = None
         self.restart()
 
     @property
@@ -164,7 +168,20 @@
 
     def clock_s(self) -> float:
         """Returns the time on the worker's own clock, in seconds."""
-        return 1000.0 + asyncio.get_event_loop().time() * self.clock_rate
+        now_s = asyncio.get_event_loop().time()
+        if self.suspended_at_s is not None:
+            now_s = self.suspended_at_s
+        return 1000.0 + (now_s - self.suspended_s) * self.clock_rate
+
+    def suspend(self) -> None:
+        """Suspends its machine; the caller freezes the agent on it."""
+        self.suspended_at_s = asyncio.get_event_loop().time()
+
+    def resume(self) -> None:
+        """Ends the suspension of its machine."""
+        if self.suspended_at_s is not None:
+            self.suspended_s += asyncio.get_event_loop().time() - self.suspended_at_s
+            self.suspended_at_s = None
 
     def tick(self) -> None:
         """Ends all runs once the lease has expired."""
--- a/tests/cover/taskgraphs/test_suspended_machine.py
+++ b/tests/cover/taskgraphs/test_suspended_machine.py
@@ -29,7 +29,9 @@
 )
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
+from cicadatray.scheduling.taskgraphs.step import Step
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
+from cover.taskgraphs.graph_simulation import GraphSimulation
 
 RUN = TaskRun(TaskId("g", 0, 0, 0), 1)
 OFFER = WorkerOffer("w-1", "pool", "d0", "r0", ("a",), Resources(1, 1, 1))
@@ -299,3 +301,41 @@
     entry.record_listed(RunReport(RUN, 0), asked_s=1.0, received_s=1.0, clock_s=100.0)
     entry.record_listed(RunReport(RUN, 0), asked_s=9.0, received_s=9.0, clock_s=100.1)
     assert entry.observed_s == pytest.approx(0.1)
+
+
+@pytest.mark.parametrize(
+    ("suspensions_s", "is_cut", "last_run"),
+    [
+        ((2.0,), False, 1),
+        ((7.0,), False, 1),
+        ((LONGEST_SUSPENSION_S,), False, 1),
+        ((7.0, 7.0, 7.0), False, 1),
+        ((7.0,), True, 2),
+        ((LONGEST_SUSPENSION_S,), True, 2),
+        ((3.0, 3.0, 3.0), True, 2),
+    ],
+)
+def test_no_task_runs_on_two_workers_after_a_suspension(
+    suspensions_s: tuple[float, ...], is_cut: bool, last_run: int
+) -> None:
+    """Guards against a task that control starts again while its worker works on.
+
+    The simulation fails when a task starts beside another run of it. With `is_cut` the agent
+    reaches control no more after the first suspension.
+    """
+    simulation = GraphSimulation(seed=3, size=3)
+    try:
+        simulation.task_duration_s = 60.0
+        simulation.advance(2.0)
+        simulation.submit(f"{1:016x}", (Step(1, Resources(8000, 8000, 8), 60.0),))
+        simulation.advance(1.0)
+        number = next(n for n, worker in enumerate(simulation.workers) if worker.running)
+        for suspended_s in suspensions_s:
+            if is_cut:
+                simulation.cut_agent(number)
+            simulation.suspend_machine(number, suspended_s)
+            simulation.advance(0.7)
+        simulation.advance(2 * LEASES.expiry_s)
+        assert max(run.run for run in simulation.starts) == last_run
+    finally:
+        simulation.close()
