Stop runs that outlive the lease of an earlier process of the agent

A new process of an agent that does not reach control has no lease, so that nothing ended the runs that an earlier process had left on the worker, if a suspension of the machine prolonged that lease.

Change: without a grant, the new process takes the longest lease that the worker accepts, from its own start. Without a suspension the worker has ended the runs by then.

--- a/src/cicadatray/internal/agent/tasks/lease_watch.py
+++ b/src/cicadatray/internal/agent/tasks/lease_watch.py
@@ -60,7 +60,7 @@
         """Stops all runs that may have begun, if only the worker's lease may still last."""
         lease = self.agent.lease
         clock_s = executor.port.clock_s()
-        if not lease.is_over() or lease.has_expired(clock_s):
+        if not lease.is_overdue() or lease.has_expired(clock_s):
             return
         for entry in list(executor.table.runs.values()):
             if entry.phase is RunPhase.STOPPING or not entry.may_have_begun:
@@ -70,7 +70,7 @@
                 run=str(entry.run.task),
                 number=entry.run.run,
                 worker=executor.port.worker_id,
-                overdue_s=round(-lease.remaining_s(), 2),
+                overdue_s=round(-lease.remaining_s(), 2) if lease.granted_until_s else None,
                 worker_lease_s=round(lease.sent_end_s - clock_s, 2),
             )
             executor.begin_stop(entry)
--- a/src/cicadatray/internal/agent/tasks/worker_lease.py
+++ b/src/cicadatray/internal/agent/tasks/worker_lease.py
@@ -20,17 +20,25 @@
     call to the worker, and `earlier_end_s` the latest end that an earlier process of this agent can
     have sent, which was granted before the first grant of this process; it is 0 before that.
     `longest_s` is the longest lease that the worker accepts in one call. `last_contact_s` is the
-    event loop time at which the worker last announced itself or answered.
+    event loop time at which the worker last announced itself or answered, and `adopted_s` the one
+    at which this process began to drive it.
     """
 
-    __slots__ = ("earlier_end_s", "granted_until_s", "last_contact_s", "longest_s", "sent_end_s")
+    __slots__ = (
+        "adopted_s",
+        "earlier_end_s",
+        "granted_until_s",
+        "last_contact_s",
+        "longest_s",
+        "sent_end_s",
+    )
 
     def __init__(self, longest_s: float = DEFAULT_WORKER_LEASE_S) -> None:
         self.longest_s = longest_s
         self.earlier_end_s = 0.0
         self.granted_until_s = 0.0
         self.sent_end_s = 0.0
-        self.last_contact_s = asyncio.get_running_loop().time()
+        self.last_contact_s = self.adopted_s = asyncio.get_running_loop().time()
 
     def record_contact(self) -> None:
         """Records that the worker announced itself or answered."""
@@ -56,6 +64,16 @@
         """Returns whether a lease was granted and control may count it as expired."""
         return self.granted_until_s > 0.0 and self.remaining_s() <= 0.0
 
+    def is_overdue(self) -> bool:
+        """Returns whether all runs on the worker would have ended, had its clock never stood still.
+
+        Before the first grant, a lease that an earlier process of this agent has sent may last.
+        """
+        if self.granted_until_s:
+            return self.is_over()
+        driven_s = asyncio.get_running_loop().time() - self.adopted_s
+        return driven_s > self.longest_s / MIN_CLOCK_RATE
+
     def end_to_send(self, clock_s: float) -> float:
         """Returns the end of the lease for a call at `clock_s` on the worker's clock.
 
--- a/tests/cover/taskgraphs/test_suspended_machine.py
+++ b/tests/cover/taskgraphs/test_suspended_machine.py
@@ -238,6 +238,31 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("suspensions_s", [(20.0,), (3.0, 3.0, 3.0, 3.0)])
+def test_new_process_stops_runs_that_outlive_an_earlier_lease(
+    suspensions_s: tuple[float, ...],
+) -> None:
+    """Guards against a run under the lease of an earlier process that a suspension has prolonged.
+
+    The new process of the agent does not reach control, and knows no end of a lease.
+    """
+
+    async def main() -> None:
+        machine = Machine()
+        machine.control.is_silent = True
+        machine.agent.term = 1
+        async with machine:
+            machine.worker.lease_until_s = machine.worker.steady_s() + LEASES.worker_lease_s
+            for suspended_s in suspensions_s:
+                machine.worker.suspend(suspended_s)
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(STOP_S)
+            assert machine.worker.ended_at_s is not None
+            assert machine.worker.outcome is RunOutcome.STOPPED
+
+    run_virtual(main())
+
+
 def test_start_is_withheld_while_only_the_lease_of_the_worker_lasts() -> None:
     """Guards against a start after a suspension that control counts as lost with its worker."""
 
