Compute the critical paths of a job once, not for each of its tasks

Cause: `WaitingWork.rank`, `latest_start_s` and `set_deadlines` computed the critical paths of the whole graph for each waiting and each running task, and `graph_waves` the waves of all its steps, so that a round took time with the square of the steps. It runs on the event loop, which sends no heartbeats meanwhile; each new leader began the same round. Change: a graph keeps the times that it computed last, with the waves that they belong to.

--- a/src/cicadatray/scheduling/taskgraphs/pool_capacity.py
+++ b/src/cicadatray/scheduling/taskgraphs/pool_capacity.py
@@ -22,8 +22,15 @@
         self.total = self.total.plus(capacity)
 
     def graph_waves(self, graph: TaskGraph) -> tuple[float, ...]:
-        """Returns the waves of each step of the graph."""
-        return tuple(self.step_waves(step) for step in graph.steps)
+        """Returns the waves of each step of the graph.
+
+        They are computed once for each capacity of the pool.
+        """
+        times = graph.derived_times
+        if times.waves_by_total is None or times.waves_by_total[0] != self.total:
+            waves = tuple(self.step_waves(step) for step in graph.steps)
+            times.waves_by_total = (self.total, waves)
+        return times.waves_by_total[1]
 
     def step_waves(self, step: Step) -> float:
         """Returns in how many waves the step's share of the pool runs all tasks.
--- a/src/cicadatray/scheduling/taskgraphs/task_graph.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_graph.py
@@ -1,10 +1,12 @@
 """Task graphs."""
 
 from collections.abc import Sequence
+from functools import cached_property
 
 import msgspec
 
 from cicadatray.scheduling.taskgraphs.queue_policy import QueuePolicy
+from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.step import Step
 
 
@@ -19,7 +21,22 @@
     interval_s: float
 
 
-class TaskGraph(msgspec.Struct, frozen=True, array_like=True):
+class _DerivedTimes:
+    """Times that follow from the steps of a graph and the waves of each step.
+
+    `waves_by_total` holds the waves for one capacity of the pool.
+    """
+
+    __slots__ = ("critical_path_s", "critical_paths_s", "waves", "waves_by_total")
+
+    def __init__(self) -> None:
+        self.waves: Sequence[float] | None = None
+        self.critical_paths_s: list[float] = []
+        self.critical_path_s = 0.0
+        self.waves_by_total: tuple[Resources, tuple[float, ...]] | None = None
+
+
+class TaskGraph(msgspec.Struct, frozen=True, array_like=True, dict=True):
     """A job as a directed acyclic graph of steps.
 
     `spec` is passed unchanged to every task. `policy` is the policy of the graph's queue at the
@@ -48,7 +65,7 @@
 
     def critical_path_s(self, waves: Sequence[float] = ()) -> float:
         """Returns the length of the critical path of estimates through the graph."""
-        return max(self._critical_paths_s(waves), default=0.0)
+        return self._times(waves).critical_path_s
 
     def objective_s(self, waves: Sequence[float] = ()) -> float:
         """Returns how long one occurrence of the graph may take and still be on time."""
@@ -56,7 +73,25 @@
 
     def critical_path_from_s(self, step: int, waves: Sequence[float] = ()) -> float:
         """Returns the length of the longest path of estimates that begins with a step."""
-        return self._critical_paths_s(waves)[step]
+        return self._times(waves).critical_paths_s[step]
+
+    @cached_property
+    def derived_times(self) -> _DerivedTimes:
+        """The times that were computed last, which are not part of the encoded graph."""
+        return _DerivedTimes()
+
+    def _times(self, waves: Sequence[float]) -> _DerivedTimes:
+        """Returns the times with these waves.
+
+        A round needs them for each task. The waves of a graph change only with its pool, so that
+        they are mostly the same object as before.
+        """
+        times = self.derived_times
+        if times.waves is not waves and times.waves != waves:
+            times.critical_paths_s = self._critical_paths_s(waves)
+            times.critical_path_s = max(times.critical_paths_s, default=0.0)
+        times.waves = waves
+        return times
 
     def _critical_paths_s(self, waves: Sequence[float]) -> list[float]:
         lengths = [0.0] * len(self.steps)
