Keep counts over the tasks of a job instead of passing over them

Cause: four questions each took a pass over all tasks or occurrences of a job and were asked once for each task: how many tasks of a step each worker has (`remaining_limits`), whether a gang is complete (`is_wanted`, for orders, rounds and logs), whether it may crash its workers, and whether an end was the last one (`finish_if_done`, on every control instance). Change: `GraphIndex` counts runs and done steps of a job as runs begin and end.

--- a/src/cicadatray/internal/control/graphs/expired_graphs.py
+++ b/src/cicadatray/internal/control/graphs/expired_graphs.py
@@ -15,5 +15,5 @@
         for graph_id, progress in graphs.items()
         if progress.ended_s
         and now_s - progress.ended_s > ENDED_RETENTION_S
-        and not any(task.worker_id for task in progress.tasks.values())
+        and not progress.has_runs
     )
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -209,8 +209,7 @@
         step = graph.graph.steps[task.step]
         if not step.is_gang or progress.is_done:
             return True
-        members = (graph.task(task.occurrence, task.step, i) for i in range(step.count))
-        return all(m is not None and m.worker_id and m.run == run.run for m in members)
+        return graph.is_gang_complete(task, run.run)
 
     def apply_committed_ends(self, ends: list[PlacedEnd]) -> None:
         """Removes the runs whose ends are durable and acknowledges these ends to their agents."""
--- a/src/cicadatray/scheduling/taskgraphs/fit_search.py
+++ b/src/cicadatray/scheduling/taskgraphs/fit_search.py
@@ -1,8 +1,10 @@
 """Where waiting work fits within one placement round."""
 
+from collections import Counter
 from collections.abc import Mapping
 
 from cicadatray.scheduling.taskgraphs.earliest_fit import EarliestFit, find_earliest_fit
+from cicadatray.scheduling.taskgraphs.graph_index import NO_WORKERS
 from cicadatray.scheduling.taskgraphs.rules.candidate_rule import CandidateRule
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.runs_by_end import RunsByEnd
@@ -16,19 +18,26 @@
     """Fits work on groups of workers, now or once running work has ended.
 
     `running_by_end` holds the running work in the order of its expected ends, None until it is
-    needed.
+    needed. `assigned` counts the tasks that the round has assigned to each worker, for each step
+    with a limit per worker.
     """
 
-    __slots__ = ("candidates", "running_by_end", "view")
+    __slots__ = ("assigned", "candidates", "running_by_end", "view")
 
     def __init__(self, view: RoundView, candidates: CandidateRule) -> None:
         self.view = view
         self.candidates = candidates
         self.running_by_end: RunsByEnd | None = None
+        self.assigned: dict[tuple[str, int, int], Counter[str]] = {}
 
     def limits(self, work: WaitingWork, group: list[WorkerCapacity]) -> dict[str, int] | None:
         """Returns how many more tasks of the step each worker may take, or None without a limit."""
-        return remaining_limits(work, group, self.view.plan.assignments)
+        return remaining_limits(work, group, self.assigned.get(work.step_key, NO_WORKERS))
+
+    def record_assignment(self, work: WaitingWork, worker_id: str) -> None:
+        """Records that a task of the work was assigned to a worker."""
+        if work.step.max_per_worker:
+            self.assigned.setdefault(work.step_key, Counter())[worker_id] += 1
 
     def fit(
         self,
--- a/src/cicadatray/scheduling/taskgraphs/graph_progress.py
+++ b/src/cicadatray/scheduling/taskgraphs/graph_progress.py
@@ -1,8 +1,12 @@
 """The durable progress of a graph."""
 
+from collections.abc import Mapping
+from functools import cached_property
+
 import msgspec
 
 from cicadatray.scheduling.taskgraphs.crash_record import CrashRecord
+from cicadatray.scheduling.taskgraphs.graph_index import GraphIndex
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.task_graph import TaskGraph
 from cicadatray.scheduling.taskgraphs.task_id import TaskId
@@ -35,7 +39,7 @@
     failed_run: int = 0
 
 
-class GraphProgress(msgspec.Struct):
+class GraphProgress(msgspec.Struct, dict=True):
     """The durable record of one accepted graph. Times are in seconds since 1970.
 
     `tasks` holds the tasks that were started, by `TaskId.key`. `steps` holds the counters of steps
@@ -56,6 +60,36 @@
         """Whether tasks may still be started."""
         return not self.is_cancelled and not self.failure and not self.ended_s
 
+    @cached_property
+    def index(self) -> GraphIndex:
+        """Counts over the tasks, which are not part of the encoded record."""
+        index = GraphIndex()
+        for key, task in self.tasks.items():
+            if not task.worker_id and not task.crashes.is_suspect:
+                continue
+            task_id = TaskId.from_key(self.graph.graph_id, key)
+            if task.worker_id:
+                index.add_run(task_id.step_key, task.run, task.worker_id)
+            index.mark_suspect(task_id.step_key, task_id.index, task.crashes.is_suspect)
+        index.done_steps = sum(
+            counts.done >= self.graph.steps[int(key.partition(".")[2])].count
+            for key, counts in self.steps.items()
+        )
+        return index
+
+    @property
+    def has_runs(self) -> bool:
+        """Whether any run of the graph may exist."""
+        return self.index.runs > 0
+
+    def runs_by_worker(self, occurrence: int, step: int) -> Mapping[str, int]:
+        """Returns how many runs of a step may exist on each worker that may have one."""
+        return self.index.workers_of((occurrence, step))
+
+    def is_gang_complete(self, task: TaskId, run: int) -> bool:
+        """Returns whether a run of each member of the task's gang may exist under this number."""
+        return self.index.runs_by_number[(*task.step_key, run)] == self.graph.steps[task.step].count
+
     def task(self, occurrence: int, step: int, index: int) -> TaskProgress | None:
         """Returns the record of a task, or None if it was never started."""
         return self.tasks.get(f"{occurrence}.{step}.{index}")
@@ -80,8 +114,10 @@
         progress = self.tasks.setdefault(task.key, TaskProgress())
         if progress.worker_id or progress.is_done or run <= progress.run:
             return False
+        index = self.index
         progress.run = run
         progress.worker_id = worker_id
+        index.add_run(task.step_key, run, worker_id)
         self.has_begun = True
         return True
 
@@ -103,6 +139,7 @@
         progress = self.tasks.get(task.key)
         if progress is None or progress.run != run or progress.worker_id != worker_id:
             return False
+        self.index.remove_run(task.step_key, run, worker_id)
         progress.worker_id = ""
         if checkpoint:
             self._store_checkpoint(task, checkpoint)
@@ -122,16 +159,16 @@
 
     def is_suspect(self, task: TaskId) -> bool:
         """Returns whether a task, or a member of its gang, may crash the worker that starts it."""
-        step = self.graph.steps[task.step]
-        indexes = range(step.count) if step.is_gang else (task.index,)
-        members = (self.task(task.occurrence, task.step, index) for index in indexes)
-        return any(member is not None and member.crashes.is_suspect for member in members)
+        progress = self.tasks.get(task.key)
+        if progress is not None and progress.crashes.is_suspect:
+            return True
+        return self.graph.steps[task.step].is_gang and bool(self.index.suspects.get(task.step_key))
 
     def finish_if_done(self, now_s: float) -> None:
         """Ends the graph when every task of every occurrence is done."""
-        if not self.is_active or any(step.is_long_running for step in self.graph.steps):
+        if self.index.done_steps < self.graph.occurrences * len(self.graph.steps):
             return
-        if all(self.is_occurrence_done(k) for k in range(self.graph.occurrences)):
+        if self.is_active and not any(step.is_long_running for step in self.graph.steps):
             self.ended_s = now_s
 
     def _store_checkpoint(self, task: TaskId, checkpoint: str) -> None:
@@ -150,11 +187,14 @@
             return
         indexes = range(step.count) if step.is_gang else (task.index,)
         counts = self.steps.setdefault(f"{task.occurrence}.{task.step}", StepProgress())
+        if counts.done >= step.count:
+            return
         for index in indexes:
             member = self.tasks.setdefault(f"{task.occurrence}.{task.step}.{index}", TaskProgress())
             if not member.is_done:
                 member.is_done = True
                 counts.done += 1
+        self.index.done_steps += counts.done >= step.count
 
     def _record_failure(self, task: TaskId, progress: TaskProgress, run: int) -> None:
         step = self.graph.steps[task.step]
@@ -179,6 +219,7 @@
             return
         crashes = progress.crashes
         crashes.add(observed_s, agent_id)
+        self.index.mark_suspect(task.step_key, task.index, crashes.is_suspect)
         is_long_running = self.graph.steps[task.step].is_long_running
         if crashes.is_exhausted(is_long_running) and not self.failure:
             self.failure = f"{crashes.total} workers crashed under task {task.key}"
--- a/src/cicadatray/scheduling/taskgraphs/hold_watch.py
+++ b/src/cicadatray/scheduling/taskgraphs/hold_watch.py
@@ -134,7 +134,7 @@
             return False
         graph_id = work.graph.graph.graph_id
         if graph_id not in self.resting:
-            self.resting[graph_id] = not any(t.worker_id for t in work.graph.tasks.values())
+            self.resting[graph_id] = not work.graph.has_runs
         return self.resting[graph_id]
 
     def _has_room(self, work: WaitingWork, workers: list[WorkerCapacity]) -> bool:
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -203,6 +203,7 @@
         self.holds.record_start(work)
         for index, worker in zip(work.indexes, chosen, strict=True):
             worker.occupy(work.step.demand)
+            self.search.record_assignment(work, worker.worker_id)
             run = TaskRun(work.task(index), work.run)
             self.plan.assignments.append(Assignment(run, worker.worker_id))
             if work.is_suspect:
--- a/src/cicadatray/scheduling/taskgraphs/task_id.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_id.py
@@ -25,6 +25,11 @@
         """The key of the task within its graph."""
         return f"{self.occurrence}.{self.step}.{self.index}"
 
+    @property
+    def step_key(self) -> tuple[int, int]:
+        """The occurrence and the step of the task."""
+        return (self.occurrence, self.step)
+
     def __str__(self) -> str:
         return f"{self.graph_id}.{self.key}"
 
--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -54,6 +54,11 @@
         """The step that the tasks belong to."""
         return self.graph.graph.steps[self.step_number]
 
+    @property
+    def step_key(self) -> tuple[str, int, int]:
+        """The graph, the occurrence and the step of the tasks."""
+        return (self.graph.graph.graph_id, self.occurrence, self.step_number)
+
     @property
     def priority(self) -> int:
         """The priority of the queue; 0 is the highest."""
--- a/src/cicadatray/scheduling/taskgraphs/worker_limits.py
+++ b/src/cicadatray/scheduling/taskgraphs/worker_limits.py
@@ -1,34 +1,25 @@
 """The limit of tasks of one step on each worker."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
-from cicadatray.scheduling.taskgraphs.assignment import Assignment
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 
 
 def remaining_limits(
-    work: WaitingWork, group: Sequence[WorkerCapacity], assignments: Sequence[Assignment]
+    work: WaitingWork, group: Sequence[WorkerCapacity], assigned: Mapping[str, int]
 ) -> dict[str, int] | None:
     """Returns how many more tasks of the step each worker may take, or None without a limit.
 
-    `assignments` are those of the current round.
+    `assigned` counts the tasks of the step that the current round has assigned to each worker.
     """
-    step = work.step
-    if not step.max_per_worker:
+    limit = work.step.max_per_worker
+    if not limit:
         return None
-    limits = {worker.worker_id: step.max_per_worker for worker in group}
-    for index in range(step.count):
-        progress = work.graph.task(work.occurrence, work.step_number, index)
-        if progress is not None and progress.worker_id in limits:
-            limits[progress.worker_id] -= 1
-    for assignment in assignments:
-        task = assignment.run.task
-        is_same_step = (task.graph_id, task.occurrence, task.step) == (
-            work.graph.graph.graph_id,
-            work.occurrence,
-            work.step_number,
-        )
-        if is_same_step and assignment.worker_id in limits:
-            limits[assignment.worker_id] -= 1
-    return limits
+    running = work.graph.runs_by_worker(work.occurrence, work.step_number)
+    return {
+        worker.worker_id: limit
+        - running.get(worker.worker_id, 0)
+        - assigned.get(worker.worker_id, 0)
+        for worker in group
+    }
