Bound what one round of placement does, and try equal work once

Callers saw: jobs within the documented limits that took all control instances out of service, and any backlog large enough could do so: what was accepted decided how long a round took. Cause: a round listed, ranked and tried each waiting task by itself and ran to its end. Urgent tasks of one step were each searched for on all workers, even when nothing had changed since the last one. Change: the equal tasks of a step are one work with followers. A step is left once a task of it was tried in vain without any effect, and a shape of work that fits nowhere is not searched for again. A round yields after each search, and ends after 250 starts or 400 searches in vain; the next one tries the work of the highest rank and then what no round has tried, so that nothing starves. Times for which work is held go on.

--- a/src/cicadatray/scheduling/taskgraphs/hold_memory.py
+++ b/src/cicadatray/scheduling/taskgraphs/hold_memory.py
@@ -21,11 +21,20 @@
     round before. Work that is not held in a round begins anew. `bypasses` counts how often held
     work has taken room that was reserved for other work, by that work. `reasons` is what held the
     work of both rounds back when that was diagnosed, and `diagnoses` counts this for the present
-    round. `round_s` is the time of the present round in seconds since 1970, a clock that may be set
-    back or forward between two rounds.
+    round. `tried` has the work that the present round has tried. `round_s` is the time of the
+    present round in seconds since 1970, a clock that may be set back or forward between two rounds.
     """
 
-    __slots__ = ("bypasses", "diagnoses", "elapsed_s", "former_s", "held_s", "reasons", "round_s")
+    __slots__ = (
+        "bypasses",
+        "diagnoses",
+        "elapsed_s",
+        "former_s",
+        "held_s",
+        "reasons",
+        "round_s",
+        "tried",
+    )
 
     def __init__(self) -> None:
         self.held_s: dict[HoldKey, float] = {}
@@ -33,6 +42,7 @@
         self.bypasses: Counter[HoldKey] = Counter()
         self.reasons: dict[HoldKey, WaitReason] = {}
         self.diagnoses = 0
+        self.tried: set[HoldKey] = set()
         self.round_s = 0.0
         self.elapsed_s = 0.0
 
@@ -41,6 +51,7 @@
         self.elapsed_s = min(max(0.0, now_s - self.round_s), LONGEST_ROUND_S)
         self.round_s = now_s
         self.diagnoses = 0
+        self.tried = set()
         self.former_s, self.held_s = self.held_s, {}
         self.reasons = {k: reason for k, reason in self.reasons.items() if k in self.former_s}
 
@@ -51,6 +62,12 @@
         self.held_s[key] = held_s
         return held_s
 
+    def keep_untried(self) -> None:
+        """Keeps the times of work that a round which ended early has not come to."""
+        for key, former_s in self.former_s.items():
+            if key not in self.tried:
+                self.held_s[key] = former_s + self.elapsed_s
+
     def reason_of(self, key: HoldKey, diagnose: Callable[[], WaitReason]) -> WaitReason | None:
         """Returns what holds work back that is held in this round, None if it is not known yet."""
         if key not in self.reasons:
--- a/src/cicadatray/scheduling/taskgraphs/hold_watch.py
+++ b/src/cicadatray/scheduling/taskgraphs/hold_watch.py
@@ -58,12 +58,22 @@
 
         `usable` are the workers of its pool that have the required label.
         """
+        self.record_attempt(work)
         if not work.step.is_long_running and not self._is_at_rest(work):
             return None
         if not self._has_room(work, self._room_of(usable)):
             return None
         return self.memory.extend(_key_of(work))
 
+    def is_scarce(self, work: WaitingWork) -> bool:
+        """Returns whether no work is held because too much of its pool is in use."""
+        is_scarce = self.used_share(work.graph.graph.policy.pool) > MAX_USED_SHARE
+        return is_scarce and not work.step.is_long_running
+
+    def record_attempt(self, work: WaitingWork) -> None:
+        """Records that the round has tried the work."""
+        self.memory.tried.add(_key_of(work))
+
     def observe(self, waiting: Iterable[WaitingWork]) -> None:
         """Is called with all waiting work before the round places any."""
         self.memory.keep_bypasses(_key_of(work) for work in waiting)
@@ -100,6 +110,7 @@
 
     def record_start(self, work: WaitingWork) -> None:
         """Records that the job of the work does not rest any more."""
+        self.record_attempt(work)
         self.resting[work.graph.graph.graph_id] = False
 
     def used_share(self, pool: str) -> float:
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -1,6 +1,6 @@
 """One placement round: assigns waiting work to workers and chooses work to displace."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Generator, Hashable, Iterator, Sequence
 
 from cicadatray.scheduling.taskgraphs.assignment import Assignment
 from cicadatray.scheduling.taskgraphs.displacement import Displacement
@@ -18,6 +18,7 @@
 from cicadatray.scheduling.taskgraphs.task_fit import free_now, free_once_stopped
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.trial_share import may_begin_trials
+from cicadatray.scheduling.taskgraphs.tried_work import TriedWork
 from cicadatray.scheduling.taskgraphs.wait_diagnosis import WaitDiagnosis
 from cicadatray.scheduling.taskgraphs.wait_reason import WaitReason
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
@@ -27,6 +28,15 @@
 # Capacity is reserved for at most this many blocked gangs at a time; more reservations would leave
 # workers idle.
 MAX_RESERVED_GANGS = 2
+# A round ends after so many starts, which are stored in one command.
+MAX_STARTS = 250
+# A round ends after so many attempts in vain, each of which searches all workers.
+MAX_ATTEMPTS = 400
+# After so many of them, a round passes over work that earlier rounds have tried in vain, until all
+# waiting work had its turn.
+HEAD_ATTEMPTS = 100
+# The caller may pause after so many works that were not tried.
+SKIPS_BETWEEN_PAUSES = 64
 DEFAULT_LIMITS = StartLimits()
 
 
@@ -38,10 +48,17 @@
     `may_displace` no running work is stopped, because not all workers are known yet.
     `reserved_gangs` counts the blocked gangs for which the round has reserved capacity, and
     `reserved_trials` the pools in which it has reserved workers for a task that must start alone.
+    `attempts` counts the work that was tried in vain, and `changes` the assignments and
+    reservations. `blocked` has the steps and `unplaceable` the shapes of work that does not fit any
+    more; only a displacement makes room for them. A shape has the reason for which its work waits,
+    if it was diagnosed, and the number of changes then.
     """
 
     __slots__ = (
+        "attempts",
+        "blocked",
         "candidates",
+        "changes",
         "holds",
         "may_displace",
         "now_s",
@@ -51,7 +68,10 @@
         "reserved_trials",
         "running",
         "search",
+        "skips",
         "start_limits",
+        "tried",
+        "unplaceable",
         "victims",
         "view",
         "workers",
@@ -74,6 +94,12 @@
         self.running = view.running
         self.now_s = now_s
         self.start_limits = start_limits
+        self.attempts = 0
+        self.changes = 0
+        self.skips = 0
+        self.blocked: set[tuple[str, int, int]] = set()
+        self.unplaceable: dict[Hashable, tuple[WaitReason | None, int]] = {}
+        self.tried = view.memory.get(TriedWork)
         self.reserved_gangs = 0
         self.reserved_trials: set[str] = set()
         self.plan: PlacementPlan = view.plan
@@ -85,26 +111,94 @@
 
     def run(self, waiting: Sequence[WaitingWork]) -> PlacementPlan:
         """Tries to place all waiting work in the order of its ranking and returns the plan."""
-        blocked: set[tuple[str, int, int]] = set()
+        for _ in self.steps(waiting):
+            pass
+        return self.plan
+
+    def steps(self, waiting: Sequence[WaitingWork]) -> Generator[None, None, None]:
+        """Places the waiting work as `run` does; yields wherever the caller may pause or stop.
+
+        The plan is valid at each of these points. A round that ends early, by itself or because its
+        caller stops it, leaves `is_complete` unset; the next round tries what was left.
+        """
         self.victims.observe(waiting)
         self.holds.observe(waiting)
-        for work in self.ranking.order(waiting):
-            step = (work.graph.graph.graph_id, work.occurrence, work.step_number)
-            # If one task of a step does not fit, the other tasks of that step do not fit either.
-            # Each urgent task is tried, because it may displace other work. A suspect task needs
-            # other workers than the rest of its step.
-            if work.is_suspect:
-                self._try_to_place(work)
-            elif (
-                step not in blocked
-                and not self._try_to_place(work)
-                and work.priority != URGENT_PRIORITY
-            ):
-                blocked.add(step)
-        return self.plan
+        try:
+            for work in self.ranking.iterate(waiting):
+                if work is None:
+                    yield
+                    continue
+                yield from self._try_step(work)
+                if self._is_exhausted():
+                    return
+            self.tried.keys.clear()
+            self.plan.is_complete = True
+        finally:
+            if not self.plan.is_complete:
+                self.holds.memory.keep_untried()
+
+    def _is_exhausted(self) -> bool:
+        """Returns whether the round has done as much as one round may do."""
+        return self.attempts >= MAX_ATTEMPTS or len(self.plan.assignments) >= MAX_STARTS
+
+    def _try_step(self, work: WaitingWork) -> Iterator[None]:
+        """Tries the work and its followers, until one of them does not fit.
+
+        If one task of a step does not fit, the other tasks of that step do not fit either. An
+        urgent one is tried nevertheless if the last one has displaced work or reserved capacity. A
+        suspect task needs other workers than the rest of its step.
+        """
+        if work.step_key in self.blocked and not work.is_suspect:
+            return
+        for each in work.each():
+            changes, attempts = self.changes, self.attempts
+            is_placed = self._try_to_place(each)
+            is_unchanged = self.changes == changes
+            if not is_placed and not work.is_suspect:
+                if work.priority != URGENT_PRIORITY or is_unchanged:
+                    self.blocked.add(work.step_key)
+            if not is_unchanged or self.attempts != attempts:
+                yield
+            else:
+                self.skips += 1
+                if self.skips % SKIPS_BETWEEN_PAUSES == 0:
+                    yield
+            if work.step_key in self.blocked or self._is_exhausted():
+                return
 
     def _try_to_place(self, work: WaitingWork) -> bool:
         """Places the work; returns False if it must wait."""
+        shape = None if work.is_suspect else self.candidates.shape(work)
+        if shape in self.unplaceable and self._must_wait(work):
+            self.holds.record_attempt(work)
+            self._record_wait(work, lambda: self._reason_of(work, shape))
+            return False
+        key = (*work.step_key, work.indexes[0])
+        if self.attempts >= HEAD_ATTEMPTS and key in self.tried.keys:
+            return False
+        if self._attempt(work, shape):
+            return True
+        self.attempts += 1
+        self.tried.keys.add(key)
+        return False
+
+    def _must_wait(self, work: WaitingWork) -> bool:
+        """Returns whether work that fits nowhere can neither displace other work nor be held."""
+        is_displacing = work.priority == URGENT_PRIORITY and self._may_displace(work)
+        return not is_displacing and self.holds.is_scarce(work)
+
+    def _reason_of(self, work: WaitingWork, shape: Hashable) -> WaitReason:
+        """Returns why work of an unplaceable shape waits."""
+        reason, changes = self.unplaceable[shape]
+        if reason is None or changes != self.changes:
+            usable = self._usable_workers(work)
+            reason = self._diagnose(work, warm_first(self.candidates, work, usable))
+            self.unplaceable[shape] = (reason, self.changes)
+        return reason
+
+    def _attempt(self, work: WaitingWork, shape: Hashable | None) -> bool:
+        """Searches all workers for the work; returns False if it must wait."""
+        changes = self.changes
         usable = self._usable_workers(work)
         groups = warm_first(self.candidates, work, usable)
         place = self._isolate if work.is_suspect else self._place
@@ -115,11 +209,13 @@
         held_s = self.holds.held_s(work, room)
         if held_s is not None and self._record_hold(work, room, groups, held_s):
             return True
-        self._record_wait(work, groups)
+        reason = self._record_wait(work, lambda: self._diagnose(work, groups))
         if work.is_suspect:
             self._reserve_for_trial(work, groups)
         else:
             self._reserve_or_displace(work, groups)
+        if shape is not None and self.changes == changes:
+            self.unplaceable[shape] = (reason, changes)
         return False
 
     def _place(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> bool:
@@ -175,15 +271,21 @@
         self._assign(work, chosen)
         return True
 
-    def _record_wait(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
-        """Records the wait reason of the oldest work of each queue.
+    def _record_wait(
+        self, work: WaitingWork, diagnose: Callable[[], WaitReason]
+    ) -> WaitReason | None:
+        """Records the wait reason of the oldest work of each queue, and returns it.
 
-        Only the oldest work is diagnosed, because each diagnosis calls `fit_tasks` several times.
+        Only the oldest work is diagnosed, because each diagnosis calls `fit_tasks` several times;
+        returns None for any other work.
         """
         queue = work.graph.graph.policy.queue
         oldest = self.plan.waits.get(queue)
-        if oldest is None or work.ready_s < oldest.work.ready_s:
-            self.plan.waits[queue] = PlacementWait(work, self._diagnose(work, groups))
+        if oldest is not None and work.ready_s >= oldest.work.ready_s:
+            return None
+        reason = diagnose()
+        self.plan.waits[queue] = PlacementWait(work, reason)
+        return reason
 
     def _diagnose(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> WaitReason:
         return WaitDiagnosis(work, self.workers, groups, self.search.limits).explain()
@@ -201,6 +303,8 @@
 
     def _assign(self, work: WaitingWork, chosen: list[WorkerCapacity]) -> None:
         self.holds.record_start(work)
+        self.changes += 1
+        self.plan.placed.append(work)
         for index, worker in zip(work.indexes, chosen, strict=True):
             worker.occupy(work.step.demand)
             self.search.record_assignment(work, worker.worker_id)
@@ -219,14 +323,18 @@
                 self._reserve(work, chosen)
                 return
         groups = self.candidates.groups_to_clear(work, groups)
-        is_in_time = work.is_guaranteed or self.now_s < work.latest_start_s()
-        if self.may_displace and work.priority == URGENT_PRIORITY and is_in_time:
+        if work.priority == URGENT_PRIORITY and self._may_displace(work):
             is_served = self._reserve_if_free_in_time(work, groups) or self._displace(work, groups)
             if not is_served and self.victims.is_reserved_without_displacement(work):
                 self._reserve_for_gang(work, groups)
         elif work.step.is_gang and self.reserved_gangs < MAX_RESERVED_GANGS:
             self._reserve_for_gang(work, groups)
 
+    def _may_displace(self, work: WaitingWork) -> bool:
+        """Returns whether other work may give way to this urgent work."""
+        is_in_time = work.is_guaranteed or self.now_s < work.latest_start_s()
+        return self.may_displace and is_in_time
+
     def _reserve_if_free_in_time(
         self, work: WaitingWork, groups: list[list[WorkerCapacity]]
     ) -> bool:
@@ -248,6 +356,7 @@
 
     def _reserve(self, work: WaitingWork, chosen: list[WorkerCapacity]) -> None:
         """Reserves the chosen workers as a whole for the work until the end of the round."""
+        self.changes += 1
         for worker in chosen:
             worker.free_after_stops = worker.free_after_stops.minus(work.step.demand)
             worker.is_reserved = True
@@ -269,6 +378,7 @@
                 cheapest = displacement
         if cheapest is None or not self.victims.is_worthwhile(work, cheapest):
             return False
+        self.unplaceable.clear()
         for victim in cheapest.victims:
             self.running.remove(victim)
             self.search.record_displacement()
--- a/src/cicadatray/scheduling/taskgraphs/ready_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/ready_work.py
@@ -16,6 +16,15 @@
     It is due, the steps that it depends on are done, and certainly no run of it exists. Later
     occurrences wait while earlier ones have `MAX_READY_TASKS` ready tasks.
     """
+    for work in find_ready_steps(graph, now_s):
+        yield from work.each()
+
+
+def find_ready_steps(graph: GraphProgress, now_s: float) -> Iterator[WaitingWork]:
+    """Yields the same work as `find_ready_work`, but one work for the equal tasks of each step.
+
+    Suspect tasks are yielded one by one, because each must start alone.
+    """
     if not graph.is_active:
         return
     ready_tasks = 0
@@ -25,12 +34,13 @@
             return
         ready_s = max(graph.accepted_s, due_s)
         for number, step in enumerate(graph.graph.steps):
-            is_ready = all(graph.is_step_done(occurrence, earlier) for earlier in step.depends_on)
-            if not is_ready or graph.is_step_done(occurrence, number):
+            if graph.is_step_done(occurrence, number):
+                continue
+            if not all(graph.is_step_done(occurrence, earlier) for earlier in step.depends_on):
                 continue
             ready = _ready_gang if step.is_gang else _ready_tasks
             for work in ready(graph, occurrence, number, ready_s):
-                ready_tasks += len(work.indexes)
+                ready_tasks += work.task_count
                 yield work
 
 
@@ -50,9 +60,17 @@
 def _ready_tasks(
     graph: GraphProgress, occurrence: int, number: int, ready_s: float
 ) -> Iterator[WaitingWork]:
+    equal: list[tuple[int, int]] = []
+    suspects: list[tuple[int, int]] = []
     for index in range(graph.graph.steps[number].count):
         progress = graph.task(occurrence, number, index)
         if progress is None:
-            yield WaitingWork(graph, occurrence, number, (index,), 1, ready_s)
+            equal.append((index, 1))
         elif not progress.worker_id and not progress.is_done:
-            yield WaitingWork(graph, occurrence, number, (index,), progress.run + 1, ready_s)
+            tasks = suspects if progress.crashes.is_suspect else equal
+            tasks.append((index, progress.run + 1))
+    if equal:
+        (index, run), *followers = equal
+        yield WaitingWork(graph, occurrence, number, (index,), run, ready_s, followers)
+    for index, run in suspects:
+        yield WaitingWork(graph, occurrence, number, (index,), run, ready_s)
--- a/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/by_speed.py
@@ -1,7 +1,7 @@
 """Candidates by the expected end on workers of different speeds."""
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Hashable, Sequence
 from statistics import NormalDist
 from typing import ClassVar
 
@@ -84,6 +84,10 @@
         divided += _intersect(groups, lambda w: w.speed >= STILL_SPEED)
         return divided + groups
 
+    def shape(self, work: WaitingWork) -> Hashable | None:
+        """Returns the shape of `packed`, None in uneven pools, where deadlines decide."""
+        return None if self._is_uneven(work) else super().shape(work)
+
     def fill_order(self, work: WaitingWork) -> FillOrder | None:
         """Returns the order by class of speed.
 
--- a/src/cicadatray/scheduling/taskgraphs/rules/candidate_rule.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/candidate_rule.py
@@ -1,7 +1,7 @@
 """Rules for which workers may take a work, and in which order."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Hashable, Sequence
 from typing import ClassVar
 
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
@@ -30,6 +30,14 @@
         `usable` are the workers of its pool that have the required label.
         """
 
+    def shape(self, work: WaitingWork) -> Hashable | None:
+        """Returns what the groups of the work and their use follow from in one round.
+
+        While the state of the round does not change, all work of one shape fits or none. None if
+        each work has to be tried.
+        """
+        return None
+
     def fill_order(self, work: WaitingWork) -> FillOrder | None:
         """Returns the order in which workers are filled, or None for the fullest first."""
         return None
--- a/src/cicadatray/scheduling/taskgraphs/rules/fair_latest_start.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/fair_latest_start.py
@@ -1,10 +1,12 @@
 """Ranking by latest start that lets accounts below their fair share go first in a tie."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from cicadatray.scheduling.taskgraphs.rules.account_usage import AccountUsage, PoolAccount
 from cicadatray.scheduling.taskgraphs.rules.latest_start import LatestStartRanking
+from cicadatray.scheduling.taskgraphs.rules.ranked_merge import Rank
 from cicadatray.scheduling.taskgraphs.rules.ranking_rule import rankings
+from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 
 
@@ -16,18 +18,24 @@
     guarantee covers and other work, and between work in time and late work stays the same.
     """
 
-    __slots__ = ()
+    __slots__ = ("delays_by_account_s",)
 
-    def order(self, waiting: Sequence[WaitingWork]) -> list[WaitingWork]:
-        """Returns the work by its rank and the recent use of its account."""
+    def __init__(self, view: RoundView) -> None:
+        super().__init__(view)
+        self.delays_by_account_s: dict[PoolAccount, float] = {}
+
+    def iterate(self, waiting: Sequence[WaitingWork]) -> Iterator[WaitingWork | None]:
+        """Yields the work by its rank and the recent use of its account."""
         usage = self.view.memory.get(AccountUsage)
         usage.sample(self.view.workers, self.view.running, self.view.now_s)
-        delays_s = usage.delays_s(waiting)
-        return sorted(waiting, key=lambda work: self._rank(work, delays_s))
+        self.delays_by_account_s = usage.delays_s(waiting)
+        yield from super().iterate(waiting)
 
-    def _rank(self, work: WaitingWork, delays_s: dict[PoolAccount, float]) -> tuple[float, ...]:
+    def rank(self, work: WaitingWork) -> Rank:
+        """Returns the rank of the work, moved back by the delay of its account."""
         *before, latest_start_s = work.rank(self.view.now_s)
         if not work.is_guaranteed:
             graph = work.graph.graph
-            latest_start_s += delays_s.get((graph.policy.pool, graph.client_account), 0.0)
+            account = (graph.policy.pool, graph.client_account)
+            latest_start_s += self.delays_by_account_s.get(account, 0.0)
         return (*before, latest_start_s)
--- a/src/cicadatray/scheduling/taskgraphs/rules/guarantee_rule.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/guarantee_rule.py
@@ -15,6 +15,4 @@
 
 def demand_of_graph(progress: GraphProgress) -> int:
     """Returns the accelerators of all tasks of all occurrences of a graph."""
-    graph = progress.graph
-    accelerators = sum(step.count * step.needs.accelerators for step in graph.steps)
-    return accelerators * graph.occurrences
+    return progress.graph.accelerators
--- a/src/cicadatray/scheduling/taskgraphs/rules/least_cost.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/least_cost.py
@@ -1,7 +1,7 @@
 """Ranking that chooses which jobs are late when not all can be on time."""
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from cicadatray.scheduling.taskgraphs.job_value import LATE_VALUE_SHARE, job_value
 from cicadatray.scheduling.taskgraphs.passed_over_job import PassedOverJob
@@ -68,8 +68,8 @@
         self.sizes = view.memory.get(JobSizes)
         self.memory = view.memory.get(PassedOverMemory)
 
-    def order(self, waiting: Sequence[WaitingWork]) -> list[WaitingWork]:
-        """Returns the work by its rank, with the jobs passed over behind those on time."""
+    def iterate(self, waiting: Sequence[WaitingWork]) -> Iterator[WaitingWork | None]:
+        """Yields the work by its rank, with the jobs passed over behind those on time."""
         self.sizes.observe(waiting)
         job_of = self._group(waiting)
         jobs = sorted(dict.fromkeys(job_of), key=lambda job: job.rank)
@@ -86,7 +86,8 @@
                 job.rank = (worthless, priority, unguaranteed, True, displaced_s, latest_s)
         # The order among equals is that of the input, as for `latest_start`.
         ranked = sorted(zip(job_of, waiting, strict=True), key=lambda pair: pair[0].rank)
-        return [work for _, work in ranked]
+        for _, work in ranked:
+            yield work
 
     def _remember(self, jobs: Sequence[_WaitingJob], passed_over: set[str]) -> None:
         """Keeps the times of jobs until they no longer wait, so that they do not begin anew."""
@@ -108,7 +109,7 @@
             job = steps.get(key)
             if job is None:
                 job = steps[key] = _WaitingJob(work, work.rank(self.view.now_s))
-            job.works += 1
+            job.works += 1 + len(work.followers)
             job_of.append(job)
         for job in steps.values():
             self._evaluate(job)
--- a/src/cicadatray/scheduling/taskgraphs/rules/packed.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/packed.py
@@ -1,5 +1,7 @@
 """Candidates that keep racks and workers free for gangs."""
 
+from collections.abc import Hashable
+
 from cicadatray.scheduling.taskgraphs.rules.candidate_rule import CandidateRule, candidate_rules
 from cicadatray.scheduling.taskgraphs.task_fit import fit_tasks, total_capacity
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
@@ -18,7 +20,7 @@
     def groups(self, work: WaitingWork, usable: list[WorkerCapacity]) -> list[list[WorkerCapacity]]:
         """Returns the sets of workers that may take the work, the preferred set first."""
         step = work.step
-        can_wait = self.view.now_s < work.ready_s + step.estimate_s * (REMOTE_SLOWDOWN - 1)
+        can_wait = self._can_wait(work)
         if step.data_rack:
             in_data_rack = [worker for worker in usable if worker.rack == step.data_rack]
             is_possible = self._fits_when_empty(work, in_data_rack)
@@ -32,6 +34,27 @@
         # Single tasks fill one rack after the other, so that other racks stay free for gangs.
         return [*self._racks(usable), usable]
 
+    def shape(self, work: WaitingWork) -> Hashable | None:
+        """Returns the demand and the place of the work, None with a limit of its own step."""
+        step = work.step
+        if step.max_per_worker:
+            return None
+        is_in_one_rack = step.is_gang and step.is_rack_local
+        return (
+            work.graph.graph.policy.pool,
+            step.required_label,
+            step.demand,
+            step.is_gang,
+            len(work.indexes),
+            step.data_rack,
+            is_in_one_rack,
+            (step.data_rack or is_in_one_rack) and self._can_wait(work),
+        )
+
+    def _can_wait(self, work: WaitingWork) -> bool:
+        """Returns whether the work may still wait for the rack on which it is fast."""
+        return self.view.now_s < work.ready_s + work.step.estimate_s * (REMOTE_SLOWDOWN - 1)
+
     def _racks(self, workers: list[WorkerCapacity]) -> list[list[WorkerCapacity]]:
         """Returns the workers by rack, the rack with the fewest free accelerators first."""
         racks: dict[str, list[WorkerCapacity]] = {}
--- a/src/cicadatray/scheduling/taskgraphs/rules/ranking_rule.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/ranking_rule.py
@@ -1,7 +1,7 @@
 """Rules for the order in which a round tries waiting work."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.rules.rule_registry import RuleRegistry
@@ -17,8 +17,15 @@
         self.view = view
 
     @abstractmethod
+    def iterate(self, waiting: Sequence[WaitingWork]) -> Iterator[WaitingWork | None]:
+        """Yields the same work in the order in which the round tries to place it.
+
+        Yields None wherever the round may pause, at least once for some hundred works.
+        """
+
     def order(self, waiting: Sequence[WaitingWork]) -> list[WaitingWork]:
         """Returns the same work in the order in which the round tries to place it."""
+        return [work for work in self.iterate(waiting) if work is not None]
 
 
 rankings: RuleRegistry[type[RankingRule]] = RuleRegistry("ranking")
--- a/src/cicadatray/scheduling/taskgraphs/task_graph.py
+++ b/src/cicadatray/scheduling/taskgraphs/task_graph.py
@@ -75,6 +75,11 @@
         """Returns the length of the longest path of estimates that begins with a step."""
         return self._times(waves).critical_paths_s[step]
 
+    @cached_property
+    def accelerators(self) -> int:
+        """The accelerators of all tasks of all occurrences."""
+        return self.occurrences * sum(step.count * step.needs.accelerators for step in self.steps)
+
     @cached_property
     def derived_times(self) -> _DerivedTimes:
         """The times that were computed last, which are not part of the encoded graph."""
--- a/src/cicadatray/scheduling/taskgraphs/waiting_work.py
+++ b/src/cicadatray/scheduling/taskgraphs/waiting_work.py
@@ -1,6 +1,7 @@
 """Work that waits for placement."""
 
 import math
+from collections.abc import Iterator, Sequence
 
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import MAX_LATENESS_FACTOR
@@ -15,12 +16,14 @@
     is the earliest time at which it could have started, in seconds since 1970. `is_guaranteed`: the
     guarantee of its account covers its graph. `displaced_s` is when running work was first
     displaced for its graph, infinite if none was. `waves` has the waves of each step of its graph,
-    if they are known.
+    if they are known. `followers` are the other ready single tasks of its step, each with the
+    number of its next run, which have the same rank and need the same room.
     """
 
     __slots__ = (
         "graph",
         "displaced_s",
+        "followers",
         "indexes",
         "is_guaranteed",
         "occurrence",
@@ -38,6 +41,7 @@
         indexes: tuple[int, ...],
         run: int,
         ready_s: float,
+        followers: Sequence[tuple[int, int]] = (),
     ) -> None:
         self.graph = graph
         self.occurrence = occurrence
@@ -45,10 +49,30 @@
         self.indexes = indexes
         self.run = run
         self.ready_s = ready_s
+        self.followers = followers
         self.is_guaranteed = False
         self.displaced_s = math.inf
         self.waves: tuple[float, ...] = ()
 
+    @property
+    def task_count(self) -> int:
+        """The number of tasks, with those of its followers."""
+        return len(self.indexes) + len(self.followers)
+
+    def each(self) -> Iterator["WaitingWork"]:
+        """Yields the work and each of its followers as work without followers."""
+        if not self.followers:
+            yield self
+            return
+        for index, run in ((self.indexes[0], self.run), *self.followers):
+            work = WaitingWork(
+                self.graph, self.occurrence, self.step_number, (index,), run, self.ready_s
+            )
+            work.is_guaranteed = self.is_guaranteed
+            work.displaced_s = self.displaced_s
+            work.waves = self.waves
+            yield work
+
     @property
     def step(self) -> Step:
         """The step that the tasks belong to."""
