Let the leader's rounds give way, and store starts and ends in parts

Callers saw: no leader for as long as a large job waited. A leader that plans for more than about a second is deposed, and the next one begins the same round. Cause: a round, the scan for wait reasons and the commands about runs ran in one turn of the event loop each, whose length followed from the work that had been accepted. Each round read all jobs again, and each start was compared with all waiting tasks to measure its wait. Change: `run_in_turns` gives way after 10 ms, whatever is computed. `ReadyIndex` finds the ready work of a job again only after a command has changed it. A round that has taken 0.1 s ends early when it can start work or urgent work has arrived, and the next one then runs to its end, so that urgent work does not wait and other work does not starve. Starts whose worker or job has changed meanwhile are dropped, with their gang. A command stores at most 250 starts or ends. Round times, waiting steps, rounds that ended early and the longest hold of the loop are measured, and long ones logged (`slow placement round`, `event loop held`).

--- /dev/null
+++ b/src/cicadatray/internal/bench/backlog_runs/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the benchmark of large backlogs."""
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -33,6 +33,7 @@
 from cicadatray.internal.control.group_admission import GroupAdmission
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.internal.control.loop_watch import LoopWatch
 from cicadatray.internal.control.replica_configuration import replica_settings
 from cicadatray.internal.control.replica_gauges import register_replica_gauges
 from cicadatray.internal.control.replica_link import ReplicaLink
@@ -124,6 +125,7 @@
         await self.server.start()
         log.info("control listening", port=self.server.port)
         supervisor = Supervisor(self.metrics)
+        supervisor.start("event loop watch", LoopWatch(self.metrics).run)
         supervisor.start("leadership", self._run_leadership)
         admission = GroupAdmission(self.settings, self.replica, self.control_client)
         supervisor.start("group admission", admission.run)
@@ -232,6 +234,7 @@
             self.proposed_silences,
         )
         self.state.listeners.append(LateCommits(self.graph_session).on_command_applied)
+        self.state.listeners.append(self.graph_session.ready.on_command_applied)
         try:
             async with asyncio.TaskGroup() as tasks:
                 loops = [
--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -14,6 +14,8 @@
 
 # Reports that arrive within this time are handled in one round and committed together.
 BATCHING_DELAY_S = 0.01
+# At most this many ends are stored in one command, which each instance applies at once.
+MAX_ENDS = 250
 
 log = structlog.get_logger(__name__)
 
@@ -46,20 +48,24 @@
                 session.ends_arrived.clear()
                 commits.create_task(fail_if_cancelled(self._commit()))
 
-    def drain_new_ends(self) -> list[PlacedEnd]:
-        """Returns and clears the ends that are not proposed yet.
+    def drain_new_ends(self, most: int | None = None) -> list[PlacedEnd]:
+        """Returns and removes the first ends that are not proposed yet, all without a limit.
 
         The caller must propose them before it awaits anything else. Otherwise the loss of their
         worker may be proposed first, and the tasks start again although they are done.
         """
-        ends, self.session.new_ends = self.session.new_ends, []
+        new_ends = self.session.new_ends
+        most = len(new_ends) if most is None else most
+        ends, self.session.new_ends = new_ends[:most], new_ends[most:]
         return ends
 
     async def _commit(self) -> None:
         session = self.session
-        ends = self.drain_new_ends()
+        ends = self.drain_new_ends(MAX_ENDS)
         if not ends:
             return
+        if session.new_ends:
+            session.ends_arrived.set()
         command = RecordRuns(
             now_s=session.wall_s(), ends=tuple(ends), checkpoints=new_checkpoints(session)
         )
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -1,12 +1,17 @@
 """The leader's scheduling loop for task graphs."""
 
 import asyncio
+from collections.abc import Generator
 
 import structlog
 
 from cicadatray.internal.control.endless_work import run_endlessly
 from cicadatray.internal.control.errors import LeadershipLostError, leadership_lost
-from cicadatray.internal.control.graphs.end_recorder import BATCHING_DELAY_S, EndRecorder
+from cicadatray.internal.control.graphs.end_recorder import (
+    BATCHING_DELAY_S,
+    MAX_ENDS,
+    EndRecorder,
+)
 from cicadatray.internal.control.graphs.evacuated_runs import revoke_evacuated, revoke_unstarted
 from cicadatray.internal.control.graphs.expired_graphs import find_expired_graphs
 from cicadatray.internal.control.graphs.graph_session import GraphSession
@@ -15,15 +20,17 @@
 from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
 from cicadatray.internal.control.graphs.placement_input import (
     build_running,
-    build_workers,
-    mark_displacing,
-    mark_guaranteed,
+    collect_running,
+    collect_workers,
+    mark_waiting,
 )
 from cicadatray.internal.control.graphs.planned_displacements import PlannedDisplacements
-from cicadatray.internal.control.graphs.pool_capacities import mark_waves
 from cicadatray.internal.control.graphs.reported_checkpoints import new_checkpoints
+from cicadatray.internal.control.graphs.round_log import RoundLog
 from cicadatray.internal.control.graphs.silence_recorder import SilenceRecorder
+from cicadatray.internal.control.graphs.valid_assignments import valid_assignments
 from cicadatray.internal.control.graphs.wait_log import WaitLog
+from cicadatray.internal.control.loop_turns import run_in_turns
 from cicadatray.internal.observability.graph_metrics import task_wait_seconds
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
@@ -33,8 +40,7 @@
     RunsRecorded,
 )
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
-from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
-from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
+from cicadatray.scheduling.taskgraphs.placement_round import MAX_STARTS, PlacementRound
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
@@ -42,6 +48,13 @@
 ROUND_INTERVAL_S = 0.25
 # At most this much work of a checkpointable task is repeated after a power loss.
 CHECKPOINT_INTERVAL_S = 1.0
+# A round that has taken this long, in seconds, may end before it has tried all waiting work.
+LONG_ROUND_S = 0.1
+EXPIRY_SCAN_INTERVAL_S = 1.0
+# At most this many expired graphs are removed by one command.
+MAX_REMOVALS = 1000
+# The event loop may do other work after so many starts were ordered.
+STARTS_BETWEEN_PAUSES = 16
 
 log = structlog.get_logger(__name__)
 
@@ -53,8 +66,11 @@
         "displacements",
         "guarantee_log",
         "has_applied_earlier_starts",
+        "may_end_early",
         "next_checkpoints_s",
+        "next_expiry_scan_s",
         "recorder",
+        "round_log",
         "session",
         "silences",
         "start_wait",
@@ -65,7 +81,10 @@
         self.session = session
         self.wait_log = WaitLog(session)
         self.guarantee_log = GuaranteeLog(session)
+        self.round_log = RoundLog(session)
+        self.may_end_early = True
         self.next_checkpoints_s = 0.0
+        self.next_expiry_scan_s = 0.0
         self.has_applied_earlier_starts = False
         metrics = session.leader.metrics
         self.recorder = EndRecorder(session)
@@ -108,23 +127,41 @@
         session = self.session
         lost = self._mark_lost_workers()
         ends = self._lost_run_ends(lost)
-        removed_graph_ids = find_expired_graphs(session.graphs, session.wall_s())
+        removed_graph_ids = self._find_expired_graphs()
         checkpoints = self._due_checkpoints(bool(ends))
         if ends or removed_graph_ids or checkpoints:
-            await session.leader.propose(
-                RecordRuns(
-                    now_s=session.wall_s(),
-                    ends=tuple(ends),
-                    removed_graph_ids=removed_graph_ids,
-                    checkpoints=checkpoints,
-                )
-            )
-            self.recorder.apply_committed(ends)
+            await self._commit_losses(ends[:MAX_ENDS], removed_graph_ids, checkpoints)
+        for start in range(MAX_ENDS, len(ends), MAX_ENDS):
+            await self._commit_losses(ends[start : start + MAX_ENDS])
         for worker_id in lost:
             session.remove_worker(worker_id)
         if ends:
             session.wake_all()
 
+    async def _commit_losses(
+        self,
+        ends: list[PlacedEnd],
+        removed_graph_ids: tuple[str, ...] = (),
+        checkpoints: tuple[RunCheckpoint, ...] = (),
+    ) -> None:
+        session = self.session
+        command = RecordRuns(
+            now_s=session.wall_s(),
+            ends=tuple(ends),
+            removed_graph_ids=removed_graph_ids,
+            checkpoints=checkpoints,
+        )
+        await session.leader.propose(command)
+        self.recorder.apply_committed(ends)
+
+    def _find_expired_graphs(self) -> tuple[str, ...]:
+        """Returns the first of the graphs that can be removed, once per interval."""
+        now_s = self.session.now_s()
+        if now_s < self.next_expiry_scan_s:
+            return ()
+        self.next_expiry_scan_s = now_s + EXPIRY_SCAN_INTERVAL_S
+        return find_expired_graphs(self.session.graphs, self.session.wall_s())[:MAX_REMOVALS]
+
     def _lost_run_ends(self, lost: list[str]) -> list[PlacedEnd]:
         """Returns the ends not proposed yet, followed by one for every run of lost workers."""
         if not lost:
@@ -188,76 +225,106 @@
         session = self.session
         if session.speed_observer is not None:
             session.speed_observer.update(session.now_s())
+        began_s = session.now_s()
         now_s = session.wall_s()
-        waiting = self._find_waiting(now_s)
+        await run_in_turns(session.ready.update(now_s))
+        waiting = session.ready.waiting()
         if waiting and not self.has_applied_earlier_starts:
             # A plan that does not know a start of an earlier session could give its room away.
             await session.leader.apply_earlier_commands()
             self.has_applied_earlier_starts = True
             now_s = session.wall_s()
-            waiting = self._find_waiting(now_s)
+            await run_in_turns(session.ready.update(now_s))
+            waiting = session.ready.waiting()
         if not waiting:
+            await run_in_turns(self.wait_log.scan())
             self.wait_log.record_round({})
             return
-        plan = self._plan(waiting, now_s)
-        self.wait_log.record_round(plan.waits, plan.held)
+        plan = await self._plan(waiting, now_s)
+        await run_in_turns(self.wait_log.scan())
+        self.wait_log.record_round(plan.waits, plan.held, plan.is_complete)
         self.guarantee_log.record_round(waiting, plan)
         self.displacements.carry_out(plan)
+        self.round_log.record(len(waiting), plan, session.now_s() - began_s)
         if plan.assignments:
-            self._observe_waits(waiting, plan, now_s)
+            self._observe_waits(plan, now_s)
             await self._start(plan, now_s)
+        if not plan.is_complete:
+            session.wake.set()
 
-    def _find_waiting(self, now_s: float) -> list[WaitingWork]:
-        """Returns the work that is ready; `now_s` is in seconds since 1970."""
-        graphs = self.session.graphs.values()
-        return [work for graph in graphs for work in find_ready_work(graph, now_s)]
+    async def _plan(self, waiting: list[WaitingWork], now_s: float) -> PlacementPlan:
+        """Plans a round over the waiting work; `now_s` is in seconds since 1970.
 
-    def _plan(self, waiting: list[WaitingWork], now_s: float) -> PlacementPlan:
-        """Plans a round over the waiting work; `now_s` is in seconds since 1970."""
+        The event loop does other work in between. A round that has taken long ends early if it can
+        start work or if urgent work has arrived; the next one does not, so that all work gets its
+        turn.
+        """
         session = self.session
-        running = build_running(session)
-        mark_guaranteed(
-            session.rules.find_guarantees(),
-            session.graphs.values(),
-            session.guaranteed_accelerators(),
-            waiting,
-            running,
+        session.ready.accepted_urgent = False
+        running = await run_in_turns(collect_running(session))
+        workers = await run_in_turns(collect_workers(session))
+        assert running is not None and workers is not None
+        covered = session.rules.find_guarantees()(
+            session.graphs.values(), session.guaranteed_accelerators()
         )
-        mark_displacing(session.displacing_graphs, waiting)
-        mark_waves(session, waiting)
-        return PlacementRound(
-            build_workers(session),
+        for work in running:
+            work.is_guaranteed = work.graph_id in covered
+        await run_in_turns(mark_waiting(session, covered, waiting))
+        placement = PlacementRound(
+            workers,
             running,
             now_s,
             session.start_limits,
             session.knows_workers(),
             session.rules,
             session.rule_memory,
-        ).run(waiting)
+        )
+        long_after_s = session.now_s() + LONG_ROUND_S
+
+        def must_stop() -> bool:
+            if not self.may_end_early or session.now_s() < long_after_s:
+                return False
+            return session.ready.accepted_urgent or bool(placement.plan.assignments)
 
-    def _observe_waits(self, waiting: list[WaitingWork], plan: PlacementPlan, now_s: float) -> None:
-        for work in waiting:
-            if any(a.run.task == work.task(work.indexes[0]) for a in plan.assignments):
-                self.start_wait.observe(max(0.0, now_s - work.ready_s), priority=str(work.priority))
+        await run_in_turns(placement.steps(waiting), must_stop)
+        self.may_end_early = placement.plan.is_complete or not self.may_end_early
+        return placement.plan
+
+    def _observe_waits(self, plan: PlacementPlan, now_s: float) -> None:
+        for work in plan.placed:
+            self.start_wait.observe(max(0.0, now_s - work.ready_s), priority=str(work.priority))
 
     async def _start(self, plan: PlacementPlan, now_s: float) -> None:
-        """Stores the starts of a plan, and sends those that took effect."""
+        """Stores the starts of a plan, and sends those that took effect.
+
+        A gang is ordered only once all its starts are stored, which may take several commands.
+        """
         session = self.session
-        starts = tuple(
-            PlacedRun(a.run, a.worker_id, session.workers[a.worker_id].agent_id)
-            for a in plan.assignments
-        )
-        session.proposed_starts = RecordRuns(now_s=now_s, starts=starts)
-        reply = await session.leader.propose(session.proposed_starts)
-        session.proposed_starts = None
-        if not isinstance(reply, RunsRecorded):
-            raise LeadershipLostError(f"unexpected reply to the starts of runs: {reply}")
-        self._send_orders(reply.started)
+        assignments = await run_in_turns(valid_assignments(session, plan.assignments))
+        assert assignments is not None
+        started: list[PlacedRun] = []
+        for first in range(0, len(assignments), MAX_STARTS):
+            part = tuple(
+                PlacedRun(a.run, a.worker_id, session.workers[a.worker_id].agent_id)
+                for a in assignments[first : first + MAX_STARTS]
+                if a.worker_id in session.workers
+            )
+            session.proposed_starts = RecordRuns(now_s=now_s, starts=part)
+            reply = await session.leader.propose(session.proposed_starts)
+            session.proposed_starts = None
+            if not isinstance(reply, RunsRecorded):
+                raise LeadershipLostError(f"unexpected reply to the starts of runs: {reply}")
+            started += reply.started
+        await run_in_turns(self._send_orders(started))
 
-    def _send_orders(self, started: tuple[PlacedRun, ...]) -> None:
+    def _send_orders(self, started: list[PlacedRun]) -> Generator[None, None, None]:
+        """Orders the stored starts; yields wherever the caller may pause."""
         session = self.session
         for start in started:
             session.ordered_runs.setdefault(start.worker_id, {})[start.run] = session.now_s()
+        for place, start in enumerate(started):
+            if place % STARTS_BETWEEN_PAUSES == STARTS_BETWEEN_PAUSES - 1:
+                yield
             log.info(
                 "run placed",
                 graph=start.run.task.graph_id,
@@ -267,6 +334,7 @@
                 is_alone=session.graphs[start.run.task.graph_id].is_suspect(start.run.task),
             )
             session.statistics.record_start(start.run)
-            worker = session.workers.get(start.worker_id)
+        for worker_id in dict.fromkeys(start.worker_id for start in started):
+            worker = session.workers.get(worker_id)
             if worker is not None:
                 worker.wake.set()
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -12,6 +12,7 @@
 from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
 from cicadatray.internal.control.graphs.proposed_silences import ProposedSilences
+from cicadatray.internal.control.graphs.ready_index import ReadyIndex
 from cicadatray.internal.control.graphs.recorded_runs import is_recorded, load_ordered_runs
 from cicadatray.internal.control.graphs.relay_directory import RelayDirectory
 from cicadatray.internal.control.graphs.speed_observer import SpeedObserver
@@ -53,10 +54,11 @@
     replaced by another worker of the same agent. `rule_memory` is what the scheduling rules keep
     between rounds. `new_ends` are reported ends that are not proposed yet, and `unstored_ends` the
     workers and runs of all reported ends that are not durable yet. `proposed_starts` is the command
-    with starts that this session waits for. `pending_evacuations` counts the orders by data centre
-    that may not be committed yet. `silence_credits_s` are the silences of workers that earlier
-    leaders had recorded when this session began, and `proposed_silences` are those that this
-    process has proposed, in any session. `wake` starts the next round.
+    with starts that this session waits for. `ready` finds the work that is ready to start.
+    `pending_evacuations` counts the orders by data centre that may not be committed yet.
+    `silence_credits_s` are the silences of workers that earlier leaders had recorded when this
+    session began, and `proposed_silences` are those that this process has proposed, in any session.
+    `wake` starts the next round.
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         "pending_evacuations",
         "proposed_silences",
         "proposed_starts",
+        "ready",
         "relays",
         "replaced_workers",
         "revoked_runs",
@@ -114,6 +117,7 @@
         self.proposed_silences = proposed_silences or ProposedSilences()
         self.silence_credits_s = dict(leader.state.graphs.silences)
         self.proposed_starts: RecordRuns | None = None
+        self.ready = ReadyIndex(leader.state.graphs.graphs)
         self.relays = RelayDirectory()
         self.replaced_workers: set[str] = set()
         self.revoked_runs: set[TaskRun] = set()
--- a/src/cicadatray/internal/control/graphs/guarantee_log.py
+++ b/src/cicadatray/internal/control/graphs/guarantee_log.py
@@ -1,5 +1,6 @@
 """Logs covered work that could not start in its time, and measures what guarantees cover."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import structlog
@@ -12,13 +13,14 @@
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.rules.guarantee_rule import demand_of_graph
+from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 
 # Many tasks may be late at once, so the log is limited to one line a second for each account.
 LINE_INTERVAL_S = 1.0
 
-# A graph, an occurrence, a step, the first task of the work and the number of its next run.
-WorkKey = tuple[str, int, int, int, int]
+# A graph, an occurrence, a step and the number of the next run of its waiting tasks.
+WorkKey = tuple[str, int, int, int]
 
 log = structlog.get_logger(__name__)
 
@@ -26,6 +28,8 @@
 class GuaranteeLog:
     """Watches the waiting work that guarantees cover while this instance leads.
 
+    The tasks of a step that wait for the same run are watched together.
+
     `waits_since_s` is when each such work was first seen waiting and covered; a new leader begins
     anew. `reported` are those of them that have been counted as too late, because they waited for
     longer than `StartLimits.urgent_start_s`.
@@ -42,24 +46,30 @@
     def record_round(self, waiting: Iterable[WaitingWork], plan: PlacementPlan) -> None:
         """Records the waiting work of a round and what the round has started of it."""
         now_s = self.session.now_s()
-        covered = {_key(work): work for work in waiting if work.is_guaranteed}
+        covered: dict[WorkKey, list[WaitingWork]] = {}
+        for work in waiting:
+            if work.is_guaranteed:
+                covered.setdefault((*work.step_key, work.run), []).append(work)
         self.waits_since_s = {key: self.waits_since_s.get(key, now_s) for key in covered}
         self.reported &= covered.keys()
         limit_s = self.session.start_limits.urgent_start_s
-        started = {assignment.run.task for assignment in plan.assignments}
-        for key, work in covered.items():
+        started = Counter(_key(assignment.run) for assignment in plan.assignments)
+        for key, works in covered.items():
             waited_s = now_s - self.waits_since_s[key]
-            is_starting = work.task(work.indexes[0]) in started
-            if waited_s > limit_s and not is_starting and key not in self.reported:
-                self._report(key, work, waited_s, plan)
+            if waited_s <= limit_s or key in self.reported:
+                continue
+            first = works[0]
+            count = 1 if first.step.is_gang else sum(work.task_count for work in works)
+            if count > started[key]:
+                self._report(key, first, count - started[key], waited_s, plan)
 
     def _report(
-        self, key: WorkKey, work: WaitingWork, waited_s: float, plan: PlacementPlan
+        self, key: WorkKey, work: WaitingWork, count: int, waited_s: float, plan: PlacementPlan
     ) -> None:
         graph = work.graph.graph
         account = graph.client_account
         self.reported.add(key)
-        guarantees_missed(self.session.leader.metrics).increment(client_account=account)
+        guarantees_missed(self.session.leader.metrics).increment(count, client_account=account)
         now_s = self.session.now_s()
         if now_s < self.next_line_s.get(account, 0.0):
             return
@@ -78,9 +88,9 @@
         )
 
 
-def _key(work: WaitingWork) -> WorkKey:
-    graph_id = work.graph.graph.graph_id
-    return (graph_id, work.occurrence, work.step_number, work.indexes[0], work.run)
+def _key(run: TaskRun) -> WorkKey:
+    task = run.task
+    return (task.graph_id, task.occurrence, task.step, run.run)
 
 
 def register_coverage_gauge(
--- a/src/cicadatray/internal/control/graphs/hold_log.py
+++ b/src/cicadatray/internal/control/graphs/hold_log.py
@@ -30,22 +30,26 @@
         self.last_round_s = session.now_s()
         self.reported: dict[str, HeldWork] = {}
 
-    def record_round(self, held: Sequence[HeldWork]) -> None:
-        """Records the work that a round held back; `held` is empty if there is none."""
-        if not held:
+    def record_round(self, held: Sequence[HeldWork], is_complete: bool = True) -> None:
+        """Records the work that a round held back; `held` is empty if there is none.
+
+        Work that a round has not come to counts as held as before.
+        """
+        if not held and is_complete:
             self.session.rule_memory.get(HoldMemory).clear()
         self._count(held)
         by_task = {_task_of(item): item for item in held if item.held_s >= REPORT_AFTER_S}
         for task in [task for task in by_task if by_task[task].is_started]:
             self.reported[task] = by_task.pop(task)
-        for task in [task for task in self.reported if task not in by_task]:
-            self._log_end(task, self.reported.pop(task))
+        if is_complete:
+            for task in [task for task in self.reported if task not in by_task]:
+                self._log_end(task, self.reported.pop(task))
         new = [(task, item) for task, item in by_task.items() if task not in self.reported]
         for task, item in new[:MAX_LINES]:
             self._log_begin(task, item)
             self.reported[task] = item
         for task in self.reported:
-            self.reported[task] = by_task[task]
+            self.reported[task] = by_task.get(task, self.reported[task])
 
     def _count(self, held: Sequence[HeldWork]) -> None:
         now_s = self.session.now_s()
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -1,12 +1,13 @@
 """Converts the leader's workers and runs to the input of a placement round."""
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Generator, Iterable, Mapping, Set
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.pool_capacities import build_pools, waves_of
 from cicadatray.internal.control.graphs.task_lookup import find_task_progress
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
+from cicadatray.internal.control.loop_turns import run_at_once
 from cicadatray.scheduling.taskgraphs.crash_record import HARMLESS_AFTER_S
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import MAX_LATENESS_FACTOR
@@ -20,46 +21,61 @@
 # A worker that has been silent for this long is probably cut off. It gets no new work, although its
 # runs may continue until its lease expires. The limit is two missed calls of an agent.
 SILENCE_LIMIT_S = 2.5
+# The caller may pause after so many runs.
+RUNS_BETWEEN_PAUSES = 64
+# The caller may pause after the work of graphs with so many steps.
+STEPS_BETWEEN_PAUSES = 256
 
 
 def build_workers(session: GraphSession) -> list[WorkerCapacity]:
     """Returns the workers that may take new work, with their free capacity."""
-    now_s = session.now_s()
+    return run_at_once(collect_workers(session))
+
+
+def collect_workers(session: GraphSession) -> Generator[None, None, list[WorkerCapacity]]:
+    """Returns the same as `build_workers`, and yields wherever the caller may pause."""
     available = []
-    for worker_id, worker_session in session.workers.items():
-        offer = worker_session.offer
-        is_silent = now_s - worker_session.last_reply_s > SILENCE_LIMIT_S
-        if worker_session.is_lost or offer.is_draining or is_silent:
-            continue
-        if not worker_session.is_reachable or session.is_evacuated(worker_session):
+    for worker_id, worker_session in list(session.workers.items()):
+        if not may_take_work(session, worker_session):
             continue
+        offer = worker_session.offer
         labels = frozenset(offer.labels)
         worker = WorkerCapacity(worker_id, offer.pool, offer.rack, labels, offer.capacity)
         # Deployments without evacuations place work on cold workers as on any other.
         has_evacuations = session.evacuation_limits.start_limit_s > 0
         worker.is_cold = has_evacuations and offer.cold_remaining_s > 0
-        worker.is_suspect = now_s < worker_session.suspect_until_s
+        worker.is_suspect = session.now_s() < worker_session.suspect_until_s
         if session.speed_observer is not None:
             session.speed_observer.set_speed(worker)
-        if not _charge_runs(session, worker_session, worker):
-            continue
-        runs = {*session.ordered_runs.get(worker_id, {}), *worker_session.reports}
-        if any(_is_on_trial(session, worker_session, run) for run in runs):
-            worker.begin_trial()
-        available.append(worker)
+        if (yield from _charge_runs(session, worker_session, worker)):
+            available.append(worker)
     return available
 
 
+def may_take_work(session: GraphSession, worker: WorkerSession) -> bool:
+    """Returns whether anything may be started on a worker now, if it has room."""
+    is_silent = session.now_s() - worker.last_reply_s > SILENCE_LIMIT_S
+    if worker.is_lost or worker.offer.is_draining or is_silent:
+        return False
+    return worker.is_reachable and not session.is_evacuated(worker)
+
+
 def _charge_runs(
     session: GraphSession, worker_session: WorkerSession, worker: WorkerCapacity
-) -> bool:
+) -> Generator[None, None, bool]:
     """Charges all runs that may exist; returns False if the demand of one is unknown."""
     ordered = session.ordered_runs.get(worker.worker_id, {})
-    for run in {*ordered, *worker_session.reports}:
+    is_on_trial = False
+    for place, run in enumerate({*ordered, *worker_session.reports}):
+        if place % RUNS_BETWEEN_PAUSES == RUNS_BETWEEN_PAUSES - 1:
+            yield
         demand = demand_of(session, run)
         if demand is None:
             return False
         worker.occupy(demand, is_stopping=run not in ordered or not session.is_wanted(run))
+        is_on_trial = is_on_trial or _is_on_trial(session, worker_session, run)
+    if is_on_trial:
+        worker.begin_trial()
     return True
 
 
@@ -131,12 +147,44 @@
         work.displaced_s = displacing.get(work.graph.graph.graph_id, math.inf)
 
 
+def mark_waiting(
+    session: GraphSession, covered: Set[str], waiting: list[WaitingWork]
+) -> Generator[None, None, None]:
+    """Marks waiting work for a round, and forgets the displacements for graphs that do not wait.
+
+    `covered` has the graphs that guarantees cover. Yields wherever the caller may pause.
+    """
+    displacing = session.displacing_graphs
+    for graph_id in [name for name in displacing if not session.ready.has_ready_work(name)]:
+        del displacing[graph_id]
+    pools = build_pools(session)
+    steps = 0
+    for work in waiting:
+        graph = work.graph.graph
+        steps += len(graph.steps)
+        if steps >= STEPS_BETWEEN_PAUSES:
+            yield
+            steps = 0
+        work.is_guaranteed = graph.graph_id in covered
+        work.displaced_s = displacing.get(graph.graph_id, math.inf)
+        work.waves = waves_of(pools, graph)
+        # The graph keeps these times, so that the ranking of its work takes no pass over its steps.
+        graph.objective_s(work.waves)
+
+
 def build_running(session: GraphSession) -> list[RunningWork]:
     """Returns the gangs and single tasks that run and are not being stopped."""
+    return run_at_once(collect_running(session))
+
+
+def collect_running(session: GraphSession) -> Generator[None, None, list[RunningWork]]:
+    """Returns the same as `build_running`, and yields wherever the caller may pause."""
     works: dict[tuple[str, int, int, int], RunningWork] = {}
     pools = build_pools(session)
-    for worker_id, ordered in session.ordered_runs.items():
-        for run, ordered_s in ordered.items():
+    for worker_id, ordered in list(session.ordered_runs.items()):
+        for place, (run, ordered_s) in enumerate(list(ordered.items())):
+            if place % RUNS_BETWEEN_PAUSES == RUNS_BETWEEN_PAUSES - 1:
+                yield
             progress = find_task_progress(session.graphs, run)
             if progress is None or progress.is_done or not session.is_wanted(run):
                 continue
--- a/src/cicadatray/internal/control/graphs/pool_capacities.py
+++ b/src/cicadatray/internal/control/graphs/pool_capacities.py
@@ -4,7 +4,6 @@
 
 from cicadatray.scheduling.taskgraphs.pool_capacity import PoolCapacity
 from cicadatray.scheduling.taskgraphs.task_graph import TaskGraph
-from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 
 if TYPE_CHECKING:
     from cicadatray.internal.control.graphs.graph_session import GraphSession
@@ -31,14 +30,3 @@
 def objective_of(session: "GraphSession", graph: TaskGraph) -> float:
     """Returns how long one occurrence of the graph may take and still be on time."""
     return graph.objective_s(waves_of(build_pools(session), graph))
-
-
-def mark_waves(session: "GraphSession", waiting: list[WaitingWork]) -> None:
-    """Marks waiting work with the waves of its graph."""
-    pools = build_pools(session)
-    waves_by_graph: dict[str, tuple[float, ...]] = {}
-    for work in waiting:
-        graph = work.graph.graph
-        if graph.graph_id not in waves_by_graph:
-            waves_by_graph[graph.graph_id] = waves_of(pools, graph)
-        work.waves = waves_by_graph[graph.graph_id]
--- a/src/cicadatray/internal/control/graphs/wait_log.py
+++ b/src/cicadatray/internal/control/graphs/wait_log.py
@@ -1,16 +1,17 @@
 """Logs why the oldest waiting work of each queue was not placed."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Generator, Mapping, Sequence
 
 import structlog
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.hold_log import HoldLog
+from cicadatray.internal.control.loop_turns import run_at_once
 from cicadatray.internal.observability.queue_metrics import queue_blocked_seconds
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.held_work import HeldWork
 from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
-from cicadatray.scheduling.taskgraphs.wait_outside_placement import explain_unready
+from cicadatray.scheduling.taskgraphs.wait_outside_placement import explain_unready_in_steps
 from cicadatray.scheduling.taskgraphs.wait_reason import WaitReason
 
 # A reason may change in every round, so the log is limited to one line a second for each queue.
@@ -47,24 +48,29 @@
         self.unready: dict[str, tuple[GraphProgress, WaitReason]] = {}
 
     def record_round(
-        self, waits: Mapping[str, PlacementWait], held: Sequence[HeldWork] = ()
+        self,
+        waits: Mapping[str, PlacementWait],
+        held: Sequence[HeldWork] = (),
+        is_complete: bool = True,
     ) -> None:
-        """Records the work that a round did not place, by queue, and the work that it held back."""
-        self.hold_log.record_round(held)
+        """Records the work that a round did not place, by queue, and the work that it held back.
+
+        The queues that an incomplete round has not come to wait as before.
+        """
+        self.hold_log.record_round(held, is_complete)
         now_s = self.session.now_s()
         self._count_blocked(now_s - self.last_round_s)
         self.last_round_s = now_s
-        if now_s >= self.next_scan_s:
-            self.next_scan_s = now_s + LINE_INTERVAL_S
-            self.unready = self._find_unready()
+        run_at_once(self.scan())
         for queue in {**waits, **self.unready}:
             self.queues.setdefault(queue, _QueueWait())
         for queue, state in self.queues.items():
             if queue in waits:
                 state.reason = waits[queue].reason.value
-            else:
+            elif is_complete:
                 state.reason = self.unready[queue][1].value if queue in self.unready else ""
-            if state.reason != state.logged_reason and now_s >= state.next_line_s:
+            is_known = queue in waits or queue in self.unready or not state.reason
+            if state.reason != state.logged_reason and is_known and now_s >= state.next_line_s:
                 state.logged_reason = state.reason
                 state.next_line_s = now_s + LINE_INTERVAL_S
                 self._log(queue, state.reason, waits.get(queue))
@@ -104,16 +110,24 @@
             if state.reason:
                 blocked.increment(elapsed_s, queue=queue, reason=state.reason)
 
-    def _find_unready(self) -> dict[str, tuple[GraphProgress, WaitReason]]:
-        """Returns, for each queue, the oldest graph that waits without ready work."""
+    def scan(self) -> Generator[None, None, None]:
+        """Finds, for each queue, the oldest graph that waits without ready work, once per interval.
+
+        Yields wherever the caller may pause.
+        """
+        if self.session.now_s() < self.next_scan_s:
+            return
         oldest: dict[str, tuple[GraphProgress, WaitReason]] = {}
         now_s = self.session.wall_s()
-        for progress in self.session.graphs.values():
+        for progress in list(self.session.graphs.values()):
             queue = progress.graph.policy.queue
             previous = oldest.get(queue)
             if previous is not None and previous[0].accepted_s <= progress.accepted_s:
+                yield
                 continue
-            reason = explain_unready(progress, now_s, self.session.is_wanted)
+            reason = yield from explain_unready_in_steps(progress, now_s, self.session.is_wanted)
             if reason is not None:
                 oldest[queue] = (progress, reason)
-        return oldest
+            yield
+        self.unready = oldest
+        self.next_scan_s = self.session.now_s() + LINE_INTERVAL_S
--- a/src/cicadatray/internal/observability/queue_metrics.py
+++ b/src/cicadatray/internal/observability/queue_metrics.py
@@ -118,3 +118,33 @@
         "Time for which work of resting jobs was not started although there was room.",
         ("queue", "reason"),
     )
+
+
+def placement_round_seconds(registry: MetricsRegistry) -> LatencyHistogram:
+    """Returns the histogram of the time that a round of placement takes, with its pauses."""
+    return registry.histogram(
+        "cicadatray_placement_round_seconds", "Time from the begin of a round to its plan."
+    )
+
+
+def placement_steps_waiting(registry: MetricsRegistry) -> Gauge:
+    """Returns the gauge of the steps and gangs that waited in the last round."""
+    return registry.gauge(
+        "cicadatray_placement_steps_waiting", "Steps and gangs that waited in the last round."
+    )
+
+
+def placement_rounds_ended_early(registry: MetricsRegistry) -> Counter:
+    """Returns the counter of rounds that ended before they had tried all waiting work."""
+    return registry.counter(
+        "cicadatray_placement_rounds_ended_early_total",
+        "Rounds that left waiting work to the next one.",
+    )
+
+
+def event_loop_hold_seconds(registry: MetricsRegistry) -> Gauge:
+    """Returns the gauge of the longest time for which one turn held the event loop of late."""
+    return registry.gauge(
+        "cicadatray_event_loop_longest_hold_seconds",
+        "Longest delay of a timer by a held event loop, in the last minute.",
+    )
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -154,9 +154,9 @@
             changes, attempts = self.changes, self.attempts
             is_placed = self._try_to_place(each)
             is_unchanged = self.changes == changes
-            if not is_placed and not work.is_suspect:
-                if work.priority != URGENT_PRIORITY or is_unchanged:
-                    self.blocked.add(work.step_key)
+            may_fit = is_placed or (work.priority == URGENT_PRIORITY and not is_unchanged)
+            if not may_fit and not work.is_suspect:
+                self.blocked.add(work.step_key)
             if not is_unchanged or self.attempts != attempts:
                 yield
             else:
--- a/tests/cover/taskgraphs/test_new_leader.py
+++ b/tests/cover/taskgraphs/test_new_leader.py
@@ -40,6 +40,7 @@
         session.leader = CutOffLeader(session)  # type: ignore[assignment]
         urgent = make_graph("urgent", Step(1, WHOLE, 4.0, is_gang=True), 0, session.wall_s())
         session.graphs["urgent"] = urgent
+        session.ready.changed["urgent"] = None
         session.handle_sync(sync("a", "w-1", 1, runs=reports(0, 1)))
         loop = asyncio.create_task(GraphLoop(session).run())
         await asyncio.sleep(idle_worker_calls_s)
--- a/tests/cover/taskgraphs/test_wide_steps.py
+++ b/tests/cover/taskgraphs/test_wide_steps.py
@@ -9,9 +9,10 @@
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.graphs.graph_session import GraphSession
-from cicadatray.internal.control.graphs.placement_input import build_running
-from cicadatray.internal.control.graphs.pool_capacities import mark_waves, objective_of
+from cicadatray.internal.control.graphs.placement_input import build_running, mark_waiting
+from cicadatray.internal.control.graphs.pool_capacities import objective_of
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
+from cicadatray.internal.control.loop_turns import run_at_once
 from cicadatray.internal.wire.messages.graph_messages import SyncWorker, WorkerOffer
 from cicadatray.scheduling.taskgraphs.placement_round import PlacementRound
 from cicadatray.scheduling.taskgraphs.pool_capacity import PoolCapacity
@@ -101,7 +102,7 @@
         objective_s = STRETCH * 4 * 4.0 + LATENCY_S
         assert objective_of(session, graph.graph) == objective_s
         waiting = make_waiting(step, 0)
-        mark_waves(session, waiting)
+        run_at_once(mark_waiting(session, set(), waiting))
         assert waiting[0].latest_start_s() == objective_s - 4 * 4.0
         (running,) = build_running(session)
         assert running.on_time_by_s == pytest.approx(objective_s - session.wall_s(), abs=1.0)
