Postpone full garbage collections of a control process

What callers saw: beside tens of thousands of waiting jobs, all calls stood still for a moment again and again, for longer with each job.

Cause: a full collection looks at every object, and the default is one for each ten collections of the middle generation. The objects of accepted jobs live long, and the collection is one turn of the loop.

Evidence: with callbacks of the collector, a full collection takes 0.15 to 0.18 s beside 60,000 jobs of one task (x86-64).

Change: control processes allow a thousand collections of the middle generation before a full one.

A full collection still takes as long when it comes.

--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -16,6 +16,7 @@
     leadership_lost,
 )
 from cicadatray.internal.control.fragmentation import current_fragmentation
+from cicadatray.internal.control.garbage_collection import postpone_full_collections
 from cicadatray.internal.control.graphs.belief_log import BeliefLog
 from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
@@ -121,6 +122,7 @@
         Raises:
             ControlError: the replica failed.
         """
+        postpone_full_collections()
         await self.replica.start()
         await self.server.start()
         log.info("control listening", port=self.server.port)
