Read the inherited work of a new leader in turns, and changes alone later

What callers saw: a new leader beside a large backlog was deposed before its first round. Cancelling many jobs at once, and each scan for the log of beliefs, held up heartbeats too.

Cause: a session read all jobs and their tasks in its constructor. The scan of beliefs and the gauge of waiting tasks passed over all tasks, the rule of guarantees over all jobs in each round, the index of ready work searched its changes from the front for each of them, which is quadratic, and each end woke all agents' calls, whose orders were computed anew.

Evidence: stacks sampled during holds of the loop beside 60,000 tasks.

Change: GraphSession.load, the belief scan and the updates of the index yield, and run in turns. The rule of guarantees is applied again only after urgent jobs or guarantees have changed. Ends wake the workers with runs of the same jobs. The gauge reads the index.

--- a/src/cicadatray/internal/bench/backlog_runs/bench_leader.py
+++ b/src/cicadatray/internal/bench/backlog_runs/bench_leader.py
@@ -48,7 +48,7 @@
         links: Any = None
         self.leader = LeaderSession(state, replica, links, 1, MetricsRegistry())
         state.listeners = [self.leader.on_command_applied]
-        self.session = GraphSession(self.leader, TaskLeases(), StartLimits())
+        self.session = GraphSession(self.leader, TaskLeases(), StartLimits(), is_loaded=False)
         state.listeners.append(LateCommits(self.session).on_command_applied)
         state.listeners.append(self.session.ready.on_command_applied)
         self.sequence = 0
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -34,6 +34,7 @@
 from cicadatray.internal.control.group_admission import GroupAdmission
 from cicadatray.internal.control.handler_registry import call_handlers
 from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.internal.control.loop_turns import run_in_turns
 from cicadatray.internal.control.loop_watch import LoopWatch
 from cicadatray.internal.control.replica_configuration import replica_settings
 from cicadatray.internal.control.replica_gauges import register_replica_gauges
@@ -227,16 +228,19 @@
         await self._create_first_operator(self.session)
         self.scheduling_loop = SchedulingLoop(self.session)
         settings = self.settings
-        self.graph_session = GraphSession(
+        graph_session = GraphSession(
             self.session,
             TaskLeases(settings.longest_task_lease_s),
             StartLimits(settings.urgent_start_s, settings.longest_task_stop_s),
             settings.scheduling_rules,
             EvacuationLimits(settings.evacuation_start_limit_s, settings.evacuation_drain_s),
             self.proposed_silences,
+            is_loaded=False,
         )
-        self.state.listeners.append(LateCommits(self.graph_session).on_command_applied)
-        self.state.listeners.append(self.graph_session.ready.on_command_applied)
+        self.state.listeners.append(LateCommits(graph_session).on_command_applied)
+        self.state.listeners.append(graph_session.ready.on_command_applied)
+        await run_in_turns(graph_session.load())
+        self.graph_session = graph_session
         try:
             async with asyncio.TaskGroup() as tasks:
                 loops = [
--- a/src/cicadatray/internal/control/graphs/belief_log.py
+++ b/src/cicadatray/internal/control/graphs/belief_log.py
@@ -1,15 +1,18 @@
 """Logs what a leader believes of workers and runs for longer than usual."""
 
 import asyncio
+from collections.abc import Generator, Mapping
 
 import structlog
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.placement_input import RUNS_BETWEEN_PAUSES
 from cicadatray.internal.control.graphs.worker_availability import (
     Unavailability,
-    find_unavailable,
+    collect_unavailable,
     find_unknown_runs,
 )
+from cicadatray.internal.control.loop_turns import run_at_once, run_in_turns
 from cicadatray.scheduling.taskgraphs.task_id import TaskId, TaskRun
 
 # Also the shortest time for which a belief is logged.
@@ -43,19 +46,24 @@
         while True:
             await asyncio.sleep(SCAN_INTERVAL_S)
             try:
-                self.scan()
+                await run_in_turns(self.scan_in_steps())
             except Exception:
                 # The leader must not end its session because it cannot tell what it believes.
                 log.exception("beliefs not logged")
 
     def scan(self) -> None:
         """Logs what has changed since the last scan."""
-        self._scan_workers()
-        self._scan_runs()
+        run_at_once(self.scan_in_steps())
 
-    def _scan_workers(self) -> None:
+    def scan_in_steps(self) -> Generator[None, None, None]:
+        """Does the same as `scan`, and yields wherever the caller may pause."""
+        found = yield from collect_unavailable(self.session)
+        self._log_workers(found)
+        held = yield from self._find_ending()
+        self._log_runs(held)
+
+    def _log_workers(self, found: Mapping[str, Unavailability]) -> None:
         session, now_s = self.session, self.session.now_s()
-        found = find_unavailable(session)
         for worker_id, (reason, since_s) in list(self.unavailable.items()):
             if found.get(worker_id) is not reason:
                 del self.unavailable[worker_id]
@@ -71,7 +79,9 @@
             if worker_id in self.unavailable:
                 continue
             self.unavailable[worker_id] = (reason, now_s)
-            worker = session.workers[worker_id]
+            worker = session.workers.get(worker_id)
+            if worker is None:
+                continue
             log.info(
                 "worker takes no work",
                 worker=worker_id,
@@ -82,9 +92,8 @@
                 unknown_runs=find_unknown_runs(session, worker)[:MAX_LINES],
             )
 
-    def _scan_runs(self) -> None:
+    def _log_runs(self, held: Mapping[TaskRun, str]) -> None:
         now_s = self.session.now_s()
-        held = self._find_ending()
         for run in self.ending.keys() - held.keys():
             since_s = self.ending.pop(run)
             if run in self.logged:
@@ -98,17 +107,26 @@
                 self.logged.add(run)
                 self._log_late(run, worker_id, now_s - since_s)
 
-    def _find_ending(self) -> dict[TaskRun, str]:
-        """Returns the runs that may exist and should not, or that nobody was told to start."""
+    def _find_ending(self) -> Generator[None, None, dict[TaskRun, str]]:
+        """Returns the runs that may exist and should not, or that nobody was told to start.
+
+        Yields wherever the caller may pause.
+        """
         session = self.session
-        held = {
-            run: worker_id
-            for worker_id, ordered in session.ordered_runs.items()
-            for run in ordered
-            if worker_id not in session.workers or not session.is_wanted(run)
-        }
-        for graph_id, graph in session.graphs.items():
-            for key, task in graph.tasks.items():
+        held: dict[TaskRun, str] = {}
+        for worker_id, ordered in list(session.ordered_runs.items()):
+            for place, run in enumerate(list(ordered)):
+                if place % RUNS_BETWEEN_PAUSES == RUNS_BETWEEN_PAUSES - 1:
+                    yield
+                if worker_id not in session.workers or not session.is_wanted(run):
+                    held[run] = worker_id
+        for graph_id, graph in list(session.graphs.items()):
+            yield
+            if not graph.has_runs:
+                continue
+            for place, (key, task) in enumerate(list(graph.tasks.items())):
+                if place % RUNS_BETWEEN_PAUSES == RUNS_BETWEEN_PAUSES - 1:
+                    yield
                 if task.worker_id:
                     run = TaskRun(TaskId.from_key(graph_id, key), task.run)
                     if run not in session.ordered_runs.get(task.worker_id, {}):
--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -71,7 +71,7 @@
         )
         await session.leader.propose(command)
         self.apply_committed(ends)
-        session.wake_all()
+        session.wake_workers_of({placed.end.run.task.graph_id for placed in ends})
         session.wake.set()
 
     def apply_committed(self, ends: list[PlacedEnd]) -> None:
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -7,6 +7,7 @@
 
 from cicadatray.internal.control.endless_work import run_endlessly
 from cicadatray.internal.control.errors import LeadershipLostError, leadership_lost
+from cicadatray.internal.control.graphs.covered_graphs import CoveredGraphs
 from cicadatray.internal.control.graphs.end_recorder import (
     BATCHING_DELAY_S,
     MAX_ENDS,
@@ -63,6 +64,7 @@
     """Records losses, displaces and places work in rounds while this instance leads."""
 
     __slots__ = (
+        "covered_graphs",
         "displacements",
         "guarantee_log",
         "has_applied_earlier_starts",
@@ -81,6 +83,7 @@
         self.session = session
         self.wait_log = WaitLog(session)
         self.guarantee_log = GuaranteeLog(session)
+        self.covered_graphs = CoveredGraphs(session.rules.find_guarantees(), session.ready)
         self.round_log = RoundLog(session)
         self.may_end_early = True
         self.next_checkpoints_s = 0.0
@@ -264,9 +267,7 @@
         running = await run_in_turns(collect_running(session))
         workers = await run_in_turns(collect_workers(session))
         assert running is not None and workers is not None
-        covered = session.rules.find_guarantees()(
-            session.graphs.values(), session.guaranteed_accelerators()
-        )
+        covered = self.covered_graphs.find(session.guaranteed_accelerators())
         for work in running:
             work.is_guaranteed = work.graph_id in covered
         await run_in_turns(mark_waiting(session, covered, waiting))
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Generator, Iterable
 
 import structlog
 
@@ -20,6 +21,7 @@
 from cicadatray.internal.control.graphs.worker_orders import build_orders
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.leader_session import LeaderSession
+from cicadatray.internal.control.loop_turns import run_at_once
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
     RecordRuns,
@@ -46,7 +48,8 @@
 class GraphSession:
     """Tracks workers and runs while this instance leads.
 
-    A new leader builds this state from the replicated graphs and the calls of agents. `workers` is
+    A new leader builds this state from the replicated graphs and the calls of agents. Unless
+    `is_loaded` is set, `load` must be run before the session is used. `workers` is
     keyed by worker identifier. `ordered_runs` holds, for each worker, the runs that may exist there
     according to the replicated state, with the time of their order. `revoked_runs` are being
     stopped to free capacity, and `displacing_graphs` holds, for each waiting graph for which
@@ -97,6 +100,7 @@
         rules: SchedulingRules = DEFAULT_RULES,
         evacuation_limits: EvacuationLimits = NO_LIMITS,
         proposed_silences: ProposedSilences | None = None,
+        is_loaded: bool = True,
     ) -> None:
         self.leader = leader
         self.leases = leases
@@ -123,8 +127,17 @@
         self.revoked_runs: set[TaskRun] = set()
         self.displacing_graphs: dict[str, float] = {}
         self.wake = asyncio.Event()
-        load_ordered_runs(self)
         self.statistics = GraphStatistics(self)
+        if is_loaded:
+            run_at_once(self.load())
+
+    def load(self) -> Generator[None, None, None]:
+        """Reads the runs and jobs of the replicated state; yields wherever the caller may pause.
+
+        No call may be handled before. Commands may be applied meanwhile, if `LateCommits` listens.
+        """
+        yield from load_ordered_runs(self)
+        yield from self.statistics.load()
 
     @property
     def graphs(self) -> dict[str, GraphProgress]:
@@ -265,6 +278,15 @@
         if self.speed_observer is not None:
             self.speed_observer.remove_worker(worker_id)
 
+    def wake_workers_of(self, graph_ids: Iterable[str]) -> None:
+        """Wakes the waiting calls of the agents on whose workers runs of these graphs may exist."""
+        for graph_id in graph_ids:
+            progress = self.graphs.get(graph_id)
+            for worker_id in progress.index.workers() if progress is not None else ():
+                worker = self.workers.get(worker_id)
+                if worker is not None:
+                    worker.wake.set()
+
     def wake_all(self) -> None:
         """Wakes every waiting call of an agent to check for new orders."""
         for worker in self.workers.values():
--- a/src/cicadatray/internal/control/graphs/graph_statistics.py
+++ b/src/cicadatray/internal/control/graphs/graph_statistics.py
@@ -1,5 +1,6 @@
 """Statistics of each graph under this leader, logged when the graph ends."""
 
+from collections.abc import Generator
 from typing import TYPE_CHECKING
 
 import structlog
@@ -67,8 +68,12 @@
     def __init__(self, session: "GraphSession") -> None:
         self.session = session
         self.counts_by_graph: dict[str, _GraphCounts] = {}
-        for graph_id in session.graphs:
+
+    def load(self) -> Generator[None, None, None]:
+        """Starts counting for all graphs; yields wherever the caller may pause."""
+        for graph_id in list(self.session.graphs):
             self.track(graph_id)
+            yield
 
     def track(self, graph_id: str) -> None:
         """Starts counting for a graph, unless it is tracked already or has ended."""
--- a/src/cicadatray/internal/control/graphs/queue_gauges.py
+++ b/src/cicadatray/internal/control/graphs/queue_gauges.py
@@ -5,6 +5,7 @@
 
 from cicadatray.internal.control.graphs.evacuation_progress import current_evacuations
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.loop_turns import run_at_once
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.observability.queue_metrics import (
     evacuated_data_centres,
@@ -12,7 +13,6 @@
     tasks_running,
     tasks_waiting,
 )
-from cicadatray.scheduling.taskgraphs.ready_work import find_ready_work
 
 LabelledCounts = dict[tuple[str, ...], float]
 
@@ -40,11 +40,10 @@
 def count_waiting(session: GraphSession) -> LabelledCounts:
     """Returns how many tasks of each queue are ready to start and wait for capacity."""
     counts = _all_queues(session)
-    now_s = session.wall_s()
-    for progress in session.graphs.values():
-        for work in find_ready_work(progress, now_s):
-            key = (progress.graph.policy.queue,)
-            counts[key] = counts.get(key, 0) + len(work.indexes)
+    run_at_once(session.ready.update(session.wall_s()))
+    for work in session.ready.waiting():
+        key = (work.graph.graph.policy.queue,)
+        counts[key] = counts.get(key, 0) + work.task_count
     return counts
 
 
--- a/src/cicadatray/internal/control/graphs/ready_index.py
+++ b/src/cicadatray/internal/control/graphs/ready_index.py
@@ -8,6 +8,7 @@
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import URGENT_PRIORITY
 from cicadatray.scheduling.taskgraphs.ready_work import find_ready_steps
+from cicadatray.scheduling.taskgraphs.rules.guarantee_rule import demand_of_graph
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 
 # The caller may pause after so many works that were found.
@@ -20,10 +21,20 @@
     `works` holds the ready work of all active graphs by graph, in the order of their acceptance.
     `changed` has the graphs that have changed since. `valid_s` holds, for each repeated graph, when
     its work was found and when it has to be found again, in seconds since 1970.
-    `accepted_urgent` is set once an urgent graph has been accepted.
+    `accepted_urgent` is set once an urgent graph has been accepted. `urgent` holds the active
+    urgent graphs in the order of their acceptance, and `has_new_urgent` is set once one was added
+    or removed.
     """
 
-    __slots__ = ("accepted_urgent", "changed", "graphs", "valid_s", "works")
+    __slots__ = (
+        "accepted_urgent",
+        "changed",
+        "graphs",
+        "has_new_urgent",
+        "urgent",
+        "valid_s",
+        "works",
+    )
 
     def __init__(self, graphs: Mapping[str, GraphProgress]) -> None:
         self.graphs = graphs
@@ -31,6 +42,8 @@
         self.changed: dict[str, None] = dict.fromkeys(graphs)
         self.valid_s: dict[str, tuple[float, float]] = {}
         self.accepted_urgent = False
+        self.urgent: dict[str, GraphProgress] = {}
+        self.has_new_urgent = False
 
     def on_command_applied(self, command: MessageStruct) -> None:
         """Marks the graphs that a command has changed."""
@@ -56,9 +69,10 @@
             if not found_s <= now_s < until_s:
                 self.changed[graph_id] = None
         while self.changed:
-            graph_id = next(iter(self.changed))
-            del self.changed[graph_id]
-            yield from self._find(graph_id, now_s)
+            changed, self.changed = self.changed, {}
+            for graph_id in changed:
+                yield from self._find(graph_id, now_s)
+                yield
 
     def waiting(self) -> list[WaitingWork]:
         """Returns the ready work in the order in which the graphs were accepted."""
@@ -73,14 +87,19 @@
         self.valid_s.pop(graph_id, None)
         if progress is None or not progress.is_active:
             self.works.pop(graph_id, None)
+            self.has_new_urgent |= self.urgent.pop(graph_id, None) is not None
             return
+        if progress.graph.policy.priority == URGENT_PRIORITY and graph_id not in self.urgent:
+            # The graph keeps the result for the rule of guarantees, which cannot pause.
+            demand_of_graph(progress)
+            self.urgent[graph_id] = progress
+            self.has_new_urgent = True
         works = self.works[graph_id] = []
         for work in find_ready_steps(progress, now_s):
             works.append(work)
             if len(works) % WORKS_BETWEEN_PAUSES == 0:
                 yield
         self._limit_validity(progress, now_s)
-        yield
 
     def _limit_validity(self, progress: GraphProgress, now_s: float) -> None:
         repetition = progress.graph.repetition
--- a/src/cicadatray/internal/control/graphs/recorded_runs.py
+++ b/src/cicadatray/internal/control/graphs/recorded_runs.py
@@ -1,5 +1,6 @@
 """The runs in the replicated state, which the leader has to order."""
 
+from collections.abc import Generator
 from typing import TYPE_CHECKING
 
 import structlog
@@ -12,13 +13,21 @@
 if TYPE_CHECKING:
     from cicadatray.internal.control.graphs.graph_session import GraphSession
 
+# The caller may pause after so many tasks.
+TASKS_BETWEEN_PAUSES = 256
+
 log = structlog.get_logger(__name__)
 
 
-def load_ordered_runs(session: "GraphSession") -> None:
-    """Adds the runs that may exist when a session begins."""
-    for graph in session.graphs.values():
-        for key, task in graph.tasks.items():
+def load_ordered_runs(session: "GraphSession") -> Generator[None, None, None]:
+    """Adds the runs that may exist when a session begins; yields wherever the caller may pause."""
+    for graph in list(session.graphs.values()):
+        yield
+        if not graph.has_runs:
+            continue
+        for place, (key, task) in enumerate(list(graph.tasks.items())):
+            if place % TASKS_BETWEEN_PAUSES == TASKS_BETWEEN_PAUSES - 1:
+                yield
             if task.worker_id:
                 run = TaskRun(TaskId.from_key(graph.graph.graph_id, key), task.run)
                 ordered = session.ordered_runs.setdefault(task.worker_id, {})
--- a/src/cicadatray/internal/control/graphs/reported_checkpoints.py
+++ b/src/cicadatray/internal/control/graphs/reported_checkpoints.py
@@ -10,8 +10,10 @@
     checkpoints: dict[tuple[str, int, int, int], RunCheckpoint] = {}
     for worker in session.workers.values():
         for run, report in worker.reports.items():
+            if not report.checkpoint:
+                continue
             progress = find_task_progress(session.graphs, run)
-            if progress is None or not report.checkpoint or progress.run != run.run:
+            if progress is None or progress.run != run.run:
                 continue
             if report.checkpoint == progress.checkpoint:
                 continue
--- a/src/cicadatray/internal/control/graphs/worker_availability.py
+++ b/src/cicadatray/internal/control/graphs/worker_availability.py
@@ -1,15 +1,16 @@
 """Why workers take no new work."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from enum import Enum
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.placement_input import (
     SILENCE_LIMIT_S,
-    build_workers,
+    collect_workers,
     demand_of,
 )
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
+from cicadatray.internal.control.loop_turns import run_at_once
 from cicadatray.internal.observability.metrics_registry import MetricsRegistry
 from cicadatray.internal.observability.queue_metrics import unavailable_workers
 
@@ -32,7 +33,15 @@
 
 def find_unavailable(session: GraphSession) -> dict[str, Unavailability]:
     """Returns the workers that take no new work now, each with the reason."""
-    offered = {worker.worker_id: worker for worker in build_workers(session)}
+    return run_at_once(collect_unavailable(session))
+
+
+def collect_unavailable(
+    session: GraphSession,
+) -> Generator[None, None, dict[str, Unavailability]]:
+    """Returns the same as `find_unavailable`, and yields wherever the caller may pause."""
+    offering = yield from collect_workers(session)
+    offered = {worker.worker_id: worker for worker in offering}
     reasons: dict[str, Unavailability] = {}
     for worker_id, worker in session.workers.items():
         capacity = offered.get(worker_id)
--- a/src/cicadatray/internal/control/loop_watch.py
+++ b/src/cicadatray/internal/control/loop_watch.py
@@ -9,7 +9,7 @@
 
 # A hold of this length, in seconds, is always seen, and a shorter one by chance.
 CHECK_INTERVAL_S = 0.25
-# Followers elect another leader when they hear nothing for about a second.
+# Followers elect another leader when they hear nothing for a few times this long.
 REPORT_AFTER_S = 0.1
 LINE_INTERVAL_S = 1.0
 # The gauge shows the longest hold of the last one to two of these times, in seconds.
--- a/src/cicadatray/scheduling/taskgraphs/graph_index.py
+++ b/src/cicadatray/scheduling/taskgraphs/graph_index.py
@@ -37,7 +37,10 @@
     def remove_run(self, step: StepKey, run: int, worker_id: str) -> None:
         """Removes a run that has certainly ended."""
         self.runs -= 1
-        _decrement(self.runs_by_worker[step], worker_id)
+        on_workers = self.runs_by_worker[step]
+        _decrement(on_workers, worker_id)
+        if not on_workers:
+            del self.runs_by_worker[step]
         _decrement(self.runs_by_number, (*step, run))
 
     def mark_suspect(self, step: StepKey, index: int, is_suspect: bool) -> None:
@@ -47,6 +50,10 @@
         elif step in self.suspects:
             self.suspects[step].discard(index)
 
+    def workers(self) -> set[str]:
+        """Returns the workers on which runs may exist."""
+        return {worker_id for counts in self.runs_by_worker.values() for worker_id in counts}
+
     def workers_of(self, step: StepKey) -> Mapping[str, int]:
         """Returns how many runs of a step may exist on each worker that may have one."""
         return self.runs_by_worker.get(step, NO_WORKERS)
