--- a/build.sh
+++ b/build.sh
@@ -50,7 +50,8 @@
   experiment) setup; run -m cicadatray.internal.bench.experiment "$@" ;;
   capacity) setup; run -m cicadatray.internal.bench.capacity "$@" ;;
   faults) setup; run -m cicadatray.internal.bench.faults "$@" ;;
+  backlog) setup; run -m cicadatray.internal.bench.backlog "$@" ;;
   soak) setup; PYTHONPATH=src:tests run -m nocover.configuration_soak.main "$@" ;;
   reference) setup; run -m cicadatray.internal.settings.reference > docs/settings.md ;;
-  *) echo "usage: ./build.sh setup|format|lint|cover|nocover|test|model|deploy|quickstart|measure|experiment|capacity|faults|soak|reference" ;;
+  *) echo "usage: ./build.sh setup|format|lint|cover|nocover|test|model|deploy|quickstart|measure|experiment|capacity|faults|backlog|soak|reference" ;;
 esac
