Compute the ends of lost workers in parts

What callers saw: when workers with thousands of small runs were lost together, nothing was answered for a moment, and the leader could be deposed.

Cause: the ends of all runs of all lost workers were computed and logged in one turn of the loop, although they were stored in parts.

Change: each part is computed once the one before is stored. Runs whose end was stored meanwhile are left out.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -1,7 +1,7 @@
 """The leader's scheduling loop for task graphs."""
 
 import asyncio
-from collections.abc import Generator
+from collections.abc import Generator, Iterator
 
 import structlog
 
@@ -129,13 +129,14 @@
         """Commits what no agent reports: ends of runs on lost workers, and expired graphs."""
         session = self.session
         lost = self._mark_lost_workers()
-        ends = self._lost_run_ends(lost)
+        parts = self._lost_run_ends(lost)
+        ends = next(parts, [])
         removed_graph_ids = self._find_expired_graphs()
         checkpoints = self._due_checkpoints(bool(ends))
         if ends or removed_graph_ids or checkpoints:
-            await self._commit_losses(ends[:MAX_ENDS], removed_graph_ids, checkpoints)
-        for start in range(MAX_ENDS, len(ends), MAX_ENDS):
-            await self._commit_losses(ends[start : start + MAX_ENDS])
+            await self._commit_losses(ends, removed_graph_ids, checkpoints)
+        for part in parts:
+            await self._commit_losses(part)
         for worker_id in lost:
             session.remove_worker(worker_id)
         if ends:
@@ -165,14 +166,25 @@
         self.next_expiry_scan_s = now_s + EXPIRY_SCAN_INTERVAL_S
         return find_expired_graphs(self.session.graphs, self.session.wall_s())[:MAX_REMOVALS]
 
-    def _lost_run_ends(self, lost: list[str]) -> list[PlacedEnd]:
-        """Returns the ends not proposed yet, followed by one for every run of lost workers."""
+    def _lost_run_ends(self, lost: list[str]) -> Iterator[list[PlacedEnd]]:
+        """Yields the ends not proposed yet, followed by one for every run of lost workers.
+
+        They come in parts, each of which must be stored before the next one is computed.
+        """
         if not lost:
-            return []
+            return
         ends = self.recorder.drain_new_ends()
+        while len(ends) >= MAX_ENDS:
+            yield ends[:MAX_ENDS]
+            ends = ends[MAX_ENDS:]
         for worker_id in lost:
-            ends += lost_run_ends(self.session, worker_id)
-        return ends
+            for end in lost_run_ends(self.session, worker_id):
+                ends.append(end)
+                if len(ends) == MAX_ENDS:
+                    yield ends
+                    ends = []
+        if ends:
+            yield ends
 
     def _due_checkpoints(self, is_committing: bool) -> tuple[RunCheckpoint, ...]:
         """Returns checkpoints to store, with every commit and otherwise once per interval."""
--- a/src/cicadatray/internal/control/graphs/lost_runs.py
+++ b/src/cicadatray/internal/control/graphs/lost_runs.py
@@ -1,5 +1,7 @@
 """The ends of runs whose worker has ended."""
 
+from collections.abc import Iterator
+
 import structlog
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
@@ -11,15 +13,16 @@
 log = structlog.get_logger(__name__)
 
 
-def lost_run_ends(session: GraphSession, worker_id: str) -> list[PlacedEnd]:
-    """Returns an end for every run that may exist on a worker that has ended.
+def lost_run_ends(session: GraphSession, worker_id: str) -> Iterator[PlacedEnd]:
+    """Yields an end for every run that may exist on a worker that has ended.
 
-    Those are left out whose ends the agent has reported, as these are proposed already.
+    Those are left out whose ends the agent has reported, as these are proposed already. Ends may be
+    stored between two of them.
     """
     worker = session.workers.get(worker_id)
-    ends = []
-    for run in session.ordered_runs.get(worker_id, {}):
-        if (worker_id, run) in session.unstored_ends:
+    for run in list(session.ordered_runs.get(worker_id, {})):
+        is_ended = run not in session.ordered_runs.get(worker_id, {})
+        if is_ended or (worker_id, run) in session.unstored_ends:
             continue
         report = worker.reports.get(run) if worker else None
         outcome = _outcome(worker, report)
@@ -33,9 +36,9 @@
             outcome=outcome.value,
             observed_s=round(observed_s, 2) if report else None,
         )
-        end = RunEnd(run, outcome, checkpoint=checkpoint, observed_s=observed_s)
-        ends.append(PlacedEnd(end, worker_id))
-    return ends
+        yield PlacedEnd(
+            RunEnd(run, outcome, checkpoint=checkpoint, observed_s=observed_s), worker_id
+        )
 
 
 def _outcome(worker: WorkerSession | None, report: RunReport | None) -> RunOutcome:
--- a/tests/cover/taskgraphs/test_large_backlogs.py
+++ b/tests/cover/taskgraphs/test_large_backlogs.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+from structlog.testing import capture_logs
 
 from cicadatray.internal.bench.backlog_runs.backlog_shapes import build_graph
 from cicadatray.internal.bench.backlog_runs.bench_leader import WORKERS, BenchLeader
@@ -123,6 +124,35 @@
     run_virtual(main())
 
 
+def test_ends_of_lost_workers_are_computed_in_parts() -> None:
+    """Guards against a loss of all workers whose runs are all logged in one turn of the loop."""
+    commands: list[RecordRuns] = []
+    computed: list[int] = []
+
+    async def main() -> None:
+        leader = make_leader([build_graph(1, (Step(TASKS, TINY, 10.0),))], commands)
+        loop = await place_all(leader, 4)
+        session = leader.session
+        for worker in session.workers.values():
+            worker.end = WorkerEnd.WITHDRAWN
+        commands.clear()
+        with capture_logs() as lines:
+            session.leader.state.listeners.append(
+                lambda _: computed.append(
+                    sum(line["event"] == "run lost with its worker" for line in lines)
+                )
+            )
+            await loop._record_losses()
+        assert not session.ordered_runs
+        # No run was recorded twice, although the parts are stored one after another.
+        ended = [placed.end.run for command in commands for placed in command.ends]
+        assert len(ended) == len(set(ended)) == TASKS
+
+    run_virtual(main())
+    assert computed == [min(part * MAX_ENDS, TASKS) for part in range(1, len(computed) + 1)]
+    assert len(computed) == -(-TASKS // MAX_ENDS)
+
+
 def test_ends_of_one_report_are_stored_in_parts() -> None:
     """Guards against thousands of ends at once that hold up all control, or of which some stay."""
     commands: list[RecordRuns] = []
