Stop displaced and evacuated runs in turns, and only those that still run

What callers saw: nothing was answered for a moment when an urgent job displaced, or a drain or evacuation stopped, work with thousands of runs. Since rounds give way, a run that had ended meanwhile could be counted as displaced.

Cause: the runs of all victims were revoked, counted and logged in one turn. The work that leaves draining workers was found by a pass over all runs in one turn, and each such work woke all workers. Victims were taken as they were when the round began.

Change: both are generators and run in turns. All members of a gang are revoked before the first pause. Runs that have ended, or are being stopped, are left out.

--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -20,7 +20,6 @@
 from cicadatray.internal.control.graphs.leaving_work import find_leaving, staying_times
 from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
 from cicadatray.internal.control.graphs.placement_input import (
-    build_running,
     collect_running,
     collect_workers,
     mark_waiting,
@@ -216,27 +215,37 @@
         ]
         return lost + replaced
 
-    def _evacuate(self) -> None:
-        """Stops work that must leave its workers, so that it restarts elsewhere."""
+    def _evacuate(self) -> Generator[None, None, None]:
+        """Stops work that must leave its workers, so that it restarts elsewhere.
+
+        Yields wherever the caller may pause.
+        """
         session = self.session
         for worker in list(session.workers.values()):
             if session.is_evacuated(worker):
                 revoke_unstarted(session, worker)
+                yield
         staying_s = staying_times(session)
         if not staying_s:
             return
-        for leaving in find_leaving(build_running(session), staying_s):
+        running = yield from collect_running(session)
+        leaving_works = find_leaving(running, staying_s)
+        for leaving in leaving_works:
             for run in leaving.work.runs:
+                if not session.is_wanted(run):
+                    continue
                 revoke_evacuated(
                     session,
                     run,
                     remaining_s=round(leaving.work.remaining_s(), 1),
                     worker_stays_s=round(leaving.stays_s, 1),
                 )
+            yield
+        if leaving_works:
             session.wake_all()
 
     async def _place(self) -> None:
-        self._evacuate()
+        await run_in_turns(self._evacuate())
         session = self.session
         if session.speed_observer is not None:
             session.speed_observer.update(session.now_s())
@@ -259,7 +268,7 @@
         await run_in_turns(self.wait_log.scan())
         self.wait_log.record_round(plan.waits, plan.held, plan.is_complete)
         self.guarantee_log.record_round(waiting, plan)
-        self.displacements.carry_out(plan)
+        await run_in_turns(self.displacements.carry_out(plan))
         self.round_log.record(len(waiting), plan, session.now_s() - began_s)
         if plan.assignments:
             self._observe_waits(plan, now_s)
--- a/src/cicadatray/internal/control/graphs/planned_displacements.py
+++ b/src/cicadatray/internal/control/graphs/planned_displacements.py
@@ -1,5 +1,7 @@
 """Carries out the displacements of a placement plan."""
 
+from collections.abc import Generator
+
 import structlog
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
@@ -9,23 +11,31 @@
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 
+# The caller may pause after so many runs.
+RUNS_BETWEEN_PAUSES = 64
+
 log = structlog.get_logger(__name__)
 
 
 class PlannedDisplacements:
     """Revokes the runs that a plan stops, counts them, and logs for which jobs they stop."""
 
-    __slots__ = ("displaced_runs", "session")
+    __slots__ = ("displaced_runs", "logged_runs", "session")
 
     def __init__(self, session: GraphSession) -> None:
         self.session = session
         self.displaced_runs = runs_displaced(session.leader.metrics)
+        self.logged_runs = 0
+
+    def carry_out(self, plan: PlacementPlan) -> Generator[None, None, None]:
+        """Revokes the runs of a plan's victims, and logs the jobs that it passes over.
 
-    def carry_out(self, plan: PlacementPlan) -> None:
-        """Revokes the runs of a plan's victims, and logs the jobs that it passes over."""
+        Yields wherever the caller may pause. Runs that have ended or are being stopped since the
+        round began are left out.
+        """
         for displacement in plan.displacements:
             for victim in displacement.victims:
-                self._displace_work(victim, plan, displacement)
+                yield from self._displace_work(victim, plan, displacement)
         for job in plan.passed_over:
             log.info(
                 "job passed over",
@@ -40,12 +50,19 @@
 
     def _displace_work(
         self, victim: RunningWork, plan: PlacementPlan, displacement: Displacement
-    ) -> None:
+    ) -> Generator[None, None, None]:
         session = self.session
+        wanted = [run for run in victim.runs if session.is_wanted(run)]
+        if not wanted:
+            return
         session.statistics.record_displaced_work(victim)
-        for run in victim.runs:
+        # All members of a gang are revoked before the first pause.
+        session.revoked_runs.update(wanted)
+        for run in wanted:
+            self.logged_runs += 1
+            if self.logged_runs % RUNS_BETWEEN_PAUSES == 0:
+                yield
             for_graph = plan.displaced[run]
-            session.revoked_runs.add(run)
             session.displacing_graphs.setdefault(for_graph, session.now_s())
             self.displaced_runs.increment(reason=DISPLACED)
             session.statistics.record_displacement(run, DISPLACED)
--- a/tests/cover/taskgraphs/test_large_backlogs.py
+++ b/tests/cover/taskgraphs/test_large_backlogs.py
@@ -1,7 +1,7 @@
 """Tests of a leader over more work than fits in one round or one command."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Generator, Iterable
 from typing import Any
 
 import pytest
@@ -13,6 +13,7 @@
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.graphs.end_recorder import MAX_ENDS
 from cicadatray.internal.control.graphs.graph_loop import GraphLoop
+from cicadatray.internal.control.graphs.placement_input import RUNS_BETWEEN_PAUSES, build_running
 from cicadatray.internal.control.graphs.valid_assignments import valid_assignments
 from cicadatray.internal.control.loop_turns import run_at_once
 from cicadatray.internal.observability.graph_metrics import task_wait_seconds
@@ -24,6 +25,8 @@
     RunReport,
 )
 from cicadatray.scheduling.taskgraphs.assignment import Assignment
+from cicadatray.scheduling.taskgraphs.displacement import Displacement
+from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import MAX_STARTS
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
@@ -205,6 +208,34 @@
     run_virtual(main())
 
 
+def count_steps(steps: Generator[None, None, None]) -> int:
+    return sum(1 for _ in steps)
+
+
+def test_stops_of_many_runs_give_way() -> None:
+    """Guards against the displacement or evacuation of thousands of runs in one turn."""
+
+    async def main() -> None:
+        leader = make_leader([build_graph(1, (Step(TASKS, TINY, 10.0, is_gang=True),))], [])
+        loop = await place_all(leader, 1)
+        session = leader.session
+        (gang,) = build_running(session)
+        plan = PlacementPlan()
+        plan.displacements.append(Displacement([gang], []))
+        plan.displaced.update(dict.fromkeys(gang.runs, "urgent"))
+        steps = loop.displacements.carry_out(plan)
+        next(steps)
+        assert session.revoked_runs == set(gang.runs)
+        assert count_steps(steps) >= TASKS // RUNS_BETWEEN_PAUSES - 1
+        session.revoked_runs.clear()
+        for number in range(WORKERS):
+            leader.sync(number, is_draining=True)
+        assert count_steps(loop._evacuate()) >= WORKERS // 2
+        assert session.revoked_runs == set(gang.runs)
+
+    run_virtual(main())
+
+
 class TickingLoop(asyncio.SelectorEventLoop):
     """An event loop whose clock goes on with each look at it."""
 
