Search victims in turns, at a cost that grows with the running work

What callers saw: beside many small running tasks, an urgent job that had to displace some of them stopped all control for seconds, long enough to depose the leader; the next leader did the same.

Cause: the search looked up candidates in a list of victims, removed them from lists, fitted the work on all workers again for each victim, and passed over all running work for each group of workers. The order of ends was computed anew after each displacement. All of it was one turn.

Change: StoppableWork has the candidates by worker, and the cheapest first once for each worker. The search keeps counts of what fits, and costs of options until they change. RoundView keeps the order of ends for a whole round. All of them yield, and the round gives way meanwhile.

The tests count comparisons, fits, costs and pauses.

--- a/src/cicadatray/scheduling/taskgraphs/fit_search.py
+++ b/src/cicadatray/scheduling/taskgraphs/fit_search.py
@@ -7,7 +7,6 @@
 from cicadatray.scheduling.taskgraphs.graph_index import NO_WORKERS
 from cicadatray.scheduling.taskgraphs.rules.candidate_rule import CandidateRule
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
-from cicadatray.scheduling.taskgraphs.runs_by_end import RunsByEnd
 from cicadatray.scheduling.taskgraphs.task_fit import AvailableResources, fit_tasks
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -17,17 +16,15 @@
 class FitSearch:
     """Fits work on groups of workers, now or once running work has ended.
 
-    `running_by_end` holds the running work in the order of its expected ends, None until it is
-    needed. `assigned` counts the tasks that the round has assigned to each worker, for each step
+    `assigned` counts the tasks that the round has assigned to each worker, for each step
     with a limit per worker.
     """
 
-    __slots__ = ("assigned", "candidates", "running_by_end", "view")
+    __slots__ = ("assigned", "candidates", "view")
 
     def __init__(self, view: RoundView, candidates: CandidateRule) -> None:
         self.view = view
         self.candidates = candidates
-        self.running_by_end: RunsByEnd | None = None
         self.assigned: dict[tuple[str, int, int], Counter[str]] = {}
 
     def limits(self, work: WaitingWork, group: list[WorkerCapacity]) -> dict[str, int] | None:
@@ -67,19 +64,13 @@
         self, work: WaitingWork, group: list[WorkerCapacity], must_be_idle: bool = False
     ) -> EarliestFit | None:
         """Returns the earliest fit after running work has ended, or None if the work never fits."""
-        if self.running_by_end is None:
-            self.running_by_end = RunsByEnd(self.view.running)
         limits = self.limits(work, group)
         return find_earliest_fit(
             group,
             work.step.demand,
             len(work.indexes),
-            self.running_by_end.on(group),
+            self.view.running_by_end().on(group),
             limits,
             must_be_idle,
             self.candidates.fill_order(work),
         )
-
-    def record_displacement(self) -> None:
-        """Records that running work is about to be stopped."""
-        self.running_by_end = None
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -15,6 +15,7 @@
 from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
+from cicadatray.scheduling.taskgraphs.stoppable_work import StoppableWork
 from cicadatray.scheduling.taskgraphs.task_fit import free_now, free_once_stopped
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.trial_share import may_begin_trials
@@ -66,7 +67,6 @@
         "ranking",
         "reserved_gangs",
         "reserved_trials",
-        "running",
         "search",
         "skips",
         "start_limits",
@@ -91,7 +91,6 @@
         self.view = view
         self.may_displace = may_displace
         self.workers = view.workers
-        self.running = view.running
         self.now_s = now_s
         self.start_limits = start_limits
         self.attempts = 0
@@ -152,7 +151,7 @@
             return
         for each in work.each():
             changes, attempts = self.changes, self.attempts
-            is_placed = self._try_to_place(each)
+            is_placed = yield from self._try_to_place(each)
             is_unchanged = self.changes == changes
             may_fit = is_placed or (work.priority == URGENT_PRIORITY and not is_unchanged)
             if not may_fit and not work.is_suspect:
@@ -166,7 +165,7 @@
             if work.step_key in self.blocked or self._is_exhausted():
                 return
 
-    def _try_to_place(self, work: WaitingWork) -> bool:
+    def _try_to_place(self, work: WaitingWork) -> Generator[None, None, bool]:
         """Places the work; returns False if it must wait."""
         shape = None if work.is_suspect else self.candidates.shape(work)
         if shape in self.unplaceable and self._must_wait(work):
@@ -176,7 +175,7 @@
         key = (*work.step_key, work.indexes[0])
         if self.attempts >= HEAD_ATTEMPTS and key in self.tried.keys:
             return False
-        if self._attempt(work, shape):
+        if (yield from self._attempt(work, shape)):
             return True
         self.attempts += 1
         self.tried.keys.add(key)
@@ -196,7 +195,7 @@
             self.unplaceable[shape] = (reason, self.changes)
         return reason
 
-    def _attempt(self, work: WaitingWork, shape: Hashable | None) -> bool:
+    def _attempt(self, work: WaitingWork, shape: Hashable | None) -> Generator[None, None, bool]:
         """Searches all workers for the work; returns False if it must wait."""
         changes = self.changes
         usable = self._usable_workers(work)
@@ -211,9 +210,9 @@
             return True
         reason = self._record_wait(work, lambda: self._diagnose(work, groups))
         if work.is_suspect:
-            self._reserve_for_trial(work, groups)
+            yield from self._reserve_for_trial(work, groups)
         else:
-            self._reserve_or_displace(work, groups)
+            yield from self._reserve_or_displace(work, groups)
         if shape is not None and self.changes == changes:
             self.unplaceable[shape] = (reason, changes)
         return False
@@ -239,7 +238,9 @@
                 return True
         return False
 
-    def _reserve_for_trial(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
+    def _reserve_for_trial(
+        self, work: WaitingWork, groups: list[list[WorkerCapacity]]
+    ) -> Generator[None, None, None]:
         """Reserves the workers that become idle first for the first suspect work of each pool.
 
         Suspect work displaces nothing.
@@ -247,6 +248,7 @@
         pool = work.graph.graph.policy.pool
         if pool in self.reserved_trials:
             return
+        yield from self.view.index_running()
         earliest = self.search.earliest_in_any(work, groups, must_be_idle=True)
         if earliest is not None and may_begin_trials(self.workers, work, earliest.workers):
             self.reserved_trials.add(pool)
@@ -313,7 +315,9 @@
             if work.is_suspect:
                 worker.begin_trial()
 
-    def _reserve_or_displace(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
+    def _reserve_or_displace(
+        self, work: WaitingWork, groups: list[list[WorkerCapacity]]
+    ) -> Generator[None, None, None]:
         """Reserves capacity that becomes free for the work, or displaces other work."""
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
@@ -324,10 +328,14 @@
                 return
         groups = self.candidates.groups_to_clear(work, groups)
         if work.priority == URGENT_PRIORITY and self._may_displace(work):
-            is_served = self._reserve_if_free_in_time(work, groups) or self._displace(work, groups)
+            yield from self.view.index_running()
+            is_served = self._reserve_if_free_in_time(work, groups)
+            if not is_served:
+                is_served = yield from self._displace(work, groups)
             if not is_served and self.victims.is_reserved_without_displacement(work):
                 self._reserve_for_gang(work, groups)
         elif work.step.is_gang and self.reserved_gangs < MAX_RESERVED_GANGS:
+            yield from self.view.index_running()
             self._reserve_for_gang(work, groups)
 
     def _may_displace(self, work: WaitingWork) -> bool:
@@ -362,39 +370,44 @@
             worker.is_reserved = True
             worker.reserved_for = work
 
-    def _displace(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> bool:
+    def _displace(
+        self, work: WaitingWork, groups: list[list[WorkerCapacity]]
+    ) -> Generator[None, None, bool]:
         """Displaces the cheapest victims in any group and reserves their capacity.
 
         Returns False if nothing suffices or the work does not justify it.
         """
-        candidates = self.victims.candidates(work)
+        candidates = StoppableWork(self.victims.candidates(work), self.victims.costs_of)
+        yield from candidates.index()
         fill_order = self.candidates.fill_order(work)
         cheapest: Displacement | None = None
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
             limits = self.search.limits(work, unreserved)
-            displacement = self.victims.find(work, unreserved, candidates, limits, fill_order)
+            displacement = yield from self.victims.find(
+                work, unreserved, candidates, limits, fill_order
+            )
             if displacement is not None and (cheapest is None or displacement.cost < cheapest.cost):
                 cheapest = displacement
         if cheapest is None or not self.victims.is_worthwhile(work, cheapest):
             return False
         self.unplaceable.clear()
+        self.view.remove_displaced(cheapest.victims)
         for victim in cheapest.victims:
-            self.running.remove(victim)
-            self.search.record_displacement()
             self.plan.displaced.update(dict.fromkeys(victim.runs, work.graph.graph.graph_id))
-            self._count_as_free_after_stops(victim)
+        self._count_as_free_after_stops(cheapest.victims)
         self.plan.displacements.append(cheapest)
         self.victims.displaced(work, cheapest)
         self._reserve(work, cheapest.workers)
         return True
 
-    def _count_as_free_after_stops(self, victim: RunningWork) -> None:
+    def _count_as_free_after_stops(self, victims: Sequence[RunningWork]) -> None:
         workers = {worker.worker_id: worker for worker in self.workers}
-        for worker_id, demand in victim.occupied:
-            if worker_id in workers:
-                worker = workers[worker_id]
-                worker.free_after_stops = worker.free_after_stops.plus(demand)
+        for victim in victims:
+            for worker_id, demand in victim.occupied:
+                if worker_id in workers:
+                    worker = workers[worker_id]
+                    worker.free_after_stops = worker.free_after_stops.plus(demand)
 
     def _reserve_for_gang(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
         """Reserves the workers that fit the gang first, so that small tasks do not refill them."""
--- a/src/cicadatray/scheduling/taskgraphs/rules/cheapest.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/cheapest.py
@@ -1,12 +1,13 @@
 """Victims that cost the least core-seconds."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Generator, Mapping, Sequence
 
 from cicadatray.scheduling.taskgraphs.displacement import Displacement
 from cicadatray.scheduling.taskgraphs.displacement_search import DisplacementSearch
 from cicadatray.scheduling.taskgraphs.job_value import job_value
 from cicadatray.scheduling.taskgraphs.rules.victim_rule import VictimRule, victim_rules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.stoppable_work import StoppableWork
 from cicadatray.scheduling.taskgraphs.task_fit import FillOrder
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -30,12 +31,13 @@
         self,
         work: WaitingWork,
         group: Sequence[WorkerCapacity],
-        candidates: Sequence[RunningWork],
+        candidates: StoppableWork,
         limits: Mapping[str, int] | None,
         fill_order: FillOrder | None,
-    ) -> Displacement | None:
+    ) -> Generator[None, None, Displacement | None]:
         """Returns a cheap displacement, or None when no displacement frees enough capacity."""
-        return DisplacementSearch(work, group, candidates, limits, fill_order).run()
+        search = DisplacementSearch(work, group, candidates, limits, fill_order)
+        return (yield from search.run())
 
     def is_worthwhile(self, work: WaitingWork, displacement: Displacement) -> bool:
         """Returns whether the work is guaranteed or worth more than what it stops."""
--- a/src/cicadatray/scheduling/taskgraphs/rules/worthwhile.py
+++ b/src/cicadatray/scheduling/taskgraphs/rules/worthwhile.py
@@ -1,7 +1,7 @@
 """Victims of a displacement that gains callers more than it costs them."""
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Generator, Mapping, Sequence
 
 from cicadatray.scheduling.taskgraphs.displacement import Displacement, stop_costs
 from cicadatray.scheduling.taskgraphs.earliest_fit import find_earliest_fit
@@ -13,7 +13,7 @@
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.rules.victim_rule import VictimRule, victim_rules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
-from cicadatray.scheduling.taskgraphs.runs_by_end import RunsByEnd
+from cicadatray.scheduling.taskgraphs.stoppable_work import StoppableWork
 from cicadatray.scheduling.taskgraphs.task_fit import FillOrder
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -36,10 +36,8 @@
     """
 
     __slots__ = (
-        "costs",
         "history",
         "reserved_gangs",
-        "running_by_end",
         "sizes",
         "wait_s",
     )
@@ -49,8 +47,6 @@
         self.sizes = view.memory.get(JobSizes)
         self.history = view.memory.get(DisplacementHistory)
         self.history.forget(view.now_s)
-        self.costs: dict[RunningWork, tuple[float, float]] = {}
-        self.running_by_end: RunsByEnd | None = None
         self.wait_s = math.inf
         self.reserved_gangs = 0
 
@@ -72,19 +68,20 @@
         self,
         work: WaitingWork,
         group: Sequence[WorkerCapacity],
-        candidates: Sequence[RunningWork],
+        candidates: StoppableWork,
         limits: Mapping[str, int] | None,
         fill_order: FillOrder | None,
-    ) -> Displacement | None:
+    ) -> Generator[None, None, Displacement | None]:
         """Returns the cheapest displacement found, and notes when the work fits without one."""
-        if self.running_by_end is None:
-            self.running_by_end = RunsByEnd(self.view.running)
+        yield from self.view.index_running()
         demand, count = work.step.demand, len(work.indexes)
-        on_group = self.running_by_end.on(group)
+        on_group = self.view.running_by_end().on(group)
         fit = find_earliest_fit(group, demand, count, on_group, limits, fill_order=fill_order)
         if fit is not None:
             self.wait_s = min(self.wait_s, fit.remaining_s)
-        return PrunedSearch(work, group, candidates, limits, fill_order, self.costs_of).run()
+        yield
+        search = PrunedSearch(work, group, candidates, limits, fill_order)
+        return (yield from search.run())
 
     def is_worthwhile(self, work: WaitingWork, displacement: Displacement) -> bool:
         """Returns whether the work is guaranteed, or gains by a stop and its job justifies it.
@@ -102,7 +99,6 @@
     def displaced(self, work: WaitingWork, displacement: Displacement) -> None:
         """Remembers the displacement."""
         self.history.record(work, displacement, self.view.now_s)
-        self.running_by_end = None
 
     def is_reserved_without_displacement(self, work: WaitingWork) -> bool:
         """Returns whether the work is one of the first gangs that neither fit nor displace."""
@@ -111,17 +107,14 @@
         self.reserved_gangs += 1
         return True
 
-    def costs_of(self, victim: RunningWork) -> tuple[float, float]:
+    def compute_costs(self, victim: RunningWork) -> tuple[float, float]:
         """Returns the cost of stopping one work and the value that its job loses.
 
         The cost is higher for what displaced or was displaced just now.
         """
-        costs = self.costs.get(victim)
-        if costs is None:
-            stop_cost, lost_value = stop_costs(victim)
-            stop_cost += job_value(victim.priority) * self.history.is_protected(victim)
-            costs = self.costs[victim] = stop_cost, lost_value
-        return costs
+        stop_cost, lost_value = stop_costs(victim)
+        stop_cost += job_value(victim.priority) * self.history.is_protected(victim)
+        return stop_cost, lost_value
 
     def _gains(self, work: WaitingWork) -> bool:
         """Returns whether a start after a stop is worth clearly more than one without a stop.
--- a/tests/cover/taskgraphs/reference_search.py
+++ b/tests/cover/taskgraphs/reference_search.py
@@ -1,11 +1,12 @@
 """Straightforward versions of the searches of placement, which refit everything in each step."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Generator, Iterable, Mapping, Sequence
 
 from cicadatray.scheduling.taskgraphs.displacement import Displacement, total_cost
 from cicadatray.scheduling.taskgraphs.earliest_fit import EarliestFit
 from cicadatray.scheduling.taskgraphs.resources import Resources
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
+from cicadatray.scheduling.taskgraphs.stoppable_work import StoppableWork
 from cicadatray.scheduling.taskgraphs.task_fit import FillOrder
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
@@ -71,19 +72,20 @@
         self,
         work: WaitingWork,
         group: Sequence[WorkerCapacity],
-        candidates: Sequence[RunningWork],
+        candidates: StoppableWork,
         limits: Mapping[str, int] | None,
         fill_order: FillOrder | None = None,
     ) -> None:
         self.work = work
         self.group = group
-        self.candidates = candidates
+        self.candidates = candidates.works
         self.limits = limits
         self.available: dict[str, Resources] = {w.worker_id: w.free_after_stops for w in group}
         self.victims: list[RunningWork] = []
 
-    def run(self) -> Displacement | None:
+    def run(self) -> Generator[None, None, Displacement | None]:
         """Returns a cheap displacement, or None when no displacement frees enough capacity."""
+        yield
         while (workers := self._fit()) is None:
             victims = self._cheapest_for_one_more_task()
             if not victims:
