Count the jobs that wait in a queue without a pass over all jobs

What callers saw: each read of a queue took longer the more jobs of any queue were accepted, and each cancelled, lost or displaced job made the agents of all workers ask for orders.

Cause: the read passed over all jobs in one turn. wake_all woke every waiting call, each of which computes the orders of its worker.

Change: UnbegunGraphs follows the commands of the log. Cancelling, losses, displacements and evacuated work wake the workers on which runs of the same jobs may exist, as ends do.

--- a/src/cicadatray/internal/bench/backlog_runs/bench_leader.py
+++ b/src/cicadatray/internal/bench/backlog_runs/bench_leader.py
@@ -50,7 +50,7 @@
         state.listeners = [self.leader.on_command_applied]
         self.session = GraphSession(self.leader, TaskLeases(), StartLimits(), is_loaded=False)
         state.listeners.append(LateCommits(self.session).on_command_applied)
-        state.listeners.append(self.session.ready.on_command_applied)
+        state.listeners.append(self.session.on_command_applied)
         self.sequence = 0
 
     def sync(
--- a/src/cicadatray/internal/control/control_daemon.py
+++ b/src/cicadatray/internal/control/control_daemon.py
@@ -238,7 +238,7 @@
             is_loaded=False,
         )
         self.state.listeners.append(LateCommits(graph_session).on_command_applied)
-        self.state.listeners.append(graph_session.ready.on_command_applied)
+        self.state.listeners.append(graph_session.on_command_applied)
         await run_in_turns(graph_session.load())
         self.graph_session = graph_session
         try:
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -211,7 +211,7 @@
         return reply
     log.info("graph cancelled", graph=resolved.graph_id, was_pending=progress is None)
     graph_session.statistics.log_if_ended(resolved.graph_id)
-    graph_session.wake_all()
+    graph_session.wake_workers_of({resolved.graph_id})
     graph_session.wake.set()
     return reply
 
@@ -221,24 +221,18 @@
     """Returns the state of a graph, or of the queue when the path names no graph."""
     session = await daemon.require_leader_session()
     decision = decide(daemon, session)
-    reply = _read_graph(session, call)
+    reply = _read_graph(daemon, session, call)
     return msgspec.structs.replace(reply, decision=decision)
 
 
-def _read_graph(session: LeaderSession, call: ReadGraph) -> MessageStruct:
+def _read_graph(daemon: "ControlDaemon", session: LeaderSession, call: ReadGraph) -> MessageStruct:
     resolved = _resolve(session, call.target)
     if isinstance(resolved, Failure):
         return resolved
-    store = session.state.graphs
     if not resolved.graph_id:
-        name = resolved.queue.policy.queue
-        waiting = sum(
-            1
-            for progress in store.graphs.values()
-            if progress.graph.policy.queue == name and progress.is_active and not progress.has_begun
-        )
-        return QueueState(waiting=waiting)
-    requested = _find_graph(resolved, store)
+        unbegun = daemon.require_graph_session(session).unbegun
+        return QueueState(waiting=unbegun.count(resolved.queue.policy.queue))
+    requested = _find_graph(resolved, session.state.graphs)
     if requested is None or isinstance(requested, Failure):
         return requested or Failure(code=graph_codes.GRAPH_UNKNOWN, detail="no such graph")
     return view_graph(requested)
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -134,12 +134,13 @@
         checkpoints = self._due_checkpoints(bool(ends))
         if ends or removed_graph_ids or checkpoints:
             await self._commit_losses(ends, removed_graph_ids, checkpoints)
+        graph_ids = {placed.end.run.task.graph_id for placed in ends}
         for part in parts:
             await self._commit_losses(part)
+            graph_ids |= {placed.end.run.task.graph_id for placed in part}
         for worker_id in lost:
             session.remove_worker(worker_id)
-        if ends:
-            session.wake_all()
+        session.wake_workers_of(graph_ids)
 
     async def _commit_losses(
         self,
@@ -241,8 +242,7 @@
                     worker_stays_s=round(leaving.stays_s, 1),
                 )
             yield
-        if leaving_works:
-            session.wake_all()
+        session.wake_workers_of({leaving.work.graph_id for leaving in leaving_works})
 
     async def _place(self) -> None:
         await run_in_turns(self._evacuate())
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -18,10 +18,12 @@
 from cicadatray.internal.control.graphs.relay_directory import RelayDirectory
 from cicadatray.internal.control.graphs.speed_observer import SpeedObserver
 from cicadatray.internal.control.graphs.task_leases import TaskLeases
+from cicadatray.internal.control.graphs.unbegun_graphs import UnbegunGraphs
 from cicadatray.internal.control.graphs.worker_orders import build_orders
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.control.loop_turns import run_at_once
+from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.graph_messages import (
     PlacedEnd,
     RecordRuns,
@@ -57,7 +59,8 @@
     replaced by another worker of the same agent. `rule_memory` is what the scheduling rules keep
     between rounds. `new_ends` are reported ends that are not proposed yet, and `unstored_ends` the
     workers and runs of all reported ends that are not durable yet. `proposed_starts` is the command
-    with starts that this session waits for. `ready` finds the work that is ready to start.
+    with starts that this session waits for. `ready` finds the work that is ready to start,
+    and `unbegun` has the graphs of which nothing has started.
     `pending_evacuations` counts the orders by data centre that may not be committed yet.
     `silence_credits_s` are the silences of workers that earlier leaders had recorded when this
     session began, and `proposed_silences` are those that this process has proposed, in any session.
@@ -87,6 +90,7 @@
         "speed_observer",
         "start_limits",
         "statistics",
+        "unbegun",
         "unstored_ends",
         "wake",
         "workers",
@@ -122,6 +126,7 @@
         self.silence_credits_s = dict(leader.state.graphs.silences)
         self.proposed_starts: RecordRuns | None = None
         self.ready = ReadyIndex(leader.state.graphs.graphs)
+        self.unbegun = UnbegunGraphs(leader.state.graphs.graphs)
         self.relays = RelayDirectory()
         self.replaced_workers: set[str] = set()
         self.revoked_runs: set[TaskRun] = set()
@@ -137,8 +142,14 @@
         No call may be handled before. Commands may be applied meanwhile, if `LateCommits` listens.
         """
         yield from load_ordered_runs(self)
+        yield from self.unbegun.load()
         yield from self.statistics.load()
 
+    def on_command_applied(self, command: MessageStruct) -> None:
+        """Updates what is derived from the replicated graphs."""
+        self.ready.on_command_applied(command)
+        self.unbegun.on_command_applied(command)
+
     @property
     def graphs(self) -> dict[str, GraphProgress]:
         """The replicated graphs by identifier."""
--- a/src/cicadatray/internal/control/graphs/planned_displacements.py
+++ b/src/cicadatray/internal/control/graphs/planned_displacements.py
@@ -46,7 +46,7 @@
                 lateness_s=round(job.lateness_s, 1),
             )
         if plan.displaced:
-            self.session.wake_all()
+            self.session.wake_workers_of({run.task.graph_id for run in plan.displaced})
 
     def _displace_work(
         self, victim: RunningWork, plan: PlacementPlan, displacement: Displacement
--- a/src/cicadatray/internal/control/graphs/ready_index.py
+++ b/src/cicadatray/internal/control/graphs/ready_index.py
@@ -3,8 +3,9 @@
 import math
 from collections.abc import Generator, Mapping
 
+from cicadatray.internal.control.graphs.unbegun_graphs import changed_graphs
 from cicadatray.internal.wire.message import MessageStruct
-from cicadatray.internal.wire.messages.graph_messages import AcceptGraph, EndGraph, RecordRuns
+from cicadatray.internal.wire.messages.graph_messages import AcceptGraph
 from cicadatray.scheduling.taskgraphs.graph_progress import GraphProgress
 from cicadatray.scheduling.taskgraphs.job_value import URGENT_PRIORITY
 from cicadatray.scheduling.taskgraphs.ready_work import find_ready_steps
@@ -47,17 +48,9 @@
 
     def on_command_applied(self, command: MessageStruct) -> None:
         """Marks the graphs that a command has changed."""
+        self.changed.update(dict.fromkeys(changed_graphs(command)))
         if isinstance(command, AcceptGraph):
-            self.changed[command.graph.graph_id] = None
             self.accepted_urgent |= command.graph.policy.priority == URGENT_PRIORITY
-        elif isinstance(command, EndGraph):
-            self.changed[command.graph_id] = None
-        elif isinstance(command, RecordRuns):
-            for placed in command.ends:
-                self.changed[placed.end.run.task.graph_id] = None
-            for start in command.starts:
-                self.changed[start.run.task.graph_id] = None
-            self.changed.update(dict.fromkeys(command.removed_graph_ids))
 
     def update(self, now_s: float) -> Generator[None, None, None]:
         """Finds the ready work of the graphs that have changed or become due.
--- a/tests/cover/taskgraphs/test_graph_refusals.py
+++ b/tests/cover/taskgraphs/test_graph_refusals.py
@@ -19,6 +19,7 @@
     GraphState,
     QueueState,
     ReadGraph,
+    RecordRuns,
     SubmitGraph,
     SyncWorker,
     WorkerOffer,
@@ -111,6 +112,8 @@
         assert isinstance(unknown, GraphState)
         scene.log.state.graphs.graphs.clear()
         scene.control.state.graphs.graphs.clear()
+        removal = RecordRuns(now_s=0.0, removed_graph_ids=(GRAPH,))
+        scene.control.graph_session.on_command_applied(removal)
         await scene.join(FIRST)
         await asyncio.sleep(SETTLING_S + 0.1)
         refused = await scene.submit()
