--- a/src/cicadatray/internal/bench/backlog_runs/backlog_run.py
+++ b/src/cicadatray/internal/bench/backlog_runs/backlog_run.py
@@ -52,6 +52,8 @@
 class BacklogRun:
     """One backlog under a new leader."""
 
+    __slots__ = ("leader", "phases", "shape", "snapshot", "state", "tasks")
+
     def __init__(self, shape: str, tasks: int) -> None:
         self.shape = shape
         self.tasks = tasks
@@ -107,7 +109,7 @@
         await run_in_turns(self.leader.session.load())
 
     async def _round(self, loop: GraphLoop) -> None:
-        await loop._record_losses()
+        await loop.losses.record()
         await loop._place()
 
     async def _rounds(self, loop: GraphLoop) -> None:
--- a/src/cicadatray/internal/bench/backlog_runs/bench_leader.py
+++ b/src/cicadatray/internal/bench/backlog_runs/bench_leader.py
@@ -28,6 +28,8 @@
 class _ImmediateReplica:
     """Applies each proposed command in the same pass of the event loop."""
 
+    __slots__ = ("index", "state", "term")
+
     def __init__(self, state: ControlState) -> None:
         self.state = state
         self.term = 1
@@ -42,6 +44,8 @@
 class BenchLeader:
     """The session of a leader and the calls of its agents."""
 
+    __slots__ = ("leader", "sequence", "session", "state")
+
     def __init__(self, state: ControlState) -> None:
         self.state = state
         replica: Any = _ImmediateReplica(state)
--- a/src/cicadatray/internal/control/evacuation_calls.py
+++ b/src/cicadatray/internal/control/evacuation_calls.py
@@ -12,6 +12,7 @@
     evacuations_reply,
 )
 from cicadatray.internal.control.graphs.graph_session import GraphSession
+from cicadatray.internal.control.graphs.worker_wakes import wake_all
 from cicadatray.internal.control.handler_registry import register_handler
 from cicadatray.internal.wire.message import MessageStruct
 from cicadatray.internal.wire.messages.evacuation_messages import (
@@ -46,7 +47,7 @@
             return committed
         # The order is durable now, so it must be confirmed even if the session has ended.
         reply = evacuations_reply(graph_session, call.data_centre, committed.is_repeated)
-        graph_session.wake_all()
+        wake_all(graph_session)
         graph_session.wake.set()
         daemon.notify()
     _log_order(graph_session, call, reply)
--- a/src/cicadatray/internal/control/graphs/end_recorder.py
+++ b/src/cicadatray/internal/control/graphs/end_recorder.py
@@ -8,6 +8,7 @@
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.reported_checkpoints import new_checkpoints
 from cicadatray.internal.control.graphs.task_lookup import find_task_progress
+from cicadatray.internal.control.graphs.worker_wakes import wake_workers_of
 from cicadatray.internal.observability.graph_metrics import runs_ended
 from cicadatray.internal.wire.messages.graph_messages import PlacedEnd, RecordRuns
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
@@ -71,7 +72,7 @@
         )
         await session.leader.propose(command)
         self.apply_committed(ends)
-        session.wake_workers_of({placed.end.run.task.graph_id for placed in ends})
+        wake_workers_of(session, {placed.end.run.task.graph_id for placed in ends})
         session.wake.set()
 
     def apply_committed(self, ends: list[PlacedEnd]) -> None:
--- a/src/cicadatray/internal/control/graphs/graph_calls.py
+++ b/src/cicadatray/internal/control/graphs/graph_calls.py
@@ -15,6 +15,7 @@
 from cicadatray.internal.control.graphs.queue_calls import decide
 from cicadatray.internal.control.graphs.task_leases import SYNC_WAIT_S
 from cicadatray.internal.control.graphs.worker_session import WorkerSession
+from cicadatray.internal.control.graphs.worker_wakes import wake_workers_of
 from cicadatray.internal.control.handler_registry import register_handler
 from cicadatray.internal.control.leader_session import LeaderSession
 from cicadatray.internal.observability.graph_metrics import graphs_accepted
@@ -211,7 +212,7 @@
         return reply
     log.info("graph cancelled", graph=resolved.graph_id, was_pending=progress is None)
     graph_session.statistics.log_if_ended(resolved.graph_id)
-    graph_session.wake_workers_of({resolved.graph_id})
+    wake_workers_of(graph_session, {resolved.graph_id})
     graph_session.wake.set()
     return reply
 
--- a/src/cicadatray/internal/control/graphs/graph_loop.py
+++ b/src/cicadatray/internal/control/graphs/graph_loop.py
@@ -1,7 +1,7 @@
 """The leader's scheduling loop for task graphs."""
 
 import asyncio
-from collections.abc import Generator, Iterator
+from collections.abc import Generator
 
 import structlog
 
@@ -10,49 +10,39 @@
 from cicadatray.internal.control.graphs.covered_graphs import CoveredGraphs
 from cicadatray.internal.control.graphs.end_recorder import (
     BATCHING_DELAY_S,
-    MAX_ENDS,
     EndRecorder,
 )
 from cicadatray.internal.control.graphs.evacuated_runs import revoke_evacuated, revoke_unstarted
-from cicadatray.internal.control.graphs.expired_graphs import find_expired_graphs
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.guarantee_log import GuaranteeLog
 from cicadatray.internal.control.graphs.leaving_work import find_leaving, staying_times
-from cicadatray.internal.control.graphs.lost_runs import lost_run_ends
+from cicadatray.internal.control.graphs.loss_recorder import LossRecorder
 from cicadatray.internal.control.graphs.placement_input import (
     collect_running,
     collect_workers,
     mark_waiting,
 )
 from cicadatray.internal.control.graphs.planned_displacements import PlannedDisplacements
-from cicadatray.internal.control.graphs.reported_checkpoints import new_checkpoints
 from cicadatray.internal.control.graphs.round_log import RoundLog
 from cicadatray.internal.control.graphs.silence_recorder import SilenceRecorder
 from cicadatray.internal.control.graphs.valid_assignments import valid_assignments
 from cicadatray.internal.control.graphs.wait_log import WaitLog
+from cicadatray.internal.control.graphs.worker_wakes import wake_workers_of
 from cicadatray.internal.control.loop_turns import run_in_turns
 from cicadatray.internal.observability.graph_metrics import task_wait_seconds
 from cicadatray.internal.wire.messages.graph_messages import (
-    PlacedEnd,
     PlacedRun,
     RecordRuns,
-    RunCheckpoint,
     RunsRecorded,
 )
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_round import MAX_STARTS, PlacementRound
 from cicadatray.scheduling.taskgraphs.waiting_work import WaitingWork
-from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 # The interval of rounds without a wake-up, for occurrences that become due and leases that expire.
 ROUND_INTERVAL_S = 0.25
-# At most this much work of a checkpointable task is repeated after a power loss.
-CHECKPOINT_INTERVAL_S = 1.0
 # A round that has taken this long, in seconds, may end before it has tried all waiting work.
 LONG_ROUND_S = 0.1
-EXPIRY_SCAN_INTERVAL_S = 1.0
-# At most this many expired graphs are removed by one command.
-MAX_REMOVALS = 1000
 # The event loop may do other work after so many starts were ordered.
 STARTS_BETWEEN_PAUSES = 16
 
@@ -67,9 +57,8 @@
         "displacements",
         "guarantee_log",
         "has_applied_earlier_starts",
+        "losses",
         "may_end_early",
-        "next_checkpoints_s",
-        "next_expiry_scan_s",
         "recorder",
         "round_log",
         "session",
@@ -85,11 +74,10 @@
         self.covered_graphs = CoveredGraphs(session.rules.find_guarantees(), session.ready)
         self.round_log = RoundLog(session)
         self.may_end_early = True
-        self.next_checkpoints_s = 0.0
-        self.next_expiry_scan_s = 0.0
         self.has_applied_earlier_starts = False
         metrics = session.leader.metrics
         self.recorder = EndRecorder(session)
+        self.losses = LossRecorder(session, self.recorder)
         self.silences = SilenceRecorder(session)
         self.displacements = PlannedDisplacements(session)
         self.start_wait = task_wait_seconds(metrics)
@@ -111,7 +99,7 @@
 
     async def _run_rounds(self) -> None:
         while True:
-            await self._record_losses()
+            await self.losses.record()
             await self._place()
             await self._wait()
 
@@ -124,98 +112,6 @@
         await asyncio.sleep(BATCHING_DELAY_S)
         self.session.wake.clear()
 
-    async def _record_losses(self) -> None:
-        """Commits what no agent reports: ends of runs on lost workers, and expired graphs."""
-        session = self.session
-        lost = self._mark_lost_workers()
-        parts = self._lost_run_ends(lost)
-        ends = next(parts, [])
-        removed_graph_ids = self._find_expired_graphs()
-        checkpoints = self._due_checkpoints(bool(ends))
-        if ends or removed_graph_ids or checkpoints:
-            await self._commit_losses(ends, removed_graph_ids, checkpoints)
-        graph_ids = {placed.end.run.task.graph_id for placed in ends}
-        for part in parts:
-            await self._commit_losses(part)
-            graph_ids |= {placed.end.run.task.graph_id for placed in part}
-        for worker_id in lost:
-            session.remove_worker(worker_id)
-        session.wake_workers_of(graph_ids)
-
-    async def _commit_losses(
-        self,
-        ends: list[PlacedEnd],
-        removed_graph_ids: tuple[str, ...] = (),
-        checkpoints: tuple[RunCheckpoint, ...] = (),
-    ) -> None:
-        session = self.session
-        command = RecordRuns(
-            now_s=session.wall_s(),
-            ends=tuple(ends),
-            removed_graph_ids=removed_graph_ids,
-            checkpoints=checkpoints,
-        )
-        await session.leader.propose(command)
-        self.recorder.apply_committed(ends)
-
-    def _find_expired_graphs(self) -> tuple[str, ...]:
-        """Returns the first of the graphs that can be removed, once per interval."""
-        now_s = self.session.now_s()
-        if now_s < self.next_expiry_scan_s:
-            return ()
-        self.next_expiry_scan_s = now_s + EXPIRY_SCAN_INTERVAL_S
-        return find_expired_graphs(self.session.graphs, self.session.wall_s())[:MAX_REMOVALS]
-
-    def _lost_run_ends(self, lost: list[str]) -> Iterator[list[PlacedEnd]]:
-        """Yields the ends not proposed yet, followed by one for every run of lost workers.
-
-        They come in parts, each of which must be stored before the next one is computed.
-        """
-        if not lost:
-            return
-        ends = self.recorder.drain_new_ends()
-        while len(ends) >= MAX_ENDS:
-            yield ends[:MAX_ENDS]
-            ends = ends[MAX_ENDS:]
-        for worker_id in lost:
-            for end in lost_run_ends(self.session, worker_id):
-                ends.append(end)
-                if len(ends) == MAX_ENDS:
-                    yield ends
-                    ends = []
-        if ends:
-            yield ends
-
-    def _due_checkpoints(self, is_committing: bool) -> tuple[RunCheckpoint, ...]:
-        """Returns checkpoints to store, with every commit and otherwise once per interval."""
-        now_s = self.session.now_s()
-        if not is_committing and now_s < self.next_checkpoints_s:
-            return ()
-        self.next_checkpoints_s = now_s + CHECKPOINT_INTERVAL_S
-        return new_checkpoints(self.session)
-
-    def _mark_lost_workers(self) -> list[str]:
-        """Marks workers whose leases have expired; returns all lost or replaced workers."""
-        session = self.session
-        lost = session.find_lost_workers()
-        for worker_id in lost:
-            worker = session.workers.get(worker_id)
-            if worker is not None and worker.end is None:
-                worker.end = WorkerEnd.SILENT
-            log.info(
-                "worker lost",
-                worker=worker_id,
-                silence_s=round(session.silence_s(worker_id), 1),
-                has_called=worker is not None,
-                runs=len(session.ordered_runs.get(worker_id, {})),
-            )
-        replaced = [
-            former_id
-            for former_id, worker in session.workers.items()
-            if worker.is_lost and former_id not in lost
-        ]
-        return lost + replaced
-
     def _evacuate(self) -> Generator[None, None, None]:
         """Stops work that must leave its workers, so that it restarts elsewhere.
 
@@ -242,7 +138,7 @@
                     worker_stays_s=round(leaving.stays_s, 1),
                 )
             yield
-        session.wake_workers_of({leaving.work.graph_id for leaving in leaving_works})
+        wake_workers_of(session, {leaving.work.graph_id for leaving in leaving_works})
 
     async def _place(self) -> None:
         await run_in_turns(self._evacuate())
--- a/src/cicadatray/internal/control/graphs/graph_session.py
+++ b/src/cicadatray/internal/control/graphs/graph_session.py
@@ -3,13 +3,18 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Generator, Iterable
+from collections.abc import Generator
 
 import structlog
 
 from cicadatray.internal.control.graphs.agent_incarnations import AgentIncarnations
 from cicadatray.internal.control.graphs.evacuation_limits import EvacuationLimits
-from cicadatray.internal.control.graphs.former_workers import end_replaced_workers, last_ends
+from cicadatray.internal.control.graphs.former_workers import (
+    end_former_workers,
+    end_worker,
+    has_successor,
+    last_ends,
+)
 from cicadatray.internal.control.graphs.graph_admission import GraphAdmission
 from cicadatray.internal.control.graphs.graph_statistics import GraphStatistics
 from cicadatray.internal.control.graphs.proposed_silences import ProposedSilences
@@ -37,7 +42,6 @@
 from cicadatray.scheduling.taskgraphs.run_outcome import RunOutcome
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
-from cicadatray.scheduling.taskgraphs.worker_end import WorkerEnd
 
 # After a change of leader the agents that can reach the new one have called it by then: the slowest
 # of 50 took 0.75 s on days with faults.
@@ -181,32 +185,26 @@
 
         Returns None for an outdated call, and while the agent has no worker or a lost one.
         """
-        if call.offer is not None and self._has_successor(call.offer.worker_id):
+        if call.offer is not None and has_successor(self, call.offer.worker_id):
             log.info("late call ignored", worker=call.offer.worker_id, agent=call.agent_id)
             return None
         if not self.agent_incarnations.accept_call(call, self.now_s()):
             return None
         if call.ended_worker_id:
             self._add_ends(last_ends(self, call))
-            self._end_worker(call.agent_id, call.ended_worker_id, call.ended_worker_cause)
+            end_worker(self, call.agent_id, call.ended_worker_id, call.ended_worker_cause)
         if call.offer is None:
             return None
         worker_id = call.offer.worker_id
         now_s = self.now_s()
-        for former_id in [w for w in self.workers if w != worker_id]:
-            self._end_worker(call.agent_id, former_id, WorkerEnd.CRASHED)
-        end_replaced_workers(self, call.agent_id, worker_id)
+        end_former_workers(self, call.agent_id, worker_id)
         self.admission.capacity.record(call.agent_id, call.offer, now_s)
         worker = self.workers.get(worker_id)
         if worker is None:
-            worker = WorkerSession(call.agent_id, call.offer, now_s)
-            self.workers[worker_id] = worker
+            worker = self.workers[worker_id] = WorkerSession(call.agent_id, call.offer, now_s)
+            pool, capacity = call.offer.pool, call.offer.capacity
             log.info(
-                "worker joined",
-                worker=worker_id,
-                agent=call.agent_id,
-                pool=call.offer.pool,
-                capacity=call.offer.capacity,
+                "worker joined", worker=worker_id, agent=call.agent_id, pool=pool, capacity=capacity
             )
         elif call.offer.is_draining and not worker.offer.is_draining:
             log.info("worker drains", worker=worker_id, remaining_s=call.offer.remaining_s)
@@ -289,20 +287,6 @@
         if self.speed_observer is not None:
             self.speed_observer.remove_worker(worker_id)
 
-    def wake_workers_of(self, graph_ids: Iterable[str]) -> None:
-        """Wakes the waiting calls of the agents on whose workers runs of these graphs may exist."""
-        for graph_id in graph_ids:
-            progress = self.graphs.get(graph_id)
-            for worker_id in progress.index.workers() if progress is not None else ():
-                worker = self.workers.get(worker_id)
-                if worker is not None:
-                    worker.wake.set()
-
-    def wake_all(self) -> None:
-        """Wakes every waiting call of an agent to check for new orders."""
-        for worker in self.workers.values():
-            worker.wake.set()
-
     def _add_ends(self, ends: list[PlacedEnd]) -> None:
         if ends:
             self.new_ends += ends
@@ -312,24 +296,3 @@
     def _is_refusal(self, end: RunEnd) -> bool:
         """Returns whether a start was not carried out although the run is still wanted."""
         return end.outcome is RunOutcome.CLEARED and self.is_wanted(end.run)
-
-    def _has_successor(self, worker_id: str) -> bool:
-        """Returns whether this is a former worker, in a delayed call of a killed agent process."""
-        if worker_id in self.workers:
-            return False
-        successors = self.leader.state.graphs.successors(worker_id)
-        return any(name in self.ordered_runs or name in self.workers for name in successors)
-
-    def _end_worker(self, agent_id: str, worker_id: str, cause: WorkerEnd) -> None:
-        """Marks a former worker of an agent as lost.
-
-        An agent offers one worker at a time; any former one has ended with all its runs.
-        """
-        worker = self.workers.get(worker_id)
-        if worker is None or worker.agent_id != agent_id or worker.is_lost:
-            return
-        # A worker that drains may leave without a notice that reaches its agent.
-        cause = WorkerEnd.WITHDRAWN if worker.offer.is_draining else cause
-        worker.end = cause
-        log.info("worker ended", worker=worker_id, agent=agent_id, cause=cause.value)
-        self.wake.set()
--- a/src/cicadatray/internal/control/graphs/planned_displacements.py
+++ b/src/cicadatray/internal/control/graphs/planned_displacements.py
@@ -6,6 +6,7 @@
 
 from cicadatray.internal.control.graphs.graph_session import GraphSession
 from cicadatray.internal.control.graphs.graph_statistics import DISPLACED
+from cicadatray.internal.control.graphs.worker_wakes import wake_workers_of
 from cicadatray.internal.observability.graph_metrics import runs_displaced
 from cicadatray.scheduling.taskgraphs.displacement import Displacement
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
@@ -46,7 +47,7 @@
                 lateness_s=round(job.lateness_s, 1),
             )
         if plan.displaced:
-            self.session.wake_workers_of({run.task.graph_id for run in plan.displaced})
+            wake_workers_of(self.session, {run.task.graph_id for run in plan.displaced})
 
     def _displace_work(
         self, victim: RunningWork, plan: PlacementPlan, displacement: Displacement
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -3,20 +3,19 @@
 from collections.abc import Callable, Generator, Hashable, Iterator, Sequence
 
 from cicadatray.scheduling.taskgraphs.assignment import Assignment
-from cicadatray.scheduling.taskgraphs.displacement import Displacement
 from cicadatray.scheduling.taskgraphs.fit_search import FitSearch
 from cicadatray.scheduling.taskgraphs.held_work import HeldWork
 from cicadatray.scheduling.taskgraphs.hold_watch import HoldWatch
 from cicadatray.scheduling.taskgraphs.job_value import URGENT_PRIORITY
 from cicadatray.scheduling.taskgraphs.placement_plan import PlacementPlan
 from cicadatray.scheduling.taskgraphs.placement_wait import PlacementWait
+from cicadatray.scheduling.taskgraphs.round_reservations import RoundReservations
 from cicadatray.scheduling.taskgraphs.rules.round_view import RoundView
 from cicadatray.scheduling.taskgraphs.rules.rule_memory import RuleMemory
 from cicadatray.scheduling.taskgraphs.rules.scheduling_rules import DEFAULT_RULES, SchedulingRules
 from cicadatray.scheduling.taskgraphs.running_work import RunningWork
 from cicadatray.scheduling.taskgraphs.start_limits import StartLimits
-from cicadatray.scheduling.taskgraphs.stoppable_work import StoppableWork
-from cicadatray.scheduling.taskgraphs.task_fit import free_now, free_once_stopped
+from cicadatray.scheduling.taskgraphs.task_fit import free_now
 from cicadatray.scheduling.taskgraphs.task_id import TaskRun
 from cicadatray.scheduling.taskgraphs.trial_share import may_begin_trials
 from cicadatray.scheduling.taskgraphs.tried_work import TriedWork
@@ -26,9 +25,6 @@
 from cicadatray.scheduling.taskgraphs.warm_candidates import warm_first
 from cicadatray.scheduling.taskgraphs.worker_capacity import WorkerCapacity
 
-# Capacity is reserved for at most this many blocked gangs at a time; more reservations would leave
-# workers idle.
-MAX_RESERVED_GANGS = 2
 # A round ends after so many starts, which are stored in one command.
 MAX_STARTS = 250
 # A round ends after so many attempts in vain, each of which searches all workers.
@@ -47,29 +43,24 @@
     `rules` decide on the order of work, on the workers that may take it and on displacement;
     `memory` is what they keep between rounds. `now_s` is in seconds since 1970. Without
     `may_displace` no running work is stopped, because not all workers are known yet.
-    `reserved_gangs` counts the blocked gangs for which the round has reserved capacity, and
-    `reserved_trials` the pools in which it has reserved workers for a task that must start alone.
-    `attempts` counts the work that was tried in vain, and `changes` the assignments and
-    reservations. `blocked` has the steps and `unplaceable` the shapes of work that does not fit any
-    more; only a displacement makes room for them. A shape has the reason for which its work waits,
-    if it was diagnosed, and the number of changes then.
+    `attempts` counts the work that was tried in vain, and `assigned` the work that was placed.
+    `blocked` has the steps and `unplaceable` the shapes of work that does not fit any more; only a
+    displacement makes room for them. A shape has the reason for which its work waits, if it was
+    diagnosed, and the number of changes then.
     """
 
     __slots__ = (
+        "assigned",
         "attempts",
         "blocked",
         "candidates",
-        "changes",
         "holds",
-        "may_displace",
         "now_s",
         "plan",
         "ranking",
-        "reserved_gangs",
-        "reserved_trials",
+        "reservations",
         "search",
         "skips",
-        "start_limits",
         "tried",
         "unplaceable",
         "victims",
@@ -89,24 +80,23 @@
     ) -> None:
         view = RoundView(workers, running, now_s, start_limits, memory or RuleMemory())
         self.view = view
-        self.may_displace = may_displace
         self.workers = view.workers
         self.now_s = now_s
-        self.start_limits = start_limits
         self.attempts = 0
-        self.changes = 0
+        self.assigned = 0
         self.skips = 0
         self.blocked: set[tuple[str, int, int]] = set()
         self.unplaceable: dict[Hashable, tuple[WaitReason | None, int]] = {}
         self.tried = view.memory.get(TriedWork)
-        self.reserved_gangs = 0
-        self.reserved_trials: set[str] = set()
         self.plan: PlacementPlan = view.plan
         self.ranking = rules.find_ranking()(view)
         self.candidates = rules.find_candidates()(view)
         self.search = FitSearch(view, self.candidates)
         self.holds = HoldWatch(view, self.search)
         self.victims = rules.find_victims()(view)
+        self.reservations = RoundReservations(
+            view, self.search, self.candidates, self.victims, may_displace
+        )
 
     def run(self, waiting: Sequence[WaitingWork]) -> PlacementPlan:
         """Tries to place all waiting work in the order of its ranking and returns the plan."""
@@ -136,6 +126,11 @@
             if not self.plan.is_complete:
                 self.holds.memory.keep_untried()
 
+    @property
+    def changes(self) -> int:
+        """The number of assignments and reservations so far."""
+        return self.assigned + self.reservations.count
+
     def _is_exhausted(self) -> bool:
         """Returns whether the round has done as much as one round may do."""
         return self.attempts >= MAX_ATTEMPTS or len(self.plan.assignments) >= MAX_STARTS
@@ -183,7 +178,9 @@
 
     def _must_wait(self, work: WaitingWork) -> bool:
         """Returns whether work that fits nowhere can neither displace other work nor be held."""
-        is_displacing = work.priority == URGENT_PRIORITY and self._may_displace(work)
+        is_displacing = work.priority == URGENT_PRIORITY and self.reservations.may_displace_for(
+            work
+        )
         return not is_displacing and self.holds.is_scarce(work)
 
     def _reason_of(self, work: WaitingWork, shape: Hashable) -> WaitReason:
@@ -210,9 +207,12 @@
             return True
         reason = self._record_wait(work, lambda: self._diagnose(work, groups))
         if work.is_suspect:
-            yield from self._reserve_for_trial(work, groups)
+            yield from self.reservations.reserve_for_trial(work, groups)
         else:
-            yield from self._reserve_or_displace(work, groups)
+            displacements = len(self.plan.displacements)
+            yield from self.reservations.reserve_or_displace(work, groups)
+            if len(self.plan.displacements) > displacements:
+                self.unplaceable.clear()
         if shape is not None and self.changes == changes:
             self.unplaceable[shape] = (reason, changes)
         return False
@@ -238,22 +238,6 @@
                 return True
         return False
 
-    def _reserve_for_trial(
-        self, work: WaitingWork, groups: list[list[WorkerCapacity]]
-    ) -> Generator[None, None, None]:
-        """Reserves the workers that become idle first for the first suspect work of each pool.
-
-        Suspect work displaces nothing.
-        """
-        pool = work.graph.graph.policy.pool
-        if pool in self.reserved_trials:
-            return
-        yield from self.view.index_running()
-        earliest = self.search.earliest_in_any(work, groups, must_be_idle=True)
-        if earliest is not None and may_begin_trials(self.workers, work, earliest.workers):
-            self.reserved_trials.add(pool)
-            self._reserve(work, earliest.workers)
-
     def _record_hold(
         self,
         work: WaitingWork,
@@ -305,7 +289,7 @@
 
     def _assign(self, work: WaitingWork, chosen: list[WorkerCapacity]) -> None:
         self.holds.record_start(work)
-        self.changes += 1
+        self.assigned += 1
         self.plan.placed.append(work)
         for index, worker in zip(work.indexes, chosen, strict=True):
             worker.occupy(work.step.demand)
@@ -314,104 +298,3 @@
             self.plan.assignments.append(Assignment(run, worker.worker_id))
             if work.is_suspect:
                 worker.begin_trial()
-
-    def _reserve_or_displace(
-        self, work: WaitingWork, groups: list[list[WorkerCapacity]]
-    ) -> Generator[None, None, None]:
-        """Reserves capacity that becomes free for the work, or displaces other work."""
-        for group in groups:
-            unreserved = [worker for worker in group if not worker.is_reserved]
-            limits = self.search.limits(work, unreserved)
-            chosen = self.search.fit(work, unreserved, free_once_stopped, limits)
-            if chosen is not None and self.candidates.may_use(work, chosen):
-                self._reserve(work, chosen)
-                return
-        groups = self.candidates.groups_to_clear(work, groups)
-        if work.priority == URGENT_PRIORITY and self._may_displace(work):
-            yield from self.view.index_running()
-            is_served = self._reserve_if_free_in_time(work, groups)
-            if not is_served:
-                is_served = yield from self._displace(work, groups)
-            if not is_served and self.victims.is_reserved_without_displacement(work):
-                self._reserve_for_gang(work, groups)
-        elif work.step.is_gang and self.reserved_gangs < MAX_RESERVED_GANGS:
-            yield from self.view.index_running()
-            self._reserve_for_gang(work, groups)
-
-    def _may_displace(self, work: WaitingWork) -> bool:
-        """Returns whether other work may give way to this urgent work."""
-        is_in_time = work.is_guaranteed or self.now_s < work.latest_start_s()
-        return self.may_displace and is_in_time
-
-    def _reserve_if_free_in_time(
-        self, work: WaitingWork, groups: list[list[WorkerCapacity]]
-    ) -> bool:
-        """Reserves the capacity of work that will end before the urgent work must start.
-
-        Returns False if no such capacity is sufficient.
-        """
-        latest_s = work.latest_start_s() - self.start_limits.displacement_s()
-        if work.is_guaranteed:
-            latest_s = min(latest_s, self.start_limits.latest_displacement_s(work.graph.accepted_s))
-        longest_wait_s = latest_s - self.now_s
-        for group in groups:
-            unreserved = [worker for worker in group if not worker.is_reserved]
-            fit = self.search.earliest(work, unreserved)
-            if fit is not None and fit.remaining_s < longest_wait_s:
-                self._reserve(work, fit.workers)
-                return True
-        return False
-
-    def _reserve(self, work: WaitingWork, chosen: list[WorkerCapacity]) -> None:
-        """Reserves the chosen workers as a whole for the work until the end of the round."""
-        self.changes += 1
-        for worker in chosen:
-            worker.free_after_stops = worker.free_after_stops.minus(work.step.demand)
-            worker.is_reserved = True
-            worker.reserved_for = work
-
-    def _displace(
-        self, work: WaitingWork, groups: list[list[WorkerCapacity]]
-    ) -> Generator[None, None, bool]:
-        """Displaces the cheapest victims in any group and reserves their capacity.
-
-        Returns False if nothing suffices or the work does not justify it.
-        """
-        candidates = StoppableWork(self.victims.candidates(work), self.victims.costs_of)
-        yield from candidates.index()
-        fill_order = self.candidates.fill_order(work)
-        cheapest: Displacement | None = None
-        for group in groups:
-            unreserved = [worker for worker in group if not worker.is_reserved]
-            limits = self.search.limits(work, unreserved)
-            displacement = yield from self.victims.find(
-                work, unreserved, candidates, limits, fill_order
-            )
-            if displacement is not None and (cheapest is None or displacement.cost < cheapest.cost):
-                cheapest = displacement
-        if cheapest is None or not self.victims.is_worthwhile(work, cheapest):
-            return False
-        self.unplaceable.clear()
-        self.view.remove_displaced(cheapest.victims)
-        for victim in cheapest.victims:
-            self.plan.displaced.update(dict.fromkeys(victim.runs, work.graph.graph.graph_id))
-        self._count_as_free_after_stops(cheapest.victims)
-        self.plan.displacements.append(cheapest)
-        self.victims.displaced(work, cheapest)
-        self._reserve(work, cheapest.workers)
-        return True
-
-    def _count_as_free_after_stops(self, victims: Sequence[RunningWork]) -> None:
-        workers = {worker.worker_id: worker for worker in self.workers}
-        for victim in victims:
-            for worker_id, demand in victim.occupied:
-                if worker_id in workers:
-                    worker = workers[worker_id]
-                    worker.free_after_stops = worker.free_after_stops.plus(demand)
-
-    def _reserve_for_gang(self, work: WaitingWork, groups: list[list[WorkerCapacity]]) -> None:
-        """Reserves the workers that fit the gang first, so that small tasks do not refill them."""
-        earliest = self.search.earliest_in_any(work, groups)
-        if earliest is not None:
-            self.reserved_gangs += 1
-            self._reserve(work, earliest.workers)
--- a/tests/cover/taskgraphs/test_large_backlogs.py
+++ b/tests/cover/taskgraphs/test_large_backlogs.py
@@ -119,7 +119,7 @@
         ]
         runs = len(session.ordered_runs[full_id])
         session.workers[full_id].end = WorkerEnd.WITHDRAWN
-        await loop._record_losses()
+        await loop.losses.record()
         ends = [len(command.ends) for command in commands if command.ends]
         assert sum(ends) == runs and max(ends) <= MAX_ENDS
         assert full_id not in session.ordered_runs
@@ -145,7 +145,7 @@
                     sum(line["event"] == "run lost with its worker" for line in lines)
                 )
             )
-            await loop._record_losses()
+            await loop.losses.record()
         assert not session.ordered_runs
         # No run was recorded twice, although the parts are stored one after another.
         ended = [placed.end.run for command in commands for placed in command.ends]
--- a/tests/cover/taskgraphs/test_leader_start.py
+++ b/tests/cover/taskgraphs/test_leader_start.py
@@ -9,6 +9,7 @@
 from cicadatray.internal.control.graphs.belief_log import BeliefLog
 from cicadatray.internal.control.graphs.placement_input import RUNS_BETWEEN_PAUSES
 from cicadatray.internal.control.graphs.recorded_runs import TASKS_BETWEEN_PAUSES
+from cicadatray.internal.control.graphs.worker_wakes import wake_workers_of
 from cicadatray.internal.control.loop_turns import run_at_once
 from cicadatray.internal.wire.messages.graph_messages import (
     AcceptGraph,
@@ -111,7 +112,7 @@
         leader.sync_all()
         for worker in session.workers.values():
             worker.wake.clear()
-        session.wake_workers_of({WIDE, "removed"})
+        wake_workers_of(session, {WIDE, "removed"})
         woken = {name for name, worker in session.workers.items() if worker.wake.is_set()}
         assert woken == {"worker-1", "worker-2"}
 
