Pause between workers, too, while running work is read

What callers saw: nothing yet. With thousands of workers that run a few tasks each, the running work was still read in one turn: the pauses came after 64 runs of one worker.

Change: collect_running, collect_workers and the scan of beliefs pause between workers, too. Two expressions in the reservations are shorter.

--- a/src/cicadatray/internal/control/graphs/belief_log.py
+++ b/src/cicadatray/internal/control/graphs/belief_log.py
@@ -115,6 +115,7 @@
         session = self.session
         held: dict[TaskRun, str] = {}
         for worker_id, ordered in list(session.ordered_runs.items()):
+            yield
             for place, run in enumerate(list(ordered)):
                 if place % RUNS_BETWEEN_PAUSES == RUNS_BETWEEN_PAUSES - 1:
                     yield
--- a/src/cicadatray/internal/control/graphs/placement_input.py
+++ b/src/cicadatray/internal/control/graphs/placement_input.py
@@ -36,6 +36,7 @@
     """Returns the same as `build_workers`, and yields wherever the caller may pause."""
     available = []
     for worker_id, worker_session in list(session.workers.items()):
+        yield
         if not may_take_work(session, worker_session):
             continue
         offer = worker_session.offer
@@ -182,6 +183,7 @@
     works: dict[tuple[str, int, int, int], RunningWork] = {}
     pools = build_pools(session)
     for worker_id, ordered in list(session.ordered_runs.items()):
+        yield
         for place, (run, ordered_s) in enumerate(list(ordered.items())):
             if place % RUNS_BETWEEN_PAUSES == RUNS_BETWEEN_PAUSES - 1:
                 yield
--- a/src/cicadatray/scheduling/taskgraphs/placement_round.py
+++ b/src/cicadatray/scheduling/taskgraphs/placement_round.py
@@ -178,10 +178,9 @@
 
     def _must_wait(self, work: WaitingWork) -> bool:
         """Returns whether work that fits nowhere can neither displace other work nor be held."""
-        is_displacing = work.priority == URGENT_PRIORITY and self.reservations.may_displace_for(
-            work
-        )
-        return not is_displacing and self.holds.is_scarce(work)
+        if work.priority == URGENT_PRIORITY and self.reservations.may_displace_for(work):
+            return False
+        return self.holds.is_scarce(work)
 
     def _reason_of(self, work: WaitingWork, shape: Hashable) -> WaitReason:
         """Returns why work of an unplaceable shape waits."""
--- a/src/cicadatray/scheduling/taskgraphs/round_reservations.py
+++ b/src/cicadatray/scheduling/taskgraphs/round_reservations.py
@@ -107,11 +107,10 @@
 
         Returns False if no such capacity is sufficient.
         """
-        latest_s = work.latest_start_s() - self.view.start_limits.displacement_s()
+        limits = self.view.start_limits
+        latest_s = work.latest_start_s() - limits.displacement_s()
         if work.is_guaranteed:
-            latest_s = min(
-                latest_s, self.view.start_limits.latest_displacement_s(work.graph.accepted_s)
-            )
+            latest_s = min(latest_s, limits.latest_displacement_s(work.graph.accepted_s))
         longest_wait_s = latest_s - self.view.now_s
         for group in groups:
             unreserved = [worker for worker in group if not worker.is_reserved]
--- a/tests/cover/taskgraphs/test_leader_start.py
+++ b/tests/cover/taskgraphs/test_leader_start.py
@@ -7,7 +7,11 @@
 from cicadatray.internal.bench.virtual_time_loop import run_virtual
 from cicadatray.internal.control.control_state import ControlState
 from cicadatray.internal.control.graphs.belief_log import BeliefLog
-from cicadatray.internal.control.graphs.placement_input import RUNS_BETWEEN_PAUSES
+from cicadatray.internal.control.graphs.placement_input import (
+    RUNS_BETWEEN_PAUSES,
+    collect_running,
+    collect_workers,
+)
 from cicadatray.internal.control.graphs.recorded_runs import TASKS_BETWEEN_PAUSES
 from cicadatray.internal.control.graphs.worker_wakes import wake_workers_of
 from cicadatray.internal.control.loop_turns import run_at_once
@@ -52,7 +56,7 @@
     return PlacedEnd(RunEnd(run_of(task), RunOutcome.DONE, 1), f"worker-{1 + task % 2}")
 
 
-def count_steps(steps: Generator[None, None, None]) -> int:
+def count_steps(steps: Generator[None, None, object]) -> int:
     return sum(1 for _ in steps)
 
 
@@ -102,6 +106,30 @@
     run_virtual(main())
 
 
+def test_few_runs_on_each_of_many_workers_are_read_in_steps() -> None:
+    """Guards against pauses that come only after many runs of one worker."""
+
+    async def main() -> None:
+        state = make_state()
+        starts = tuple(
+            PlacedRun(
+                TaskRun(TaskId(f"{number:016x}", 0, 0, 0), 1), f"worker-{number}", f"agent-{number}"
+            )
+            for number in range(1, JOBS)
+        )
+        state.apply(1, state.encode_command(RecordRuns(now_s=NOW_S, starts=starts)))
+        leader = BenchLeader(state)
+        session = leader.session
+        run_at_once(session.load())
+        for number in range(1, JOBS):
+            leader.sync(number)
+        assert count_steps(collect_running(session)) >= JOBS - 1
+        assert count_steps(collect_workers(session)) >= JOBS - 1
+        assert count_steps(BeliefLog(session).scan_in_steps()) >= 3 * (JOBS - 1)
+
+    run_virtual(main())
+
+
 def test_ends_wake_only_the_workers_of_their_job() -> None:
     """Guards against an order computed for each worker after each end of any task."""
 
