Let the gang machine apply the log inside its event loop

The rule heal_group applied the log outside the loop, where a leader that was cut off cannot read its time; the product applies it inside.

--- a/tests/cover/control/gangs/gang_machine.py
+++ b/tests/cover/control/gangs/gang_machine.py
@@ -74,7 +74,7 @@
     @rule()
     def heal_group(self) -> None:
         self.simulation.log.cut_members.clear()
-        self.simulation.log.update_members()
+        self.simulation.in_loop(self.simulation.log.update_members)
 
     @rule(number=NUMBERS, duration_s=st.sampled_from(TIMES_S))
     def freeze_agent(self, number: int, duration_s: float) -> None:
