Log the processor time of a held event loop

What an operator saw: "event loop held" did not tell a leader that works for too long from one that gets no processor time.

Change: the line has cpu_s, the time that the loop's thread has used since the timer was set.

--- a/src/cicadatray/internal/control/loop_watch.py
+++ b/src/cicadatray/internal/control/loop_watch.py
@@ -1,6 +1,7 @@
 """Watches for how long the event loop is held."""
 
 import asyncio
+import time
 
 import structlog
 
@@ -40,15 +41,20 @@
         loop = asyncio.get_running_loop()
         while True:
             due_s = loop.time() + CHECK_INTERVAL_S
+            used_s = time.thread_time()
             await asyncio.sleep(CHECK_INTERVAL_S)
-            self.record(loop.time() - due_s, loop.time())
+            self.record(loop.time() - due_s, loop.time(), time.thread_time() - used_s)
 
-    def record(self, held_s: float, now_s: float) -> None:
-        """Records by how much a timer was late; `now_s` is the event loop's time."""
+    def record(self, held_s: float, now_s: float, cpu_s: float = 0.0) -> None:
+        """Records by how much a timer was late; `now_s` is the event loop's time.
+
+        `cpu_s` is the processor time that the loop has used since the timer was set. If it is much
+        less than `held_s`, the process was not run.
+        """
         if now_s >= self.window_ends_s:
             self.window_ends_s = now_s + WINDOW_S
             self.former_longest_s, self.longest_s = self.longest_s, 0.0
         self.longest_s = max(self.longest_s, held_s)
         if held_s >= REPORT_AFTER_S and now_s >= self.next_line_s:
             self.next_line_s = now_s + LINE_INTERVAL_S
-            log.warning("event loop held", held_s=round(held_s, 3))
+            log.warning("event loop held", held_s=round(held_s, 3), cpu_s=round(cpu_s, 3))
--- a/tests/cover/control/test_loop_turns.py
+++ b/tests/cover/control/test_loop_turns.py
@@ -73,8 +73,10 @@
     watch = LoopWatch(metrics)
     with capture_logs() as lines:
         for number, held_s in enumerate((0.001, 3.0, 2.0, REPORT_AFTER_S / 2)):
-            watch.record(held_s, 1.0 + number / 10)
-    assert [(line["event"], line["held_s"]) for line in lines] == [("event loop held", 3.0)]
+            watch.record(held_s, 1.0 + number / 10, held_s / 4)
+    assert [(line["event"], line["held_s"], line["cpu_s"]) for line in lines] == [
+        ("event loop held", 3.0, 0.75)
+    ]
     assert "cicadatray_event_loop_longest_hold_seconds 3" in metrics.render_text()
     watch.record(0.0, 2 + WINDOW_S)
     watch.record(0.0, 4 + 2 * WINDOW_S)
